--- /dev/null
+++ b/glenfold/__main__.py
@@ -0,0 +1,102 @@
+"""Wires the parts of one relay together, and heeds signals."""
+
+import os
+import signal
+import socket
+import sys
+
+import trio
+from loguru import logger
+
+from glenfold.clock import Clock
+from glenfold.config import Config, ConfigError, read_config
+from glenfold.counters import Counters
+from glenfold.decisions import Decisions
+from glenfold.net.discovery import BadList, DestinationSet, Discovery
+from glenfold.net.inbound import BACKLOG, Inbound, Relay
+
+ARRIVING_S = 0.45      # after SIGTERM new connections go on arriving for as long as this
+LEAST_NOTICE_S = 3.0   # SIGKILL comes no earlier than this, or the longest deadline, and 0.7 s
+LEAVE_S = 0.4          # of those 0.7 s
+
+
+async def serve(config: Config) -> None:
+    clock, counters = Clock(), Counters()
+    decisions = Decisions(config.settings, config.seed, clock)
+    destinations = DestinationSet(config.names)
+    relay = Relay(config, clock, decisions, destinations, counters)
+    inbound = Inbound(relay)
+    if config.known:
+        try:
+            # Before the first client: a relay that died starts again from the list it last had.
+            await decisions.tell(destinations.read(config.known, cached=True))
+        except BadList as error:
+            logger.warning("known: {}", error)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(decisions.run)
+        nursery.start_soon(Discovery(config.discovery, destinations, decisions.tell, counters).follow)
+        with trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM) as listener:
+            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            await listener.bind(config.listen)
+            listener.listen(BACKLOG)
+            accepting = trio.CancelScope()
+            nursery.start_soon(accept, accepting, inbound, listener, nursery)
+            logger.info("{} listens on {}:{}", config.name, *config.listen)
+            await until_told_to_stop(counters)
+            told_at = trio.current_time()
+            await last_arrivals(told_at, inbound)
+            accepting.cancel()
+        await finish_taken(told_at, relay)
+        nursery.cancel_scope.cancel()
+    logger.info("counters at exit: {}", counters.line())
+
+
+async def accept(scope: trio.CancelScope, inbound: Inbound, listener: trio.socket.SocketType,
+                 nursery: trio.Nursery) -> None:
+    with scope:
+        await inbound.serve(listener, nursery)
+
+
+async def until_told_to_stop(counters: Counters) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
+        async for number in signals:
+            if number != signal.SIGUSR1:
+                return
+            logger.info("counters: {}", counters.line())
+
+
+async def last_arrivals(told_at: float, inbound: Inbound) -> None:
+    """Clients go on coming for a while; each that the kernel has accepted counts as taken."""
+    quiet = told_at
+    while trio.current_time() < quiet + ARRIVING_S:
+        await trio.sleep_until(quiet + ARRIVING_S)
+        quiet = min(max(quiet, inbound.last_arrival), told_at + 2 * ARRIVING_S)
+
+
+async def finish_taken(told_at: float, relay: Relay) -> None:
+    """Every request taken gets its answer. Standing connections stay as long as the platform allows:
+    where packets pass through they go on at another relay, elsewhere their clients are moved."""
+    settings = relay.config.settings
+    notice_s = max([LEAST_NOTICE_S, *(kind.deadline_us / 1e6 for kind in settings.classes)])
+    with trio.move_on_at(told_at + notice_s + LEAVE_S):
+        while relay.unanswered or (relay.standing and settings.pass_through):
+            await trio.sleep_until(trio.current_time() + 0.02)
+        async with trio.open_nursery() as nursery:
+            for passage in list(relay.standing):
+                nursery.start_soon(passage.move)
+
+
+def main() -> int:
+    logger.remove()
+    logger.add(sys.stderr, level="INFO", format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False)
+    try:
+        config = read_config(os.environ)
+    except ConfigError as error:
+        logger.error("configuration: {}", error)
+        return 2
+    trio.run(serve, config)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/glenfold/counters.py
@@ -0,0 +1,26 @@
+"""What the relay took in, sent and answered; printed on SIGUSR1 and at exit."""
+
+from dataclasses import asdict, dataclass
+
+
+@dataclass(slots=True)
+class Counters:
+    accepted: int = 0        # inbound connections
+    pings: int = 0
+    taken: int = 0           # requests given to the decisions
+    existing: int = 0        # of these, connections that stood before this relay did
+    malformed: int = 0       # first lines that were refused unread
+    fail_fast: int = 0       # refused for want of descriptors
+    calls: int = 0           # outbound calls begun
+    answered_up: int = 0
+    answered_busy: int = 0
+    answered_failed: int = 0
+    left: int = 0            # clients that went before their answer
+    moved: int = 0           # standing connections that the decisions moved
+    silent: int = 0          # standing connections ended because their server fell silent
+    ended: int = 0           # standing connections that are over
+    lists: int = 0           # lists and changes from discovery
+    faults: int = 0          # connections ended by an error of the relay's own
+
+    def line(self) -> str:
+        return " ".join(f"{name}={value}" for name, value in asdict(self).items())
--- /dev/null
+++ b/glenfold/net/__init__.py
@@ -0,0 +1,1 @@
+"""Everything of glenfold that touches a socket."""
--- /dev/null
+++ b/glenfold/net/inbound.py
@@ -0,0 +1,318 @@
+"""The clients' side: first lines in, one request each, and its final answer out."""
+
+import errno
+import os
+from dataclasses import dataclass, field
+
+import trio
+from loguru import logger
+
+from glenfold import lines
+from glenfold import request as r
+from glenfold.clock import SECOND_US, Clock
+from glenfold.config import Config
+from glenfold.counters import Counters
+from glenfold.decisions import Closed, Decisions, Taken
+from glenfold.net.discovery import DestinationSet
+from glenfold.net.outbound import OutboundCall
+from glenfold.net.passing import Passage
+from glenfold.net.sockets import SocketType, finish, send, without_delay
+from linnetspread import interface as i
+
+BACKLOG = 1024
+SPARE_SOCKETS = 24     # for the listener, discovery, the log, and those being refused
+INBOX = 16             # incidents of one request
+FIRST_LINE_S = 10.0    # for a client to send its first line
+PARTING_S = 0.5        # for a client to take an answer before its connection closes
+OUT_OF_SOCKETS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+@dataclass(slots=True)
+class Relay:
+    """What every inbound connection of a relay shares."""
+
+    config: Config
+    clock: Clock
+    decisions: Decisions
+    destinations: DestinationSet
+    counters: Counters
+    unanswered: int = 0
+    standing: set[Passage] = field(default_factory=set)
+
+
+class Inbound:
+    def __init__(self, relay: Relay) -> None:
+        self._relay = relay
+        self._names = relay.config.names
+        self._counters = relay.counters
+        self._most = (relay.config.sockets - SPARE_SOCKETS) // 2  # a connection has two sides
+        self._open = 0
+        self._refusing = 0
+        self._spare = os.open(os.devnull, os.O_RDONLY)
+        self.last_arrival = float("-inf")
+
+    async def serve(self, listener: SocketType, nursery: trio.Nursery) -> None:
+        while True:
+            try:
+                sock, _ = await listener.accept()
+            except OSError as error:
+                if error.errno in OUT_OF_SOCKETS:
+                    await self._refuse_without_socket(listener)
+                elif error.errno == errno.EBADF:
+                    raise
+                continue
+            self.last_arrival = trio.current_time()
+            self._counters.accepted += 1
+            if self._open < self._most:
+                self._open += 1
+                nursery.start_soon(self._connection, sock)
+            elif self._refusing < SPARE_SOCKETS // 2:
+                self._refusing += 1
+                nursery.start_soon(self._fail_fast, sock)
+            else:
+                sock.close()
+
+    async def _refuse_without_socket(self, listener: SocketType) -> None:
+        """With no descriptor left, accept fails over and over: one kept spare lets a client be told."""
+        os.close(self._spare)
+        with trio.move_on_at(trio.current_time() + PARTING_S):
+            try:
+                sock, _ = await listener.accept()
+                self._refusing += 1
+                await self._fail_fast(sock)
+            except OSError:
+                pass
+        try:
+            self._spare = os.open(os.devnull, os.O_RDONLY)
+        except OSError as error:
+            logger.warning("no spare descriptor: {}", error)
+            await trio.sleep_until(trio.current_time() + PARTING_S)
+
+    async def _fail_fast(self, sock: SocketType) -> None:
+        self._counters.fail_fast += 1
+        try:
+            await self._part(sock, lines.busy(self._relay.config.settings.max_retry_after_us))
+        except OSError:
+            pass
+        finally:
+            sock.close()
+            self._refusing -= 1
+
+    async def _part(self, sock: SocketType, answer: bytes) -> None:
+        """Closing on unread bytes would reset the connection and take the answer with it."""
+        with trio.move_on_at(trio.current_time() + PARTING_S):
+            await send(sock, answer)
+            finish(sock)
+            while await sock.recv(lines.MAX_LINE):
+                pass
+
+    async def _connection(self, sock: SocketType) -> None:
+        """One connection's fault ends that connection, and is logged."""
+        try:
+            without_delay(sock)
+            await self._talk(sock)
+        except OSError as error:
+            logger.debug("inbound: {!r}", error)
+        except Exception:
+            self._counters.faults += 1
+            logger.exception("a connection failed")
+        finally:
+            sock.close()
+            self._open -= 1
+
+    async def _talk(self, sock: SocketType) -> None:
+        buffer = lines.LineBuffer()
+        try:
+            with trio.fail_at(trio.current_time() + FIRST_LINE_S):
+                end = await self._first_line(sock, buffer)
+            if end is None:
+                return
+            first = lines.parse_open(buffer.data, end)
+            exchange = Exchange(self._relay, sock, first, self._event(first), buffer.after(end))
+            server = self._standing_at(first)
+        except (lines.Malformed, trio.TooSlowError) as error:
+            self._counters.malformed += 1
+            logger.warning("inbound: {!r}", error)
+            await self._part(sock, lines.FAILED)
+            return
+        await exchange.run(server)
+
+    async def _first_line(self, sock: SocketType, buffer: lines.LineBuffer) -> int | None:
+        """Where it ends in the buffer; None when the client has gone without one."""
+        while True:
+            while (end := buffer.line_end()) is None:
+                count = await sock.recv_into(buffer.room())
+                if not count and buffer.filled:
+                    raise lines.Malformed("a first line is cut short")
+                if not count:
+                    return None
+                buffer.wrote(count)
+            if buffer.data[:end] != lines.PING + lines.END:
+                return end
+            buffer.drop(end)
+            self._counters.pings += 1
+            await send(sock, lines.PONG)
+
+    def _event(self, first: lines.OpenLine) -> i.Request:
+        request_class = self._names.classes.get(first.text(b"c"))
+        if request_class is None:
+            raise lines.Malformed("the class is unknown")
+        return i.Request(
+            request=self._relay.decisions.new_request(),
+            expires_in_us=first.wait_ms * 1000,
+            key=first.key,
+            group=first.number(b"g", 16),
+            request_class=request_class,
+            tenant=self._names.tenants.get(first.text(b"t"), 0),
+            load_us=first.load(),
+            client_retry=first.flag(b"r"),
+            mid_flow=first.flag(b"mid"),
+            returning=first.flag(b"again"),
+        )
+
+    def _standing_at(self, first: lines.OpenLine) -> int | None:
+        """The server of a connection that stood before this relay did."""
+        if b"at" not in first.figures:
+            return None
+        server = self._relay.destinations.numbered(first.text(b"at"))
+        if server is None:
+            raise lines.Malformed("a connection stands at an unknown server")
+        return server
+
+
+class Exchange:
+    """One request from its first line to its end. Everything that happens to it comes through its inbox,
+    one incident at a time, so that `RequestState` alone says what follows."""
+
+    def __init__(self, relay: Relay, sock: SocketType, first: lines.OpenLine, event: i.Request,
+                 early: bytes) -> None:
+        self._relay = relay
+        self._sock = sock
+        self._first = first
+        self._event = event
+        self._early = early
+        self._deadline_us = relay.clock.now_us() + event.expires_in_us
+        self._state = r.RequestState(event.request, self._deadline_us)
+        self._send, self._receive = trio.open_memory_channel[r.Incident](INBOX)
+        self._call: OutboundCall | None = None
+
+    async def run(self, server: int | None) -> None:
+        relay = self._relay
+        relay.counters.taken += 1
+        relay.counters.existing += server is not None
+        relay.unanswered += 1
+        try:
+            receipt = await self._until_answered(server)
+        finally:
+            relay.unanswered -= 1
+        try:
+            if receipt is not None and self._call is not None and self._call.sock is not None:
+                await self._stand(self._call.sock, receipt)
+        finally:
+            if self._call is not None:
+                self._call.close()
+            for effect in self._state.on(r.ClientGone(), relay.clock.now_us()):
+                if isinstance(effect, r.Report):
+                    await relay.decisions.tell(effect.event)
+            await relay.decisions.tell(Closed(self._event.request))
+
+    async def _until_answered(self, server: int | None) -> bytes | None:
+        """The receipt of the server that took it, once the client has it; None after any other end."""
+        taken = self._event if server is None else i.Existing(self._event, server)
+        await self._relay.decisions.tell(Taken(taken, self._send.clone()))
+        receipt = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_client)
+            if server is not None:
+                await self._carry_out(self._state.resume(server, self._relay.clock.now_us()), nursery)
+            while self._state.phase in (r.Phase.TAKEN, r.Phase.CALLING):
+                incident: r.Incident = r.DeadlinePassed()
+                with trio.move_on_at(self._relay.clock.to_trio(self._deadline_us)):
+                    incident = await self._receive.receive()
+                effects = self._state.on(incident, self._relay.clock.now_us())
+                await self._carry_out(effects, nursery)
+                if isinstance(incident, r.CallUp) and self._state.phase is r.Phase.STANDING:
+                    receipt = incident.receipt
+            nursery.cancel_scope.cancel()
+        return receipt
+
+    async def _carry_out(self, effects: list[r.Effect], nursery: trio.Nursery) -> None:
+        counters = self._relay.counters
+        for effect in effects:
+            match effect:
+                case r.StartCall(server, deadline_us):
+                    counters.calls += 1
+                    nursery.start_soon(self._outbound, server, deadline_us)
+                case r.DropCall():
+                    if self._call is not None:
+                        self._call.close()
+                case r.AnswerUp(receipt):
+                    counters.answered_up += 1
+                    await self._answer(receipt)
+                case r.AnswerRefused(wait_us):
+                    counters.answered_busy += 1
+                    await self._answer(lines.busy(wait_us))
+                case r.AnswerFailed():
+                    counters.answered_failed += 1
+                    await self._answer(lines.FAILED)
+                case r.Report(event):
+                    counters.left += isinstance(event, i.ClientLeft)
+                    await self._relay.decisions.tell(event)
+                case r.MoveClient():
+                    pass  # only a standing connection is moved, and that one has its own task
+
+    async def _answer(self, line: bytes) -> None:
+        try:
+            await send(self._sock, line)
+        except OSError as error:  # the client has just gone: its end is seen where it is read from
+            logger.debug("inbound: no answer taken: {!r}", error)
+
+    async def _watch_client(self) -> None:
+        """A client that goes before its answer is not worth a call; what it sends early is kept."""
+        while len(self._early) < lines.MAX_LINE:
+            try:
+                data = await self._sock.recv(lines.MAX_LINE)
+            except OSError:
+                data = b""
+            if not data:
+                await self._send.send(r.ClientGone())
+                return
+            self._early += data
+
+    async def _outbound(self, server: int, deadline_us: int) -> None:
+        address = self._relay.destinations.address(server)
+        if address is None:
+            await self._send.send(r.CallEnded(i.Outcome.CONNECT_FAILED))
+            return
+        clock = self._relay.clock
+        connect_by = trio.current_time() + self._relay.config.settings.connect_timeout_us / SECOND_US
+        call = self._call = OutboundCall(address, self._first, connect_by, clock.to_trio(deadline_us))
+        await self._send.send(await call.run())
+
+    async def _stand(self, server: SocketType, receipt: bytes) -> None:
+        relay, state = self._relay, self._state
+        passage = Passage(self._sock, server, self._load_heard)
+        relay.standing.add(passage)
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._move_when_told, passage)
+                await passage.run(self._early, receipt)
+                nursery.cancel_scope.cancel()
+        finally:
+            relay.standing.discard(passage)
+            relay.counters.ended += 1
+            relay.counters.silent += passage.silent
+        for effect in state.on(r.ConnectionEnded(passage.outcome), relay.clock.now_us()):
+            if isinstance(effect, r.Report):
+                await relay.decisions.tell(effect.event)
+
+    async def _load_heard(self, load: float) -> None:
+        await self._relay.decisions.tell(self._state.notice(i.NoticeKind.LOAD, load))
+
+    async def _move_when_told(self, passage: Passage) -> None:
+        while True:
+            incident = await self._receive.receive()
+            for effect in self._state.on(incident, self._relay.clock.now_us()):
+                if isinstance(effect, r.MoveClient):
+                    self._relay.counters.moved += 1
+                    await passage.move()
--- /dev/null
+++ b/glenfold/net/passing.py
@@ -0,0 +1,135 @@
+"""A standing connection: lines pass both ways unchanged, and an end on one side is an end on the other."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from glenfold.lines import MOVE, LineTracker
+from glenfold.net.sockets import SocketType, finish, reset, send
+from linnetspread.interface import Outcome
+
+CHUNK = 16 * 1024
+SILENT_S = 5.0  # a server that leaves a client's line unanswered for so long is taken to be gone
+PART_S = 0.7    # how long a side may take to close after the other side has
+WHOLE_S = 0.3   # how long a move waits for a line to be complete
+
+LoadHeard = Callable[[float], Awaitable[None]]
+
+
+class Passage:
+    """The two sides of one connection, and what is known of it while it stands."""
+
+    def __init__(self, client: SocketType, server: SocketType, load_heard: LoadHeard) -> None:
+        self.client = client
+        self.server = server
+        self.outcome = Outcome.RESET
+        self.silent = False
+        self._load_heard = load_heard
+        self._lines = LineTracker()
+        self._said: bytes | None = None         # the server's last word on this connection
+        self._asked_at: float | None = None     # since when a client's line is unanswered
+        self._client_done = False
+        self._client_over = trio.Event()
+        self._scope = trio.CancelScope()
+        self._between_lines = trio.Event()
+
+    async def run(self, early: bytes, receipt: bytes) -> None:
+        """`early` is what the client sent before it was up, `receipt` what the client was sent."""
+        with self._scope:
+            await self._hear(receipt)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._upward, early)
+                nursery.start_soon(self._downward)
+                await self._watch_silence()
+        self.client.close()
+        self.server.close()
+
+    async def move(self) -> None:
+        """Tells the client to come again, between two lines, and ends both sides."""
+        until = trio.current_time() + WHOLE_S
+        with trio.move_on_at(until):
+            while not self._lines.between_lines:
+                self._between_lines = trio.Event()
+                await self._between_lines.wait()
+            await send(self.client, MOVE)
+        self._end(Outcome.CANCELLED)
+
+    def _end(self, outcome: Outcome) -> None:
+        self.outcome = outcome
+        self._scope.cancel()
+
+    async def _upward(self, early: bytes) -> None:
+        data = early
+        while True:
+            if data:
+                if self._asked_at is None:
+                    self._asked_at = trio.current_time()
+                try:
+                    await send(self.server, data)
+                except OSError:
+                    return  # what the server still had to say is read downward, and so is its reset
+            try:
+                data = await self.client.recv(CHUNK)
+            except OSError:
+                reset(self.server)
+                return self._end(Outcome.CANCELLED)
+            if not data:
+                break
+        self._client_done = True
+        self._client_over.set()
+        finish(self.server)
+        # The server owes an end: one that vanished must not keep half a connection for ever.
+        self._asked_at = self._asked_at or trio.current_time()
+
+    async def _downward(self) -> None:
+        while True:
+            try:
+                data = await self.server.recv(CHUNK)
+            except OSError:
+                reset(self.client)
+                return self._end(Outcome.RESET)
+            if not data:
+                break
+            self._asked_at = None
+            try:
+                await send(self.client, data)
+            except OSError:
+                reset(self.server)
+                return self._end(Outcome.CANCELLED)
+            await self._hear(data)
+        finish(self.client)
+        ended_by_client = self._client_done
+        if not ended_by_client:
+            # The client has to be ended within a second, whether it closes its side or not.
+            with trio.move_on_at(trio.current_time() + PART_S):
+                await self._client_over.wait()
+        ends = {b"BYE": Outcome.OK, b"MOVE": Outcome.CANCELLED}
+        silent = Outcome.CANCELLED if ended_by_client else Outcome.RESET
+        self._end(ends.get(self._said or b"", silent))
+
+    async def _hear(self, data: bytes) -> None:
+        for line in self._lines.feed(data):
+            word, _, rest = line.partition(b" ")
+            if word in (b"BYE", b"MOVE"):
+                self._said = word
+            elif word == b"LOAD":
+                try:
+                    await self._load_heard(float(rest))
+                except ValueError:
+                    return self._end(Outcome.ERROR)
+        if self._lines.too_long:
+            return self._end(Outcome.ERROR)
+        if self._lines.between_lines:
+            self._between_lines.set()
+
+    async def _watch_silence(self) -> None:
+        """TCP does not tell that a server is cut off; a client that asks in vain does."""
+        while True:
+            since = self._asked_at or trio.current_time()
+            await trio.sleep_until(since + SILENT_S)
+            asked = self._asked_at
+            if asked is not None and trio.current_time() - asked >= SILENT_S:
+                self.silent = True
+                if not self._client_done:
+                    await self.move()
+                return self._end(Outcome.RESET)
