--- a/glenfold/net/passing.py
+++ b/glenfold/net/passing.py
@@ -5,7 +5,7 @@
 import trio
 
 from glenfold.lines import MOVE, LineTracker
-from glenfold.net.sockets import SocketType, finish, reset, send
+from glenfold.net.sockets import SocketType, finish, reset_on_close, send
 from linnetspread.interface import Outcome
 
 CHUNK = 16 * 1024
@@ -41,6 +41,7 @@
                 nursery.start_soon(self._upward, early)
                 nursery.start_soon(self._downward)
                 await self._watch_silence()
+        # Only here, with both directions ended: closing a socket that another task reads from is an error.
         self.client.close()
         self.server.close()
 
@@ -71,7 +72,7 @@
             try:
                 data = await self.client.recv(CHUNK)
             except OSError:
-                reset(self.server)
+                reset_on_close(self.server)
                 return self._end(Outcome.CANCELLED)
             if not data:
                 break
@@ -86,7 +87,7 @@
             try:
                 data = await self.server.recv(CHUNK)
             except OSError:
-                reset(self.client)
+                reset_on_close(self.client)
                 return self._end(Outcome.RESET)
             if not data:
                 break
@@ -94,7 +95,7 @@
             try:
                 await send(self.client, data)
             except OSError:
-                reset(self.server)
+                reset_on_close(self.server)
                 return self._end(Outcome.CANCELLED)
             await self._hear(data)
         finish(self.client)
--- a/glenfold/net/sockets.py
+++ b/glenfold/net/sockets.py
@@ -33,11 +33,10 @@
         sock.shutdown(socket.SHUT_WR)
 
 
-def reset(sock: SocketType) -> None:
-    """RST, for the one side when the other was reset."""
-    with suppress(OSError):  # closed already
+def reset_on_close(sock: SocketType) -> None:
+    """RST, for the one side when the other was reset; whoever owns the socket closes it."""
+    with suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _AT_ONCE)
-    sock.close()
 
 
 def without_delay(sock: SocketType) -> None:
