--- /dev/null
+++ b/tests/relaying.py
@@ -0,0 +1,70 @@
+"""A relay in this process on ephemeral loopback ports, with push servers that a test scripts."""
+
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from glenfold.clock import Clock
+from glenfold.config import Config, read_config
+from glenfold.counters import Counters
+from glenfold.decisions import Decisions
+from glenfold.net.discovery import DestinationSet
+from glenfold.net.inbound import Inbound, Relay
+
+Handler = Callable[[trio.SocketStream], Awaitable[None]]
+SETTINGS: dict[str, Any] = {
+    "classes": [{"name": "watch", "aim_us": 500000, "hard_limit_us": 3000000, "semantics": "repeatable"}],
+    "accounts": [{"name": "valleys"}], "areas": ["cardiff", "wrexham"], "kinds": ["m"],
+    "ceilings": {"max_attempts": 2, "retry_after": True, "max_retry_after_us": 700000},
+    "extra": {"mode": "pass", "message_aim_us": [250000.0]}, "period_us": 2000,
+}
+OPEN = b"OPEN 9b1f03aa 7f3a9c21e0b4d655 c=watch,t=valleys,d=2000,zz=1,g=5c0f\r\n"
+
+
+def entry(host: str, dial: str = "127.0.0.1:1", **changes: object) -> dict[str, object]:
+    return {"host": host, "dial": dial, "site": "wrexham", "class": "m", "block": 3, "health": "in_service",
+            "share": 2.0, "born_ms": 0, **changes}
+
+
+def whole(*entries: dict[str, object], seq: int = 1) -> dict[str, object]:
+    return {"seq": seq, "whole": True, "hosts": list(entries)}
+
+
+def config(folder: Path, environment: dict[str, str] | None = None, **changes: object) -> Config:
+    document = {"listen": "127.0.0.1:9", "discovery": "127.0.0.1:9", "settings": SETTINGS, "seed": "1f"}
+    (folder / "config.json").write_text(json.dumps(document | changes))
+    return read_config({"LB_CONFIG": str(folder / "config.json"), **(environment or {})})
+
+
+@asynccontextmanager
+async def relay(conf: Config, handler: Handler, hosts: int = 1) -> AsyncIterator[tuple[Relay, Inbound, int]]:
+    async with trio.open_nursery() as nursery:
+        listeners = await nursery.start(trio.serve_tcp, handler, 0)
+        port = listeners[0].socket.getsockname()[1]
+        clock, destinations = Clock(), DestinationSet(conf.names)
+        shared = Relay(conf, clock, Decisions(conf.settings, conf.seed, clock), destinations, Counters())
+        hosts_listed = [entry(f"s-{n}", f"127.0.0.1:{port}") for n in range(hosts)]
+        await shared.decisions.tell(destinations.read(whole(*hosts_listed), cached=True))
+        nursery.start_soon(shared.decisions.run)
+        listener = trio.socket.socket()
+        await listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        inbound = Inbound(shared)
+        nursery.start_soon(inbound.serve, listener, nursery)
+        yield shared, inbound, listener.getsockname()[1]
+        nursery.cancel_scope.cancel()
+        listener.close()
+
+
+async def read_line(stream: trio.SocketStream) -> bytes:
+    line = b""
+    while not line.endswith(b"\n"):
+        byte = await stream.receive_some(1)
+        if not byte:
+            break
+        line += byte
+    return line
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,264 @@
+"""One small test for each failure that the relay guards against, on loopback sockets."""
+
+import errno
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+import relaying
+import trio
+import trio.testing
+from relaying import OPEN, entry, read_line, relay, whole
+
+from glenfold import lines
+from glenfold.__main__ import finish_taken
+from glenfold.config import Config, ConfigError
+from glenfold.counters import Counters
+from glenfold.net import sockets
+from glenfold.net.discovery import BadList, DestinationSet, Discovery, server_number
+from glenfold.net.inbound import Relay
+from linnetspread import interface as i
+
+Client = Callable[[Relay, int], Awaitable[None]]
+
+
+@pytest.fixture
+def conf(tmp_path: Path) -> Config:
+    return relaying.config(tmp_path)
+
+
+def play(conf: Config, handler: relaying.Handler, client: Client,
+         clock: trio.abc.Clock | None = None) -> Relay:
+    seen: list[Relay] = []
+
+    async def main() -> None:
+        async with relay(conf, handler) as (shared, _, port):
+            seen.append(shared)
+            await client(shared, port)
+
+    trio.run(main, clock=clock)
+    return seen[0]
+
+
+async def up_and_echo(stream: trio.SocketStream) -> None:
+    first = await read_line(stream)
+    assert first.startswith(b"OPEN 9b1f03aa 7f3a9c21e0b4d655 c=watch,t=valleys,d=")
+    assert first.endswith(b",zz=1,g=5c0f\r\n")  # what means nothing to the relay goes on unchanged
+    await stream.send_all(b"UP r1\r\nLOAD 50.5\r\n")
+    while (line := await read_line(stream)):
+        await stream.send_all(line)
+
+
+async def opened(port: int) -> trio.SocketStream:
+    stream = await trio.open_tcp_stream("127.0.0.1", port)
+    await stream.send_all(OPEN)
+    return stream
+
+
+def test_lines_pass_both_ways_and_a_half_close_is_carried_over(conf: Config) -> None:
+    async def client(shared: Relay, port: int) -> None:
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        await stream.send_all(b"PING\r\n" + OPEN)
+        got = [await read_line(stream) for _ in range(3)]
+        assert got == [b"PONG\r\n", b"UP r1\r\n", b"LOAD 50.5\r\n"]
+        await stream.send_all(b"M 1\r\n")
+        assert await read_line(stream) == b"M 1\r\n"
+        await stream.send_eof()
+        assert await read_line(stream) == b""
+
+    shared = play(conf, up_and_echo, client)
+    assert (shared.counters.answered_up, shared.counters.ended, shared.counters.faults) == (1, 1, 0)
+
+
+def test_a_reset_is_carried_over_while_both_directions_are_read(conf: Config) -> None:
+    async def reset(stream: trio.SocketStream) -> None:
+        await read_line(stream)
+        await stream.send_all(b"UP r1\r\n")
+        await read_line(stream)
+        sockets.reset_on_close(stream.socket)
+
+    async def client(shared: Relay, port: int) -> None:
+        stream = await opened(port)
+        await read_line(stream)
+        await stream.send_all(b"M 1\r\n")
+        with pytest.raises(trio.BrokenResourceError):
+            await stream.receive_some(1)
+        while shared.standing:
+            await trio.lowlevel.checkpoint()
+
+    assert play(conf, reset, client).counters.faults == 0
+
+
+def test_a_silent_server_ends_in_a_move_within_seven_seconds(conf: Config) -> None:
+    clock = trio.testing.MockClock()
+
+    async def silent(stream: trio.SocketStream) -> None:
+        await read_line(stream)
+        await stream.send_all(b"UP r1\r\n")
+        await read_line(stream)
+        clock.jump(6.0)
+        await trio.sleep_forever()
+
+    async def client(shared: Relay, port: int) -> None:
+        stream = await opened(port)
+        await read_line(stream)
+        await stream.send_all(b"M 1\r\n")
+        assert await read_line(stream) == b"MOVE\r\n"
+        assert await read_line(stream) == b""
+
+    assert play(conf, silent, client, clock).counters.silent == 1
+
+
+def test_a_refusal_comes_at_once_and_says_when_to_come_again(conf: Config) -> None:
+    async def busy(stream: trio.SocketStream) -> None:
+        await read_line(stream)
+        await stream.send_all(b"BUSY\r\n")
+
+    async def client(shared: Relay, port: int) -> None:
+        assert await read_line(await opened(port)) == b"BUSY 700\r\n"
+
+    # With the clock standing still, an answer held back would never come.
+    play(conf, busy, client, trio.testing.MockClock())
+
+
+@pytest.mark.parametrize("line", [
+    b"OPEN 1 2\r\n", b"GET / HTTP/1.1\r\n", b"OPEN 1 2 c=nobody,d=5\r\n", b"OPEN 1 2 c=watch\r\n",
+    b"OPEN 1 xyz c=watch,d=5\r\n", b"OPEN 1 2 c=watch,d=-5\r\n", b"OPEN 1 2 c=watch,d=5,d=6\r\n",
+    b"OPEN 1 2 c=watch,d=5,at=s-9\r\n", b"x" * 5000, b"OPEN 1 2 c=wat",
+])
+def test_a_bad_first_line_gets_one_failure_and_reaches_no_server(conf: Config, line: bytes) -> None:
+    async def never(stream: trio.SocketStream) -> None:
+        raise AssertionError("a push server was called")
+
+    async def client(shared: Relay, port: int) -> None:
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        await stream.send_all(line)
+        await stream.send_eof()
+        assert await read_line(stream) == lines.FAILED
+        assert await read_line(stream) == b""
+
+    counters = play(conf, never, client).counters
+    assert (counters.malformed, counters.calls) == (1, 0)
+
+
+def test_without_descriptors_a_client_is_refused_fail_fast(conf: Config) -> None:
+    class NoneLeft:
+        def __init__(self, inner: trio.socket.SocketType) -> None:
+            self.inner, self.calls = inner, 0
+
+        async def accept(self) -> object:
+            self.calls += 1
+            if self.calls == 1:
+                raise OSError(errno.EMFILE, "none left")
+            return await self.inner.accept()
+
+    async def main() -> None:
+        async with relay(conf, up_and_echo) as (shared, inbound, _), trio.open_nursery() as nursery:
+            with trio.socket.socket() as listener:
+                await listener.bind(("127.0.0.1", 0))
+                listener.listen()
+                nursery.start_soon(inbound.serve, NoneLeft(listener), nursery)  # type: ignore[arg-type]
+                port = listener.getsockname()[1]
+                assert await read_line(await opened(port)) == b"BUSY 700\r\n"
+                assert await read_line(await opened(port)) == b"UP r1\r\n"
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def test_at_sigterm_standing_connections_stay_until_the_notice_is_over(conf: Config) -> None:
+    clock = trio.testing.MockClock()
+
+    async def client(shared: Relay, port: int) -> None:
+        stream = await opened(port)
+        await read_line(stream)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(finish_taken, trio.current_time(), shared)
+            clock.jump(3.0)
+            await trio.testing.wait_all_tasks_blocked()
+            assert shared.standing
+            clock.jump(0.5)
+
+    play(conf, up_and_echo, client, clock)
+
+
+def test_partial_gathered_writes_go_on_where_they_stopped() -> None:
+    data = bytearray(OPEN)
+    pieces = lines.parse_open(data, len(data)).with_wait(7)
+    text = b"".join(pieces)
+    assert text == OPEN.replace(b"d=2000", b"d=7")
+    for sent in range(len(text) + 1):
+        assert b"".join(lines.unsent(pieces, sent)) == text[sent:]
+
+
+def test_numbers_do_not_depend_on_process_or_order() -> None:
+    assert server_number("s-5be2a07c") == 386416519
+
+
+def test_a_bad_list_changes_nothing_and_gone_servers_leave(conf: Config) -> None:
+    destinations = DestinationSet(conf.names)
+    destinations.read(whole(entry("s-1"), entry("s-2")))
+    for bad in ([], {"seq": 2}, whole(entry("s-1", health="odd")), whole(entry("s-1", dial="nowhere"))):
+        with pytest.raises(BadList):
+            destinations.read(bad)
+    change = destinations.read({"seq": 3, "whole": False, "hosts": [entry("s-1", health="terminated")]})
+    assert (change.kind, change.servers[0].zone) == (i.ListKind.DELTA, 1)
+    assert destinations.address(server_number("s-1")) is None
+    assert destinations.address(server_number("s-2")) == ("127.0.0.1", 1)
+
+
+def test_two_hosts_with_one_number_are_not_mixed_up(conf: Config, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("glenfold.net.discovery.server_number", lambda host: 5)
+    with pytest.raises(BadList, match="same number"):
+        DestinationSet(conf.names).read(whole(entry("s-1"), entry("s-2")))
+
+
+def test_a_watch_that_falls_silent_ends_in_a_whole_list(conf: Config) -> None:
+    clock = trio.testing.MockClock()
+    asked: list[bytes] = []
+    versions: list[int] = []
+    twice = trio.Event()
+
+    async def agent(stream: trio.SocketStream) -> None:
+        while line := await read_line(stream):
+            if line.startswith(b"GET"):
+                asked.append(line.split()[1])
+            if line != b"\r\n":
+                continue
+            if b"watch" in asked[-1]:
+                await stream.send_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n\r\n\r\n")
+                clock.jump(10)
+                await trio.sleep_forever()
+            body = b'{"seq":41,"whole":true,"hosts":[]}'
+            await stream.send_all(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+
+    async def heard(servers: i.ServerList) -> None:
+        versions.append(servers.version)
+        if len(versions) == 2:
+            twice.set()
+        clock.autojump_threshold = 0.01  # only the wait between two tries is left to pass
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            listeners = await nursery.start(trio.serve_tcp, agent, 0)
+            address = ("127.0.0.1", listeners[0].socket.getsockname()[1])
+            discovery = Discovery(address, DestinationSet(conf.names), heard, Counters())
+            nursery.start_soon(discovery.follow)
+            await twice.wait()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=clock)
+    assert asked[:3] == [b"/v1/servers", b"/v1/servers?watch=1&from=41", b"/v1/servers"]
+
+
+@pytest.mark.parametrize(("change", "key"), [
+    ({"settings": {}}, "settings.classes"), ({"limits": {"sockets": "many"}}, "limits.sockets"),
+    ({"listen": "nowhere"}, "LB_LISTEN"), ({"seed": "zz"}, "seed"), ({"known": []}, "known"),
+])
+def test_a_faulty_configuration_names_its_key(tmp_path: Path, change: dict[str, object], key: str) -> None:
+    with pytest.raises(ConfigError, match=f"^{key}"):
+        relaying.config(tmp_path, **change)
+
+
+def test_the_environment_goes_before_the_file(tmp_path: Path) -> None:
+    assert relaying.config(tmp_path, {"LB_LISTEN": "127.9.9.9:1"}).listen == ("127.9.9.9", 1)
