--- a/glenfold/counters.py
+++ b/glenfold/counters.py
@@ -19,6 +19,7 @@
     moved: int = 0           # standing connections that the decisions moved
     silent: int = 0          # standing connections ended because their server fell silent
     ended: int = 0           # standing connections that are over
+    broken: int = 0          # of these, by their server, with neither BYE nor MOVE
     lists: int = 0           # lists and changes from discovery
     faults: int = 0          # connections ended by an error of the relay's own
 
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -302,6 +302,9 @@
             relay.standing.discard(passage)
             relay.counters.ended += 1
             relay.counters.silent += passage.silent
+        if passage.outcome in (i.Outcome.RESET, i.Outcome.ERROR):
+            relay.counters.broken += 1
+            logger.info("a connection at server {} broke: {}", state.server, passage.outcome.name.lower())
         for effect in state.on(r.ConnectionEnded(passage.outcome), relay.clock.now_us()):
             if isinstance(effect, r.Report):
                 await relay.decisions.tell(effect.event)
--- a/glenfold/request.py
+++ b/glenfold/request.py
@@ -103,7 +103,7 @@
         self.deadline_us = deadline_us
         self.phase = Phase.TAKEN
         self._attempt = -1
-        self._server = 0
+        self.server = 0
         self._sent_us = 0
         self._bound = False  # stands at one server already: no other may be tried
 
@@ -114,7 +114,7 @@
 
     def notice(self, kind: i.NoticeKind, amount: float) -> i.Notice:
         """News of the standing connection, for the decisions."""
-        return i.Notice(self.number, self._attempt, self._server, kind, amount)
+        return i.Notice(self.number, self._attempt, self.server, kind, amount)
 
     def on(self, incident: Incident, now_us: int) -> list[Effect]:
         match incident:
@@ -154,12 +154,12 @@
     def _start(self, server: int, deadline_us: int, now_us: int) -> list[Effect]:
         self.phase = Phase.CALLING
         self._attempt += 1
-        self._server, self._sent_us = server, now_us
+        self.server, self._sent_us = server, now_us
         return [StartCall(server, deadline_us)]
 
     def _ended(self, outcome: i.Outcome, now_us: int, done: bool) -> Report:
         elapsed = now_us - self._sent_us
-        return Report(i.Answer(self.number, self._attempt, self._server, outcome, elapsed, done))
+        return Report(i.Answer(self.number, self._attempt, self.server, outcome, elapsed, done))
 
     def _give_up(self, answer: AnswerRefused | AnswerFailed, now_us: int) -> list[Effect]:
         before, calling = self.phase, self.phase is Phase.CALLING
@@ -174,7 +174,7 @@
             return [DropCall()]
         self.phase = Phase.STANDING
         elapsed = now_us - self._sent_us
-        up = i.Established(self.number, self._attempt, self._server, elapsed)
+        up = i.Established(self.number, self._attempt, self.server, elapsed)
         return [AnswerUp(receipt), Report(up)]
 
     def _call_ended(self, outcome: i.Outcome, now_us: int) -> list[Effect]:
