Blame no server for a client that does not read, and let no broken load in

LOAD nan was taken as a number and would have spoilt every sum of loads. Discovery's warning came four times a second while its agent was down; now once for each cause. A test each for the first two.

--- a/glenfold/lines.py
+++ b/glenfold/lines.py
@@ -1,5 +1,6 @@
 """The line protocol, without I/O: first lines parsed in place, and written out again in pieces."""
 
+import math
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
@@ -65,10 +66,8 @@
 
     def load(self) -> int | None:
         """The client's estimate of its load, where it gives one that can be read."""
-        try:
-            return max(0, int(float(self.figures[b"h"])))
-        except (KeyError, ValueError, OverflowError):
-            return None
+        load = read_load(self.figures.get(b"h", b""))
+        return None if load is None else int(load)
 
     def with_wait(self, wait_ms: int) -> list[memoryview]:
         """The same line with another `d`, in the pieces of a gathered write."""
@@ -130,6 +129,15 @@
     return left
 
 
+def read_load(text: bytes) -> float | None:
+    """Microseconds of work a second. One NaN would spoil every sum of loads that it enters."""
+    try:
+        load = float(text)
+    except ValueError:
+        return None
+    return load if math.isfinite(load) and load >= 0 else None
+
+
 class LineTracker:
     """Sees the whole lines in a stream that is passed on as it comes."""
 
--- a/glenfold/net/discovery.py
+++ b/glenfold/net/discovery.py
@@ -99,11 +99,14 @@
 
     async def follow(self) -> None:
         """Whatever ends a watch, the next one starts from a whole list: a change may have been missed."""
+        said = ""
         while True:
             try:
                 await self._whole_and_watch()
             except (*FAULTS, BadList) as error:
-                logger.warning("discovery: {!r}", error)
+                if repr(error) != said:  # an agent that is down fails alike four times a second
+                    logger.warning("discovery: {!r}", error)
+                said = repr(error)
             await trio.sleep_until(trio.current_time() + AGAIN_S)
 
     async def _whole_and_watch(self) -> None:
--- a/glenfold/net/passing.py
+++ b/glenfold/net/passing.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from glenfold.lines import MOVE, LineTracker
+from glenfold.lines import MOVE, LineTracker, read_load
 from glenfold.net.sockets import SocketType, finish, reset_on_close, send
 from linnetspread.interface import Outcome
 
@@ -28,6 +28,7 @@
         self._lines = LineTracker()
         self._said: bytes | None = None         # the server's last word on this connection
         self._asked_at: float | None = None     # since when a client's line is unanswered
+        self._client_slow = False               # does not take what the server sends
         self._client_done = False
         self._client_over = trio.Event()
         self._scope = trio.CancelScope()
@@ -93,10 +94,14 @@
                 break
             self._asked_at = None
             try:
+                self._client_slow = True
                 await send(self.client, data)
+                self._client_slow = False
             except OSError:
                 reset_on_close(self.server)
                 return self._end(Outcome.CANCELLED)
+            # What was asked meanwhile could not be answered: that was not the server's silence.
+            self._asked_at = self._asked_at and trio.current_time()
             await self._hear(data)
         finish(self.client)
         ended_by_client = self._client_done
@@ -114,10 +119,10 @@
             if word in (b"BYE", b"MOVE"):
                 self._said = word
             elif word == b"LOAD":
-                try:
-                    await self._load_heard(float(rest))
-                except ValueError:
+                load = read_load(rest)
+                if load is None:
                     return self._end(Outcome.ERROR)
+                await self._load_heard(load)
         if self._lines.too_long:
             return self._end(Outcome.ERROR)
         if self._lines.between_lines:
@@ -126,9 +131,9 @@
     async def _watch_silence(self) -> None:
         """TCP does not tell that a server is cut off; a client that asks in vain does."""
         while True:
-            since = self._asked_at or trio.current_time()
-            await trio.sleep_until(since + SILENT_S)
-            asked = self._asked_at
+            since = None if self._client_slow else self._asked_at
+            await trio.sleep_until((since or trio.current_time()) + SILENT_S)
+            asked = None if self._client_slow else self._asked_at
             if asked is not None and trio.current_time() - asked >= SILENT_S:
                 self.silent = True
                 if not self._client_done:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -112,6 +112,34 @@
     assert play(conf, silent, client, clock).counters.silent == 1
 
 
+def test_a_client_that_does_not_read_is_not_the_servers_silence(conf: Config) -> None:
+    clock = trio.testing.MockClock()
+
+    async def flood(stream: trio.SocketStream) -> None:
+        await read_line(stream)
+        await stream.send_all(b"UP r1\r\n")
+        while True:
+            await stream.send_all(b"N" * 4000 + b"\r\n")
+
+    async def client(shared: Relay, port: int) -> None:
+        stream = await opened(port)
+        await read_line(stream)
+        for _ in range(3):
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            await stream.send_all(b"M 1\r\n")
+            clock.jump(6.0)
+        await trio.testing.wait_all_tasks_blocked()
+        assert len(shared.standing) == 1
+
+    assert play(conf, flood, client, clock).counters.silent == 0
+
+
+@pytest.mark.parametrize("load", [b"nan", b"inf", b"-1", b"much"])
+def test_a_load_that_is_no_load_never_reaches_the_decisions(load: bytes) -> None:
+    assert lines.read_load(load) is None
+    assert lines.read_load(b"20205.057") == 20205.057
+
+
 def test_a_refusal_comes_at_once_and_says_when_to_come_again(conf: Config) -> None:
     async def busy(stream: trio.SocketStream) -> None:
         await read_line(stream)
