--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -242,7 +242,9 @@
             match effect:
                 case r.StartCall(server, deadline_us):
                     counters.calls += 1
-                    nursery.start_soon(self._outbound, server, deadline_us)
+                    # Made here and not in its task, which a drop might come before.
+                    self._call = self._new_call(server, deadline_us)
+                    nursery.start_soon(self._outbound, self._call)
                 case r.DropCall():
                     if self._call is not None:
                         self._call.close()
@@ -279,15 +281,17 @@
                 return
             self._early += data
 
-    async def _outbound(self, server: int, deadline_us: int) -> None:
+    def _new_call(self, server: int, deadline_us: int) -> OutboundCall | None:
         address = self._relay.destinations.address(server)
         if address is None:
-            await self._send.send(r.CallEnded(i.Outcome.CONNECT_FAILED))
-            return
-        clock = self._relay.clock
+            return None
         connect_by = trio.current_time() + self._relay.config.settings.connect_timeout_us / SECOND_US
-        call = self._call = OutboundCall(address, self._first, connect_by, clock.to_trio(deadline_us))
-        await self._send.send(await call.run())
+        return OutboundCall(address, self._first, connect_by, self._relay.clock.to_trio(deadline_us))
+
+    async def _outbound(self, call: OutboundCall | None) -> None:
+        """A server that has just left the list has no address: the same as one that can't be reached."""
+        ended = r.CallEnded(i.Outcome.CONNECT_FAILED)
+        await self._send.send(ended if call is None else await call.run())
 
     async def _stand(self, server: SocketType, receipt: bytes) -> None:
         relay, state = self._relay, self._state
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -73,6 +73,22 @@
     assert (shared.counters.answered_up, shared.counters.ended, shared.counters.faults) == (1, 1, 0)
 
 
+@pytest.mark.parametrize("answer", [b"UP r1\r\n", b"BUSY\r\n"])
+def test_a_connection_that_stood_before_goes_to_its_server_and_no_other(conf: Config, answer: bytes) -> None:
+    async def server(stream: trio.SocketStream) -> None:
+        assert b",at=s-0," in await read_line(stream)
+        await stream.send_all(answer)
+        await trio.sleep_forever()
+
+    async def client(shared: Relay, port: int) -> None:
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        await stream.send_all(OPEN.replace(b",zz=1", b",at=s-0,zz=1"))
+        assert await read_line(stream) == (answer if answer.startswith(b"UP") else lines.FAILED)
+
+    counters = play(conf, server, client).counters
+    assert (counters.existing, counters.calls, counters.faults) == (1, 1, 0)
+
+
 def test_a_reset_is_carried_over_while_both_directions_are_read(conf: Config) -> None:
     async def reset(stream: trio.SocketStream) -> None:
         await read_line(stream)
