Let a move wait for a chunk that a slow client has only part of

Read through: passing.py's move looked at the lines of chunks already sent, so beside a chunk that the client was still taking, MOVE could stand within a line, or two tasks write at once. A lock now holds for each write with its lines; the silence watch goes by the same lock.

--- a/glenfold/net/passing.py
+++ b/glenfold/net/passing.py
@@ -28,7 +28,7 @@
         self._lines = LineTracker()
         self._said: bytes | None = None         # the server's last word on this connection
         self._asked_at: float | None = None     # since when a client's line is unanswered
-        self._client_slow = False               # does not take what the server sends
+        self._writing = trio.Lock()             # held while the client is sent something
         self._client_done = False
         self._client_over = trio.Event()
         self._scope = trio.CancelScope()
@@ -50,12 +50,20 @@
         """Tells the client to come again, between two lines, and ends both sides."""
         until = trio.current_time() + WHOLE_S
         with trio.move_on_at(until):
-            while not self._lines.between_lines:
+            # Not beside a chunk that the client has only part of, however that chunk ends.
+            while not await self._send_move():
                 self._between_lines = trio.Event()
                 await self._between_lines.wait()
-            await send(self.client, MOVE)
         self._end(Outcome.CANCELLED)
 
+    async def _send_move(self) -> bool:
+        async with self._writing:
+            if self._lines.between_lines:
+                await send(self.client, MOVE)
+                self._end(Outcome.CANCELLED)
+                return True
+        return False
+
     def _end(self, outcome: Outcome) -> None:
         self.outcome = outcome
         self._scope.cancel()
@@ -94,15 +102,14 @@
                 break
             self._asked_at = None
             try:
-                self._client_slow = True
-                await send(self.client, data)
-                self._client_slow = False
+                async with self._writing:
+                    await send(self.client, data)
+                    await self._hear(data)
             except OSError:
                 reset_on_close(self.server)
                 return self._end(Outcome.CANCELLED)
             # What was asked meanwhile could not be answered: that was not the server's silence.
             self._asked_at = self._asked_at and trio.current_time()
-            await self._hear(data)
         finish(self.client)
         ended_by_client = self._client_done
         if not ended_by_client:
@@ -131,9 +138,9 @@
     async def _watch_silence(self) -> None:
         """TCP does not tell that a server is cut off; a client that asks in vain does."""
         while True:
-            since = None if self._client_slow else self._asked_at
+            since = None if self._writing.locked() else self._asked_at
             await trio.sleep_until((since or trio.current_time()) + SILENT_S)
-            asked = None if self._client_slow else self._asked_at
+            asked = None if self._writing.locked() else self._asked_at
             if asked is not None and trio.current_time() - asked >= SILENT_S:
                 self.silent = True
                 if not self._client_done:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,6 +2,7 @@
 
 import errno
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -150,6 +151,27 @@
     assert play(conf, flood, client, clock).counters.silent == 0
 
 
+def test_a_move_waits_for_a_whole_line_also_with_a_slow_client(conf: Config) -> None:
+    async def flood(stream: trio.SocketStream) -> None:
+        await read_line(stream)
+        await stream.send_all(b"UP r1\r\n")
+        with suppress(trio.BrokenResourceError):  # the relay ends it with the move
+            while True:
+                await stream.send_all(b"N" * 3000 + b"\r\n")
+
+    async def client(shared: Relay, port: int) -> None:
+        stream = await opened(port)
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(next(iter(shared.standing)).move)
+            await trio.testing.wait_all_tasks_blocked(0.05)
+            got = b"".join([part async for part in stream])
+        *whole_lines, last, rest = got.split(b"\r\n")
+        assert (last, rest) == (b"MOVE", b"") and set(whole_lines) == {b"UP r1", b"N" * 3000}
+
+    play(conf, flood, client, trio.testing.MockClock())
+
+
 @pytest.mark.parametrize("load", [b"nan", b"inf", b"-1", b"much"])
 def test_a_load_that_is_no_load_never_reaches_the_decisions(load: bytes) -> None:
     assert lines.read_load(load) is None
