--- a/glenfold/__main__.py
+++ b/glenfold/__main__.py
@@ -4,12 +4,13 @@
 import signal
 import socket
 import sys
+from collections.abc import AsyncIterator, Mapping
 
 import trio
 from loguru import logger
 
 from glenfold.clock import Clock
-from glenfold.config import Config, ConfigError, read_config
+from glenfold.config import Config, ConfigError, read_again, read_config
 from glenfold.counters import Counters
 from glenfold.decisions import Decisions
 from glenfold.net.discovery import BadList, DestinationSet, Discovery
@@ -20,7 +21,16 @@
 LEAVE_S = 0.4          # of those 0.7 s
 
 
+SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
+
+
 async def serve(config: Config) -> None:
+    # To the very end: SIGHUP would end a relay that has stopped listening to it.
+    with trio.open_signal_receiver(*SIGNALS) as signals:
+        await serve_heeding(signals, config)
+
+
+async def serve_heeding(signals: AsyncIterator[int], config: Config) -> None:
     clock, counters = Clock(), Counters()
     decisions = Decisions(config.settings, config.seed, clock)
     destinations = DestinationSet(config.names)
@@ -34,7 +44,8 @@
             logger.warning("known: {}", error)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(decisions.run)
-        nursery.start_soon(Discovery(config.discovery, destinations, decisions.tell, counters).follow)
+        discovery = Discovery(config.discovery, destinations, decisions.tell, counters)
+        nursery.start_soon(discovery.follow)
         with trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM) as listener:
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             await listener.bind(config.listen)
@@ -42,7 +53,9 @@
             accepting = trio.CancelScope()
             nursery.start_soon(accept, accepting, inbound, listener, nursery)
             logger.info("{} listens on {}:{}", config.name, *config.listen)
-            await until_told_to_stop(counters)
+            told = trio.Event()
+            nursery.start_soon(heed, signals, told, relay, discovery)
+            await told.wait()
             told_at = trio.current_time()
             await last_arrivals(told_at, inbound)
             accepting.cancel()
@@ -57,12 +70,31 @@
         await inbound.serve(listener, nursery)
 
 
-async def until_told_to_stop(counters: Counters) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGUSR1) as signals:
-        async for number in signals:
-            if number != signal.SIGUSR1:
-                return
-            logger.info("counters: {}", counters.line())
+async def heed(signals: AsyncIterator[int], told_to_stop: trio.Event, relay: Relay,
+               discovery: Discovery) -> None:
+    async for number in signals:
+        if number == signal.SIGHUP:
+            reload(os.environ, relay, discovery)
+        elif number == signal.SIGUSR1:
+            logger.info("counters: {}", relay.counters.line())
+        else:
+            told_to_stop.set()
+
+
+def reload(environment: Mapping[str, str], relay: Relay, discovery: Discovery) -> None:
+    """A faulty file changes nothing: the relay goes on as it was told before."""
+    try:
+        config, waiting = read_again(environment, relay.config)
+    except ConfigError as error:
+        relay.counters.reloads_refused += 1
+        logger.error("configuration: {}", error)
+        return
+    relay.counters.reloads += 1
+    relay.config = config
+    discovery.move_to(config.discovery)
+    logger.info("configuration read again; discovery is at {}:{}", *config.discovery)
+    if waiting:
+        logger.warning("configuration: needs a restart to change: {}", ", ".join(waiting))
 
 
 async def last_arrivals(told_at: float, inbound: Inbound) -> None:
--- a/glenfold/config.py
+++ b/glenfold/config.py
@@ -1,8 +1,9 @@
 """The one place where the environment and LB_CONFIG are read, checked and given defaults."""
 
 import json
+import math
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -48,9 +49,11 @@
     return host.strip("[]"), int(port)
 
 
-def _address(text: Any, key: str) -> Address:
+def _address(*places: tuple[str, Any]) -> Address:
+    """From the first of these places that says anything; a fault is put down to that one."""
+    key, text = next((place for place in places if place[1]), places[0])
     if not isinstance(text, str) or not text:
-        raise ConfigError(key, "is missing")
+        raise ConfigError(key, "is not HOST:PORT" if text else "is missing")
     try:
         return read_address(text)
     except ValueError as error:
@@ -65,11 +68,13 @@
         inner_lines = [line for n, inner in enumerate(value) for line in _flat(inner, f"{path}.{n}")]
         return [f"{path}.count={len(value)}", *inner_lines]
     if isinstance(value, list):
-        return [f"{path}={','.join(_plain(inner) for inner in value)}"]
-    return [f"{path}={_plain(value)}"]
+        return [f"{path}={','.join(_plain(inner, path) for inner in value)}"]
+    return [f"{path}={_plain(value, path)}"]
 
 
-def _plain(value: Any) -> str:
+def _plain(value: Any, path: str) -> str:
+    if isinstance(value, float) and not math.isfinite(value):
+        raise ConfigError(f"settings.{path}", "is not a finite number")
     if isinstance(value, bool):
         return str(value).lower()
     return str(value).replace(" ", "_").replace(",", "_")
@@ -103,33 +108,45 @@
     return value
 
 
-def read_config(environment: Mapping[str, str]) -> Config:
-    """LB_NAME, LB_LISTEN and LB_DISCOVERY go before what the file named by LB_CONFIG says."""
+def read_config(environment: Mapping[str, str], again: bool = False) -> Config:
+    """LB_NAME, LB_LISTEN and LB_DISCOVERY go before what the file named by LB_CONFIG says; when it is read
+    again, what it says of discovery is the newer word and goes before the environment."""
     path = environment.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG", "is not set")
     try:
         document = json.loads(Path(path).read_text("utf-8"))
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise ConfigError("LB_CONFIG", f"can't be read: {error}") from error
     if not isinstance(document, dict):
         raise ConfigError("LB_CONFIG", "is not a JSON object")
     settings = _object(document, "settings", "settings")
     limits = _object(document, "limits", "limits", {})
     sockets = limits.get("sockets", 1024)
-    if not isinstance(sockets, int) or sockets < 32:
+    if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 32:
         raise ConfigError("limits.sockets", f"{sockets!r} is not a number of at least 32")
     try:
         seed = int(document.get("seed", "0"), 16)
     except (TypeError, ValueError) as error:
         raise ConfigError("seed", "is not a hexadecimal number") from error
+    discovery = [("LB_DISCOVERY", environment.get("LB_DISCOVERY")), ("discovery", document.get("discovery"))]
     return Config(
         name=environment.get("LB_NAME") or str(document.get("name", "relay")),
-        listen=_address(environment.get("LB_LISTEN") or document.get("listen"), "LB_LISTEN"),
-        discovery=_address(environment.get("LB_DISCOVERY") or document.get("discovery"), "LB_DISCOVERY"),
+        listen=_address(("LB_LISTEN", environment.get("LB_LISTEN")), ("listen", document.get("listen"))),
+        discovery=_address(*(reversed(discovery) if again else discovery)),
         seed=seed,
         sockets=sockets,
         settings=read_settings("\n".join(_flat(settings, ""))),
         names=_names(settings),
         known=_object(document, "known", "known", {}),
     )
+
+
+NEED_RESTART = ("name", "listen", "settings")  # `seed` and `known` are for a start alone
+
+
+def read_again(environment: Mapping[str, str], current: Config) -> tuple[Config, list[str]]:
+    """The configuration after SIGHUP, and the keys whose new values wait for a restart."""
+    new = read_config(environment, again=True)
+    waiting = [key for key in NEED_RESTART if getattr(new, key) != getattr(current, key)]
+    return replace(current, discovery=new.discovery, sockets=new.sockets), waiting
--- a/glenfold/counters.py
+++ b/glenfold/counters.py
@@ -21,6 +21,8 @@
     ended: int = 0           # standing connections that are over
     broken: int = 0          # of these, by their server, with neither BYE nor MOVE
     lists: int = 0           # lists and changes from discovery
+    reloads: int = 0         # times the configuration was read again and taken over
+    reloads_refused: int = 0  # times it was faulty
     faults: int = 0          # connections ended by an error of the relay's own
 
     def line(self) -> str:
--- a/glenfold/net/discovery.py
+++ b/glenfold/net/discovery.py
@@ -96,18 +96,26 @@
         self._destinations = destinations
         self._heard = heard
         self._counters = counters
+        self._scope = trio.CancelScope()
+
+    def move_to(self, address: Address) -> None:
+        """From now on discovery is there; what was heard so far holds until it says otherwise."""
+        if address != self._address:
+            self._address = address
+            self._scope.cancel()
 
     async def follow(self) -> None:
         """Whatever ends a watch, the next one starts from a whole list: a change may have been missed."""
         said = ""
         while True:
-            try:
-                await self._whole_and_watch()
-            except (*FAULTS, BadList) as error:
-                if repr(error) != said:  # an agent that is down fails alike four times a second
-                    logger.warning("discovery: {!r}", error)
-                said = repr(error)
-            await trio.sleep_until(trio.current_time() + AGAIN_S)
+            with trio.CancelScope() as self._scope:
+                try:
+                    await self._whole_and_watch()
+                except (*FAULTS, BadList) as error:
+                    if repr(error) != said:  # an agent that is down fails alike four times a second
+                        logger.warning("discovery: {!r}", error)
+                    said = repr(error)
+                await trio.sleep_until(trio.current_time() + AGAIN_S)
 
     async def _whole_and_watch(self) -> None:
         with trio.fail_at(trio.current_time() + ANSWER_S) as silence:
@@ -158,5 +166,7 @@
             raise BadList(f"not JSON: {error}") from error
         servers = self._destinations.read(document)
         self._counters.lists += 1
-        await self._heard(servers)
+        # A move or a silence that cut in here would leave the addresses and the decisions two lists apart.
+        with trio.CancelScope(shield=True):
+            await self._heard(servers)
         return servers.version
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -45,12 +45,16 @@
         self._relay = relay
         self._names = relay.config.names
         self._counters = relay.counters
-        self._most = (relay.config.sockets - SPARE_SOCKETS) // 2  # a connection has two sides
         self._open = 0
         self._refusing = 0
         self._spare = os.open(os.devnull, os.O_RDONLY)
         self.last_arrival = float("-inf")
 
+    @property
+    def _most(self) -> int:
+        """A connection has two sides. SIGHUP may have changed the limit."""
+        return (self._relay.config.sockets - SPARE_SOCKETS) // 2
+
     async def serve(self, listener: SocketType, nursery: trio.Nursery) -> None:
         while True:
             try:
--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -34,9 +34,13 @@
     return {"seq": seq, "whole": True, "hosts": list(entries)}
 
 
-def config(folder: Path, environment: dict[str, str] | None = None, **changes: object) -> Config:
+def write(folder: Path, **changes: object) -> None:
     document = {"listen": "127.0.0.1:9", "discovery": "127.0.0.1:9", "settings": SETTINGS, "seed": "1f"}
     (folder / "config.json").write_text(json.dumps(document | changes))
+
+
+def config(folder: Path, environment: dict[str, str] | None = None, **changes: object) -> Config:
+    write(folder, **changes)
     return read_config({"LB_CONFIG": str(folder / "config.json"), **(environment or {})})
 
 
