Keep bad clients from costing usual ones room, calls, CPU or log

Lines at fault: one limit `_most` for all, FIRST_LINE_S of 10 s, `_part`'s loop, and no check of ids.

Now a first line has 2 s from the accept, PING included; silent clients have a room of their own, in which the oldest gives way; a flood is read for 64 KiB at most; an id that is open here is refused unless the connection goes on here; `d` of zero or beyond a minute and loads without measure are refused; bad lines are counted and logged every 5 s.

--- a/glenfold/config.py
+++ b/glenfold/config.py
@@ -30,13 +30,33 @@
     kinds: dict[str, int]
 
 
+SPARE_SOCKETS = 24      # for the listener, discovery, the log, and those being refused
+BASE_MB = 22            # of a relay without connections
+CONNECTION_MB = 0.04    # of one with both its sides
+
+
+@dataclass(frozen=True, slots=True)
+class Room:
+    """How many connections there may be at once, within the limits on descriptors and memory."""
+
+    waiting: int    # without a whole first line
+    taken: int      # with one: a descriptor on each side
+    refusing: int   # told that they are refused, and about to be closed
+
+    @classmethod
+    def within(cls, sockets: int, memory_mb: float) -> "Room":
+        waiting = min(64, (sockets - SPARE_SOCKETS) // 8 + 1)
+        taken = min((sockets - SPARE_SOCKETS - waiting) // 2, (memory_mb - BASE_MB) / CONNECTION_MB)
+        return cls(waiting, int(taken), SPARE_SOCKETS // 2)
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     name: str
     listen: Address
     discovery: Address
     seed: int
-    sockets: int
+    room: Room
     settings: i.Settings
     names: Names
     known: dict[str, Any] = field(default_factory=dict)  # in discovery's form; checked where that is read
@@ -108,6 +128,15 @@
     return value
 
 
+def _limit(limits: Mapping[str, Any], key: str, default: float, least: int) -> float:
+    value = limits.get(key)
+    if value is None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, int | float) or not least <= value < math.inf:
+        raise ConfigError(f"limits.{key}", f"{value!r} is not a number of at least {least}")
+    return float(value)
+
+
 def read_config(environment: Mapping[str, str], again: bool = False) -> Config:
     """LB_NAME, LB_LISTEN and LB_DISCOVERY go before what the file named by LB_CONFIG says; when it is read
     again, what it says of discovery is the newer word and goes before the environment."""
@@ -122,9 +151,7 @@
         raise ConfigError("LB_CONFIG", "is not a JSON object")
     settings = _object(document, "settings", "settings")
     limits = _object(document, "limits", "limits", {})
-    sockets = limits.get("sockets", 1024)
-    if isinstance(sockets, bool) or not isinstance(sockets, int) or sockets < 32:
-        raise ConfigError("limits.sockets", f"{sockets!r} is not a number of at least 32")
+    room = Room.within(int(_limit(limits, "sockets", 1024, 32)), _limit(limits, "memory_mb", math.inf, 24))
     try:
         seed = int(document.get("seed", "0"), 16)
     except (TypeError, ValueError) as error:
@@ -135,7 +162,7 @@
         listen=_address(("LB_LISTEN", environment.get("LB_LISTEN")), ("listen", document.get("listen"))),
         discovery=_address(*(reversed(discovery) if again else discovery)),
         seed=seed,
-        sockets=sockets,
+        room=room,
         settings=read_settings("\n".join(_flat(settings, ""))),
         names=_names(settings),
         known=_object(document, "known", "known", {}),
@@ -149,4 +176,4 @@
     """The configuration after SIGHUP, and the keys whose new values wait for a restart."""
     new = read_config(environment, again=True)
     waiting = [key for key in NEED_RESTART if getattr(new, key) != getattr(current, key)]
-    return replace(current, discovery=new.discovery, sockets=new.sockets), waiting
+    return replace(current, discovery=new.discovery, room=new.room), waiting
--- a/glenfold/counters.py
+++ b/glenfold/counters.py
@@ -10,7 +10,9 @@
     taken: int = 0           # requests given to the decisions
     existing: int = 0        # of these, connections that stood before this relay did
     malformed: int = 0       # first lines that were refused unread
-    fail_fast: int = 0       # refused for want of descriptors
+    silent_clients: int = 0  # closed as they sent no whole first line in time
+    crowded_out: int = 0     # of these, earlier, for want of room
+    fail_fast: int = 0       # refused for want of room
     calls: int = 0           # outbound calls begun
     answered_up: int = 0
     answered_busy: int = 0
--- a/glenfold/lines.py
+++ b/glenfold/lines.py
@@ -1,10 +1,11 @@
 """The line protocol, without I/O: first lines parsed in place, and written out again in pieces."""
 
-import math
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 MAX_LINE = 4096
+MOST_WAIT_MS = 60_000  # what stood before has 40 s to come up; a timer for longer is a bad client's
+MOST_LOAD = 1e9        # a thousand standard cores
 END = b"\r\n"
 
 PING = b"PING"
@@ -50,6 +51,7 @@
     """A client's first line; `line` is a view of the buffer that it was received into."""
 
     line: memoryview
+    id: bytes
     key: int
     wait_ms: int
     wait_at: tuple[int, int]  # where the figure of `d` stands
@@ -112,7 +114,10 @@
     if b"d" not in figures or b"c" not in figures:
         raise Malformed("a first line lacks its class or its deadline")
     key = _number(bytes(view[key_at:figures_at - 1]), 16)
-    return OpenLine(view, key, _number(figures[b"d"], 10), wait_at, figures)
+    wait_ms = _number(figures[b"d"], 10)
+    if not 0 < wait_ms <= MOST_WAIT_MS:
+        raise Malformed("nobody waits for so long, or for no time")
+    return OpenLine(view, bytes(view[id_at:key_at - 1]), key, wait_ms, wait_at, figures)
 
 
 def busy(wait_us: int) -> bytes:
@@ -130,12 +135,13 @@
 
 
 def read_load(text: bytes) -> float | None:
-    """Microseconds of work a second. One NaN would spoil every sum of loads that it enters."""
+    """Microseconds of work a second. One NaN, or one figure without measure, would spoil every sum of loads
+    that it enters."""
     try:
         load = float(text)
     except ValueError:
         return None
-    return load if math.isfinite(load) and load >= 0 else None
+    return load if 0 <= load <= MOST_LOAD else None
 
 
 class LineTracker:
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -2,6 +2,7 @@
 
 import errno
 import os
+from collections import Counter
 from dataclasses import dataclass, field
 
 import trio
@@ -10,7 +11,7 @@
 from glenfold import lines
 from glenfold import request as r
 from glenfold.clock import SECOND_US, Clock
-from glenfold.config import Config
+from glenfold.config import Config, Room
 from glenfold.counters import Counters
 from glenfold.decisions import Closed, Decisions, Taken
 from glenfold.net.discovery import DestinationSet
@@ -20,10 +21,11 @@
 from linnetspread import interface as i
 
 BACKLOG = 1024
-SPARE_SOCKETS = 24     # for the listener, discovery, the log, and those being refused
 INBOX = 16             # incidents of one request
-FIRST_LINE_S = 10.0    # for a client to send its first line
-PARTING_S = 0.5        # for a client to take an answer before its connection closes
+FIRST_LINE_S = 2.0     # from the accept to a whole first line, PING included; 3 s are promised
+PARTING_S = 0.3        # for a client to take an answer before its connection closes
+PARTING_BYTES = 1 << 16  # read from it meanwhile: one that floods must not cost more
+LOG_S = 5.0            # bad first lines are counted, and told of no more often than this
 OUT_OF_SOCKETS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -37,6 +39,7 @@
     destinations: DestinationSet
     counters: Counters
     unanswered: int = 0
+    ids: Counter[bytes] = field(default_factory=Counter)  # of the requests and connections open here
     standing: set[Passage] = field(default_factory=set)
 
 
@@ -45,15 +48,17 @@
         self._relay = relay
         self._names = relay.config.names
         self._counters = relay.counters
-        self._open = 0
+        self._waiting: dict[SocketType, trio.CancelScope] = {}  # without a whole first line, oldest first
+        self._taken = 0      # with one: two sides each
         self._refusing = 0
+        self._told_at = float("-inf")
         self._spare = os.open(os.devnull, os.O_RDONLY)
         self.last_arrival = float("-inf")
 
     @property
-    def _most(self) -> int:
-        """A connection has two sides. SIGHUP may have changed the limit."""
-        return (self._relay.config.sockets - SPARE_SOCKETS) // 2
+    def _room(self) -> Room:
+        """SIGHUP may have changed it."""
+        return self._relay.config.room
 
     async def serve(self, listener: SocketType, nursery: trio.Nursery) -> None:
         while True:
@@ -67,14 +72,16 @@
                 continue
             self.last_arrival = trio.current_time()
             self._counters.accepted += 1
-            if self._open < self._most:
-                self._open += 1
-                nursery.start_soon(self._connection, sock)
-            elif self._refusing < SPARE_SOCKETS // 2:
-                self._refusing += 1
-                nursery.start_soon(self._fail_fast, sock)
-            else:
-                sock.close()
+            self._make_room()
+            scope = self._waiting[sock] = trio.CancelScope(deadline=self.last_arrival + FIRST_LINE_S)
+            nursery.start_soon(self._connection, sock, scope)
+
+    def _make_room(self) -> None:
+        """Clients that connect by the hundred and say nothing crowd out each other, never those that speak:
+        a usual client's line is here when it is accepted, so the oldest without one gives way."""
+        if len(self._waiting) >= self._room.waiting:
+            self._waiting.pop(next(iter(self._waiting))).cancel()
+            self._counters.crowded_out += 1
 
     async def _refuse_without_socket(self, listener: SocketType) -> None:
         """With no descriptor left, accept fails over and over: one kept spare lets a client be told."""
@@ -82,8 +89,9 @@
         with trio.move_on_at(trio.current_time() + PARTING_S):
             try:
                 sock, _ = await listener.accept()
-                self._refusing += 1
-                await self._fail_fast(sock)
+                self._counters.fail_fast += 1
+                with sock:
+                    await send(sock, self._busy())
             except OSError:
                 pass
         try:
@@ -92,54 +100,75 @@
             logger.warning("no spare descriptor: {}", error)
             await trio.sleep_until(trio.current_time() + PARTING_S)
 
-    async def _fail_fast(self, sock: SocketType) -> None:
-        self._counters.fail_fast += 1
-        try:
-            await self._part(sock, lines.busy(self._relay.config.settings.max_retry_after_us))
-        except OSError:
-            pass
-        finally:
-            sock.close()
-            self._refusing -= 1
-
-    async def _part(self, sock: SocketType, answer: bytes) -> None:
-        """Closing on unread bytes would reset the connection and take the answer with it."""
-        with trio.move_on_at(trio.current_time() + PARTING_S):
-            await send(sock, answer)
-            finish(sock)
-            while await sock.recv(lines.MAX_LINE):
-                pass
+    def _busy(self) -> bytes:
+        settings = self._relay.config.settings
+        return lines.busy(settings.max_retry_after_us if settings.may_retry_after else 0)
 
-    async def _connection(self, sock: SocketType) -> None:
+    async def _connection(self, sock: SocketType, scope: trio.CancelScope) -> None:
         """One connection's fault ends that connection, and is logged."""
         try:
             without_delay(sock)
-            await self._talk(sock)
+            await self._talk(sock, scope)
         except OSError as error:
             logger.debug("inbound: {!r}", error)
         except Exception:
             self._counters.faults += 1
             logger.exception("a connection failed")
         finally:
+            self._waiting.pop(sock, None)
             sock.close()
-            self._open -= 1
 
-    async def _talk(self, sock: SocketType) -> None:
+    async def _talk(self, sock: SocketType, scope: trio.CancelScope) -> None:
         buffer = lines.LineBuffer()
+        end = None
         try:
-            with trio.fail_at(trio.current_time() + FIRST_LINE_S):
+            with scope:
                 end = await self._first_line(sock, buffer)
+            self._waiting.pop(sock, None)
             if end is None:
+                if scope.cancelled_caught:
+                    self._counters.silent_clients += 1
+                    await send(sock, lines.FAILED)
                 return
-            first = lines.parse_open(buffer.data, end)
-            exchange = Exchange(self._relay, sock, first, self._event(first), buffer.after(end))
-            server = self._standing_at(first)
-        except (lines.Malformed, trio.TooSlowError) as error:
-            self._counters.malformed += 1
-            logger.warning("inbound: {!r}", error)
-            await self._part(sock, lines.FAILED)
+            exchange = self._exchange(sock, buffer, end)
+        except lines.Malformed as error:
+            self._waiting.pop(sock, None)
+            self._note_malformed(error)
+            more = buffer.filled > (end or 0)
+            await self._turn_away(sock, lines.FAILED, more)
+            return
+        if self._taken >= self._room.taken:
+            self._counters.fail_fast += 1
+            await self._turn_away(sock, self._busy(), False)
             return
-        await exchange.run(server)
+        self._taken += 1
+        try:
+            await exchange.run()
+        finally:
+            self._taken -= 1
+
+    def _note_malformed(self, error: lines.Malformed) -> None:
+        """A client that comes again and again must not fill the log."""
+        self._counters.malformed += 1
+        if trio.current_time() >= self._told_at + LOG_S:
+            self._told_at = trio.current_time()
+            logger.warning("inbound: {} bad first lines so far; now {}", self._counters.malformed, error)
+
+    async def _turn_away(self, sock: SocketType, answer: bytes, more: bool) -> None:
+        """Closing on unread bytes resets the connection and may take the answer with it. So where there are
+        `more`, some are read, but never a flood to its end."""
+        await send(sock, answer)
+        if not more or self._refusing >= self._room.refusing:
+            return
+        self._refusing += 1
+        try:
+            finish(sock)
+            left = PARTING_BYTES
+            with trio.move_on_at(trio.current_time() + PARTING_S):
+                while left > 0 and (data := await sock.recv(left)):
+                    left -= len(data)
+        finally:
+            self._refusing -= 1
 
     async def _first_line(self, sock: SocketType, buffer: lines.LineBuffer) -> int | None:
         """Where it ends in the buffer; None when the client has gone without one."""
@@ -157,6 +186,18 @@
             self._counters.pings += 1
             await send(sock, lines.PONG)
 
+    def _exchange(self, sock: SocketType, buffer: lines.LineBuffer, end: int) -> "Exchange":
+        first = lines.parse_open(buffer.data, end)
+        exchange = Exchange(self._relay, sock, first, self._event(first), buffer.after(end),
+                            self._standing_at(first))
+        if exchange.goes_on:  # its client need not wait, and it may not be over yet where it was
+            return exchange
+        if buffer.filled > end:
+            raise lines.Malformed("a client did not wait for its answer")
+        if first.id in self._relay.ids:
+            raise lines.Malformed("the id is that of another open request")
+        return exchange
+
     def _event(self, first: lines.OpenLine) -> i.Request:
         request_class = self._names.classes.get(first.text(b"c"))
         if request_class is None:
@@ -189,30 +230,36 @@
     one incident at a time, so that `RequestState` alone says what follows."""
 
     def __init__(self, relay: Relay, sock: SocketType, first: lines.OpenLine, event: i.Request,
-                 early: bytes) -> None:
+                 early: bytes, stands_at: int | None) -> None:
         self._relay = relay
         self._sock = sock
         self._first = first
         self._event = event
         self._early = early
+        self._stands_at = stands_at
+        self.goes_on = event.mid_flow or stands_at is not None  # open already, and not begun here
         self._deadline_us = relay.clock.now_us() + event.expires_in_us
         self._state = r.RequestState(event.request, self._deadline_us)
         self._send, self._receive = trio.open_memory_channel[r.Incident](INBOX)
         self._call: OutboundCall | None = None
 
-    async def run(self, server: int | None) -> None:
+    async def run(self) -> None:
         relay = self._relay
+        relay.ids[self._first.id] += 1
         relay.counters.taken += 1
-        relay.counters.existing += server is not None
+        relay.counters.existing += self._stands_at is not None
         relay.unanswered += 1
         try:
-            receipt = await self._until_answered(server)
+            receipt = await self._until_answered()
         finally:
             relay.unanswered -= 1
         try:
             if receipt is not None and self._call is not None and self._call.sock is not None:
                 await self._stand(self._call.sock, receipt)
         finally:
+            relay.ids[self._first.id] -= 1
+            if not relay.ids[self._first.id]:
+                del relay.ids[self._first.id]
             if self._call is not None:
                 self._call.close()
             for effect in self._state.on(r.ClientGone(), relay.clock.now_us()):
@@ -220,8 +267,9 @@
                     await relay.decisions.tell(effect.event)
             await relay.decisions.tell(Closed(self._event.request))
 
-    async def _until_answered(self, server: int | None) -> bytes | None:
+    async def _until_answered(self) -> bytes | None:
         """The receipt of the server that took it, once the client has it; None after any other end."""
+        server = self._stands_at
         taken = self._event if server is None else i.Existing(self._event, server)
         await self._relay.decisions.tell(Taken(taken, self._send.clone()))
         receipt = None
@@ -274,7 +322,8 @@
             logger.debug("inbound: no answer taken: {!r}", error)
 
     async def _watch_client(self) -> None:
-        """A client that goes before its answer is not worth a call; what it sends early is kept."""
+        """A client that goes before its answer is not worth a call, nor is one that does not wait for it;
+        of a connection that goes on here, what it sends early is kept."""
         while len(self._early) < lines.MAX_LINE:
             try:
                 data = await self._sock.recv(lines.MAX_LINE)
@@ -283,6 +332,9 @@
             if not data:
                 await self._send.send(r.ClientGone())
                 return
+            if not self.goes_on:
+                await self._send.send(r.ClientSpoke())
+                return
             self._early += data
 
     def _new_call(self, server: int, deadline_us: int) -> OutboundCall | None:
--- a/glenfold/request.py
+++ b/glenfold/request.py
@@ -38,6 +38,11 @@
     pass
 
 
+@dataclass(frozen=True, slots=True)
+class ClientSpoke:
+    """Before its answer, for which it should have waited."""
+
+
 @dataclass(frozen=True, slots=True)
 class DeadlinePassed:
     pass
@@ -50,7 +55,7 @@
     outcome: i.Outcome
 
 
-Incident = RequestAction | CallUp | CallEnded | ClientGone | DeadlinePassed | ConnectionEnded
+Incident = RequestAction | CallUp | CallEnded | ClientGone | ClientSpoke | DeadlinePassed | ConnectionEnded
 
 
 # ---- what is to be done ----
@@ -142,7 +147,7 @@
                 return self._call_ended(outcome, now_us)
             case ClientGone():
                 return self._client_gone(now_us)
-            case DeadlinePassed():
+            case DeadlinePassed() | ClientSpoke():
                 answer = self._give_up(AnswerFailed(), now_us)
                 return [*answer, Report(i.ClientLeft(self.number))] if answer else []
             case ConnectionEnded(outcome):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -177,7 +177,7 @@
     play(conf, flood, client, trio.testing.MockClock())
 
 
-@pytest.mark.parametrize("load", [b"nan", b"inf", b"-1", b"much"])
+@pytest.mark.parametrize("load", [b"nan", b"inf", b"-1", b"much", b"1e300"])
 def test_a_load_that_is_no_load_never_reaches_the_decisions(load: bytes) -> None:
     assert lines.read_load(load) is None
     assert lines.read_load(b"20205.057") == 20205.057
@@ -198,7 +198,8 @@
 @pytest.mark.parametrize("line", [
     b"OPEN 1 2\r\n", b"GET / HTTP/1.1\r\n", b"OPEN 1 2 c=nobody,d=5\r\n", b"OPEN 1 2 c=watch\r\n",
     b"OPEN 1 xyz c=watch,d=5\r\n", b"OPEN 1 2 c=watch,d=-5\r\n", b"OPEN 1 2 c=watch,d=5,d=6\r\n",
-    b"OPEN 1 2 c=watch,d=5,at=s-9\r\n", b"x" * 5000, b"OPEN 1 2 c=wat",
+    b"OPEN 1 2 c=watch,d=5,at=s-9\r\n", b"x" * 5000, b"OPEN 1 2 c=wat", b"OPEN 1 2 c=watch,d=0\r\n",
+    b"OPEN 1 2 c=watch,d=9999999999\r\n", b"OPEN 1 2 c=watch,d=soon\r\n", OPEN + b"M 1\r\n", OPEN * 300,
 ])
 def test_a_bad_first_line_gets_one_failure_and_reaches_no_server(conf: Config, line: bytes) -> None:
     async def never(stream: trio.SocketStream) -> None:
@@ -215,6 +216,83 @@
     assert (counters.malformed, counters.calls) == (1, 0)
 
 
+@pytest.mark.parametrize("up", [True, False])
+def test_the_id_of_another_open_request_is_refused_and_reaches_no_server(conf: Config, up: bool) -> None:
+    async def server(stream: trio.SocketStream) -> None:
+        assert b"9b1f03aa" in await read_line(stream)
+        await (stream.send_all(b"UP r1\r\n") if up else trio.sleep_forever())
+        assert await read_line(stream) == b""
+
+    async def client(shared: Relay, port: int) -> None:
+        stream = await opened(port)
+        await (read_line(stream) if up else trio.testing.wait_all_tasks_blocked(0.05))
+        assert await read_line(await opened(port)) == lines.FAILED
+        await stream.aclose()
+        while shared.ids:
+            await trio.lowlevel.checkpoint()
+
+    # Once it is over the id is free, and nothing of it is kept.
+    assert play(conf, server, client, trio.testing.MockClock()).counters.calls == 1
+
+
+def test_a_client_that_does_not_wait_for_its_answer_gets_a_failure(conf: Config) -> None:
+    called, over = trio.Event(), trio.Event()
+
+    async def server(stream: trio.SocketStream) -> None:
+        await read_line(stream)
+        called.set()
+        assert await read_line(stream) == b""  # nothing more of such a client, and the call is over
+        over.set()
+
+    async def client(shared: Relay, port: int) -> None:
+        stream = await opened(port)
+        await called.wait()
+        await stream.send_all(b"frob\r\n" * 300)
+        assert await read_line(stream) == lines.FAILED
+        await over.wait()
+
+    play(conf, server, client, trio.testing.MockClock())
+
+
+def test_silent_clients_crowd_out_each_other_and_no_usual_one(tmp_path: Path) -> None:
+    clock = trio.testing.MockClock()
+    conf = relaying.config(tmp_path, limits={"sockets": 40})  # three may wait at once
+
+    async def client(shared: Relay, port: int) -> None:
+        silent = []
+        for _ in range(5):
+            silent.append(await trio.open_tcp_stream("127.0.0.1", port))
+            await trio.testing.wait_all_tasks_blocked(0.01)
+        for stream in silent[:2]:  # the oldest give way, at once
+            assert await read_line(stream) == lines.FAILED
+        usual = await opened(port)
+        assert await read_line(usual) == b"UP r1\r\n"
+        await silent[-1].send_all(lines.PING + lines.END)
+        assert await read_line(silent[-1]) == lines.PONG
+        clock.jump(2.5)  # the rest in time, whatever they sent short of a whole first line
+        for stream in silent[3:]:
+            assert await read_line(stream) == lines.FAILED
+
+    counters = play(conf, up_and_echo, client, clock).counters
+    assert (counters.silent_clients, counters.crowded_out) == (5, 3)
+
+
+def test_a_client_that_floods_is_cut_off_without_being_read_to_its_end(conf: Config) -> None:
+    async def client(shared: Relay, port: int) -> None:
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        with pytest.raises(trio.BrokenResourceError):
+            while True:  # with the clock standing still, only the count of bytes can end it
+                await stream.send_all(b"k" * 65536)
+
+    assert play(conf, up_and_echo, client, trio.testing.MockClock()).counters.malformed == 1
+
+
+@pytest.mark.parametrize(("limits", "taken"), [
+    ({"sockets": 256, "memory_mb": 192}, 101), ({"sockets": 1024, "memory_mb": 32}, 250)])
+def test_room_is_within_descriptors_and_memory(tmp_path: Path, limits: dict[str, int], taken: int) -> None:
+    assert relaying.config(tmp_path, limits=limits).room.taken == taken
+
+
 def test_without_descriptors_a_client_is_refused_fail_fast(conf: Config) -> None:
     class NoneLeft:
         def __init__(self, inner: trio.socket.SocketType) -> None:
@@ -365,7 +443,7 @@
                 nursery.start_soon(heed, signals, trio.Event(), shared, discovery)
                 await watched[1].wait()
             # The file's address wins now, though the environment went before it at the start.
-            assert (shared.config.sockets, shared.config.name) == (300, "relay")
+            assert (shared.config.room.waiting, shared.config.name) == (35, "relay")
             assert (shared.counters.reloads, shared.counters.reloads_refused) == (1, 2)
             assert destinations.address(server_number("s-1")) == ("127.0.0.1", 1)
             nursery.cancel_scope.cancel()
--- a/tests/test_request_model.py
+++ b/tests/test_request_model.py
@@ -74,7 +74,7 @@
         started = any(isinstance(e, r.StartCall) for e in self.step(i.Attempt(7, server, timeout)))
         assert started == free
 
-    @rule(final=st.sampled_from([i.Refuse(7, 400_000), i.Fail(7), r.DeadlinePassed()]))
+    @rule(final=st.sampled_from([i.Refuse(7, 400_000), i.Fail(7), r.DeadlinePassed(), r.ClientSpoke()]))
     def give_up(self, final: r.Incident) -> None:
         due = not (self.up or self.over)
         before = self.answers
