--- a/glenfold/config.py
+++ b/glenfold/config.py
@@ -163,7 +163,8 @@
         discovery=_address(*(reversed(discovery) if again else discovery)),
         seed=seed,
         room=room,
-        settings=read_settings("\n".join(_flat(settings, ""))),
+        # Whatever the settings say: no line of the protocol tells what a message takes at its server.
+        settings=replace(read_settings("\n".join(_flat(settings, ""))), tells_delay=False),
         names=_names(settings),
         known=_object(document, "known", "known", {}),
     )
--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -1,7 +1,9 @@
 """Every decision of linnetspread. Its settings, events and actions are in linnetspread/interface.py.
 
 The ordinary path: a connection lands where AnchorHash (Algorithm 3) maps its client key, and every gateway
-builds the same map from the id-sorted ready list. The exceptions are in `_choose` and what it calls.
+builds the same map from the id-sorted ready list. Where clients come in groups that share work, the key is
+the group's: a server pays for a group once, however many of it are there. The exceptions are in `_choose`
+and what it calls.
 
 A gateway may hold thousands of connections or one for every ten servers. So what must add up over gateways is
 never counted here: it is a slice of the key space, the same keys at every gateway.
@@ -122,6 +124,8 @@
     rest_until: int = 0       # nothing new: it refused as full, or its messages take long
     slice: Slice = field(default_factory=Slice)
     pressed_at: int = 0
+    quickest_us: int = 1 << 60  # set-up seen there
+    delay_us: float = 0.0     # of set-ups beyond that, the latest most
 
     @property
     def ready(self) -> bool:
@@ -336,10 +340,8 @@
         return last_resort
 
     def _choices(self, event: i.Request) -> Iterator[tuple[Server, bool]]:
-        """The client key's server, then those of its group under further seeds.
-
-        What can't stay at home follows its group: work that a group shares is paid once where it meets."""
-        key = event.key or event.request
+        """The key's server, then those of the same key under further seeds: a group stays together there."""
+        key = self._key(event)
         if self.anchor is None or not self.anchor.N:
             return
         home = self.servers[self.anchor.lookup(key, SEEDS[0]) or 0]
@@ -348,7 +350,11 @@
             yield home, True
         for turn in range(FURTHER):
             seed = SEEDS[1] + turn * SEEDS[2] & MASK
-            yield self.servers[self.anchor.lookup(event.group or key, seed) or 0], False
+            yield self.servers[self.anchor.lookup(key, seed) or 0], False
+
+    @staticmethod
+    def _key(event: i.Request) -> int:
+        return event.group or event.key or event.request
 
     def _allowed(self, held: Held, known: Server) -> bool:
         """The rules alone: ready, and a keyed request that may have run only where repeats are dropped."""
@@ -383,7 +389,7 @@
             return True
         key = event.key or event.request
         if at_home:
-            return place_in(known.listed.server, event.group or key) < 2 * size - 1
+            return place_in(known.listed.server, self._key(event)) < 2 * size - 1
         place: float = place_in(known.listed.server, key) ** (1 / self._merit(held))
         return 1 - place < 2 * size
 
@@ -463,6 +469,8 @@
         if held is not None and held.server is not None:
             held.established = True
             held.server.strikes = held.server.shun_until = 0
+            if not self.s.tells_delay and not held.event.mid_flow:
+                self._on_set_up(held.server, event.elapsed_us)
 
     def _on_answer(self, event: i.Answer) -> None:
         held = self.held.get(event.request)
@@ -488,6 +496,8 @@
         elif outcome is i.Outcome.RESET and held.established:  # dropped by a server that holds too much
             known.rest_until = max(known.rest_until, self.now + 1_000_000)
             self._press(known, 0.7)
+            if not self.s.tells_delay:  # no note has come before it, and the next would be dropped as well
+                self._shed(known)
         elif outcome in (i.Outcome.TIMEOUT, i.Outcome.CONNECT_FAILED) or (
                 outcome is i.Outcome.RESET and not held.event.mid_flow):
             if not known.strikes:
@@ -508,6 +518,14 @@
         elif event.kind is i.NoticeKind.SLOW:
             self._on_slow(held.server, event.amount * 1000)
 
+    def _on_set_up(self, known: Server, took_us: int) -> None:
+        """Where no notes tell of delay: what a set-up takes beyond the quickest there it has waited behind
+        other work, as messages do. One alone may be slow for reasons of its own."""
+        known.quickest_us = min(known.quickest_us, took_us)
+        known.delay_us += (took_us - known.quickest_us - known.delay_us) / 2
+        if known.delay_us > min(kind.message_aim_us for kind in self.s.classes):
+            self._on_slow(known, known.delay_us)
+
     def _on_slow(self, known: Server, took_us: float) -> None:
         """Messages take long there: nothing new; past the aim nobody is served, so some must leave. The
         deeper the pile of work, the more: it has to be worked off besides what still comes in."""
--- a/linnetspread/interface.py
+++ b/linnetspread/interface.py
@@ -113,6 +113,7 @@
     may_cancel: bool = False
     may_probe: bool = False
     may_tell_peers: bool = False
+    tells_delay: bool = False  # notes say what a message takes
     may_send_copies: bool = False
 
 
--- a/linnetspread/wire.py
+++ b/linnetspread/wire.py
@@ -122,6 +122,7 @@
         weighted=pairs.values.get("weights") in ("nominal", "rough"),
         ask_for_list=pairs.values.get("registry_mode") == "ask",
         pass_through=pairs.values.get("extra.mode") == "pass",
+        tells_delay=pairs.flag("extra.tells_delay"),
         park_us=pairs.whole("extra.park_us", base.park_us),
         over_share_worth=pairs.number("over_share_worth", base.over_share_worth),
         cold_share=pairs.number("invariants.cold_share", base.cold_share),
