Give an attempt its whole aim, and strike no server for time-outs that still takes others

Lines at fault: `_send`'s time-out of half an aim, `_judge`'s strike for each TIMEOUT. Checked: a machine that vanished doesn't take connections at all, which the limit on connecting tells in 250 ms; so a time-out behind a connection means slow more than gone.

--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -124,6 +124,7 @@
     rest_until: int = 0       # nothing new: it refused as full, or its messages take long
     slice: Slice = field(default_factory=Slice)
     pressed_at: int = 0
+    up_at: int = 0            # when it last took a connection
     quickest_us: int = 1 << 60  # set-up seen there
     delay_us: float = 0.0     # of set-ups beyond that, the latest most
 
@@ -436,7 +437,7 @@
         if held.sent:
             self.extras.append(self.now)
         if held.sent + 1 < self.s.max_attempts and self._ration() >= 1:  # leave room for another attempt
-            timeout = min(left // 2, max(self._class(held).aim_us // 2, self.s.connect_timeout_us))
+            timeout = min(left // 2, max(self._class(held).aim_us, self.s.connect_timeout_us))
         if known.strikes:  # one at a time to test it, until one succeeds
             known.shun_until = self.now + timeout
         held.at_home, held.sent, held.sent_at = at_home, held.sent + 1, self.now
@@ -469,6 +470,7 @@
         if held is not None and held.server is not None:
             held.established = True
             held.server.strikes = held.server.shun_until = 0
+            held.server.up_at = self.now
             if not self.s.tells_delay and not held.event.mid_flow:
                 self._on_set_up(held.server, event.elapsed_us)
 
@@ -498,6 +500,8 @@
             self._press(known, 0.7)
             if not self.s.tells_delay:  # no note has come before it, and the next would be dropped as well
                 self._shed(known)
+        elif outcome is i.Outcome.TIMEOUT and known.up_at > held.sent_at:  # slow, not gone
+            known.rest_until = max(known.rest_until, self.now + 200_000)
         elif outcome in (i.Outcome.TIMEOUT, i.Outcome.CONNECT_FAILED) or (
                 outcome is i.Outcome.RESET and not held.event.mid_flow):
             if not known.strikes:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -83,6 +83,20 @@
     assert sends(gateway.ask()[1])  # then one tests it
 
 
+@pytest.mark.parametrize("took_another", [False, True])
+def test_a_time_out_is_no_strike_where_the_server_took_another_meanwhile(took_another):
+    """When many come at once all servers are slow: shunned for it, all of them refuse everybody."""
+    gateway = Gateway()
+    keys = [key_for(gateway, 102, after=n * 1000) for n in range(2)]
+    number, actions = gateway.ask(keys[0])
+    assert sends(actions)[0].timeout_us >= REPEATABLE.aim_us  # as long as its answer would still be of use
+    gateway.now += 1000
+    if took_another:
+        gateway.establish(gateway.ask(keys[1])[0])
+    gateway.answer(number, Outcome.TIMEOUT)
+    assert bool(gateway.balancer.servers[102].strikes) != took_another
+
+
 def test_a_server_that_refuses_at_once_does_not_draw_traffic():
     gateway = Gateway()
     number, _ = gateway.ask(key_for(gateway, 102))
