Move clients one by one at SIGTERM instead of cutting all off at the end of the notice

Now the moves are spread over the last 1.5 s of the notice, each between two lines, and whatever comes up meanwhile is moved too.

--- a/glenfold/__main__.py
+++ b/glenfold/__main__.py
@@ -15,10 +15,14 @@
 from glenfold.decisions import Decisions
 from glenfold.net.discovery import BadList, DestinationSet, Discovery
 from glenfold.net.inbound import BACKLOG, Inbound, Relay
+from glenfold.net.passing import Passage
 
 ARRIVING_S = 0.45      # after SIGTERM new connections go on arriving for as long as this
 LEAST_NOTICE_S = 3.0   # SIGKILL comes no earlier than this, or the longest deadline, and 0.7 s
 LEAVE_S = 0.4          # of those 0.7 s
+MOVE_S = 0.3           # that a move may take
+MOVES_S = 1.5          # over which they are spread where packets pass through
+ANSWERS_S = 0.02       # between two looks at what is unanswered
 
 
 SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
@@ -106,16 +110,26 @@
 
 
 async def finish_taken(told_at: float, relay: Relay) -> None:
-    """Every request taken gets its answer. Standing connections stay as long as the platform allows:
-    where packets pass through they go on at another relay, elsewhere their clients are moved."""
+    """Every request taken gets its answer, and every standing connection's client is told to move in time.
+
+    Where packets pass through, connections stand as long as the platform allows, as other relays may be
+    restarting too; then their clients move one by one: all at once they would jam the servers."""
     settings = relay.config.settings
     notice_s = max([LEAST_NOTICE_S, *(kind.deadline_us / 1e6 for kind in settings.classes)])
-    with trio.move_on_at(told_at + notice_s + LEAVE_S):
-        while relay.unanswered or (relay.standing and settings.pass_through):
-            await trio.sleep_until(trio.current_time() + 0.02)
-        async with trio.open_nursery() as nursery:
-            for passage in list(relay.standing):
+    leave_at = told_at + notice_s + LEAVE_S
+    told: set[Passage] = set()
+    async with trio.open_nursery() as nursery:
+        nursery.cancel_scope.deadline = leave_at
+        if settings.pass_through:
+            await trio.sleep_until(leave_at - MOVE_S - MOVES_S)
+        while (left := relay.standing - told) or relay.unanswered:
+            gap = ANSWERS_S
+            if left:
+                told.add(passage := left.pop())
                 nursery.start_soon(passage.move)
+                last_move_in = leave_at - MOVE_S - trio.current_time()
+                gap = max(0.0, last_move_in / (1 + len(left))) if settings.pass_through else 0.0
+            await trio.sleep_until(trio.current_time() + gap)
 
 
 def main() -> int:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -318,20 +318,30 @@
     trio.run(main)
 
 
-def test_at_sigterm_standing_connections_stay_until_the_notice_is_over(conf: Config) -> None:
+def test_at_sigterm_connections_stand_for_a_while_and_are_then_moved_one_by_one(conf: Config) -> None:
     clock = trio.testing.MockClock()
 
     async def client(shared: Relay, port: int) -> None:
-        stream = await opened(port)
-        await read_line(stream)
+        streams = [await trio.open_tcp_stream("127.0.0.1", port) for _ in range(4)]
+        for n, stream in enumerate(streams):
+            await stream.send_all(OPEN.replace(b"9b1f03aa", b"%08x" % n))
+            await read_line(stream)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(finish_taken, trio.current_time(), shared)
-            clock.jump(3.0)
-            await trio.testing.wait_all_tasks_blocked()
-            assert shared.standing
-            clock.jump(0.5)
+            for passed, standing in ((1.5, 4), (0.2, 3), (0.4, 2), (1.2, 0)):
+                clock.jump(passed)
+                for _ in range(3):  # a loopback socket may need a moment to show its end
+                    await trio.testing.wait_all_tasks_blocked(0.01)
+                assert len(shared.standing) == standing
+        for stream in streams:
+            assert (await stream.receive_some()).endswith(lines.MOVE)
+
+    async def server(stream: trio.SocketStream) -> None:
+        await read_line(stream)
+        await stream.send_all(b"UP r1\r\n")
+        await read_line(stream)
 
-    play(conf, up_and_echo, client, clock)
+    play(conf, server, client, clock)
 
 
 def test_partial_gathered_writes_go_on_where_they_stopped() -> None:
