--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -27,6 +27,7 @@
 CORE_SPEED = {"small-fast": 2.0, "mid-steady": 1.2, "mid-slow": 0.8}  # as the operators state it; else 1
 SPILL = 1.25           # a server over this multiple of its part of the load here, and one more, is crowded
 REGROWTH = 0.02        # of its slice that a jammed server gets back in a second
+CROWD = 3              # set-ups under way here beside one that tells of its server's delay
 REMEMBERED = 1000      # moved clients whose load is kept until they come back
 ASK_AGAIN = 1 << 60    # timer token; request ids stay far below
 
@@ -164,6 +165,7 @@
         self.busy = 0             # servers at which this gateway holds anything
         self.fleet = Slice()      # mean over those: the best guess for a server it knows nothing of
         self.held: dict[int, Held] = {}
+        self.setting_up: set[int] = set()  # of these, with an attempt out
         self.taken: deque[int] = deque()   # times of requests, within the look-back
         self.extras: deque[int] = deque()  # times of attempts after a request's first, within it
         self.out: list[i.Action] = []
@@ -281,6 +283,7 @@
     def _take_off(self, held: Held, known: Server) -> None:
         held.server = None
         del known.holds[held.event.request]
+        self.setting_up.discard(held.event.request)
         self.busy -= not known.holds
         self._add_load(known, -held.load)
         self._forget(known)
@@ -443,6 +446,7 @@
         held.at_home, held.sent, held.sent_at = at_home, held.sent + 1, self.now
         held.tried.append(known.listed.server)
         self._put(held, known)
+        self.setting_up.add(held.event.request)
         self.out.append(i.Attempt(held.event.request, known.listed.server, max(1, timeout)))
 
     def _answer_finally(self, held: Held) -> None:
@@ -469,6 +473,7 @@
         held = self.held.get(event.request)
         if held is not None and held.server is not None:
             held.established = True
+            self.setting_up.discard(event.request)
             held.server.strikes = held.server.shun_until = 0
             held.server.up_at = self.now
             if not self.s.tells_delay and not held.event.mid_flow:
@@ -524,7 +529,10 @@
 
     def _on_set_up(self, known: Server, took_us: int) -> None:
         """Where no notes tell of delay: what a set-up takes beyond the quickest there it has waited behind
-        other work, as messages do. One alone may be slow for reasons of its own."""
+        other work, as messages do. One alone may be slow for reasons of its own, and in a crowd all are: that
+        keeps this gateway busy as well."""
+        if len(self.setting_up) > CROWD:
+            return
         known.quickest_us = min(known.quickest_us, took_us)
         known.delay_us += (took_us - known.quickest_us - known.delay_us) / 2
         if known.delay_us > min(kind.message_aim_us for kind in self.s.classes):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -161,6 +161,15 @@
     assert (place(gateway, key_for(gateway, 102, after=90_000)) == 102) == tells_delay
 
 
+def test_slow_set_ups_in_a_crowd_say_nothing_of_their_servers():
+    """After a restart all clients come at once; taken for jams, that refused them for many seconds."""
+    gateway = Gateway()
+    fill(gateway, 200)
+    crowd = [gateway.ask(70_000 + n)[0] for n in range(60)]
+    assert not any(moves(gateway.establish(number, 400_000)) for number in crowd[:-choice.CROWD - 1])
+    assert all(server.slice.size == 1 for server in gateway.balancer.servers.values())
+
+
 def test_where_groups_meet_the_least_worth_leaves_first():
     low, high = replace(REPEATABLE, worth=1.0), replace(REPEATABLE, worth=5.0)
     gateway = Gateway(servers=1, classes=(low, high))
