--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -440,7 +440,7 @@
         if held.sent:
             self.extras.append(self.now)
         if held.sent + 1 < self.s.max_attempts and self._ration() >= 1:  # leave room for another attempt
-            timeout = min(left // 2, max(self._class(held).aim_us, self.s.connect_timeout_us))
+            timeout = left // 2
         if known.strikes:  # one at a time to test it, until one succeeds
             known.shun_until = self.now + timeout
         held.at_home, held.sent, held.sent_at = at_home, held.sent + 1, self.now
