--- a/glenfold/__main__.py
+++ b/glenfold/__main__.py
@@ -13,7 +13,8 @@
 from glenfold.config import Config, ConfigError, read_again, read_config
 from glenfold.counters import Counters
 from glenfold.decisions import Decisions
-from glenfold.net.discovery import BadList, DestinationSet, Discovery
+from glenfold.destinations import BadList, DestinationSet
+from glenfold.net.discovery import Discovery
 from glenfold.net.inbound import BACKLOG, Inbound, Relay
 from glenfold.net.passing import Passage
 
--- a/glenfold/counters.py
+++ b/glenfold/counters.py
@@ -18,11 +18,12 @@
     answered_busy: int = 0
     answered_failed: int = 0
     left: int = 0            # clients that went before their answer
-    moved: int = 0           # standing connections that the decisions moved
+    moved: int = 0           # clients of standing connections that were told to move
     silent: int = 0          # standing connections ended because their server fell silent
     ended: int = 0           # standing connections that are over
     broken: int = 0          # of these, by their server, with neither BYE nor MOVE
     lists: int = 0           # lists and changes from discovery
+    bad_entries: int = 0     # of these, that could not be read
     reloads: int = 0         # times the configuration was read again and taken over
     reloads_refused: int = 0  # times it was faulty
     faults: int = 0          # connections ended by an error of the relay's own
--- a/glenfold/decisions.py
+++ b/glenfold/decisions.py
@@ -83,7 +83,8 @@
             actions = self._balancer.handle(now, event)
         except Exception:  # one event's fault must not end every other connection of this relay
             logger.exception("the decisions failed on {}", event)
-            return
+            # Nor may the request wait for a decision that will not come; if it needs none, this does nothing.
+            actions = [i.Fail(event.request)] if isinstance(event, i.Request | i.Answer) else []
         for action in actions:
             match action:
                 case i.SetTimer(delay, token):
--- /dev/null
+++ b/glenfold/destinations.py
@@ -0,0 +1,124 @@
+"""The destination set: what discovery's lists say of the push servers, without I/O."""
+
+import hashlib
+import math
+from dataclasses import dataclass, replace
+from typing import Any
+
+from glenfold.config import Address, Names, read_address
+from linnetspread import interface as i
+
+STATES = {
+    "in_service": i.ServerState.READY,
+    "terminating": i.ServerState.DRAINING,
+    "terminated": i.ServerState.GONE,
+}
+
+REMEMBERED = 1024  # servers that have left
+
+
+class BadList(Exception):
+    """Discovery sent what is not a list; the last one is kept."""
+
+
+def server_number(host: str) -> int:
+    """The same at every relay and in every process, whatever came first: all relays must build one map."""
+    return int.from_bytes(hashlib.blake2b(host.encode(), digest_size=4).digest())
+
+
+@dataclass(frozen=True, slots=True)
+class Destination:
+    host: str
+    address: Address
+    line: i.ListedServer
+
+
+class DestinationSet:
+    """The push servers that discovery has named: their numbers and addresses.
+
+    Whatever the agent holds counts as told, so a whole list is always taken in, also one with a lower number:
+    an agent may lag behind the one before it, or count anew. Only a server that was said to leave does not
+    come back with such a list, unless it has started again. A change that is older than what is known has
+    no place to go to; a whole list is asked for instead."""
+
+    def __init__(self, names: Names) -> None:
+        self._names = names
+        self._known: dict[int, Destination] = {}
+        self._left: dict[int, tuple[int, int]] = {}  # in which version, and the start that it left after
+        self._heard = 0
+        self.version = 0
+        self.faults: list[str] = []  # of the list read last
+
+    def address(self, server: int) -> Address | None:
+        return self._known[server].address if server in self._known else None
+
+    def numbered(self, host: str) -> int | None:
+        known = self._known.get(server_number(host))
+        return known.line.server if known is not None and known.host == host else None
+
+    def read(self, document: Any, cached: bool = False) -> i.ServerList:
+        """Takes in a list or a change. A bad one changes nothing; a bad entry costs no other."""
+        try:
+            version, whole, entries = int(document["seq"]), bool(document["whole"]), list(document["hosts"])
+        except (KeyError, TypeError, ValueError, OverflowError) as error:
+            raise BadList(f"a list can't be read: {error!r}") from error
+        if version < self.version and not whole:
+            raise BadList(f"change {version} is older than list {self.version}")
+        self.faults = []
+        known = {} if whole else dict(self._known)
+        lines = []
+        for entry in entries:
+            destination: Destination | None
+            try:
+                destination = self._destination(entry, version, known)
+            except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
+                self.faults.append(f"an entry is left out: {error!r}")
+                # What was known of this server holds until something that can be read says otherwise.
+                destination = self._known_before(entry)
+                if destination is None:
+                    continue
+            if destination.line.state is i.ServerState.GONE:
+                known.pop(destination.line.server, None)
+            else:
+                known[destination.line.server] = destination
+            lines.append(destination.line)
+        self._known, self.version = known, version
+        self._heard += 1  # the decisions go by the order in which this relay heard
+        kind = i.ListKind.FULL if whole else i.ListKind.DELTA
+        return i.ServerList(i.ListKind.CACHED if cached else kind, self._heard, tuple(lines))
+
+    def _known_before(self, entry: Any) -> Destination | None:
+        host = entry.get("host") if isinstance(entry, dict) else None
+        known = self._known.get(server_number(host)) if isinstance(host, str) else None
+        return known if known is not None and known.host == host else None
+
+    def _destination(self, entry: Any, version: int, known: dict[int, Destination]) -> Destination:
+        host = str(entry["host"])
+        address, line = read_address(entry["dial"]), self._line(host, entry)
+        if line.server in known and known[line.server].host != host:
+            # Two servers under one number could not be told apart; every relay leaves out the same one.
+            raise ValueError(f"{host} and {known[line.server].host} have the same number")
+        if line.state is not i.ServerState.READY:
+            self._left.pop(line.server, None)
+            self._left[line.server] = version, line.started_us
+            if len(self._left) > REMEMBERED:
+                del self._left[next(iter(self._left))]
+        elif line.server in self._left:
+            left_in, started_us = self._left[line.server]
+            if version < left_in and line.started_us <= started_us:
+                line = replace(line, state=i.ServerState.DRAINING)
+        return Destination(host, address, line)
+
+    def _line(self, host: str, entry: Any) -> i.ListedServer:
+        share = float(entry.get("share", 1.0))
+        if not math.isfinite(share):
+            raise ValueError("its share is not finite")
+        return i.ListedServer(
+            server=server_number(host),
+            state=STATES[entry["health"]],
+            weight=share,
+            zone=self._names.sites.get(entry.get("site"), 0),
+            kind=self._names.kinds.get(entry.get("class"), 0),
+            cell=int(entry.get("block", 0)),
+            started_us=int(entry.get("born_ms", 0)) * 1000,
+        )
--- a/glenfold/net/discovery.py
+++ b/glenfold/net/discovery.py
@@ -1,94 +1,26 @@
-"""Discovery: the whole list, then a watch on it, again and again; and the destination set that it fills."""
+"""Discovery: the whole list, then a watch on it, again and again."""
 
-import hashlib
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import Any
 
 import h11
 import trio
 from loguru import logger
 
-from glenfold.config import Address, Names, read_address
+from glenfold.config import Address
 from glenfold.counters import Counters
+from glenfold.destinations import BadList, DestinationSet
 from linnetspread import interface as i
 
 LONGEST_SILENCE_S = 4.0  # a watch sends a line at least every 2 s
 ANSWER_S = 2.0           # the agent answers at once, or is down
 AGAIN_S = 0.25
 LONGEST_LINE = 4 << 20
-STATES = {
-    "in_service": i.ServerState.READY,
-    "terminating": i.ServerState.DRAINING,
-    "terminated": i.ServerState.GONE,
-}
-
 FAULTS = (OSError, trio.TooSlowError, trio.BrokenResourceError, h11.ProtocolError)
 
 ListHeard = Callable[[i.ServerList], Awaitable[None]]
 
 
-class BadList(Exception):
-    """Discovery sent what is not a list; the last one is kept."""
-
-
-def server_number(host: str) -> int:
-    """The same at every relay and in every process, whatever came first: all relays must build one map."""
-    return int.from_bytes(hashlib.blake2b(host.encode(), digest_size=4).digest())
-
-
-class DestinationSet:
-    """The push servers that discovery has named: their numbers and addresses."""
-
-    def __init__(self, names: Names) -> None:
-        self._names = names
-        self._hosts: dict[int, str] = {}
-        self._addresses: dict[int, Address] = {}
-
-    def address(self, server: int) -> Address | None:
-        return self._addresses.get(server)
-
-    def numbered(self, host: str) -> int | None:
-        number = server_number(host)
-        return number if self._hosts.get(number) == host else None
-
-    def read(self, document: Any, cached: bool = False) -> i.ServerList:
-        """Takes in a list or a change. A bad one changes nothing."""
-        try:
-            version, whole = int(document["seq"]), bool(document["whole"])
-            entries = [self._entry(entry) for entry in document["hosts"]]
-        except (KeyError, TypeError, ValueError, OverflowError) as error:
-            raise BadList(f"a list can't be read: {error!r}") from error
-        hosts = {} if whole else dict(self._hosts)
-        addresses = {} if whole else dict(self._addresses)
-        lines = []
-        for host, address, line in entries:
-            if hosts.setdefault(line.server, host) != host:
-                # Two servers under one number could not be told apart; every relay leaves out the same one.
-                raise BadList(f"{host} and {hosts[line.server]} have the same number")
-            if line.state is i.ServerState.GONE:
-                del hosts[line.server]
-                addresses.pop(line.server, None)
-            else:
-                addresses[line.server] = address
-            lines.append(line)
-        self._hosts, self._addresses = hosts, addresses
-        kind = i.ListKind.FULL if whole else i.ListKind.DELTA
-        return i.ServerList(i.ListKind.CACHED if cached else kind, version, tuple(lines))
-
-    def _entry(self, entry: Any) -> tuple[str, Address, i.ListedServer]:
-        host = str(entry["host"])
-        return host, read_address(entry["dial"]), i.ListedServer(
-            server=server_number(host),
-            state=STATES[entry["health"]],
-            weight=float(entry.get("share", 1.0)),
-            zone=self._names.sites.get(entry.get("site"), 0),
-            kind=self._names.kinds.get(entry.get("class"), 0),
-            cell=int(entry.get("block", 0)),
-            started_us=int(entry.get("born_ms", 0)) * 1000,
-        )
-
-
 class Discovery:
     def __init__(self, address: Address, destinations: DestinationSet, heard: ListHeard,
                  counters: Counters) -> None:
@@ -97,6 +29,7 @@
         self._heard = heard
         self._counters = counters
         self._scope = trio.CancelScope()
+        self._said = ""
 
     def move_to(self, address: Address) -> None:
         """From now on discovery is there; what was heard so far holds until it says otherwise."""
@@ -106,15 +39,14 @@
 
     async def follow(self) -> None:
         """Whatever ends a watch, the next one starts from a whole list: a change may have been missed."""
-        said = ""
         while True:
             with trio.CancelScope() as self._scope:
                 try:
                     await self._whole_and_watch()
                 except (*FAULTS, BadList) as error:
-                    if repr(error) != said:  # an agent that is down fails alike four times a second
+                    if repr(error) != self._said:  # an agent that is down fails alike four times a second
                         logger.warning("discovery: {!r}", error)
-                    said = repr(error)
+                    self._said = repr(error)
                 await trio.sleep_until(trio.current_time() + AGAIN_S)
 
     async def _whole_and_watch(self) -> None:
@@ -166,7 +98,12 @@
             raise BadList(f"not JSON: {error}") from error
         servers = self._destinations.read(document)
         self._counters.lists += 1
+        for fault in self._destinations.faults:
+            self._counters.bad_entries += 1
+            if fault != self._said:  # the same entry comes with every list
+                logger.warning("discovery: {}", fault)
+            self._said = fault
         # A move or a silence that cut in here would leave the addresses and the decisions two lists apart.
         with trio.CancelScope(shield=True):
             await self._heard(servers)
-        return servers.version
+        return self._destinations.version
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -14,7 +14,7 @@
 from glenfold.config import Config, Room
 from glenfold.counters import Counters
 from glenfold.decisions import Closed, Decisions, Taken
-from glenfold.net.discovery import DestinationSet
+from glenfold.destinations import DestinationSet
 from glenfold.net.outbound import OutboundCall
 from glenfold.net.passing import Passage
 from glenfold.net.sockets import SocketType, finish, send, without_delay
@@ -362,6 +362,7 @@
             relay.standing.discard(passage)
             relay.counters.ended += 1
             relay.counters.silent += passage.silent
+            relay.counters.moved += passage.moved
         if passage.outcome in (i.Outcome.RESET, i.Outcome.ERROR):
             relay.counters.broken += 1
             logger.info("a connection at server {} broke: {}", state.server, passage.outcome.name.lower())
@@ -377,5 +378,4 @@
             incident = await self._receive.receive()
             for effect in self._state.on(incident, self._relay.clock.now_us()):
                 if isinstance(effect, r.MoveClient):
-                    self._relay.counters.moved += 1
                     await passage.move()
--- a/glenfold/net/passing.py
+++ b/glenfold/net/passing.py
@@ -9,7 +9,7 @@
 from linnetspread.interface import Outcome
 
 CHUNK = 16 * 1024
-SILENT_S = 5.0  # a server that leaves a client's line unanswered for so long is taken to be gone
+SILENT_S = 2.5  # a server that leaves a client's line unanswered for so long is taken to be gone
 PART_S = 0.7    # how long a side may take to close after the other side has
 WHOLE_S = 0.3   # how long a move waits for a line to be complete
 
@@ -24,6 +24,7 @@
         self.server = server
         self.outcome = Outcome.RESET
         self.silent = False
+        self.moved = False
         self._load_heard = load_heard
         self._lines = LineTracker()
         self._said: bytes | None = None         # the server's last word on this connection
@@ -60,6 +61,7 @@
         async with self._writing:
             if self._lines.between_lines:
                 await send(self.client, MOVE)
+                self.moved = True
                 self._end(Outcome.CANCELLED)
                 return True
         return False
--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -12,7 +12,7 @@
 from glenfold.config import Config, read_config
 from glenfold.counters import Counters
 from glenfold.decisions import Decisions
-from glenfold.net.discovery import DestinationSet
+from glenfold.destinations import DestinationSet
 from glenfold.net.inbound import Inbound, Relay
 
 Handler = Callable[[trio.SocketStream], Awaitable[None]]
