--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -329,8 +329,9 @@
 
     def _choose(self, held: Held) -> tuple[Server, bool] | None:
         """The first choice that the rules and its slices allow and that looks well, else the first that only
-        looks suspect: when most servers look bad, the fault is more likely here."""
-        last_resort = None
+        looks suspect: when most servers look bad, the fault is more likely here. Rather than refuse a client,
+        one that should rest is tried."""
+        last_resort = resting = None
         for known, at_home in self._choices(held.event):
             if known.listed.server in held.tried or not self._allowed(held, known):
                 continue
@@ -339,9 +340,11 @@
             # Mid-flow it would be reset anywhere else, however the server looks.
             if held.event.mid_flow and held.sent == 0 or self._well(held, known):
                 return known, at_home
-            if self.now >= known.rest_until and known.strikes < 2:
+            if known.strikes < 2 and self.now >= known.rest_until:
                 last_resort = last_resort or (known, at_home)
-        return last_resort
+            elif known.strikes < 2:
+                resting = resting or (known, at_home)
+        return last_resort or resting
 
     def _choices(self, event: i.Request) -> Iterator[tuple[Server, bool]]:
         """The key's server, then those of the same key under further seeds: a group stays together there."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -170,6 +170,14 @@
     assert all(server.slice.size == 1 for server in gateway.balancer.servers.values())
 
 
+def test_where_all_servers_should_rest_a_client_is_not_refused_for_it():
+    gateway = Gateway()
+    for server in range(100, 105):
+        number = gateway.open(key_for(gateway, server))
+        gateway.note(number, NoticeKind.SLOW, 50.0)  # over a third of the aim, and under it
+    assert sends(gateway.ask(70_000)[1])
+
+
 def test_where_groups_meet_the_least_worth_leaves_first():
     low, high = replace(REPEATABLE, worth=1.0), replace(REPEATABLE, worth=5.0)
     gateway = Gateway(servers=1, classes=(low, high))
