--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -127,7 +127,7 @@
 
 
 def test_a_jammed_server_gives_up_whole_groups():
-    gateway = Gateway()
+    gateway = Gateway(tells_delay=True)
     opened = [gateway.open(50_000 + n, group=1 + n % 97) for n in range(300)]
     held = gateway.balancer.held
     there = [number for number in opened if gateway.where[number] == 102 and held[number].at_home]
