--- a/glenfold/net/discovery.py
+++ b/glenfold/net/discovery.py
@@ -94,7 +94,7 @@
     async def _take(self, text: bytes) -> int:
         try:
             document = json.loads(text)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:  # nested too deep: that would end the relay
             raise BadList(f"not JSON: {error}") from error
         servers = self._destinations.read(document)
         self._counters.lists += 1
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -445,6 +445,16 @@
             await stream.send_all(head + self.body)
 
 
+@pytest.mark.parametrize("text", [b"{", b"[" * 200_000, b'{"seq":"x"}', b"\xff"])
+def test_what_is_no_list_never_ends_the_relay(conf: Config, text: bytes) -> None:
+    async def heard(servers: i.ServerList) -> None:
+        raise AssertionError("it was taken for a list")
+
+    discovery = Discovery(("127.0.0.1", 9), DestinationSet(conf.names), heard, Counters())
+    with pytest.raises(BadList):
+        trio.run(discovery._take, text)
+
+
 def test_a_watch_that_falls_silent_ends_in_a_whole_list(conf: Config) -> None:
     clock = trio.testing.MockClock()
     versions: list[int] = []
