--- a/glenfold/net/passing.py
+++ b/glenfold/net/passing.py
@@ -9,7 +9,7 @@
 from linnetspread.interface import Outcome
 
 CHUNK = 16 * 1024
-SILENT_S = 2.5  # a server that leaves a client's line unanswered for so long is taken to be gone
+SILENT_S = 1.2  # a server that leaves a client's line unanswered for so long is taken to be gone
 PART_S = 0.7    # how long a side may take to close after the other side has
 WHOLE_S = 0.3   # how long a move waits for a line to be complete
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -115,14 +115,14 @@
     assert play(conf, reset, client).counters.faults == 0
 
 
-def test_a_silent_server_ends_in_a_move_within_seven_seconds(conf: Config) -> None:
+def test_a_silent_server_ends_in_a_move_before_the_client_has_asked_twice(conf: Config) -> None:
     clock = trio.testing.MockClock()
 
     async def silent(stream: trio.SocketStream) -> None:
         await read_line(stream)
         await stream.send_all(b"UP r1\r\n")
         await read_line(stream)
-        clock.jump(6.0)
+        clock.jump(1.5)
         await trio.sleep_forever()
 
     async def client(shared: Relay, port: int) -> None:
