--- a/glenfold/__main__.py
+++ b/glenfold/__main__.py
@@ -134,6 +134,11 @@
 
 
 def main() -> int:
+    """Without words the relay of the platform; all else is the command line's."""
+    if len(sys.argv) > 1:
+        from glenfold.cli.main import main as command_line  # the platform's relay loads none of it
+
+        command_line(prog_name="glenfold")
     logger.remove()
     logger.add(sys.stderr, level="INFO", format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False)
     try:
@@ -145,5 +150,10 @@
     return 0
 
 
-if __name__ == "__main__":
+def run() -> None:
+    """The console script."""
     sys.exit(main())
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/glenfold/cli/lazy.py
@@ -0,0 +1,34 @@
+"""A click group whose commands are imported only when they are called."""
+
+from importlib import import_module
+
+import click
+
+
+class LazyGroup(click.Group):
+    """`places` gives for each command the module that holds it, as the attribute `command`, and one line on
+    what it does: so that the list of commands imports none of them."""
+
+    def __init__(self, *args: object, places: dict[str, tuple[str, str]], **more: object) -> None:
+        super().__init__(*args, **more)  # type: ignore[arg-type]
+        self._places = places
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return list(self._places)
+
+    def get_command(self, ctx: click.Context, name: str) -> click.Command | None:
+        if name not in self._places:
+            return None
+        try:
+            found = import_module(self._places[name][0]).command
+        except ModuleNotFoundError as error:
+            if error.name is None or error.name.split(".")[0] in ("glenfold", "glenfold_lab"):
+                raise
+            raise click.ClickException(
+                f"'{name}' needs the package {error.name}: pip install 'glenfold[lab]'") from error
+        assert isinstance(found, click.Command)
+        return found
+
+    def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
+        with formatter.section("Commands"):
+            formatter.write_dl([(name, line) for name, (_, line) in self._places.items()])
--- /dev/null
+++ b/glenfold/cli/main.py
@@ -0,0 +1,17 @@
+"""`glenfold WORDS`: everything but the platform's own start, which has no words."""
+
+import click
+
+import glenfold
+from glenfold.cli.lazy import LazyGroup
+
+PLACES = {"lab": ("glenfold_lab.cli", "worlds in virtual time, stand-ins, load, experiments and reports")}
+
+
+@click.group(cls=LazyGroup, places=PLACES, context_settings={"help_option_names": ["-h", "--help"]})
+@click.version_option(glenfold.__version__, message="glenfold %(version)s")
+def main() -> None:
+    """A relay for long-lived line connections, and the lab that proves it.
+
+    Without any words this starts the relay that LB_CONFIG describes, as the platform does.
+    """
--- /dev/null
+++ b/glenfold_lab/cli.py
@@ -0,0 +1,26 @@
+"""`glenfold lab ...`: the model, stand-ins on sockets, load, experiments and reports.
+
+Exit status: 0 done and every rule kept, 1 a rule was broken (or what was asked for failed), 2 the words or a
+file are at fault; then nothing has been written.
+"""
+
+import click
+
+from glenfold.cli.lazy import LazyGroup
+
+PLACES = {
+    name: (f"glenfold_lab.commands.{name}", line) for name, line in (
+        ("scenarios", "list the shipped scenarios, or check a file"),
+        ("run", "play one history of a scenario in virtual time"),
+        ("experiment", "play factors, seeds and revisions against each other"),
+        ("report", "draw results as one HTML file"),
+        ("play", "play a scenario with real relays and stand-ins on loopback sockets"),
+        ("load", "put open-loop load on relays and measure latencies"),
+        ("demo", "a relay with stand-ins and clients for 20 s, with a live table"),
+    )
+}
+
+
+@click.group("lab", cls=LazyGroup, places=PLACES)
+def command() -> None:
+    """Worlds in virtual time, stand-ins on loopback sockets, load, experiments and reports."""
--- /dev/null
+++ b/glenfold_lab/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The lab's command line: one module a command, each with a click command named `command`."""
