--- a/glenfold_lab/model/wire.py
+++ b/glenfold_lab/model/wire.py
@@ -30,6 +30,7 @@
     deadline: int
     mid_flow: bool
     back: "Caller"
+    sent_at: int = 0         # when its first byte left the relay
     stands: bool = False
     dropped: bool = False    # the relay has closed it
     arrived: bool = False    # its last byte reached the server
