Add the states of a lab client: one answer, lines from their intended moments, its end

Need: load and stand-ins speak the line protocol from the client's side, and must agree on what an answer and an end are.

--- /dev/null
+++ b/glenfold_lab/load/client.py
@@ -0,0 +1,278 @@
+"""One client's connection, without I/O: what comes in, and what has to be done about it.
+
+Moments are absolute microseconds on one clock that does not go back. The driver calls `on` with each
+incident, carries out the effects in their order, and gives `Due` when `due_us` has come.
+"""
+
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum, auto
+
+from glenfold.lines import END, LineTracker
+
+ANSWER_SLACK_US = 50_000  # by which an answer may be past the deadline
+SILENT_US = 7_000_000     # a line unanswered for so long: the client gives its connection up
+PART_US = 1_000_000       # from the end of one side to that of the other
+
+
+class Phase(Enum):
+    CONNECTING = auto()
+    ASKED = auto()     # its first line is out
+    UP = auto()        # and each line that it said is answered
+    LINES = auto()     # up, with lines that are not answered yet
+    LEAVING = auto()   # told MOVE or BYE, or done: the end of the connection follows
+    ENDED = auto()
+
+
+class Answer(Enum):
+    """How a request ended, as its client saw it."""
+
+    UP = "up"
+    BUSY = "busy"
+    ERROR = "error"              # any other line
+    CLOSED = "closed"            # the connection ended without a line
+    RESET = "reset"              # or broke
+    UNREACHABLE = "unreachable"  # it never came up
+    NONE = "none"                # nothing by the deadline and the slack
+
+
+class Parting(Enum):
+    """How a connection that was up ended, as its client saw it."""
+
+    LEFT = "left"          # it had what it wanted
+    MOVED = "moved"        # told MOVE
+    SERVED = "served"      # told BYE
+    CUT = "cut"            # ended without a word
+    RESET = "reset"
+    SILENT = "silent"      # a line was not answered for too long
+    GARBLED = "garbled"    # a line was too long
+
+
+@dataclass(frozen=True, slots=True)
+class Wish:
+    """What a client wants. line: its first line, with its end. wait_us: for its answer, from the sending of
+    that line. until_us: it wants the connection until then. line_gap_us: between lines; 0: it says none."""
+
+    line: bytes
+    wait_us: int
+    until_us: int
+    line_gap_us: int = 0
+
+
+# ---- what comes in ----
+
+
+@dataclass(frozen=True, slots=True)
+class Connected:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Unreachable:
+    """The connection was refused, or did not come up."""
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Finished:
+    """The other side has ended its sending."""
+
+
+@dataclass(frozen=True, slots=True)
+class Broken:
+    """The connection was reset."""
+
+
+@dataclass(frozen=True, slots=True)
+class Due:
+    """The moment `due_us` has come."""
+
+
+Incident = Connected | Unreachable | Heard | Finished | Broken | Due
+
+
+# ---- what is to be done, and what is to be told ----
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Finish:
+    """Ends the sending; what comes in is still heard."""
+
+
+@dataclass(frozen=True, slots=True)
+class Close:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """us: since the intended start. wait_us: what BUSY advises, else 0."""
+
+    answer: Answer
+    us: int
+    wait_us: int = 0
+    receipt: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class LineSaid:
+    """late_us: after its intended moment."""
+
+    late_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class LineBack:
+    """us: since the moment for which the line was intended."""
+
+    us: int
+
+
+@dataclass(frozen=True, slots=True)
+class Parted:
+    parting: Parting
+    unanswered: int  # lines
+
+
+News = Answered | LineSaid | LineBack | Parted
+Effect = Send | Finish | Close | News
+
+
+class ClientState:
+    """intended_us: when the plan has it start; now_us: when it does.
+
+    Lines are answered in their order, each by one line that is none of LOAD, MOVE and BYE. How many wait for
+    an answer is bounded by SILENT_US over the gap between them."""
+
+    def __init__(self, wish: Wish, intended_us: int, now_us: int) -> None:
+        self.wish = wish
+        self.intended_us = intended_us
+        self.phase = Phase.CONNECTING
+        self.due_us = now_us + wish.wait_us
+        self._lines = LineTracker()
+        self._said: deque[int] = deque()  # the intended moments of lines without an answer
+        self._next_line_us = 0
+        self._parting = Parting.LEFT
+
+    @property
+    def stands(self) -> bool:
+        return self.phase in (Phase.UP, Phase.LINES, Phase.LEAVING)
+
+    def on(self, incident: Incident, now_us: int) -> list[Effect]:
+        if self.phase is Phase.ENDED:
+            return []
+        match incident:
+            case Connected():
+                return self._ask(now_us)
+            case Unreachable():
+                return self._end(Answer.UNREACHABLE, Parting.RESET, now_us)
+            case Heard(data):
+                return self._heard(data, now_us)
+            case Finished():
+                return self._end(Answer.CLOSED, Parting.CUT, now_us)
+            case Broken():
+                return self._end(Answer.RESET, Parting.RESET, now_us)
+            case Due():
+                return self._due(now_us) if now_us >= self.due_us else []
+
+    def _ask(self, now_us: int) -> list[Effect]:
+        self.phase = Phase.ASKED
+        self.due_us = now_us + self.wish.wait_us + ANSWER_SLACK_US
+        return [Send(self.wish.line)]
+
+    def _heard(self, data: bytes, now_us: int) -> list[Effect]:
+        effects: list[Effect] = []
+        for line in self._lines.feed(data):
+            effects += self._line(line, now_us)
+        if self._lines.too_long:
+            effects += self._end(Answer.ERROR, Parting.GARBLED, now_us)
+        return effects
+
+    def _line(self, line: bytes, now_us: int) -> list[Effect]:
+        if self.phase is Phase.ENDED:
+            return []
+        if not self.stands:
+            return self._answered(line, now_us)
+        if line in (b"MOVE", b"BYE"):
+            return self._leave(Parting.MOVED if line == b"MOVE" else Parting.SERVED, now_us)
+        if line.startswith(b"LOAD ") or not self._said:
+            return []
+        back = LineBack(now_us - self._said.popleft())
+        self._set_due()
+        return [back]
+
+    def _answered(self, line: bytes, now_us: int) -> list[Effect]:
+        word, _, rest = line.partition(b" ")
+        if word == b"BUSY" and (not rest or rest.isdigit()):
+            return self._end(Answer.BUSY, Parting.LEFT, now_us, wait_us=int(rest or b"0") * 1000)
+        if word != b"UP" or not rest:
+            return self._end(Answer.ERROR, Parting.LEFT, now_us)
+        self.phase = Phase.UP
+        self._next_line_us = now_us + self.wish.line_gap_us
+        self._set_due()
+        return [Answered(Answer.UP, now_us - self.intended_us, receipt=rest)]
+
+    def _set_due(self) -> None:
+        """Only while it is up: from then on a client that leaves is bound by its parting alone."""
+        if self.phase is Phase.LEAVING:
+            return
+        self.phase = Phase.LINES if self._said else Phase.UP
+        due = self.wish.until_us
+        if self.wish.line_gap_us:
+            due = min(due, self._next_line_us)
+        if self._said:
+            due = min(due, self._said[0] + SILENT_US)
+        self.due_us = due
+
+    def _due(self, now_us: int) -> list[Effect]:
+        if self.phase in (Phase.CONNECTING, Phase.ASKED):
+            answer = Answer.UNREACHABLE if self.phase is Phase.CONNECTING else Answer.NONE
+            return self._end(answer, Parting.RESET, now_us)
+        if self.phase is Phase.LEAVING:
+            return self._end(Answer.NONE, self._parting, now_us)
+        if self._said and now_us >= self._said[0] + SILENT_US:
+            return self._end(Answer.NONE, Parting.SILENT, now_us)
+        if now_us >= self.wish.until_us:
+            return [Finish(), *self._leave(Parting.LEFT, now_us)]
+        return self._say(now_us)
+
+    def _say(self, now_us: int) -> list[Effect]:
+        """Those that are overdue too: a line is never left out because the one before it was late."""
+        said: list[Effect] = []
+        while self._next_line_us <= now_us:
+            said += [Send(b"M %d" % self._next_line_us + END), LineSaid(now_us - self._next_line_us)]
+            self._said.append(self._next_line_us)
+            self._next_line_us += self.wish.line_gap_us
+        self._set_due()
+        return said
+
+    def _leave(self, parting: Parting, now_us: int) -> list[Effect]:
+        if self.phase is not Phase.LEAVING:
+            self.phase, self.due_us = Phase.LEAVING, now_us + PART_US
+            self._parting = parting
+        return []
+
+    def _end(self, answer: Answer, parting: Parting, now_us: int, wait_us: int = 0) -> list[Effect]:
+        """By `answer` if it had none yet, else by `parting`, unless it was leaving for another reason."""
+        before, self.phase = self.phase, Phase.ENDED
+        if before in (Phase.CONNECTING, Phase.ASKED):
+            return [Answered(answer, now_us - self.intended_us, wait_us), Close()]
+        how = self._parting if before is Phase.LEAVING else parting
+        return [Parted(how, len(self._said)), Close()]
+
+
+def open_line(ident: int, key: int, figures: Mapping[str, str | int]) -> bytes:
+    """`OPEN ID KEY NAME=VALUE,...`, a client's first line, with its end. Both numbers are of 64 bits; `c` and
+    `d` must be among the figures."""
+    pairs = ",".join(f"{name}={value}" for name, value in figures.items())
+    return f"OPEN {ident:016x} {key:016x} {pairs}".encode("ascii") + END
