--- /dev/null
+++ b/glenfold_lab/load/crew.py
@@ -0,0 +1,184 @@
+"""The worker processes of a load: each has a slice of the plan, and its own core where there are enough.
+
+Over its pipe a worker says `Ready`, hears the moment of the start, and sends what it measured. Anything more
+that it hears (also the end of the pipe) ends it early.
+"""
+
+import fcntl
+import gc
+import multiprocessing
+import os
+import resource
+import signal
+import time
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from dataclasses import dataclass, replace
+from multiprocessing.connection import Connection, wait
+from multiprocessing.process import BaseProcess
+
+import psutil  # type: ignore[import-untyped]
+import trio
+
+from glenfold_lab.load.client import ANSWER_SLACK_US
+from glenfold_lab.load.offer import Load, Offer
+from glenfold_lab.load.plan import Clients
+from glenfold_lab.load.talk import SECOND_US, RunClock
+from glenfold_lab.load.tally import Tally
+
+START_S = 0.3       # from the last worker's being ready to the start: time for all to hear of it
+READY_S = 60.0      # for a worker to be ready
+REPORT_S = 20.0     # from the last answer's deadline to what was measured
+LOOK_S = 0.2        # between two looks for a signal
+MOST_SOCKETS = 1 << 16
+SPARE_SOCKETS = 64  # descriptors for all that is not a client
+
+
+class LoadFailed(Exception):
+    """A worker broke off without a result."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ready:
+    pass
+
+
+@dataclass(frozen=True, slots=True)
+class Report:
+    """What one worker measured. cpu_s: of its process from the start on."""
+
+    tally: Tally
+    cpu_s: float
+    memory_mb: float
+
+
+def cores_for(workers: int) -> list[list[int]]:
+    """A core of its own for each worker, from the last one on, if that leaves at least one for all others;
+    else all cores for each."""
+    cores = psutil.Process().cpu_affinity()
+    if workers >= len(cores):
+        return [cores] * workers
+    return [[core] for core in cores[-workers:]]
+
+
+def offer_all(offer: Offer, clients: Clients, workers: int, stopped: Callable[[], bool]) -> list[Report]:
+    """Plays the plan over so many processes; `stopped` is asked now and then, and ends it early.
+
+    Raises LoadFailed."""
+    crew = _Crew(offer, clients, workers)
+    try:
+        return crew.run(stopped)
+    finally:
+        crew.end()
+
+
+class _Crew:
+    def __init__(self, offer: Offer, clients: Clients, workers: int) -> None:
+        context = multiprocessing.get_context("spawn")
+        last_start = int(clients["start_us"].max()) if len(clients) else 0
+        slowest = int(2 * clients["wait_us"].max()) + ANSWER_SLACK_US if len(clients) else 0
+        self._longest_s = (last_start + slowest) / SECOND_US + REPORT_S
+        self._pipes: list[Connection] = []
+        self._processes: list[BaseProcess] = []
+        each = replace(offer, most_open=max(1, offer.most_open // workers))
+        for n, cores in enumerate(cores_for(workers)):
+            here, there = context.Pipe()
+            process = context.Process(target=work, args=(there, each, clients[n::workers], cores))
+            process.daemon = True
+            process.start()
+            there.close()
+            self._pipes.append(here)
+            self._processes.append(process)
+
+    def run(self, stopped: Callable[[], bool]) -> list[Report]:
+        self._hear(time.monotonic() + READY_S, lambda: False)
+        start = time.monotonic() + START_S
+        self._tell(start)
+        reports = self._hear(start + self._longest_s, stopped)
+        return [report for report in reports if isinstance(report, Report)]
+
+    def _hear(self, until: float, stopped: Callable[[], bool]) -> list[object]:
+        """One message of each worker, in the workers' order."""
+        heard: dict[int, object] = {}
+        told = False
+        while len(heard) < len(self._pipes):
+            if stopped() and not told:
+                self._tell(None)
+                told = True
+            if time.monotonic() > until:
+                raise LoadFailed("a worker does not end; it is too slow for this load, or was stopped")
+            for n, pipe in enumerate(self._pipes):
+                if n not in heard and pipe.poll(0):
+                    heard[n] = self._message(n, pipe)
+            wait([pipe for n, pipe in enumerate(self._pipes) if n not in heard], LOOK_S)
+        return [heard[n] for n in sorted(heard)]
+
+    def _message(self, n: int, pipe: Connection) -> object:
+        try:
+            message: object = pipe.recv()
+        except (EOFError, OSError):
+            self._processes[n].join(1)
+            raise LoadFailed(f"worker {n} ended with status {self._processes[n].exitcode}") from None
+        return message
+
+    def _tell(self, message: float | None) -> None:
+        for pipe in self._pipes:
+            with suppress(OSError):  # that it is gone is heard where it is heard
+                pipe.send(message)
+
+    def end(self) -> None:
+        for pipe in self._pipes:
+            pipe.close()
+        for process in self._processes:
+            process.join(1)
+            if process.is_alive():
+                process.kill()
+                process.join()
+
+
+def work(pipe: Connection, offer: Offer, clients: Clients, cores: Sequence[int]) -> None:
+    """One worker process."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # it ends when it is told to, with what it measured
+    process = psutil.Process()
+    process.cpu_affinity(list(cores))
+    offer = replace(offer, most_open=min(offer.most_open, descriptors() - SPARE_SOCKETS))
+    # A collection of what a second of clients leaves takes 10 to 25 ms; none of it is garbage that only a
+    # collector finds.
+    gc.disable()
+    pipe.send(Ready())
+    try:
+        start = pipe.recv()
+    except EOFError:
+        return
+    before = time.process_time()
+    tally = trio.run(_offer, offer, clients, pipe, start)
+    report = Report(tally, time.process_time() - before, process.memory_info().rss / 1e6)
+    with suppress(OSError):  # whom it would be for is gone
+        pipe.send(report)
+
+
+def descriptors() -> int:
+    """As many as this process may have, and the kernel's table of them at its full size from here on. That
+    table doubles as it fills, and each time a process with threads (numpy has some) stands still for 10 to
+    25 ms."""
+    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    most = min(hard, MOST_SOCKETS)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+    with open(os.devnull) as some:
+        os.close(fcntl.fcntl(some, fcntl.F_DUPFD, most - 1))
+    return most
+
+
+async def _offer(offer: Offer, clients: Clients, pipe: Connection, start: float) -> Tally:
+    load = Load(offer, RunClock(start - time.monotonic() + trio.current_time()))
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_hear_stop, pipe, stop)
+        await load.run(clients, stop)
+        nursery.cancel_scope.cancel()
+    return load.tally
+
+
+async def _hear_stop(pipe: Connection, stop: trio.Event) -> None:
+    await trio.lowlevel.wait_readable(pipe.fileno())
+    stop.set()
--- /dev/null
+++ b/glenfold_lab/load/offer.py
@@ -0,0 +1,133 @@
+"""Offers a plan: each client starts at its intended moment, whatever became of those before it."""
+
+from collections.abc import Awaitable, Callable, Iterator, Sequence
+from dataclasses import dataclass
+
+import trio
+
+from glenfold.config import Address
+from glenfold_lab.load import client as c
+from glenfold_lab.load.plan import Clients
+from glenfold_lab.load.talk import Moments, Stream, connect_to, talk
+from glenfold_lab.load.tally import Hearing, Tally
+from glenfold_lab.load.terms import LoadPlan
+
+BLOCK = 4096  # clients taken out of the plan's array at once
+
+ConnectTo = Callable[[Address], Awaitable[Stream]]
+
+
+@dataclass(frozen=True, slots=True)
+class Planned:
+    """One client of a plan, as `plan.CLIENT` has it."""
+
+    start_us: int
+    end_us: int
+    wait_us: int
+    line_gap_us: int
+    ident: int
+    key: int
+    group: int
+    request_class: int
+    scheme: int
+    target: int
+    again: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Offer:
+    """targets: where the relays listen. most_open: connections at once. window_us: how long a window of the
+    tally is."""
+
+    terms: LoadPlan
+    targets: Sequence[Address]
+    most_open: int
+    window_us: int
+
+
+def planned(clients: Clients) -> Iterator[Planned]:
+    for begin in range(0, len(clients), BLOCK):
+        for values in clients[begin:begin + BLOCK].tolist():
+            yield Planned(*values)
+
+
+def wish(terms: LoadPlan, client: Planned) -> c.Wish:
+    figures: dict[str, str | int] = {"c": terms.classes[client.request_class].name}
+    if terms.schemes:
+        figures["t"] = terms.schemes[client.scheme].name
+    figures["d"] = client.wait_us // 1000
+    figures["g"] = f"{client.group:016x}"
+    if client.again:
+        figures["again"] = 1
+    line = c.open_line(client.ident, client.key, figures)
+    return c.Wish(line, client.wait_us, client.end_us, client.line_gap_us)
+
+
+class Load:
+    """One process's part of a load."""
+
+    def __init__(self, offer: Offer, clock: Moments, connect: ConnectTo = connect_to) -> None:
+        self.tally = Tally()
+        self._offer = offer
+        self._clock = clock
+        self._connect = connect
+        self._open = 0
+        self._unanswered = 0
+        self._answered = trio.Event()
+
+    async def run(self, clients: Clients, stop: trio.Event) -> None:
+        """Until the last of these clients is answered (each has a deadline), or `stop`. What stands then is
+        closed; what has no answer yet was begun, and nothing more is told of it."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._stop_at, stop, nursery.cancel_scope)
+            await self._start_all(clients, nursery)
+            while self._unanswered:
+                self._answered = trio.Event()
+                await self._answered.wait()
+            self._end(nursery.cancel_scope)
+
+    async def _stop_at(self, stop: trio.Event, scope: trio.CancelScope) -> None:
+        await stop.wait()
+        self._end(scope)
+
+    def _end(self, scope: trio.CancelScope) -> None:
+        self.tally.standing = self._open - self._unanswered
+        scope.cancel()
+
+    async def _start_all(self, clients: Clients, nursery: trio.Nursery) -> None:
+        """One pass of the event loop for each start: a burst must not keep answers from being read."""
+        for client in planned(clients):
+            await trio.sleep_until(self._clock.to_trio(client.start_us))
+            if self._open >= self._offer.most_open:
+                self.tally.no_room += 1
+                continue
+            self._open += 1
+            self._unanswered += 1
+            nursery.start_soon(self._client, client)
+
+    async def _client(self, client: Planned) -> None:
+        offer, tally, now_us = self._offer, self.tally, self._clock.now_us()
+        tally.late.record(now_us - client.start_us)
+        window = client.start_us // offer.window_us
+        tally.started[window] += 1
+        target = offer.targets[client.target]
+        hearing = Hearing(tally, offer.terms.classes[client.request_class].name, client.target, window)
+
+        def tell(news: c.News) -> None:
+            hearing.hear(news)
+            if isinstance(news, c.Answered):
+                self._one_answered()
+
+        state = c.ClientState(wish(offer.terms, client), client.start_us, now_us)
+        try:
+            await talk(state, lambda: self._connect(target), tell, self._clock)
+        except OSError:
+            tally.started[window] -= 1
+            tally.no_room += 1
+            self._one_answered()
+        finally:
+            self._open -= 1
+
+    def _one_answered(self) -> None:
+        self._unanswered -= 1
+        self._answered.set()
--- /dev/null
+++ b/glenfold_lab/load/result.py
@@ -0,0 +1,95 @@
+"""What one load gave, for people and programs."""
+
+from collections.abc import Sequence
+
+import msgspec
+
+from glenfold.config import Address
+from glenfold_lab.load.crew import Report
+from glenfold_lab.load.offer import Offer
+from glenfold_lab.load.plan import SECOND_US, Clients
+from glenfold_lab.load.tally import Tally
+from glenfold_lab.results import Distribution
+
+FORMAT = 1
+WINDOWS = 10
+LATE_AT = 99.0  # the percentile of its own lateness that must stay within the bound
+
+LATE = "late"                # the load itself ran behind its plan
+NO_ROOM = "no room"          # starts were left out for want of sockets or ports
+ENDED_EARLY = "ended early"  # by a signal
+
+
+class Window(msgspec.Struct, frozen=True):
+    """Of the starts intended from `from_us` until the next window."""
+
+    from_us: int
+    started: int
+    set_up: Distribution
+
+
+class LoadResult(msgspec.Struct, frozen=True):
+    """Latencies are in microseconds. planned: starts of the whole plan; started: those begun.
+
+    marks: why this does not measure what was asked for; none if it does. answers: by kind, and set_up: by
+    class, from the intended start to the answer. lines: there and back, from their intended moments. lateness
+    and line_lateness: of the load itself, behind its plan. targets: by address, answers by kind. partings:
+    connections that were up, by how they ended; standing: at the end. cost: of the load's own processes; it
+    differs between machines."""
+
+    seed: int
+    length_us: int
+    planned: int
+    started: int
+    marks: tuple[str, ...]
+    answers: dict[str, Distribution]
+    set_up: dict[str, Distribution]
+    lines: Distribution
+    lines_unanswered: int
+    lateness: Distribution
+    line_lateness: Distribution
+    late_bound_us: int
+    targets: dict[str, dict[str, int]]
+    partings: dict[str, int]
+    standing: int
+    no_room: int
+    windows: tuple[Window, ...]
+    cost: dict[str, float]
+    format: int = FORMAT
+
+
+def window_us(length_us: int) -> int:
+    """Whole seconds, so that there are at most WINDOWS of them (and one for what falls on the very end)."""
+    return -(-length_us // (WINDOWS * SECOND_US)) * SECOND_US
+
+
+def summarize(seed: int, offer: Offer, clients: Clients, length_us: int, reports: Sequence[Report],
+              late_bound_us: int, ended_early: bool) -> LoadResult:
+    """Adds up what the workers measured."""
+    tally = Tally()
+    for report in reports:
+        tally.add(report.tally)
+    late = tally.late.at(LATE_AT) > late_bound_us
+    marks = {LATE: late, NO_ROOM: tally.no_room > 0, ENDED_EARLY: ended_early}
+    return LoadResult(
+        seed=seed, length_us=length_us, planned=len(clients), started=tally.started.total(),
+        marks=tuple(mark for mark, holds in marks.items() if holds),
+        answers={kind: tally.answers[kind].distribution() for kind in sorted(tally.answers)},
+        set_up={name: tally.set_up[name].distribution() for name in sorted(tally.set_up)},
+        lines=tally.lines.distribution(), lines_unanswered=tally.lines_unanswered,
+        lateness=tally.late.distribution(), line_lateness=tally.lines_late.distribution(),
+        late_bound_us=late_bound_us, targets=_targets(tally, offer.targets),
+        partings=dict(sorted(tally.partings.items())), standing=tally.standing, no_room=tally.no_room,
+        windows=tuple(Window(n * offer.window_us, tally.started[n], tally.windows[n].distribution())
+                      for n in sorted(tally.started)),
+        cost={"workers": len(reports), "cpu_s": sum(report.cpu_s for report in reports),
+              "memory_mb": sum(report.memory_mb for report in reports)},
+    )
+
+
+def _targets(tally: Tally, targets: Sequence[Address]) -> dict[str, dict[str, int]]:
+    by_target: dict[str, dict[str, int]] = {f"{host}:{port}": {} for host, port in targets}
+    for (n, kind), count in sorted(tally.targets.items()):
+        host, port = targets[n]
+        by_target[f"{host}:{port}"][kind] = count
+    return by_target
--- a/glenfold_lab/load/talk.py
+++ b/glenfold_lab/load/talk.py
@@ -1,7 +1,9 @@
 """The socket side of one client: carries out what its states say."""
 
+import errno
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from typing import Protocol
 
 import trio
 
@@ -10,15 +12,34 @@
 from glenfold_lab.load import client as c
 
 SECOND_US = 1_000_000
+SEND_S = c.SILENT_US / SECOND_US  # a side that takes nothing for so long is not worth waiting for
+NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
 Stream = trio.abc.HalfCloseableStream
 Connect = Callable[[], Awaitable[Stream]]
 Tell = Callable[[c.News], None]
 
 
-def now_us() -> int:
-    """Trio's clock, in which all moments of clients count."""
-    return round(trio.current_time() * SECOND_US)
+class Moments(Protocol):
+    """The clock of the clients. What `to_trio` gives for a moment must not be before it by `now_us`: a client
+    woken too early would only go to sleep again."""
+
+    def now_us(self) -> int: ...
+
+    def to_trio(self, at_us: int) -> float: ...
+
+
+class RunClock:
+    """Microseconds from a load's start, which falls on `start` in trio's time."""
+
+    def __init__(self, start: float) -> None:
+        self._start = start
+
+    def now_us(self) -> int:
+        return round((trio.current_time() - self._start) * SECOND_US)
+
+    def to_trio(self, at_us: int) -> float:
+        return at_us / SECOND_US + self._start
 
 
 async def connect_to(address: Address) -> Stream:
@@ -31,36 +52,42 @@
     return trio.SocketStream(sock)
 
 
-async def talk(state: c.ClientState, connect: Connect, tell: Tell) -> None:
-    """From the connecting to the end; whatever the other side does, only this client's end comes of it."""
-    stream = await _connected(state, connect)
+async def talk(state: c.ClientState, connect: Connect, tell: Tell, clock: Moments) -> None:
+    """From the connecting to the end; whatever the other side does, only this client's end comes of it.
+
+    Raises OSError, before it has told anything, where this machine has no socket or port left for it."""
+    stream = await _connected(connect, clock.to_trio(state.due_us))
     if stream is None:
-        for effect in state.on(c.Unreachable(), now_us()):
+        for effect in state.on(c.Unreachable(), clock.now_us()):
             if isinstance(effect, c.News):
                 tell(effect)
         return
     incident: c.Incident = c.Connected()
     try:
         while True:
-            for effect in state.on(incident, now_us()):
+            for effect in state.on(incident, clock.now_us()):
                 await _carry_out(effect, stream, tell)
             if state.phase is c.Phase.ENDED:
                 return
-            incident = await _next(stream, state.due_us)
+            incident = await _next(stream, clock.to_trio(state.due_us))
     finally:
         await trio.aclose_forcefully(stream)
 
 
-async def _connected(state: c.ClientState, connect: Connect) -> Stream | None:
-    with trio.move_on_at(state.due_us / SECOND_US), suppress(OSError):
-        return await connect()
+async def _connected(connect: Connect, until: float) -> Stream | None:
+    with trio.move_on_at(until):
+        try:
+            return await connect()
+        except OSError as error:
+            if error.errno in NO_ROOM:
+                raise
     return None
 
 
 async def _carry_out(effect: c.Effect, stream: Stream, tell: Tell) -> None:
     match effect:
         case c.Send(data):
-            with trio.move_on_at(trio.current_time() + c.SILENT_US / SECOND_US):
+            with trio.move_on_at(trio.current_time() + SEND_S):
                 await _unless_broken(stream.send_all(data))
         case c.Finish():
             await _unless_broken(stream.send_eof())
@@ -76,8 +103,8 @@
         await sending
 
 
-async def _next(stream: Stream, due_us: int) -> c.Incident:
-    with trio.move_on_at(due_us / SECOND_US):
+async def _next(stream: Stream, until: float) -> c.Incident:
+    with trio.move_on_at(until):
         try:
             data = await stream.receive_some(MAX_LINE)
         except trio.BrokenResourceError:
--- /dev/null
+++ b/glenfold_lab/load/tally.py
@@ -0,0 +1,117 @@
+"""What a load measured, in bounded room: histograms and counts, which add up over worker processes."""
+
+from collections import Counter
+from dataclasses import dataclass, field, fields
+from typing import Generic, TypeVar
+
+from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
+
+from glenfold_lab.load import client as c
+from glenfold_lab.results import Distribution
+
+GREATEST_US = 600_000_000  # what takes longer counts as this
+DIGITS = 3
+QUANTILES = (50.0, 90.0, 99.0, 99.9, 100.0)
+
+Name = TypeVar("Name")
+
+
+class Histogram:
+    """Latencies in microseconds, to three digits."""
+
+    def __init__(self) -> None:
+        self._counts = HdrHistogram(1, GREATEST_US, DIGITS)
+
+    def record(self, us: int) -> None:
+        self._counts.record_value(min(max(us, 0), GREATEST_US))
+
+    def add(self, other: "Histogram") -> None:
+        self._counts.add(other._counts)
+
+    def at(self, percentile: float) -> int:
+        return int(self._counts.get_value_at_percentile(percentile))
+
+    def distribution(self) -> Distribution:
+        counts = self._counts
+        return Distribution(int(counts.get_total_count()), float(counts.get_mean_value()),
+                            {f"{percentile:g}": self.at(percentile) for percentile in QUANTILES})
+
+    def __getstate__(self) -> bytes:
+        encoded: bytes = self._counts.encode()
+        return encoded
+
+    def __setstate__(self, encoded: bytes) -> None:
+        self._counts = HdrHistogram.decode(encoded)
+
+
+class Histograms(dict[Name, Histogram], Generic[Name]):
+    """By name, each made when something is first recorded under it."""
+
+    def __missing__(self, name: Name) -> Histogram:
+        made = self[name] = Histogram()
+        return made
+
+    def add(self, other: "Histograms[Name]") -> None:
+        for name, histogram in other.items():
+            self[name].add(histogram)
+
+
+@dataclass
+class Tally:
+    """answers: by kind, and set_up: by class, from the intended start; windows: set_up by the number of the
+    window in which the start was intended, and started: how many were begun then. lines: there and back, from
+    the intended moment of each. late, lines_late: how far behind the plan the load itself was. targets:
+    answers by place of the target and kind. no_room: starts left out for want of sockets. standing: at the
+    end."""
+
+    answers: Histograms[str] = field(default_factory=Histograms)
+    set_up: Histograms[str] = field(default_factory=Histograms)
+    windows: Histograms[int] = field(default_factory=Histograms)
+    lines: Histogram = field(default_factory=Histogram)
+    late: Histogram = field(default_factory=Histogram)
+    lines_late: Histogram = field(default_factory=Histogram)
+    targets: Counter[tuple[int, str]] = field(default_factory=Counter)
+    started: Counter[int] = field(default_factory=Counter)
+    partings: Counter[str] = field(default_factory=Counter)
+    lines_unanswered: int = 0
+    no_room: int = 0
+    standing: int = 0
+
+    def add(self, other: "Tally") -> None:
+        for place in fields(self):
+            mine, theirs = getattr(self, place.name), getattr(other, place.name)
+            if isinstance(mine, Counter):
+                mine.update(theirs)
+            elif isinstance(mine, int):
+                setattr(self, place.name, mine + theirs)
+            else:
+                mine.add(theirs)
+
+
+class Hearing:
+    """One client's news, put where they belong."""
+
+    def __init__(self, tally: Tally, request_class: str, target: int, window: int) -> None:
+        self._tally = tally
+        self._class = request_class
+        self._target = target
+        self._window = window
+
+    def hear(self, news: c.News) -> None:
+        match news:
+            case c.Answered():
+                self._answered(news)
+            case c.LineBack(us):
+                self._tally.lines.record(us)
+            case c.LineSaid(late_us):
+                self._tally.lines_late.record(late_us)
+            case c.Parted(parting, unanswered):
+                self._tally.partings[parting.value] += 1
+                self._tally.lines_unanswered += unanswered
+
+    def _answered(self, news: c.Answered) -> None:
+        self._tally.answers[news.answer.value].record(news.us)
+        self._tally.targets[self._target, news.answer.value] += 1
+        if news.answer is c.Answer.UP:
+            self._tally.set_up[self._class].record(news.us)
+            self._tally.windows[self._window].record(news.us)
