--- /dev/null
+++ b/glenfold_lab/commands/scenarios.py
@@ -0,0 +1,41 @@
+"""`glenfold lab scenarios`: what is shipped, and whether files are sound."""
+
+from textwrap import shorten
+
+import click
+
+from glenfold_lab import scenario
+from glenfold_lab.located import BadFile
+
+
+@click.command("scenarios")
+@click.option("--check", is_flag=True, help="Check FILES instead: each fault with key, line and reason.")
+@click.argument("files", nargs=-1)
+def command(check: bool, files: tuple[str, ...]) -> None:
+    """List the shipped scenarios with what each guards against, or check FILES (names or paths)."""
+    if check != bool(files):
+        raise click.UsageError("--check and FILES go together")
+    if check:
+        check_all(files)
+    else:
+        list_all()
+
+
+def list_all() -> None:
+    for name in scenario.shipped():
+        click.echo(f"{name:16}{shorten(scenario.load(name).guards_against, 94, placeholder=' ...')}")
+
+
+def check_all(files: tuple[str, ...]) -> None:
+    """All of them are looked at, so that one run tells of every bad file."""
+    bad = False
+    for file in files:
+        try:
+            found = scenario.load(file)
+        except BadFile as error:
+            bad = True
+            error.show()
+        else:
+            click.echo(f"{file}: sound ({found.name})")
+    if bad:
+        raise SystemExit(BadFile.exit_code)
--- /dev/null
+++ b/glenfold_lab/located.py
@@ -0,0 +1,281 @@
+"""TOML files whose every key has its line, and values checked against a Struct: one line for each fault.
+
+tomllib reads the values and refuses what is not TOML. No library tells on which line a key stands (tomlkit
+keeps the text, but moves the parts of an array of tables that others interrupt together, so that the lines
+of what it holds can't be counted); so a small scanner finds that in texts that tomllib has taken.
+"""
+
+import json
+import math
+import re
+import tomllib
+from collections.abc import Iterator
+from difflib import get_close_matches
+from pathlib import Path
+from typing import Any, NoReturn, TypeVar
+
+import click
+import msgspec
+from msgspec import inspect
+
+Key = tuple[str | int, ...]
+T = TypeVar("T")
+
+TOKEN = re.compile(r"""
+    (?P<text> \"{3}(?:[^\\]|\\.)*?\"{3,5} | '{3}.*?'{3,5} | "(?:[^"\\]|\\.)*" | '[^']*' )
+  | (?P<skip> \#[^\n]* | [ \t\r]+ )
+  | (?P<mark> [][{},.=\n] )
+  | (?P<bare> [^][{},.=\n\s\#"']+ )""", re.VERBOSE | re.DOTALL)
+
+EXPECTED = re.compile(r"Expected `([^`]+)`(?: of length)?(?: ([<>]=?) ([-\d.e+]+))?")
+PLAIN = {"float": "a number", "int": "a whole number", "str": "a text", "array": "a list",
+         "object": "a table", "bool": "true or false",
+         "float | array": "a number, or a pair of which the first is the smaller"}
+BOUNDS = {">=": "of at least", "<=": "of at most", ">": "above", "<": "below"}
+LENGTHS = {"str": " characters", "array": " entries"}
+
+
+class BadFile(click.ClickException):
+    """A file is at fault: one line, `FILE:LINE: key.path: reason`. Ends a command with status 2."""
+
+    exit_code = 2
+
+    def __init__(self, name: str, reason: str, line: int | None = None, key: Key = ()) -> None:
+        self.name, self.reason, self.line, self.key = name, " ".join(reason.split()), line, key
+        place = name if line is None else f"{name}:{line}"
+        super().__init__(": ".join([place, written(key), self.reason] if key else [place, self.reason]))
+
+    def show(self, file: Any = None) -> None:
+        click.echo(self.message, err=True, file=file)
+
+
+def written(key: Key) -> str:
+    """As in `faults[0].size`; parts that TOML would quote are quoted."""
+    text = ""
+    for part in key:
+        if isinstance(part, int):
+            text += f"[{part}]"
+        else:
+            text += "." * bool(text) + (part if re.fullmatch(r"[\w-]+", part, re.ASCII) else json.dumps(part))
+    return text
+
+
+class Located:
+    """The values of one file, and the line of each key."""
+
+    def __init__(self, name: str, data: dict[str, Any], lines: dict[Key, int]) -> None:
+        self.name, self.data, self.lines = name, data, lines
+
+    def line(self, key: Key) -> int:
+        """Of that key, or else of the table or list that it belongs to."""
+        while key and key not in self.lines:
+            key = key[:-1]
+        return self.lines.get(key, 1)
+
+    def fault(self, key: Key, reason: str) -> BadFile:
+        return BadFile(self.name, reason, self.line(key), key)
+
+    def convert(self, kind: type[T]) -> T:
+        """The values as that Struct; raises BadFile for the first that does not fit."""
+        return convert(self, self.data, kind)
+
+
+def read(path: str | Path) -> Located:
+    """Raises BadFile for what can't be read, is not UTF-8 or is not TOML."""
+    try:
+        data = Path(path).read_bytes()
+    except OSError as error:
+        raise BadFile(str(path), f"can't be read: {error.strerror or error}") from error
+    try:
+        return parse(data.decode(), str(path))
+    except UnicodeDecodeError as error:
+        line = 1 + data.count(b"\n", 0, error.start)
+        raise BadFile(str(path), f"byte {error.start} is not UTF-8", line) from error
+
+
+def parse(text: str, name: str) -> Located:
+    try:
+        data = tomllib.loads(text)
+    except RecursionError as error:
+        raise BadFile(name, "nested too deep") from error
+    except ValueError as error:
+        reason, at = str(error), re.search(r" \(at line (\d+), column \d+\)$", str(error))
+        line = int(at[1]) if at else 1 + text.rstrip("\n").count("\n")
+        raise BadFile(name, f"not TOML: {reason[:at.start()] if at else reason}", line) from error
+    located = Located(name, data, Scanner(text).lines)
+    for key, value in leaves(data):
+        if isinstance(value, float) and not math.isfinite(value):
+            raise located.fault(key, f"{value} is not a finite number")
+    return located
+
+
+def leaves(value: Any, key: Key = ()) -> Iterator[tuple[Key, Any]]:
+    """All values that are neither tables nor lists, with their keys."""
+    if isinstance(value, dict):
+        for part, inner in value.items():
+            yield from leaves(inner, (*key, part))
+    elif isinstance(value, list):
+        for number, inner in enumerate(value):
+            yield from leaves(inner, (*key, number))
+    else:
+        yield key, value
+
+
+class Scanner:
+    """Finds the line of each key, table and element of a list in a text that tomllib has taken."""
+
+    def __init__(self, text: str) -> None:
+        self.lines: dict[Key, int] = {}
+        self._last: dict[Key, int] = {}  # index of the last element of each array of tables
+        self._tokens = list(self._split(text))
+        self._at = 0
+        table: Key = ()
+        while self._at < len(self._tokens):
+            if self._take("\n"):
+                continue
+            line = self._line
+            if not self._take("["):
+                self._entry(table)
+                continue
+            many = self._take("[")
+            table = self._header(self._key(), many, line)
+            self._at += 1 + many
+
+    @staticmethod
+    def _split(text: str) -> Iterator[tuple[str, int]]:
+        line = 1
+        for match in TOKEN.finditer(text):
+            if match.lastgroup != "skip":
+                yield match[0], line
+            line += match[0].count("\n")
+
+    @property
+    def _line(self) -> int:
+        return self._tokens[self._at][1]
+
+    def _take(self, mark: str) -> bool:
+        taken = self._at < len(self._tokens) and self._tokens[self._at][0] == mark
+        self._at += taken
+        return taken
+
+    def _key(self) -> list[str]:
+        parts = [self._part()]
+        while self._take("."):
+            parts.append(self._part())
+        return parts
+
+    def _part(self) -> str:
+        text = self._tokens[self._at][0]
+        self._at += 1
+        return str(tomllib.loads(f"part = {text}")["part"]) if text[0] in "\"'" else text
+
+    def _header(self, parts: list[str], many: bool, line: int) -> Key:
+        key: Key = ()
+        for number, part in enumerate(parts):
+            key = (*key, part)
+            self.lines.setdefault(key, line)
+            if many and number == len(parts) - 1:
+                self._last[key] = self._last.get(key, -1) + 1
+            if key in self._last:
+                key = (*key, self._last[key])
+        self.lines[key] = line
+        return key
+
+    def _entry(self, table: Key) -> None:
+        line = self._line
+        for part in self._key():
+            table = (*table, part)
+            self.lines.setdefault(table, line)
+        self._take("=")
+        self._value(table)
+
+    def _value(self, key: Key) -> None:
+        if self._take("["):
+            number = 0
+            while not self._take("]"):
+                if not (self._take("\n") or self._take(",")):
+                    self.lines[(*key, number)] = self._line
+                    self._value((*key, number))
+                    number += 1
+        elif self._take("{"):
+            while not self._take("}"):
+                if not self._take(","):
+                    self._entry(key)
+        else:
+            while self._at < len(self._tokens) and self._tokens[self._at][0] not in (",", "]", "}", "\n"):
+                self._at += 1
+
+
+# ---- values against a Struct -------------------------------------------------------------------
+
+
+def convert(located: Located, data: dict[str, Any], kind: type[T]) -> T:
+    try:
+        return msgspec.convert(data, kind)
+    except msgspec.ValidationError as error:
+        _refuse(located, data, kind, str(error))
+
+
+def _refuse(located: Located, data: dict[str, Any], kind: type, message: str) -> NoReturn:
+    """In an operator's words what msgspec says, with what would be right."""
+    message, _, where = message.partition(" - at `$")
+    key: Key = tuple(name or int(number) for name, number in re.findall(r"\.(\w+)|\[(\d+)\]", where))
+    field = re.search(r"(unknown|required) field `([^`]*)`", message)
+    here = type_at(inspect.type_info(kind), key)
+    if field:
+        reason = _unknown(field[2], here) if field[1] == "unknown" else "is missing"
+        raise located.fault((*key, field[2]), reason)
+    value = data
+    for part in key:
+        value = value[part]  # type: ignore[index]
+    raise located.fault(key, _plain(message, value, here))
+
+
+def _unknown(name: str, here: inspect.Type) -> str:
+    assert isinstance(here, inspect.StructType)
+    return "unknown key; " + nearest(name, [field.encode_name for field in here.fields])
+
+
+def nearest(name: str, known: list[str]) -> str:
+    """What could have been meant by a name that is not known."""
+    close = get_close_matches(name, known, 1)
+    return f"did you mean {close[0]!r}?" if close else "known are " + ", ".join(known)
+
+
+def _plain(message: str, value: Any, here: inspect.Type) -> str:
+    if isinstance(here, inspect.LiteralType):
+        known = ", ".join(map(str, here.values))
+        meant = nearest(str(value), list(map(str, here.values))) if len(here.values) > 1 else ""
+        return f"{value!r} is unknown; it must be one of {known}" + f" ({meant})" * ("?" in meant)
+    if expected := EXPECTED.match(message):
+        kind, sign, bound = expected.groups()
+        text = f"expected {PLAIN.get(kind, kind)}"
+        text += f" {BOUNDS[sign]} {float(bound):g}{LENGTHS.get(kind, '')}" if sign else ""
+        return f"{text}, not {_short(value)}"
+    return f"{message.lower()}: {_short(value)}"
+
+
+def _short(value: Any) -> str:
+    text = json.dumps(value, default=str)
+    return text if len(text) <= 40 else text[:37] + "..."
+
+
+def type_at(here: inspect.Type, key: Key) -> inspect.Type:
+    """The type that the value under this key should have."""
+    for part in key:
+        here = _plain_type(here)
+        if isinstance(here, inspect.StructType):
+            here = next(field.type for field in here.fields if field.encode_name == part)
+        elif isinstance(here, inspect.VarTupleType):
+            here = here.item_type
+    return _plain_type(here)
+
+
+def _plain_type(here: inspect.Type) -> inspect.Type:
+    """Of a type or a tuple, that tuple: no other unions of two hold anything that is looked into."""
+    if isinstance(here, inspect.Metadata):
+        return _plain_type(here.type)
+    if isinstance(here, inspect.UnionType):
+        inner = [_plain_type(one) for one in here.types]
+        return next((one for one in inner if isinstance(one, inspect.VarTupleType)), inner[0])
+    return here
