Experiments: files, the decisions of other revisions, workers and a durable file of results

Need: one command has to play scenarios with factors, seeds and revisions over all cores, and go on after a kill.

Change: an experiment file is checked as a scenario is, its factors too. A worker process gets the decision package of a git revision ahead of the work tree's and says what it has imported. Results go to a file of lines with length and checksum; a torn end is cut off, other damage is told of. The terms of faults are those that the model heeds.

--- /dev/null
+++ b/glenfold_lab/experiments/factors.py
@@ -0,0 +1,98 @@
+"""Factors of an experiment: for a key of its scenarios, the values to play."""
+
+import copy
+import json
+import re
+from collections.abc import Iterator, Sequence
+from itertools import product
+from typing import Any, NamedTuple
+
+from glenfold_lab import scenario
+from glenfold_lab.located import BadFile, Key, Located, written
+from glenfold_lab.spec import Scenario
+
+
+class Factor(NamedTuple):
+    """name: the scenario's key, as written; key: where the file gives it; path: into the scenario's data."""
+
+    name: str
+    key: Key
+    path: Key
+    levels: tuple[Any, ...]
+
+
+class Variant(NamedTuple):
+    """A scenario at one level of each factor."""
+
+    scenario: Scenario
+    levels: dict[str, str]
+
+
+def read(file: Located) -> tuple[Factor, ...]:
+    """The factors of an experiment file, in its order."""
+    factors = tuple(_factors(file, file.data.get("factors", {}), ("factors",)))
+    for number, factor in enumerate(factors):
+        if factor.path in [other.path for other in factors[:number]]:
+            raise file.fault(factor.key, f"{factor.name} is there twice")
+        texts = [_text(level) for level in factor.levels]
+        for index, text in enumerate(texts):
+            if text in texts[:index]:
+                raise file.fault((*factor.key, index), f"{text} is there twice")
+    return factors
+
+
+def _factors(file: Located, value: dict[str, Any], key: Key) -> Iterator[Factor]:
+    """`"clients.load" = [...]`, `clients.load = [...]` and a table [factors.clients] all mean the same."""
+    for part, inner in value.items():
+        at = (*key, part)
+        if isinstance(inner, dict):
+            yield from _factors(file, inner, at)
+            continue
+        name = ".".join(str(part) for part in at[1:])
+        if not isinstance(inner, list) or not inner:
+            raise file.fault(at, "expected a list of the values to play")
+        yield Factor(name, at, _path(file, at, name), tuple(inner))
+
+
+def _path(file: Located, at: Key, name: str) -> Key:
+    if not re.fullmatch(r"\w+(\[\d+\])*(\.\w+(\[\d+\])*)*", name, re.ASCII):
+        raise file.fault(at, "expected a key of a scenario, as clients.load or faults[0].size")
+    return tuple(word or int(number) for word, number in re.findall(r"(\w+)|\[(\d+)\]", name))
+
+
+def _text(level: Any) -> str:
+    return json.dumps(level, default=str)
+
+
+def variants(file: Located, base: Located, factors: Sequence[Factor]) -> Iterator[Variant]:
+    for indexes in product(*(range(len(factor.levels)) for factor in factors)):
+        chosen = list(zip(factors, indexes, strict=True))
+        data = copy.deepcopy(base.data)
+        for factor, index in chosen:
+            _put(file, base, data, factor, factor.levels[index])
+        try:
+            checked = scenario.check(Located(base.name, data, base.lines))
+        except BadFile as error:
+            raise _blame(file, base, chosen, error) from error
+        yield Variant(checked, {factor.name: _text(factor.levels[index]) for factor, index in chosen})
+
+
+def _put(file: Located, base: Located, data: Any, factor: Factor, level: Any) -> None:
+    *way, last = factor.path
+    for part in way:
+        data = data.setdefault(part, {}) if isinstance(data, dict) else _at(data, part)
+    if not isinstance(data, dict) and _at(data, last) is None:
+        raise file.fault(factor.key, f"{base.data['name']} has nothing at {factor.name}")
+    data[last] = copy.deepcopy(level)
+
+
+def _at(data: Any, part: str | int) -> Any:
+    return data[part] if isinstance(data, list) and isinstance(part, int) and part < len(data) else None
+
+
+def _blame(file: Located, base: Located, chosen: Sequence[tuple[Factor, int]], error: BadFile) -> BadFile:
+    """The scenario is sound without them, so a level is at fault: that which the error names, if any."""
+    factor, index = next(((factor, index) for factor, index in chosen
+                          if error.key[:len(factor.path)] == factor.path), chosen[-1])
+    reason = f"{base.data['name']} with {factor.name} = {_text(factor.levels[index])}: "
+    return file.fault((*factor.key, index), f"{reason}{written(error.key)}: {error.reason}")
--- /dev/null
+++ b/glenfold_lab/experiments/plan.py
@@ -0,0 +1,161 @@
+"""Experiment files: what is to be played, as cells in one order that is the same everywhere."""
+
+import hashlib
+from collections.abc import Iterator, Sequence
+from itertools import product
+from pathlib import Path
+from typing import Annotated, Any, Literal, NamedTuple
+
+import msgspec
+from msgspec import Meta
+
+from glenfold_lab import located, scenario
+from glenfold_lab.experiments import factors, revisions
+from glenfold_lab.experiments.factors import Factor, Variant
+from glenfold_lab.experiments.revisions import BadRevision, Decisions
+from glenfold_lab.located import BadFile, Located
+from glenfold_lab.spec import Count, Name
+
+MOST_CELLS = 1_000_000
+APART = ("commands", "experiments", "reports")  # folders of the lab that no history depends on
+
+Seed = Annotated[int, Meta(ge=0, lt=1 << 63)]
+Seeds = Annotated[tuple[Seed, ...], Meta(min_length=1)]
+
+
+class Terms(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """An experiment file. Its cells are all scenarios x factors x revisions x seeds x repeats.
+
+    asks: the question that it is to answer. scenarios: names, or paths from the file's folder.
+    seeds: a list, or a number n for 1 to n. repeats: plays of each cell, which must give the same bytes.
+    revisions: git revisions of the decisions, "here" being the work tree's; others are compared with the
+    first. factors: for keys of the scenarios the values to play, of which others are compared with the
+    first. figures: those that are printed; () prints service, worst_window and rules_broken.
+    """
+
+    format: Literal[1]
+    name: Name
+    asks: Annotated[str, Meta(min_length=1, max_length=2000)]
+    scenarios: Annotated[tuple[Name, ...], Meta(min_length=1)]
+    seeds: Count | Seeds
+    repeats: Count = 1
+    revisions: Annotated[tuple[Name, ...], Meta(min_length=1)] = (revisions.HERE,)
+    factors: dict[str, Any] = {}
+    figures: tuple[Name, ...] = ()
+
+
+class Cell(NamedTuple):
+    """One history to play. number: its place in the results."""
+
+    number: int
+    variant: int
+    revision: int
+    seed: int
+    repeat: int
+
+
+class Plan(NamedTuple):
+    """A checked experiment."""
+
+    name: str
+    asks: str
+    variants: tuple[Variant, ...]
+    decisions: tuple[Decisions, ...]
+    seeds: tuple[int, ...]
+    repeats: int
+    figures: tuple[str, ...]
+
+    def cells(self) -> Iterator[Cell]:
+        """In the order in which results come out."""
+        variants, decisions = range(len(self.variants)), range(len(self.decisions))
+        for number, place in enumerate(product(variants, decisions, self.seeds, range(self.repeats))):
+            yield Cell(number, *place)
+
+    @property
+    def size(self) -> int:
+        return len(self.variants) * len(self.decisions) * len(self.seeds) * self.repeats
+
+    def identity(self) -> dict[str, Any]:
+        """What must be alike for results to stand in one file."""
+        return {
+            "scenarios, factors, seeds and repeats": _digest(msgspec.json.encode(
+                [self.variants, self.seeds, self.repeats], order="sorted")),
+            "revisions": [f"{one.name} {one.id}" for one in self.decisions],
+            "the program (glenfold and glenfold_lab)": _program(),
+        }
+
+
+def load(path: str, against: Sequence[str] = ()) -> Plan:
+    """Raises BadFile with key, line and reason, and BadRevision. `against`: revisions to compare with, which
+    go ahead of the file's own."""
+    file = located.read(path)
+    terms = file.convert(Terms)
+    _check_differ(file, terms)
+    chosen = factors.read(file)
+    seeds = range(1, terms.seeds + 1) if isinstance(terms.seeds, int) else terms.seeds
+    names = tuple(dict.fromkeys((*against, *terms.revisions)))
+    _check_size(file, chosen, len(terms.scenarios) * len(names) * len(seeds) * terms.repeats)
+    bases = [_base(file, number, name) for number, name in enumerate(terms.scenarios)]
+    variants = tuple(variant for base in bases for variant in factors.variants(file, base, chosen))
+    _check_names(file, [str(base.data["name"]) for base in bases])
+    decisions = tuple(revisions.find(name) if name in against else _decisions(file, terms, name)
+                      for name in names)
+    asks = " ".join(terms.asks.split())
+    return Plan(terms.name, asks, variants, decisions, tuple(seeds), terms.repeats, terms.figures)
+
+
+def _check_differ(file: Located, terms: Terms) -> None:
+    for name in ("scenarios", "seeds", "revisions", "figures"):
+        values = getattr(terms, name)
+        for number, value in enumerate(values if isinstance(values, tuple) else ()):
+            if value in values[:number]:
+                raise file.fault((name, number), f"{value!r} is there twice")
+
+
+def _check_size(file: Located, chosen: Sequence[Factor], cells: int) -> None:
+    for factor in chosen:
+        cells *= len(factor.levels)
+    if cells > MOST_CELLS:
+        raise file.fault(("seeds",), f"{cells} cells in all; at most {MOST_CELLS}")
+
+
+def _decisions(file: Located, terms: Terms, name: str) -> Decisions:
+    try:
+        return revisions.find(name)
+    except BadRevision as error:
+        raise file.fault(("revisions", terms.revisions.index(name)), error.message) from error
+
+
+def _base(file: Located, number: int, name: str) -> Located:
+    try:
+        base = scenario.find(name, Path(file.name).parent)
+    except BadFile as error:
+        if error.line is None:  # there is no such file; faults within one are told with its own lines
+            raise file.fault(("scenarios", number), error.message) from error
+        raise
+    scenario.check(base)
+    return base
+
+
+def _check_names(file: Located, names: Sequence[str]) -> None:
+    """Results go by the scenarios' own names."""
+    for number, name in enumerate(names):
+        if name in names[:number]:
+            raise file.fault(("scenarios", number), f"another scenario has the name {name!r} too")
+
+
+# ---- what results depend on --------------------------------------------------------------------
+
+
+def _digest(data: bytes) -> str:
+    return hashlib.blake2b(data, digest_size=16).hexdigest()
+
+
+def _program() -> str:
+    digest = hashlib.blake2b(digest_size=16)
+    for package in ("glenfold", "glenfold_lab"):
+        for path in sorted((revisions.ROOT / package).rglob("*.py")):
+            place = path.relative_to(revisions.ROOT)
+            if place.parts[1] not in APART:
+                digest.update(f"{place}\0".encode() + _digest(path.read_bytes()).encode())
+    return digest.hexdigest()
--- /dev/null
+++ b/glenfold_lab/experiments/revisions.py
@@ -0,0 +1,107 @@
+"""The decision package of other git revisions, each in a folder that a worker puts before the work tree's.
+
+A package goes by the id that git gives its tree, worked out from the files themselves: it tells which
+decisions were in fact imported, and whether a folder in the cache is whole.
+"""
+
+import hashlib
+import os
+import shutil
+import subprocess
+import tarfile
+import tempfile
+from io import BytesIO
+from pathlib import Path
+from typing import NamedTuple
+
+import click
+
+PACKAGE = "linnetspread"
+HERE = "here"  # the decisions of the work tree, as they are
+ROOT = Path(__file__).parents[2]
+
+
+class BadRevision(click.ClickException):
+    """Ends a command with status 2."""
+
+    exit_code = 2
+
+
+class Decisions(NamedTuple):
+    """One decision package. name: as it was asked for; folder: the one that holds it; id: of its files."""
+
+    name: str
+    folder: Path
+    id: str
+
+
+def find(name: str, root: Path = ROOT, cache: Path | None = None) -> Decisions:
+    """Of the work tree, or of a git revision; then in the cache afterwards. Raises BadRevision."""
+    if name == HERE:
+        return Decisions(name, root, tree_id(root / PACKAGE))
+    _git(root, name, "rev-parse", "--verify", "--quiet", "--end-of-options", f"{name}^{{commit}}")
+    try:
+        wanted = _git(root, name, "rev-parse", "--verify", "--quiet", "--end-of-options", f"{name}:{PACKAGE}")
+    except BadRevision as error:
+        raise BadRevision(f"revision {name}: holds no {PACKAGE}/") from error
+    tree = wanted.decode().strip()
+    folder = (cache or _cache()) / tree
+    if not _whole(folder, tree):
+        _fill(folder, tree, _git(root, name, "archive", "--format=tar", f"--prefix={PACKAGE}/", tree))
+    return Decisions(name, folder, tree)
+
+
+def _git(root: Path, name: str, *words: str) -> bytes:
+    try:
+        return subprocess.run(["git", "-C", str(root), *words], check=True, capture_output=True).stdout
+    except FileNotFoundError as error:
+        raise BadRevision(f"revision {name}: git is not installed") from error
+    except subprocess.CalledProcessError as error:
+        said = error.stderr.decode(errors="replace").strip() or f"{root} knows none of this name"
+        raise BadRevision(f"revision {name}: {said}") from error
+
+
+def _cache() -> Path:
+    base = os.environ.get("XDG_CACHE_HOME") or Path.home() / ".cache"
+    return Path(base) / "glenfold" / "decisions"
+
+
+def _whole(folder: Path, tree: str) -> bool:
+    package = folder / PACKAGE
+    return package.is_dir() and tree_id(package) == tree
+
+
+def _fill(folder: Path, tree: str, archive: bytes) -> None:
+    """Under its name only once it is whole: another process may look for it at any moment."""
+    folder.parent.mkdir(parents=True, exist_ok=True)
+    with tempfile.TemporaryDirectory(dir=folder.parent) as aside:
+        new = Path(aside) / "new"
+        with tarfile.open(fileobj=BytesIO(archive)) as tar:
+            tar.extractall(new, filter="data")
+        if not _whole(new, tree):
+            raise BadRevision(f"the files of {PACKAGE}/ in {tree} are not what git says of them")
+        shutil.rmtree(folder, ignore_errors=True)
+        try:
+            new.rename(folder)
+        except OSError:
+            if not _whole(folder, tree):  # else another process was quicker
+                raise
+
+
+def tree_id(folder: Path) -> str:
+    """What `git rev-parse REVISION:FOLDER` says, had these files been committed."""
+    entries = []
+    for path in folder.iterdir():
+        if path.is_dir():
+            if path.name != "__pycache__":
+                entries.append((f"{path.name}/", b"40000", path.name, bytes.fromhex(tree_id(path))))
+        else:
+            mode = b"100755" if path.stat().st_mode & 0o100 else b"100644"
+            entries.append((path.name, mode, path.name, _object("blob", path.read_bytes())))
+    # git's order: a folder as if its name ended with a slash
+    lines = [mode + b" " + name.encode() + b"\0" + digest for _, mode, name, digest in sorted(entries)]
+    return _object("tree", b"".join(lines)).hex()
+
+
+def _object(kind: str, data: bytes) -> bytes:
+    return hashlib.sha1(f"{kind} {len(data)}\0".encode() + data, usedforsecurity=False).digest()
--- /dev/null
+++ b/glenfold_lab/experiments/store.py
@@ -0,0 +1,222 @@
+"""The durable file of an experiment's results: lines that are only ever appended.
+
+    glenfold-experiment 1
+    0000012c 9f3b7a10 {"name": ...}       the header: whose results these are
+    00004e7b 01d2c3b4 {"cell": 3, ...}    one for each cell played, in the order in which they were done
+
+Each line bears its JSON's length and CRC-32, in hexadecimal, and is on the disk before the next is written;
+so only the last can be torn by a kill or a loss of power. Cells may stand there twice: the last counts.
+"""
+
+import fcntl
+import os
+import re
+import tempfile
+import zlib
+from collections.abc import Iterator
+from mmap import ACCESS_READ, mmap
+from pathlib import Path
+from typing import Any, BinaryIO, NamedTuple, TypeVar, cast
+
+import msgspec
+
+from glenfold_lab.located import BadFile
+from glenfold_lab.results import RunResult
+
+MAGIC = b"glenfold-experiment 1\n"
+PREFIX = re.compile(rb"([0-9a-f]{8}) ([0-9a-f]{8}) ")
+SIZE = 18  # of the prefix
+
+T = TypeVar("T")
+
+
+class Header(msgspec.Struct, frozen=True):
+    """Whose results a file holds. identity: what must be alike for results to stand in one file."""
+
+    name: str
+    asks: str
+    cells: int
+    identity: dict[str, Any]
+
+
+class Outcome(msgspec.Struct, frozen=True):
+    """Of one cell: its result, or the error with which it failed."""
+
+    cell: int
+    result: RunResult | None = None
+    failed: str | None = None
+
+
+class Figures(msgspec.Struct, frozen=True):
+    """The part of a result that is compared: far quicker to read than the whole."""
+
+    revision: str
+    figures: dict[str, float]
+
+
+class Short(msgspec.Struct, frozen=True):
+    """An outcome without its series."""
+
+    cell: int
+    result: Figures | None = None
+    failed: str | None = None
+
+
+class Place(NamedTuple):
+    at: int
+    size: int
+
+
+class Store:
+    """An open file of results. `cut`: bytes of a torn last line that were cut off when it was opened."""
+
+    def __init__(self, path: str, file: BinaryIO, header: Header) -> None:
+        self.path, self.header, self._file = path, header, file
+        self.places: dict[int, Place] = {}
+        self.cut = 0
+
+    def add(self, record: bytes) -> None:
+        """JSON of an Outcome, in one line. On the disk when this returns."""
+        short: Short = msgspec.json.decode(record, type=Short)
+        try:
+            at = self._file.seek(0, os.SEEK_END)
+            self._file.write(_line(record))
+            self._file.flush()
+            os.fdatasync(self._file.fileno())
+        except OSError as error:
+            raise BadFile(self.path, f"can't be written: {error.strerror}") from error
+        self.places[short.cell] = Place(at + SIZE, len(record))
+
+    def read(self, cell: int, kind: type[T]) -> T:
+        """An Outcome or a Short; KeyError if this cell has none yet."""
+        at, size = self.places[cell]
+        return msgspec.json.decode(os.pread(self._file.fileno(), size, at), type=kind)
+
+    def outcomes(self, kind: type[T]) -> Iterator[T]:
+        """In the order of the cells, whatever the order in which they were played."""
+        for cell in sorted(self.places):
+            yield self.read(cell, kind)
+
+    def close(self) -> None:
+        self._file.close()
+
+
+def look(path: str) -> Store:
+    """Opens a file of results to be read only; a torn last line is passed over."""
+    return _scan(path, _open(path, "rb"))
+
+
+def go_on(path: str, header: Header) -> Store:
+    """Opens a file of results to be added to, or makes it. It is locked against others until it is closed.
+
+    Raises BadFile, and leaves the file as it is, if it is something else, damaged before its last line, in
+    use, or holds another experiment's results."""
+    if not Path(path).exists():
+        _make(path, header)
+    file = _open(path, "r+b")
+    try:
+        fcntl.flock(file, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError as error:
+        file.close()
+        raise BadFile(path, "another experiment is writing there") from error
+    store = _scan(path, file)
+    _check_same(store, header)
+    if store.cut:
+        file.truncate(os.fstat(file.fileno()).st_size - store.cut)
+        os.fsync(file.fileno())
+    return store
+
+
+def _open(path: str, mode: str) -> BinaryIO:
+    try:
+        return cast(BinaryIO, Path(path).open(mode))
+    except OSError as error:
+        raise BadFile(path, f"can't be opened: {error.strerror}") from error
+
+
+def _make(path: str, header: Header) -> None:
+    """Whole or not at all, and never over a file that someone else has made by then."""
+    folder = Path(path).parent
+    try:
+        with tempfile.NamedTemporaryFile(dir=folder, prefix=".results-") as file:
+            file.write(MAGIC + _line(msgspec.json.encode(header)))
+            file.flush()
+            os.fsync(file.fileno())
+            os.link(file.name, path)
+        sync_folder(folder)
+    except FileExistsError:
+        pass
+    except OSError as error:
+        raise BadFile(path, f"can't be written: {error.strerror}") from error
+
+
+def sync_folder(folder: Path) -> None:
+    """A new name in it is on the disk when this returns."""
+    number = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(number)
+    finally:
+        os.close(number)
+
+
+def _check_same(store: Store, wanted: Header) -> None:
+    found = store.header
+    for part, value in wanted.identity.items():
+        if found.identity.get(part) != value:
+            store.close()
+            raise BadFile(store.path, f"holds results of {found.name!r}, of which these differ: {part}; "
+                                      "name another file, or remove this one")
+
+
+# ---- lines -------------------------------------------------------------------------------------
+
+
+def _line(record: bytes) -> bytes:
+    return b"%08x %08x %b\n" % (len(record), zlib.crc32(record), record)
+
+
+def _record(data: mmap, at: int) -> bytes | None:
+    """The whole and sound record that begins there, if there is one."""
+    prefix = PREFIX.match(data, at)
+    if prefix is None:
+        return None
+    size, check = (int(part, 16) for part in prefix.groups())
+    record = data[at + SIZE:at + SIZE + size]
+    sound = zlib.crc32(record) == check and data[at + SIZE + size:at + SIZE + size + 1] == b"\n"
+    return record if sound else None
+
+
+def _scan(path: str, file: BinaryIO) -> Store:
+    try:
+        if not os.fstat(file.fileno()).st_size:
+            raise BadFile(path, "is empty: not a file of an experiment's results")
+        with mmap(file.fileno(), 0, access=ACCESS_READ) as data:
+            return _read_lines(path, file, data)
+    except BaseException:
+        file.close()
+        raise
+
+
+def _read_lines(path: str, file: BinaryIO, data: mmap) -> Store:
+    if data[:len(MAGIC)] != MAGIC:
+        raise BadFile(path, "is not a file of an experiment's results")
+    at, number, store = len(MAGIC), 2, None
+    while (record := _record(data, at)) is not None:
+        if store is None:
+            store = Store(path, file, msgspec.json.decode(record, type=Header))
+        else:
+            short: Short = msgspec.json.decode(record, type=Short)
+            store.places[short.cell] = Place(at + SIZE, len(record))
+        at, number = at + SIZE + len(record) + 1, number + 1
+    if store is None or _any_record(data, at):
+        raise BadFile(path, f"is damaged in the line that begins at byte {at}", number)
+    store.cut = len(data) - at
+    return store
+
+
+def _any_record(data: mmap, at: int) -> bool:
+    """Whether a sound one begins on a later line: then what stands at `at` is no torn end."""
+    while (at := data.find(b"\n", at) + 1) > 0:
+        if _record(data, at) is not None:
+            return True
+    return False
--- /dev/null
+++ b/glenfold_lab/experiments/worker.py
@@ -0,0 +1,68 @@
+"""`python -m glenfold_lab.experiments.worker MODULE:FUNCTION`: plays one cell after another.
+
+A process of its own, so that it can be given another decision package: that whose folder stands first in
+PYTHONPATH. Tasks come on standard input; it ends, even in the middle of a cell, when that does.
+"""
+
+import math
+import os
+import re
+import sys
+import traceback
+from collections.abc import Callable
+from importlib import import_module
+from pathlib import Path
+from queue import SimpleQueue
+from threading import Thread
+
+import msgspec
+
+import linnetspread
+from glenfold_lab.experiments import frames
+from glenfold_lab.experiments.revisions import tree_id
+from glenfold_lab.experiments.store import Outcome
+from glenfold_lab.results import RunResult
+from glenfold_lab.spec import Scenario
+
+Play = Callable[..., RunResult]
+
+
+def play(player: Play, task: frames.Task) -> Outcome:
+    """A cell that fails says with what and where, in words that are the same at every try."""
+    try:
+        result = player(msgspec.convert(task.scenario, Scenario), task.seed, revision=task.revision)
+        for name, value in result.figures.items():
+            if not math.isfinite(value):
+                raise ValueError(f"the figure {name} is {value}")
+    except Exception as error:
+        last = traceback.extract_tb(error.__traceback__)[-1]
+        place = f"{Path(last.filename).name}:{last.lineno} in {last.name}"
+        text = " ".join(f"{type(error).__name__}: {error} ({place})".split())
+        return Outcome(task.cell, failed=re.sub(r"\b0x[0-9a-f]{6,}", "0x...", text)[:1000])
+    return Outcome(task.cell, msgspec.structs.replace(result, factors=task.levels))
+
+
+def _tasks(into: "SimpleQueue[frames.Task]") -> None:
+    while (data := frames.read(sys.stdin.buffer)) is not None:
+        into.put(msgspec.msgpack.decode(data, type=frames.Task))
+    os._exit(0)  # whoever started this is gone or wants no more: nothing is to be finished or told
+
+
+def main() -> None:
+    answers = os.fdopen(os.dup(1), "wb")
+    os.dup2(2, 1)  # whatever a history prints must not fall between the answers
+    module, _, name = sys.argv[1].partition(":")
+    player: Play = getattr(import_module(module), name)
+    folder = Path(str(linnetspread.__file__)).parent
+    answers.write(frames.pack(frames.Hello(tree_id(folder), str(folder))))
+    answers.flush()
+    tasks: SimpleQueue[frames.Task] = SimpleQueue()
+    Thread(target=_tasks, args=(tasks,), daemon=True).start()
+    while True:
+        outcome = play(player, tasks.get())
+        answers.write(frames.pack(frames.Done(msgspec.json.encode(outcome, order="sorted"))))
+        answers.flush()
+
+
+if __name__ == "__main__":
+    main()
--- a/glenfold_lab/scenario.py
+++ b/glenfold_lab/scenario.py
@@ -73,21 +73,21 @@
 
 
 FAULTS = {
-    "neighbour": Terms(("size", "len_s"), ("every_s",), size=SOME_SHARE),
-    "shrink": Terms(("size",), ("over_s", "len_s"), who=False, size=Bound(1, closed=False)),
-    "drain": Terms((), ("over_s", "len_s", "replace")),
-    "restart_servers": Terms((), ("len_s",)),
+    "neighbour": Terms(("size",), ("len_s", "every_s"), size=SOME_SHARE),
+    "shrink": Terms(("size", "over_s"), who=False, size=Bound(1, closed=False)),
+    "drain": Terms(("over_s",), ("replace",)),
+    "restart_servers": Terms((), ("over_s", "len_s")),
     "start_servers": Terms(("count",), ("over_s",), who=False),
     "server_crash": Terms((), ("len_s",)),
     "server_vanish": Terms((), ("len_s",)),
-    "server_jam": Terms(("len_s",)),
-    "zone_loss": Terms(("zone", "len_s"), ("relays",), who=False),
+    "server_jam": Terms((), ("len_s",)),
+    "zone_loss": Terms(("zone",), ("len_s", "relays"), who=False),
     "relay_crash": Terms(()),
     "relay_restart": Terms((), ("over_s",)),
     "relay_stall": Terms(("len_s",)),
     "reconnect": Terms(("size",), ("over_s",), who=False, size=SOME_SHARE),
-    "list_silent": Terms(("len_s",), who=False),
-    "flap": Terms(("every_s", "len_s")),
+    "list_silent": Terms((), ("len_s",), who=False),
+    "flap": Terms(("every_s",), ("len_s",)),
 }
 
 
