Observe when a client first asked for a connection

The time from a client's first ask to its UP is what clients feel, and nothing seen from outside told it: each try has a number of its own. One more observation, `asked`, ties a try to its connection and to the moment of the first ask. Watchers that pass it over pay nothing.

--- a/glenfold_lab/observe.py
+++ b/glenfold_lab/observe.py
@@ -95,6 +95,10 @@
 
     # ---- requests ----
 
+    def asked(self, at: int, request: int, connection: int, request_class: int, first_ask: int) -> None:
+        """A client begins this try of a connection that it first wanted at `first_ask`. `connection` is its
+        own number, the same over all tries. For latencies alone: no rule depends on it."""
+
     def taken(self, at: int, request: int, relay: int, deadline: int, request_class: int) -> None:
         """The last byte of the request was written to a connection that the relay's machine accepted."""
 
