Stand in for push servers, discovery's agent and relay processes on loopback sockets

Push servers speak their side of the line protocol from states without I/O, at one address for each relay, so that an attempt tells who made it; what befalls them is switched while they run: resets, refusals, silence, slow reading, half closes, drains, errors, a machine that vanishes. First lines and receipts bear a seal that clients and servers share, so that neither needs the other's word.

--- /dev/null
+++ b/glenfold_lab/stands/relays.py
@@ -0,0 +1,232 @@
+"""Real relays: each a `python -m glenfold` process with a loopback address and a folder of its own.
+
+Whatever starts one ends it again, by its id: also when the run is broken off, and by the kernel if this
+process is killed.
+"""
+
+import ctypes
+import json
+import os
+import resource
+import signal
+import subprocess
+import sys
+from collections import deque
+from collections.abc import AsyncIterator, Mapping, Sequence
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import psutil  # type: ignore[import-untyped]
+import trio
+
+import glenfold
+from glenfold_lab.stands.moments import MachineClock
+from glenfold_lab.stands.seen import Seen
+from glenfold_lab.stands.sockets import Address, bind, take, written
+
+READY_S = 30.0     # for a relay to answer its first PING
+LOOK_S = 0.02      # between two tries to reach one that starts
+LEAVE_US = 3_700_000  # SIGKILL follows SIGTERM after so long
+TAIL = 40          # lines of a log that are kept for the report
+PR_SET_PDEATHSIG = 1
+ROOT = Path(glenfold.__file__).parent.parent
+
+
+class NotReady(Exception):
+    """A relay has ended, or answers no PING."""
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """memory_mb: it is killed when seen over it. sockets: descriptors, enforced by the kernel."""
+
+    cores: float = 1.0
+    memory_mb: float | None = None
+    sockets: int | None = None
+
+    def plain(self) -> dict[str, float]:
+        given = {"cores": self.cores, "memory_mb": self.memory_mb, "sockets": self.sockets}
+        return {name: value for name, value in given.items() if value is not None}
+
+
+@dataclass(slots=True)
+class Usage:
+    """Of all the processes that one relay has had."""
+
+    cpu_s: float = 0.0
+    peak_mb: float = 0.0
+    cpu_share: float = 0.0  # of a core, between the last two samples
+
+
+class RelayProcess:
+    """One relay, through its restarts; it keeps its name and its address."""
+
+    def __init__(self, number: int, name: str, folder: Path, listen: Address, discovery: Address,
+                 settings: Mapping[str, Any], limits: Limits, seen: Seen, clock: MachineClock) -> None:
+        self.number = number
+        self.name = name
+        self.listen = listen
+        self.discovery = discovery
+        self.limits = limits
+        self.usage = Usage()
+        self.killed_for_memory = False
+        self._folder = folder
+        self._settings = dict(settings)
+        self._seen = seen
+        self._clock = clock
+        self._process: subprocess.Popen[bytes] | None = None
+        self._watched: psutil.Process | None = None
+        self._cpu_before = 0.0
+        self._starts = 0
+        self._known: dict[str, object] = {}
+        folder.mkdir(parents=True)
+
+    @property
+    def running(self) -> bool:
+        return self._process is not None and self._process.poll() is None
+
+    @property
+    def log(self) -> Path:
+        return self._folder / "log"
+
+    def tail(self) -> list[str]:
+        """The last lines that it has logged."""
+        if not self.log.exists():
+            return []
+        with self.log.open(errors="replace") as lines:
+            return [line.rstrip("\n") for line in deque(lines, TAIL)]
+
+    # ---- its life ----
+
+    def start(self, known: dict[str, object], seed: int) -> None:
+        """Its process begins; `known` is the list that it starts with, in discovery's form."""
+        self._starts += 1
+        self._known = known
+        self._write(seed)
+        with self.log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "glenfold"], cwd=ROOT, env=self._environment(),
+                stdin=subprocess.DEVNULL, stdout=log, stderr=log, preexec_fn=self._bound,
+                start_new_session=True)
+        self._watched = psutil.Process(self._process.pid)
+        self._cpu_before = 0.0
+
+    def _environment(self) -> dict[str, str]:
+        temporary = self._folder / f"tmp-{self._starts}"
+        temporary.mkdir()
+        kept = {name: os.environ[name] for name in ("PATH", "LANG", "HOME") if name in os.environ}
+        return {**kept, "LB_NAME": self.name, "LB_LISTEN": written(self.listen), "TMPDIR": str(temporary),
+                "LB_DISCOVERY": written(self.discovery), "LB_CONFIG": str(self._folder / "config.json")}
+
+    def _write(self, seed: int) -> None:
+        document = {
+            "name": self.name, "listen": written(self.listen), "discovery": written(self.discovery),
+            "seed": f"{seed:x}", "limits": self.limits.plain(), "known": self._known,
+            "settings": self._settings}
+        (self._folder / "config.json").write_text(json.dumps(document))
+
+    def _bound(self) -> None:
+        """In the new process, before the relay: its limits, and that it does not outlive its parent."""
+        ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+        if self.limits.sockets is not None:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (self.limits.sockets, self.limits.sockets))
+
+    async def ready(self) -> None:
+        """Returns once it has answered PING; `NotReady` when it ended or took too long."""
+        with trio.move_on_after(READY_S):
+            while self.running:
+                if await answers_ping(self.listen):
+                    self._seen.relay_up(self._clock.now_us(), self.number)
+                    return
+                await trio.sleep(LOOK_S)
+        raise NotReady("\n".join([f"{self.name} is not ready", *self.tail()]))
+
+    def reload(self, discovery: Address) -> None:
+        """Discovery is at another address: told by its file and SIGHUP."""
+        self.discovery = discovery
+        self._write(0)
+        self._signal(signal.SIGHUP)
+
+    def crash(self) -> None:
+        """SIGKILL; returns when its process is gone."""
+        if self._process is None:
+            return
+        down_before = not self.running
+        self.sample()
+        if not down_before:
+            self._seen.relay_down(self._clock.now_us(), self.number)
+        self._signal(signal.SIGCONT)
+        self._signal(signal.SIGKILL)
+        self._process.wait()
+
+    async def stop(self, within_us: int = LEAVE_US) -> None:
+        """SIGTERM, and SIGKILL if it is still there after that time."""
+        if not self.running:
+            return
+        began = self._clock.now_us()
+        self._seen.stopping(began, self.number)
+        self._signal(signal.SIGTERM)
+        while self.running and self._clock.now_us() < began + within_us:
+            self.sample()
+            await trio.sleep(LOOK_S)
+        if self.running:
+            self.crash()
+        else:
+            self._seen.relay_down(self._clock.now_us(), self.number)
+
+    def stall(self) -> None:
+        """Its process stops (SIGSTOP) until `go_on`."""
+        self._signal(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        self._signal(signal.SIGCONT)
+
+    def _signal(self, number: int) -> None:
+        if self.running and self._process is not None:
+            self._process.send_signal(number)
+
+    # ---- what it uses ----
+
+    def sample(self, seconds: float = 0.0) -> None:
+        """Reads its CPU time and memory; `seconds` since the last time, for the share of a core."""
+        if self._watched is None:
+            return
+        with suppress(psutil.Error):
+            times, memory_mb = self._watched.cpu_times(), self._watched.memory_info().rss / 2**20
+            used = times.user + times.system
+            self.usage.cpu_s += used - self._cpu_before
+            if seconds:
+                self.usage.cpu_share = (used - self._cpu_before) / seconds
+            self._cpu_before = used
+            self.usage.peak_mb = max(self.usage.peak_mb, memory_mb)
+            if self.limits.memory_mb is not None and memory_mb > self.limits.memory_mb:
+                self.killed_for_memory = True
+                self.crash()
+
+
+async def answers_ping(address: Address) -> bool:
+    """Whether a relay there answers PING."""
+    with suppress(OSError), trio.move_on_after(1.0), trio.socket.socket() as sock:
+        await sock.connect(address)
+        await take(sock, b"PING\r\n")
+        return await sock.recv(64) == b"PONG\r\n"
+    return False
+
+
+def free_address(host: str) -> Address:
+    """A port at that loopback address which nobody listens on."""
+    with bind(host) as sock:
+        address: Address = sock.getsockname()
+        return address
+
+
+@asynccontextmanager
+async def ended_in_the_end(relays: Sequence[RelayProcess]) -> AsyncIterator[None]:
+    """Whatever happens inside, none of their processes is left."""
+    try:
+        yield
+    finally:
+        for relay in relays:
+            relay.crash()
--- /dev/null
+++ b/tests/glenfold_lab/standing.py
@@ -0,0 +1,112 @@
+"""A relay in this process that follows a stand-in agent and calls stand-in push servers."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import numpy as np
+import relaying
+import trio
+import trio.testing
+
+from glenfold.clock import Clock
+from glenfold.counters import Counters
+from glenfold.decisions import Decisions
+from glenfold.destinations import DestinationSet, server_number
+from glenfold.net.discovery import Discovery
+from glenfold.net.inbound import Inbound, Relay
+from glenfold_lab.observe import Over
+from glenfold_lab.stands.agent import Agent, Change, Entry, Holding
+from glenfold_lab.stands.machine import Machine
+from glenfold_lab.stands.moments import MachineClock
+from glenfold_lab.stands.push_server import PushServer
+from glenfold_lab.stands.push_states import ClassWork, Holder, Seal
+from glenfold_lab.stands.seen import Seen
+from glenfold_lab.stands.sockets import written
+
+SEAL = Seal(b"a run's secret")
+
+
+@dataclass
+class World:
+    seen: Seen
+    clock: MachineClock
+    servers: list[PushServer]
+    entries: list[Entry]
+    agent: Agent
+    discovery: Discovery
+    shared: Relay
+    port: int
+    asked: int = 0
+
+    async def open(self, key: int = 7, wait_ms: int = 2000, more: tuple[str, ...] = ()) -> trio.SocketStream:
+        self.asked += 1
+        stream = await trio.open_tcp_stream("127.0.0.1", self.port)
+        await stream.send_all(SEAL.line(f"OPEN {self.asked:x} {key:x}", ["c=watch", *more], wait_ms))
+        return stream
+
+    async def answer(self, key: int = 7) -> bytes:
+        return await relaying.read_line(await self.open(key))
+
+    def overs(self, server: PushServer) -> list[Over]:
+        return [values[3] for name, values in self.seen.records
+                if name == "attempt_over" and values[2] == server.holder.number]
+
+    def seen_of(self, kind: str) -> list[tuple[Any, ...]]:
+        return [values for name, values in self.seen.records if name == kind]
+
+    async def heard(self, test: Callable[[DestinationSet], bool]) -> None:
+        while not test(self.shared.destinations):
+            await trio.sleep(0.01)
+
+    def change(self, seq: int, *entries: Entry) -> None:
+        self.agent.take(Change(seq, entries))
+
+
+def holder(n: int, seen: Seen, **more: Any) -> Holder:
+    host = f"s-{n}"
+    return Holder(host, server_number(host), Machine(3e6, message_us=1000.0), seen, np.random.default_rng(n),
+                  {"watch": ClassWork(2000.0)}, SEAL, **more)
+
+
+@asynccontextmanager
+async def world(folder: Path, servers: int = 2, **more: Any) -> AsyncIterator[World]:
+    clock, seen, conf = MachineClock(), Seen(), relaying.config(folder)
+    async with trio.open_nursery() as nursery:
+        stands = [PushServer(holder(n, seen, **more), clock, [f"127.9.1.{n + 1}"]) for n in range(servers)]
+        entries = [Entry(stand.holder.host, stand.holder.number, written(stand.addresses[0]), "cardiff", "m",
+                         block=0, share=1.0) for stand in stands]
+        agent = Agent([0], "127.9.2.1", Holding(1, entries), seen, clock)
+        relay_clock, destinations = Clock(), DestinationSet(conf.names)
+        decisions = Decisions(conf.settings, conf.seed, relay_clock)
+        shared = Relay(conf, relay_clock, decisions, destinations, Counters())
+        discovery = Discovery(agent.address, destinations, decisions.tell, shared.counters)
+        listener = trio.socket.socket()
+        await listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        for task in (*(stand.serve for stand in stands), agent.serve, decisions.run, discovery.follow):
+            nursery.start_soon(task)
+        nursery.start_soon(Inbound(shared).serve, listener, nursery)
+        await trio.testing.wait_all_tasks_blocked()
+        for stand in stands:
+            stand.start(cold=False)
+        made = World(seen, clock, stands, entries, agent, discovery, shared, listener.getsockname()[1])
+        await made.heard(lambda known: all(known.address(entry.number) for entry in entries))
+        yield made
+        nursery.cancel_scope.cancel()
+        listener.close()
+
+
+def play(folder: Path, script: Any, **more: Any) -> Seen:
+    """In virtual time: it goes on by itself once nothing more happens at the present moment."""
+    seen: list[Seen] = []
+
+    async def main() -> None:
+        async with world(folder, **more) as made:
+            seen.append(made.seen)
+            await script(made)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.01))
+    return seen[0]
--- /dev/null
+++ b/tests/glenfold_lab/test_stand_in_servers.py
@@ -0,0 +1,142 @@
+"""Each fault of a push server, as a real relay and its clients meet it."""
+
+from pathlib import Path
+
+import pytest
+import standing
+import trio
+from relaying import read_line
+from standing import World, holder, play
+
+from glenfold_lab.observe import Over
+from glenfold_lab.stands.push_states import Fault
+from glenfold_lab.stands.seen import Seen
+
+
+@pytest.mark.parametrize(("fault", "over"), [
+    (Fault.AFTER_LINE, Over.RESET), (Fault.HALF_CLOSE, Over.RESET), (Fault.ERROR, Over.ERROR),
+    (Fault.HANG, Over.ABANDONED)])
+def test_a_faulty_server_costs_an_attempt_and_no_answer(tmp_path: Path, fault: Fault, over: Over) -> None:
+    async def script(world: World) -> None:
+        faulty, sound = world.servers
+        while not world.overs(faulty):
+            faulty.from_now(fault)
+            assert (await world.answer(key=world.asked)).startswith(b"UP s-1.")
+        assert world.overs(faulty)[0] is over and not sound.holder.syntax
+
+    play(tmp_path, script)
+
+
+@pytest.mark.parametrize("trouble", ["refuse", "vanish", "reset"])
+def test_a_server_that_no_line_reaches_costs_no_attempt(tmp_path: Path, trouble: str) -> None:
+    async def script(world: World) -> None:
+        faulty = world.servers[0]
+        if trouble == "reset":
+            faulty.from_now(Fault.RESET)
+        else:
+            getattr(faulty, trouble)()
+        for key in range(8):
+            assert (await world.answer(key)).startswith(b"UP s-1.")
+        assert world.overs(faulty) == []
+
+    play(tmp_path, script)
+
+
+@pytest.mark.parametrize(("fault", "last"), [
+    (Fault.RESET, None), (Fault.HALF_CLOSE, b""), (Fault.HANG, b"MOVE\r\n"), (Fault.AFTER_LINE, None)])
+def test_a_standing_connection_meets_its_servers_fault(tmp_path: Path, fault: Fault,
+                                                       last: bytes | None) -> None:
+    async def script(world: World) -> None:
+        stream = await world.open()
+        assert (await read_line(stream)).startswith(b"UP s-")
+        await stream.send_all(b"M 1\r\n")
+        assert await read_line(stream) == b"M 1\r\n"
+        for server in world.servers:
+            server.strike(fault)
+        try:
+            if fault in (Fault.HANG, Fault.AFTER_LINE):
+                await stream.send_all(b"M 2\r\n")
+            assert await read_line(stream) == last
+        except trio.BrokenResourceError:
+            assert last is None
+        assert [values[1] for values in world.seen_of("broke")] == [1]
+
+    play(tmp_path, script)
+
+
+def test_a_slow_reader_delays_the_answer_and_no_byte_is_lost(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        world.servers[0].from_now(Fault.SLOW)
+        assert (await world.answer()).startswith(b"UP s-0.")
+        first, last = world.seen_of("sent")[0][4], world.seen_of("sent")[0][0]
+        assert last - first >= 500_000  # from its first byte to its last
+
+    play(tmp_path, script, servers=1)
+
+
+def test_a_draining_server_takes_nothing_and_moves_its_clients_one_by_one(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        streams = [await world.open(key) for key in range(4)]
+        for stream in streams:
+            assert (await read_line(stream)).startswith(b"UP ")
+        world.servers[0].drain(over_us=1_000_000)
+        assert await world.answer(key=99) == b"BUSY 700\r\n"
+        began, moments = world.clock.now_us(), []
+        for stream in streams:
+            assert await read_line(stream) == b"MOVE\r\n"
+            moments.append((world.clock.now_us() - began) // 1000)
+        assert moments == [200, 400, 600, 800]
+
+    play(tmp_path, script, servers=1)
+
+
+def test_a_full_server_is_busy_and_a_client_that_quits_is_served_to_its_end(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        stream = await world.open()
+        assert (await read_line(stream)).startswith(b"UP ")
+        assert await world.answer(key=8) == b"BUSY 700\r\n"
+        await stream.send_all(b"QUIT\r\n")
+        assert await read_line(stream) == b"BYE\r\n"
+        assert world.overs(world.servers[0]) == [Over.UP, Over.BUSY]
+
+    play(tmp_path, script, servers=1, cap=1)
+
+
+def test_a_set_up_whose_client_has_no_time_left_is_busy() -> None:
+    state = holder(0, Seen()).accept(relay=0)
+    state.received(standing.SEAL.line("OPEN 1 2", ["c=watch"], 1), now=1_000)
+    assert state.due is not None
+    state.tick(max(state.due, 2_000))
+    assert (state.out, state.holder.waiting) == (b"BUSY\r\n", 0)
+
+
+def test_only_the_server_that_holds_a_connection_goes_on_with_it(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        stream = await world.open(more=("g=5",))
+        assert (await read_line(stream)).startswith(b"UP ")
+        await stream.aclose()  # its packets come another way now
+        await trio.sleep(1.0)
+        again = await world.open(more=("g=5", "mid=1"))
+        assert (await read_line(again)).startswith(b"UP ")
+        assert sum(server.standing for server in world.servers) == 1
+        await again.aclose()
+        await trio.sleep(5.0)
+        assert not (await read_line(await world.open(more=("mid=1",)))).startswith(b"UP")
+        assert sum((world.overs(server) for server in world.servers), [])[-1] is Over.RESET
+        assert sum(server.holder.machine.utilisation(0) for server in world.servers) == 0
+
+    play(tmp_path, script, park_us=4_000_000, group_load=60_000.0)
+
+
+@pytest.mark.parametrize("sent", [
+    b"OPEN 1 2 c=watch,d=5", b"OPEN 1 2 c=nobody,d=2000,z=2000.00", b"HELLO",
+    standing.SEAL.line("OPEN 1 2", ["c=watch"], 50).strip().replace(b"d=50", b"d=52"),
+    standing.SEAL.line("OPEN 1 2", ["c=watch"], 50).strip().replace(b"OPEN 1", b"OPEN 3")])
+def test_what_no_client_sends_is_answered_syntax(tmp_path: Path, sent: bytes) -> None:
+    async def script(world: World) -> None:
+        stream = await trio.open_tcp_stream(*world.servers[0].addresses[0])
+        await stream.send_all(sent + b"\r\n")
+        assert await read_line(stream) == b"SYNTAX\r\n"
+        assert len(world.seen.faults) == 1
+
+    play(tmp_path, script)
