--- a/tests/glenfold_lab/standing.py
+++ b/tests/glenfold_lab/standing.py
@@ -71,13 +71,16 @@
                   {"watch": ClassWork(2000.0)}, SEAL, **more)
 
 
+def entry(n: int, dial: str) -> Entry:
+    return Entry(f"s-{n}", server_number(f"s-{n}"), dial, "cardiff", "m", block=0, share=1.0)
+
+
 @asynccontextmanager
 async def world(folder: Path, servers: int = 2, **more: Any) -> AsyncIterator[World]:
     clock, seen, conf = MachineClock(), Seen(), relaying.config(folder)
     async with trio.open_nursery() as nursery:
         stands = [PushServer(holder(n, seen, **more), clock, [f"127.9.1.{n + 1}"]) for n in range(servers)]
-        entries = [Entry(stand.holder.host, stand.holder.number, written(stand.addresses[0]), "cardiff", "m",
-                         block=0, share=1.0) for stand in stands]
+        entries = [entry(n, written(stand.addresses[0])) for n, stand in enumerate(stands)]
         agent = Agent([0], "127.9.2.1", Holding(1, entries), seen, clock)
         relay_clock, destinations = Clock(), DestinationSet(conf.names)
         decisions = Decisions(conf.settings, conf.seed, relay_clock)
--- /dev/null
+++ b/tests/glenfold_lab/test_stand_in_agent.py
@@ -0,0 +1,83 @@
+"""Each fault of discovery's agent, as a real relay follows it, and what counts as told."""
+
+from dataclasses import replace
+from pathlib import Path
+
+import standing
+from standing import World, play
+
+from glenfold_lab.observe import Told
+from glenfold_lab.stands.agent import Change, Holding
+
+
+def gone(world: World, n: int) -> tuple[int, int]:
+    """The server's number, and how many of the told observations say that it is gone."""
+    number = world.entries[n].number
+    return number, sum(values[2:4] == (number, Told.GONE) for values in world.seen_of("told"))
+
+
+def test_a_change_is_told_once_it_was_written_and_comes_but_once(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        left = replace(world.entries[0], state=Told.GONE)
+        world.change(2, left)
+        number, _ = gone(world, 0)
+        await world.heard(lambda known: known.address(number) is None and known.version == 2)
+        world.change(2, left)  # doubled
+        world.change(3, world.entries[1])
+        await world.heard(lambda known: known.version == 3)
+        assert gone(world, 0)[1] == 2 and world.shared.destinations.faults == []
+
+    play(tmp_path, script)
+
+
+def test_after_a_change_out_of_order_the_relay_has_what_the_agent_holds(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        first, second = world.entries
+        world.change(3, replace(first, state=Told.DRAINING))
+        world.change(2, replace(second, state=Told.GONE))
+        await world.heard(lambda known: known.address(second.number) is None)
+        assert world.shared.destinations.address(first.number) is not None
+
+    play(tmp_path, script)
+
+
+def test_a_quiet_agent_tells_nothing_and_a_cut_watch_begins_anew(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        number, _ = gone(world, 0)
+        world.agent.go_quiet()
+        world.change(2, replace(world.entries[0], state=Told.GONE))
+        lists = world.shared.counters.lists
+        await world.clock.until(world.clock.now_us() + 10_000_000)
+        assert (world.shared.counters.lists, gone(world, 0)[1]) == (lists, 0)
+        assert world.shared.destinations.address(number) is not None
+        world.agent.speak()
+        await world.heard(lambda known: known.address(number) is None)
+        world.agent.cut()
+        world.change(3, world.entries[0])
+        await world.heard(lambda known: known.address(number) is not None)
+
+    play(tmp_path, script)
+
+
+def test_nothing_counts_as_told_by_an_agent_that_moved_until_it_is_found(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        address = world.agent.move("127.9.2.2")
+        world.change(2, replace(world.entries[0], state=Told.GONE))
+        await world.clock.until(world.clock.now_us() + 5_000_000)
+        assert gone(world, 0)[1] == 0
+        world.discovery.move_to(address)
+        await world.heard(lambda known: known.version == 2)
+        assert gone(world, 0)[1] == 1
+
+    play(tmp_path, script)
+
+
+def test_a_watch_begins_with_what_its_relay_lacks() -> None:
+    held = Holding(4, [])
+    one, two = (standing.entry(n, "127.0.0.1:1") for n in range(2))
+    for seq, entry in ((5, one), (7, replace(two, state=Told.GONE)), (6, two)):
+        held.take(Change(seq, (entry,)))
+    assert list(held.entries) == ["s-0"]  # the late change undoes no newer one
+    assert b'"seq":7' in held.after(5, None) and b'"s-0"' not in held.after(5, None)
+    assert b'"s-1"' in held.after(7, 2)   # all of version 7, and what came late
+    assert b'"whole":true' in held.after(3, None)
