Part the decisions' timers and a planned restart's times from their tasks

The model in virtual time must drive what a real relay drives: the Balancer's actions and timers (dispatch.py) and the times of a planned restart (leaving.py) now stand without I/O, and the relay's tasks use them. Behaviour is unchanged.

--- a/glenfold/__main__.py
+++ b/glenfold/__main__.py
@@ -14,15 +14,11 @@
 from glenfold.counters import Counters
 from glenfold.decisions import Decisions
 from glenfold.destinations import BadList, DestinationSet
+from glenfold.leaving import Leaving
 from glenfold.net.discovery import Discovery
 from glenfold.net.inbound import BACKLOG, Inbound, Relay
 from glenfold.net.passing import Passage
 
-ARRIVING_S = 0.45      # after SIGTERM new connections go on arriving for as long as this
-LEAST_NOTICE_S = 3.0   # SIGKILL comes no earlier than this, or the longest deadline, and 0.7 s
-LEAVE_S = 0.4          # of those 0.7 s
-MOVE_S = 0.3           # that a move may take
-MOVES_S = 1.5          # over which they are spread where packets pass through
 ANSWERS_S = 0.02       # between two looks at what is unanswered
 
 
@@ -61,10 +57,10 @@
             told = trio.Event()
             nursery.start_soon(heed, signals, told, relay, discovery)
             await told.wait()
-            told_at = trio.current_time()
-            await last_arrivals(told_at, inbound)
+            leaving = Leaving(trio.current_time(), config.settings)
+            await last_arrivals(leaving, inbound)
             accepting.cancel()
-        await finish_taken(told_at, relay)
+        await finish_taken(leaving, relay)
         nursery.cancel_scope.cancel()
     logger.info("counters at exit: {}", counters.line())
 
@@ -102,34 +98,23 @@
         logger.warning("configuration: needs a restart to change: {}", ", ".join(waiting))
 
 
-async def last_arrivals(told_at: float, inbound: Inbound) -> None:
-    """Clients go on coming for a while; each that the kernel has accepted counts as taken."""
-    quiet = told_at
-    while trio.current_time() < quiet + ARRIVING_S:
-        await trio.sleep_until(quiet + ARRIVING_S)
-        quiet = min(max(quiet, inbound.last_arrival), told_at + 2 * ARRIVING_S)
+async def last_arrivals(leaving: Leaving, inbound: Inbound) -> None:
+    while trio.current_time() < (until := leaving.arrivals_until(inbound.last_arrival)):
+        await trio.sleep_until(until)
 
 
-async def finish_taken(told_at: float, relay: Relay) -> None:
-    """Every request taken gets its answer, and every standing connection's client is told to move in time.
-
-    Where packets pass through, connections stand as long as the platform allows, as other relays may be
-    restarting too; then their clients move one by one: all at once they would jam the servers."""
-    settings = relay.config.settings
-    notice_s = max([LEAST_NOTICE_S, *(kind.deadline_us / 1e6 for kind in settings.classes)])
-    leave_at = told_at + notice_s + LEAVE_S
+async def finish_taken(leaving: Leaving, relay: Relay) -> None:
+    """Every request taken gets its answer, and every standing connection's client is told to move in time."""
     told: set[Passage] = set()
     async with trio.open_nursery() as nursery:
-        nursery.cancel_scope.deadline = leave_at
-        if settings.pass_through:
-            await trio.sleep_until(leave_at - MOVE_S - MOVES_S)
+        nursery.cancel_scope.deadline = leaving.leave_at
+        await trio.sleep_until(leaving.moves_from)
         while (left := relay.standing - told) or relay.unanswered:
             gap = ANSWERS_S
             if left:
                 told.add(passage := left.pop())
                 nursery.start_soon(passage.move)
-                last_move_in = leave_at - MOVE_S - trio.current_time()
-                gap = max(0.0, last_move_in / (1 + len(left))) if settings.pass_through else 0.0
+                gap = leaving.gap_s(trio.current_time(), len(left))
             await trio.sleep_until(trio.current_time() + gap)
 
 
--- a/glenfold/decisions.py
+++ b/glenfold/decisions.py
@@ -3,20 +3,17 @@
 Others reach it by a bounded memory channel only. Actions on a request go back over the request's own one.
 """
 
-import heapq
 from dataclasses import dataclass
 
 import trio
 from loguru import logger
 
 from glenfold.clock import Clock
-from linnetspread import Balancer
+from glenfold.dispatch import Dispatch, RequestAction
 from linnetspread import interface as i
 
 QUEUE = 1024  # messages; senders wait when it is full
 
-RequestAction = i.Attempt | i.Refuse | i.Fail | i.Cancel | i.Move
-
 
 @dataclass(frozen=True, slots=True)
 class Taken:
@@ -40,8 +37,7 @@
     def __init__(self, settings: i.Settings, seed: int, clock: Clock) -> None:
         self.settings = settings
         self.clock = clock
-        self._balancer = Balancer(settings, seed)
-        self._timers: list[tuple[int, int]] = []  # when, token
+        self.dispatch = Dispatch(settings, seed, lambda text: logger.info("{}", text))
         self._routes: dict[int, trio.MemorySendChannel[RequestAction]] = {}
         self._send, self._receive = trio.open_memory_channel[Message](QUEUE)
         self._last_request = 0
@@ -56,8 +52,8 @@
 
     async def run(self) -> None:
         while True:
-            deadline = self.clock.to_trio(self._timers[0][0]) if self._timers else float("inf")
-            with trio.move_on_at(deadline):
+            due = self.dispatch.next_timer_us
+            with trio.move_on_at(float("inf") if due is None else self.clock.to_trio(due)):
                 self._take(await self._receive.receive())
             self._fire()
 
@@ -73,30 +69,12 @@
                 self._handle(message)
 
     def _fire(self) -> None:
-        now = self.clock.now_us()
-        while self._timers and self._timers[0][0] <= now:
-            self._handle(i.Timer(heapq.heappop(self._timers)[1]))
+        for action in self.dispatch.fire(self.clock.now_us()):
+            self._pass_on(action)
 
     def _handle(self, event: i.Event) -> None:
-        now = self.clock.now_us()
-        try:
-            actions = self._balancer.handle(now, event)
-        except Exception:  # one event's fault must not end every other connection of this relay
-            logger.exception("the decisions failed on {}", event)
-            # Nor may the request wait for a decision that will not come; if it needs none, this does nothing.
-            actions = [i.Fail(event.request)] if isinstance(event, i.Request | i.Answer) else []
-        for action in actions:
-            match action:
-                case i.SetTimer(delay, token):
-                    heapq.heappush(self._timers, (now + delay, token))
-                case i.Log(text):
-                    logger.info("{}", text)
-                case i.Attempt() | i.Refuse() | i.Fail() | i.Cancel() | i.Move():
-                    self._pass_on(action)
-                case i.Subscribe() | i.FetchList():
-                    pass  # discovery is watched from the start, and asked for the whole list after a gap
-                case _:
-                    logger.warning("there is no way here to carry out {}", action)
+        for action in self.dispatch.handle(self.clock.now_us(), event):
+            self._pass_on(action)
 
     def _pass_on(self, action: RequestAction) -> None:
         route = self._routes.get(action.request)
--- /dev/null
+++ b/glenfold/dispatch.py
@@ -0,0 +1,56 @@
+"""One relay's decisions with their timers, without I/O: events go in, actions on requests come out.
+
+Who calls it tells the time and carries the actions to the requests that they name.
+"""
+
+import heapq
+from collections.abc import Callable
+
+from loguru import logger
+
+from linnetspread import Balancer
+from linnetspread import interface as i
+
+RequestAction = i.Attempt | i.Refuse | i.Fail | i.Cancel | i.Move
+
+
+class Dispatch:
+    """`log` takes what the decisions want to have logged. All moments are in microseconds, on one clock."""
+
+    def __init__(self, settings: i.Settings, seed: int, log: Callable[[str], object]) -> None:
+        self.balancer = Balancer(settings, seed)
+        self._log = log
+        self._timers: list[tuple[int, int]] = []  # when, token
+
+    @property
+    def next_timer_us(self) -> int | None:
+        return self._timers[0][0] if self._timers else None
+
+    def fire(self, now_us: int) -> list[RequestAction]:
+        """What the timers that are due have to say."""
+        on_requests: list[RequestAction] = []
+        while self._timers and self._timers[0][0] <= now_us:
+            on_requests += self.handle(now_us, i.Timer(heapq.heappop(self._timers)[1]))
+        return on_requests
+
+    def handle(self, now_us: int, event: i.Event) -> list[RequestAction]:
+        try:
+            actions = self.balancer.handle(now_us, event)
+        except Exception:  # one event's fault must not end every other connection of this relay
+            logger.exception("the decisions failed on {}", event)
+            # Nor may the request wait for a decision that will not come; if it needs none, this does nothing.
+            actions = [i.Fail(event.request)] if isinstance(event, i.Request | i.Answer) else []
+        on_requests: list[RequestAction] = []
+        for action in actions:
+            match action:
+                case i.SetTimer(delay, token):
+                    heapq.heappush(self._timers, (now_us + delay, token))
+                case i.Attempt() | i.Refuse() | i.Fail() | i.Cancel() | i.Move():
+                    on_requests.append(action)
+                case i.Log(text):
+                    self._log(text)
+                case i.Subscribe() | i.FetchList():
+                    pass  # discovery is watched from the start, and asked for the whole list after a gap
+                case _:
+                    logger.warning("there is no way here to carry out {}", action)
+        return on_requests
--- a/glenfold/request.py
+++ b/glenfold/request.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from glenfold.decisions import RequestAction
+from glenfold.dispatch import RequestAction
 from linnetspread import interface as i
 
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -22,6 +22,7 @@
 from glenfold.counters import Counters
 from glenfold.decisions import Decisions
 from glenfold.destinations import BadList, DestinationSet, server_number
+from glenfold.leaving import Leaving
 from glenfold.net import sockets
 from glenfold.net.discovery import Discovery
 from glenfold.net.inbound import Relay
@@ -328,7 +329,7 @@
             await stream.send_all(OPEN.replace(b"9b1f03aa", b"%08x" % n))
             await read_line(stream)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(finish_taken, trio.current_time(), shared)
+            nursery.start_soon(finish_taken, Leaving(trio.current_time(), conf.settings), shared)
             for passed, standing in ((1.5, 4), (0.2, 3), (0.4, 2), (1.2, 0)):
                 clock.jump(passed)
                 for _ in range(3):  # a loopback socket may need a moment to show its end
@@ -412,7 +413,7 @@
         def fail(now: int, event: i.Event) -> list[i.Action]:
             raise KeyError(0)
 
-        shared.decisions._balancer.handle = fail  # type: ignore[method-assign]
+        shared.decisions.dispatch.balancer.handle = fail  # type: ignore[method-assign]
         assert await read_line(await opened(port)) == lines.FAILED
 
     play(conf, up_and_echo, client, trio.testing.MockClock())
