--- a/glenfold/__main__.py
+++ b/glenfold/__main__.py
@@ -14,14 +14,11 @@
 from glenfold.counters import Counters
 from glenfold.decisions import Decisions
 from glenfold.destinations import BadList, DestinationSet
-from glenfold.leaving import Leaving
+from glenfold.leaving import ANSWERS_S, Leaving
 from glenfold.net.discovery import Discovery
 from glenfold.net.inbound import BACKLOG, Inbound, Relay
 from glenfold.net.passing import Passage
 
-ANSWERS_S = 0.02       # between two looks at what is unanswered
-
-
 SIGNALS = (signal.SIGHUP, signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
 
 
--- a/glenfold/leaving.py
+++ b/glenfold/leaving.py
@@ -10,6 +10,7 @@
 LEAVE_S = 0.4          # of those 0.7 s
 MOVE_S = 0.3           # that a move may take
 MOVES_S = 1.5          # over which they are spread where packets pass through
+ANSWERS_S = 0.02       # between two looks at what is unanswered
 
 
 class Leaving:
--- a/glenfold/request.py
+++ b/glenfold/request.py
@@ -103,6 +103,8 @@
 
 
 class RequestState:
+    __slots__ = ("number", "deadline_us", "phase", "server", "_attempt", "_sent_us", "_bound")
+
     def __init__(self, number: int, deadline_us: int) -> None:
         self.number = number
         self.deadline_us = deadline_us
