Word the seam between the model's actors and its machines; draws and network

Relays, clients and machines are built at the same time and need the same words: whether a call resumed, whether its connection came up, how a relay learns that lines go unanswered, how lists reach it, and what one history drew for both sides. Machinery is a protocol until its parts are there; draws and the network are whole.

--- /dev/null
+++ b/glenfold_lab/model/draw.py
@@ -0,0 +1,40 @@
+"""Values of a history, drawn from the ranges of its scenario."""
+
+import math
+from collections.abc import Iterator
+
+import numpy as np
+
+from glenfold_lab.spec import Range
+
+BLOCK = 4096  # drawn ahead at once: one by one, numpy takes ten times as long
+
+
+def value(wanted: Range, random: np.random.Generator) -> float:
+    """One number stays itself and draws nothing; of a pair one between both is drawn, evenly."""
+    if isinstance(wanted, tuple):
+        low, high = wanted
+        return float(random.uniform(low, high))
+    return float(wanted)
+
+
+def between(wanted: Range, place: float) -> float:
+    """The value at that place (0 to 1) of a range; for values that are drawn together."""
+    if isinstance(wanted, tuple):
+        low, high = wanted
+        return low + (high - low) * place
+    return float(wanted)
+
+
+def lognormals(mean: float, sigma: float, random: np.random.Generator) -> Iterator[float]:
+    """Without end; `sigma` is that of the logarithm, `mean` the mean of the values themselves."""
+    middle = math.log(mean) - sigma * sigma / 2
+    while True:
+        yield from random.lognormal(middle, sigma, BLOCK).tolist()
+
+
+def in_shares(count: int, shares: list[float], random: np.random.Generator) -> list[int]:
+    """Places in `shares`, `count` of them, as near those shares as whole numbers allow, in a drawn order."""
+    edges = np.round(np.cumsum(shares) / sum(shares) * count).astype(int)
+    places = np.searchsorted(edges, np.arange(count), side="right")
+    return [int(place) for place in random.permutation(places)]
--- a/glenfold_lab/model/wire.py
+++ b/glenfold_lab/model/wire.py
@@ -4,10 +4,12 @@
 at the moment (`Kernel.now`) at which its news arrives; the one who sends adds the delay of the way.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
 
 from glenfold_lab.observe import End, Over
+from linnetspread.interface import ServerList
 
 
 @dataclass(slots=True, eq=False)
@@ -30,10 +32,13 @@
     deadline: int
     mid_flow: bool
     back: "Caller"
-    sent_at: int = 0         # when its first byte left the relay
+    # The rest is written by the machines alone.
+    sent_at: int = 0         # when its first byte leaves the relay; 0: the other side's machine is silent
     stands: bool = False
     dropped: bool = False    # the relay has closed it
     arrived: bool = False    # its last byte reached the server
+    over: bool = False       # the server (or its machine) has answered its first line, or broken it before
+    resumed: bool = False    # mid-flow and UP: it goes on unbroken; else its client was reset and set up anew
 
 
 class Caller(Protocol):
@@ -43,14 +48,21 @@
         """The answer to its first line, or a refused or broken connection, has reached the relay."""
 
     def ended(self, call: Call, how: End) -> None:
-        """The standing connection was ended by its push server: SERVED (BYE), MOVED (MOVE) or BROKEN."""
+        """The standing connection was ended by its push server: MOVED (MOVE) or BROKEN."""
+
+    def fell_silent(self, call: Call) -> None:
+        """From now on lines on this standing connection go unanswered for longer than a relay waits for them:
+        its server vanished, was cut off, or has too much work piled up. Told once each time that it begins;
+        whether it still is so, and for how long a line takes, `Machines.answer_us` tells."""
 
 
 class Machines(Protocol):
     """The push servers, as the network shows them to relays."""
 
     def call(self, call: Call) -> None:
-        """Begins an attempt: the way there, the wait and the answer follow, or nothing at all."""
+        """Begins an attempt: the way there, the wait and the answer follow, or nothing. `sent_at` tells
+        at once whether the connection comes up: 0 is one that never does, which a relay finds out by waiting
+        for as long as it waits for connections."""
 
     def resume(self, call: Call) -> bool:
         """A connection that already stood there when the history began; False if it can't be held."""
@@ -63,3 +75,24 @@
 
     def change_load(self, call: Call, load: float) -> None:
         """The client's own doing; takes effect at once."""
+
+    def answer_us(self, call: Call) -> int | None:
+        """How long a line on this standing connection takes now from its relay and back; None: no answer."""
+
+
+class Listing(Protocol):
+    """The server list, as it reaches relays."""
+
+    def relay_up(self, relay: int, heard: Callable[[ServerList], None]) -> None:
+        """A relay's process begins to listen to its agent: hands over at once the list that it had last
+        (CACHED), then whatever the agent holds beyond it, and from then on all that it hears."""
+
+    def relay_down(self, relay: int) -> None:
+        """Its process is gone: it hears nothing more until `relay_up`, and keeps its last list."""
+
+
+class Wanted(Protocol):
+    """What clients want, against which the service is measured."""
+
+    def wanted(self, request_class: int, scheme: int, change: int) -> None:
+        """So many more (or fewer) clients want a connection from now on, be it placed or not."""
