Share one anchor among the relays of a model that have the same past

A thousand relays with ten thousand servers would hold 20 GB of maps that are all alike. Changes are noted and made at the next look-up, so relays that heard the same lists in whatever batches find each other's map. The plain anchor does the work: the same decisions bit for bit.

--- /dev/null
+++ b/tests/glenfold_lab/test_lab_anchors.py
@@ -0,0 +1,57 @@
+"""Anchors that relays share decide as plain ones do, whatever each of them heard."""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from glenfold_lab.model.anchors import Pool, SharedAnchor, shared_anchors
+from linnetspread import choice
+from linnetspread import interface as i
+
+FIRST = [(server, 3 + server % 40) for server in range(1, 9)]
+KEYS = [random.Random(5).getrandbits(64) for _ in range(40)]
+# One relay's change: which relay, which server, how many buckets, and whether it looks a key up after it.
+STEPS = st.lists(max_size=30, elements=st.tuples(
+    st.integers(0, 2), st.integers(1, 14), st.sampled_from([1, 40, 900]), st.booleans()))
+
+
+def same(shared: SharedAnchor, plain: choice.Anchor) -> bool:
+    return [shared.lookup(key, choice.SEEDS[0]) for key in KEYS] == [
+        plain.lookup(key, choice.SEEDS[0]) for key in KEYS]
+
+
+@settings(max_examples=60, deadline=None)
+@given(STEPS)
+def test_shared_anchors_map_every_key_as_plain_ones_do(steps: list[tuple[int, int, int, bool]]) -> None:
+    pool = Pool()
+    pairs = [(SharedAnchor(list(FIRST), pool), choice.Anchor(list(FIRST))) for _ in range(3)]
+    for relay, server, buckets, looks in steps:
+        for anchor in pairs[relay]:
+            if server in anchor.buckets_of:
+                anchor.remove(server)
+            else:
+                anchor.add(server, buckets)
+        shared, plain = pairs[relay]
+        assert set(shared.buckets_of) == set(plain.buckets_of)
+        assert not looks or same(shared, plain)
+    assert all(same(*pair) and pair[0].N == pair[1].N for pair in pairs)
+    assert len(pool) <= 3
+
+
+def test_balancers_that_heard_the_same_hold_one_map_between_them() -> None:
+    def heard(kind: i.ListKind, state: i.ServerState, *servers: int) -> i.ServerList:
+        return i.ServerList(kind, 0, tuple(i.ListedServer(server, state) for server in servers))
+
+    with shared_anchors() as pool:
+        balancers = [choice.Balancer(i.Settings(), 1) for _ in range(4)]
+        for batches in ([(3,), (5, 6)], [(3,), (5, 6)], [(3,), (5, 6)], [(3, 5, 6)]):
+            balancer = balancers.pop(0)
+            balancer.handle(1, heard(i.ListKind.FULL, i.ServerState.READY, *range(1, 10)))
+            for batch in batches:
+                balancer.handle(2, heard(i.ListKind.DELTA, i.ServerState.DRAINING, *batch))
+            balancer.handle(3, i.Request(1, 1000, 77))
+            balancers.append(balancer)
+        assert len({id(balancer.anchor.plain) for balancer in balancers}) == 1  # type: ignore[union-attr]
+        assert len(pool) == 1
+    assert not isinstance(choice.Anchor([]), SharedAnchor)
