Relays in virtual time: the real decisions and request states on one modelled core

Steps of work queue on the relay's core; effects, deadlines, connect time-outs, moves, the watch on silent servers and a planned restart follow the real relay's tasks. Clients and machines are protocols so far.

--- /dev/null
+++ b/glenfold_lab/model/relay_settings.py
@@ -0,0 +1,79 @@
+"""What the platform tells a relay, as its configuration would say it: its settings, its limits, its speed."""
+
+import math
+from dataclasses import dataclass, fields
+from typing import Any, TypeVar
+
+from glenfold.config import Room
+from glenfold_lab.model.draw import value
+from glenfold_lab.model.machinery import Terms
+from glenfold_lab.spec import Relays, RequestClass, Scenario
+from glenfold_lab.streams import Streams
+from linnetspread import interface as i
+
+UNBOUND = 1 << 30  # sockets
+
+T = TypeVar("T")
+
+
+def told(kind: type[T], **values: Any) -> T:
+    """Another revision's decisions may lack some of these settings: it is told what it knows."""
+    known = {field.name for field in fields(kind)}  # type: ignore[arg-type]
+    return kind(**{name: value for name, value in values.items() if name in known})
+
+
+def settings_of(scenario: Scenario, terms: Terms, slot: int, zone: int) -> i.Settings:
+    """`tells_delay` stays off: no line of the protocol says what a message takes."""
+    rules, park_s = scenario.rules, scenario.servers.park_s
+    return told(
+        i.Settings,
+        gateways=scenario.relays.count, slot=slot, zone=zone,
+        classes=tuple(_class(kind) for kind in scenario.classes),
+        tenants=_tenants(scenario, terms),
+        kinds=tuple(kind.name for kind in scenario.servers.kinds),
+        weighted=True,
+        pass_through=scenario.relays.pass_through,
+        park_us=_us(park_s[0] if isinstance(park_s, tuple) else park_s, 1e6),
+        over_share_worth=rules.over_share_worth,
+        cold_share=rules.cold_share, cold_us=_us(rules.cold_s, 1e6),
+        fall_multiple=rules.fall_multiple, fall_us=_us(rules.fall_s, 1e6),
+        drain_grace_us=_us(rules.drain_grace_ms), answer_slack_us=_us(rules.answer_slack_ms),
+        max_attempts=rules.max_attempts, connect_timeout_us=_us(rules.connect_timeout_ms),
+        max_retry_after_us=_us(rules.max_retry_after_ms), may_retry_after=rules.max_retry_after_ms > 0,
+        may_cancel=True,
+    )
+
+
+def _us(amount: float, unit: float = 1e3) -> int:
+    return int(amount * unit)
+
+
+def _class(kind: RequestClass) -> i.RequestClass:
+    """Asking for a connection again harms nobody."""
+    return i.RequestClass(aim_us=_us(kind.aim_ms), deadline_us=_us(kind.deadline_ms), worth=kind.worth,
+                          semantics=i.Semantics.REPEATABLE, message_aim_us=kind.message_aim_ms * 1e3)
+
+
+def _tenants(scenario: Scenario, terms: Terms) -> tuple[i.Tenant, ...]:
+    """A tenant within its share asks for as many connections a second as end of those it may have."""
+    return tuple(i.Tenant(scheme.share, quota / terms.life_us * 1e6, quota)
+                 for scheme, quota in zip(scenario.schemes, terms.quotas, strict=True))
+
+
+@dataclass(frozen=True, slots=True)
+class Costs:
+    """What a relay's steps take of its one core, in microseconds, and its room for connections."""
+
+    accept: int
+    call: int
+    reply: int
+    notice: int
+    room: Room
+
+    @classmethod
+    def of(cls, relays: Relays, streams: Streams) -> "Costs":
+        cores = value(relays.cores, streams.of("relays", "cores"))
+        return cls(
+            accept=round(relays.accept_us / cores), call=round(relays.call_us / cores),
+            reply=round(relays.reply_us / cores), notice=round(relays.notice_us / cores),
+            room=Room.within(relays.sockets or UNBOUND, relays.memory_mb or math.inf))
--- /dev/null
+++ b/glenfold_lab/model/relays.py
@@ -0,0 +1,441 @@
+"""Relays in virtual time: the real decisions and the real states of requests on one modelled core.
+
+A `Relay` is one life of a relay's process. What `glenfold.net.inbound`, `passing` and `outbound` do with
+sockets, it does with `Call`s: the effects of a `RequestState` are carried out in their order, and events
+reach the decisions one by one. Each step of work takes its time on the core; what comes meanwhile waits.
+"""
+
+import heapq
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from glenfold import request as r
+from glenfold.dispatch import Dispatch, RequestAction
+from glenfold.leaving import ANSWERS_S, Leaving
+from glenfold.net.inbound import BACKLOG
+from glenfold.net.passing import SILENT_S
+from glenfold_lab.model.kernel import SECOND_US, Kernel
+from glenfold_lab.model.relay_settings import Costs
+from glenfold_lab.model.wire import Call, Machines
+from glenfold_lab.observe import End, Final, Over, Watcher
+from linnetspread import interface as i
+
+SILENT_US = round(SILENT_S * SECOND_US)
+CALL_UP = r.CallUp(b"")
+CALL_ENDED = {
+    Over.BUSY: r.CallEnded(i.Outcome.FULL),
+    Over.ERROR: r.CallEnded(i.Outcome.ERROR),
+    Over.REFUSED: r.CallEnded(i.Outcome.CONNECT_FAILED),
+    Over.RESET: r.CallEnded(i.Outcome.RESET),
+}
+LEFT = r.ClientGone()
+LATE = r.DeadlinePassed()
+CANCELLED = r.ConnectionEnded(i.Outcome.CANCELLED)
+BROKEN = r.ConnectionEnded(i.Outcome.RESET)
+
+
+@dataclass(slots=True, eq=False)
+class Exchange:
+    """One request from the moment at which the relay's machine has it to its end.
+
+    client, scheme, group: the client's own, as `Call` has them. stands_at: the server of a connection that
+    stood before the history.
+    """
+
+    relay: "Relay"
+    client: int
+    scheme: int
+    group: int
+    event: i.Request
+    state: r.RequestState
+    call: Call | None = None
+
+
+class Clientele(Protocol):
+    """The clients' ends of a relay's connections. All is told as it leaves the relay."""
+
+    def load(self, client: int) -> float:
+        """Its load now, in microseconds a second."""
+
+    def next_line(self, client: int) -> int:
+        """When it next sends a line on its standing connection."""
+
+    def up(self, exchange: Exchange) -> None: ...
+
+    def turned_away(self, exchange: Exchange, wait_us: int) -> None:
+        """BUSY with a wait, or (0) without one or failed."""
+
+    def over(self, exchange: Exchange, how: End) -> None:
+        """Its standing connection ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class Surroundings:
+    """What all relays of a history share."""
+
+    kernel: Kernel
+    machines: Machines
+    clients: Clientele
+    watcher: Watcher
+    costs: Costs
+
+
+class Relay:
+    def __init__(self, number: int, settings: i.Settings, seed: int, around: Surroundings) -> None:
+        self.number = number
+        self.settings = settings
+        self.alive = True
+        self.dispatch = Dispatch(settings, seed, lambda text: None)
+        self.exchanges: dict[int, Exchange] = {}  # those accepted and not over, by request
+        self._kernel = around.kernel
+        self._machines = around.machines
+        self._clients = around.clients
+        self._watcher = around.watcher
+        self._costs = around.costs
+        self._events: deque[i.Event] = deque()
+        self._telling = False
+        self._steps: deque[tuple[int, Callable[..., None], tuple[Any, ...]]] = deque()
+        self._busy_until = 0
+        self._backlog: dict[int, Exchange] = {}   # accepted by its machine alone
+        self._last_arrival = 0
+        self._due: list[tuple[int, int, Exchange, Call | None]] = []  # when what must have its answer
+        self._made = 0
+        self._wakes_at: int | None = None
+
+    # ---- the core: one step after the other ----
+
+    def _do(self, cost: int, call: Callable[..., None], *values: Any) -> None:
+        """At once where nothing else is under way: then the queue costs nothing."""
+        now = self._kernel.now
+        if self._busy_until <= now and not self._steps:
+            self._busy_until = now + cost
+            call(*values)
+            return
+        self._steps.append((cost, call, values))
+        if len(self._steps) == 1:
+            self._kernel.at(self._busy_until, self._next_step)
+
+    def _next_step(self) -> None:
+        if not self.alive:
+            return
+        if self._busy_until <= self._kernel.now:  # else it was stalled meanwhile
+            cost, call, values = self._steps[0]
+            self._busy_until = self._kernel.now + cost
+            call(*values)
+            self._steps.popleft()
+        if self._steps:
+            self._kernel.at(self._busy_until, self._next_step)
+
+    def stall(self, until: int) -> None:
+        """The process stops, and goes on then; what comes meanwhile its machine accepts."""
+        self._busy_until = max(self._busy_until, until)
+
+    # ---- from the list ----
+
+    def heard(self, servers: i.ServerList) -> None:
+        if self.alive:
+            self._do(self._costs.notice, self._tell, servers)
+
+    # ---- from clients ----
+
+    @property
+    def standing(self) -> list[Exchange]:
+        return [exchange for exchange in self.exchanges.values() if exchange.state.phase is r.Phase.STANDING]
+
+    def offer(self, exchange: Exchange, deadline: int) -> bool:
+        """A client's connection with its first line; False when its machine has too many not yet accepted.
+        `deadline` is the client's own."""
+        if len(self._backlog) >= BACKLOG:
+            return False
+        event = exchange.event
+        self._last_arrival = self._kernel.now
+        self._backlog[event.request] = exchange
+        self._watcher.taken(self._kernel.now, event.request, self.number, deadline, event.request_class)
+        self._do(self._costs.accept, self._accept, exchange)
+        return True
+
+    def _accept(self, exchange: Exchange) -> None:
+        del self._backlog[exchange.event.request]
+        if len(self.exchanges) >= self._costs.room.taken:
+            self._answer(exchange, Final.BUSY, self._most_wait())
+            return
+        # As the real relay counts: from when it reads the line, be that late.
+        exchange.state.deadline_us = self._kernel.now + exchange.event.expires_in_us
+        self.exchanges[exchange.event.request] = exchange
+        self._watch(exchange.state.deadline_us, exchange, None)
+        self._tell(exchange.event)
+
+    def _most_wait(self) -> int:
+        return self.settings.max_retry_after_us if self.settings.may_retry_after else 0
+
+    def resume(self, exchange: Exchange, server: int) -> bool:
+        """A connection that stood at this server before the relay did; False if the server can't hold it."""
+        now = self._kernel.now
+        call = self._new_call(exchange, server, now + exchange.event.expires_in_us)
+        if not self._machines.resume(call):
+            return False
+        self.exchanges[exchange.event.request] = exchange
+        self._tell(i.Existing(exchange.event, server))
+        exchange.state.resume(server, now)
+        exchange.call = call
+        for effect in exchange.state.on(CALL_UP, now):
+            if isinstance(effect, r.Report):
+                self._tell(effect.event)
+        self._load_heard(exchange, call.load)
+        return True
+
+    def client_left(self, exchange: Exchange) -> None:
+        """It closed its side, be it answered by now or not."""
+        if self.alive:
+            self._do(self._costs.notice, self._client_left, exchange)
+
+    def _client_left(self, exchange: Exchange) -> None:
+        if exchange.state.phase is r.Phase.STANDING:
+            self._drop_call(exchange)
+            self._on(exchange, CANCELLED)
+        elif exchange.event.request in self.exchanges:
+            self._on(exchange, LEFT)
+
+    def goes_elsewhere(self, exchange: Exchange) -> None:
+        """The packets of a standing connection reach another relay from now on."""
+        if exchange.call is not None:
+            self._machines.park(exchange.call)
+            exchange.call = None
+        if self.alive:
+            self._do(self._costs.notice, self._on, exchange, CANCELLED)
+
+    def load_changed(self, exchange: Exchange, load: float) -> None:
+        """Its server says so among its lines."""
+        self._do(self._costs.notice, self._load_heard, exchange, load)
+
+    def _load_heard(self, exchange: Exchange, load: float) -> None:
+        if exchange.state.phase is r.Phase.STANDING:
+            self._tell(exchange.state.notice(i.NoticeKind.LOAD, load))
+
+    # ---- from push servers ----
+
+    def replied(self, call: Call, over: Over) -> None:
+        if self.alive:
+            self._do(self._costs.reply, self._replied, call, over)
+
+    def _replied(self, call: Call, over: Over) -> None:
+        exchange = self._caller(call)
+        if exchange is None:
+            return
+        if over is Over.UP:
+            self._on(exchange, CALL_UP)
+            self._load_heard(exchange, call.load)  # right behind the receipt
+        else:
+            exchange.call = None
+            self._on(exchange, CALL_ENDED[over])
+
+    def ended(self, call: Call, how: End) -> None:
+        if self.alive:
+            self._do(self._costs.notice, self._ended, call, how)
+
+    def _ended(self, call: Call, how: End) -> None:
+        exchange = self._caller(call)
+        if exchange is not None:
+            exchange.call = None
+            self._end(exchange, how, CANCELLED if how is End.MOVED else BROKEN)
+
+    def _caller(self, call: Call) -> Exchange | None:
+        """Whose call it is; None once it has been closed."""
+        exchange = self.exchanges.get(call.request)
+        return exchange if exchange is not None and exchange.call is call else None
+
+    def fell_silent(self, call: Call) -> None:
+        exchange = self._caller(call)
+        if exchange is not None:
+            self._kernel.at(self._clients.next_line(exchange.client), self._asked, call)
+
+    def _asked(self, call: Call) -> None:
+        """The client has sent a line that may go unanswered."""
+        if self._caller(call) is None:
+            return
+        takes = self._machines.answer_us(call)
+        if takes is None or takes >= SILENT_US:
+            self._kernel.after(SILENT_US, self._unanswered, call, takes)
+
+    def _unanswered(self, call: Call, takes: int | None) -> None:
+        exchange = self._caller(call)
+        if exchange is None:
+            return
+        if takes is None and self._machines.answer_us(call) is not None:
+            self.fell_silent(call)  # it is back, and has answered after all
+        else:
+            self._do(self._costs.notice, self._move, exchange, BROKEN)
+
+    # ---- decisions and states ----
+
+    def _tell(self, event: i.Event) -> None:
+        """One after the other, as through the channel to the real task."""
+        self._events.append(event)
+        if self._telling:
+            return
+        self._telling = True
+        while self._events:
+            self._carry(self.dispatch.handle(self._kernel.now, self._events.popleft()))
+        self._telling = False
+        due = self.dispatch.next_timer_us
+        if due is not None:
+            self._wake_at(due)
+
+    def _carry(self, actions: list[RequestAction]) -> None:
+        for action in actions:
+            exchange = self.exchanges.get(action.request)
+            if exchange is not None:
+                self._on(exchange, action)
+
+    def _on(self, exchange: Exchange, incident: r.Incident) -> None:
+        for effect in exchange.state.on(incident, self._kernel.now):
+            match effect:
+                case r.Report(event):
+                    self._tell(event)
+                case r.StartCall(server, deadline_us):
+                    self._start_call(exchange, server, deadline_us)
+                case r.AnswerUp():
+                    self._answer(exchange, Final.UP, 0)
+                case r.DropCall():
+                    self._drop_call(exchange)
+                case r.AnswerRefused(wait_us):
+                    self._answer(exchange, Final.BUSY, wait_us)
+                case r.AnswerFailed():
+                    self._answer(exchange, Final.ERROR, 0)
+                case r.MoveClient():
+                    self._busy_until += self._costs.notice
+                    self._move(exchange, CANCELLED)
+        if exchange.state.phase is r.Phase.OVER:
+            self.exchanges.pop(exchange.event.request, None)
+
+    def _answer(self, exchange: Exchange, final: Final, wait_us: int) -> None:
+        number, wait = exchange.event.request, wait_us // 1000 * 1000  # the line has milliseconds
+        if final is Final.UP:
+            self._watcher.answered(self._kernel.now, number, final, exchange.state.server, 0)
+            self._clients.up(exchange)
+        else:
+            self._watcher.answered(self._kernel.now, number, final, None, wait)
+            self._clients.turned_away(exchange, wait)
+
+    def _move(self, exchange: Exchange, why: r.ConnectionEnded) -> None:
+        if exchange.state.phase is r.Phase.STANDING:
+            self._drop_call(exchange)
+            self._end(exchange, End.MOVED, why)
+
+    def _end(self, exchange: Exchange, how: End, why: r.ConnectionEnded) -> None:
+        self._clients.over(exchange, how)
+        self._on(exchange, why)
+
+    # ---- calls ----
+
+    def _new_call(self, exchange: Exchange, server: int, deadline_us: int) -> Call:
+        event = exchange.event
+        return Call(event.request, self.number, server, event.request_class, exchange.scheme, exchange.group,
+                    exchange.client, self._clients.load(exchange.client), deadline_us, event.mid_flow, self)
+
+    def _start_call(self, exchange: Exchange, server: int, deadline_us: int) -> None:
+        self._busy_until += self._costs.call
+        call = exchange.call = self._new_call(exchange, server, deadline_us)
+        self._machines.call(call)
+        waits = deadline_us - self._kernel.now
+        if not call.sent_at:
+            waits = min(waits, self.settings.connect_timeout_us)
+        self._watch(self._kernel.now + waits, exchange, call)
+
+    def _drop_call(self, exchange: Exchange) -> None:
+        if exchange.call is not None:
+            self._machines.close(exchange.call)
+            exchange.call = None
+
+    # ---- deadlines ----
+
+    def _watch(self, moment: int, exchange: Exchange, call: Call | None) -> None:
+        self._made += 1
+        heapq.heappush(self._due, (moment, self._made, exchange, call))
+        self._wake_at(moment)
+
+    def _wake_at(self, moment: int) -> None:
+        if self._wakes_at is None or moment < self._wakes_at:
+            self._wakes_at = moment
+            self._kernel.at(moment, self._wake, moment)
+
+    def _wake(self, moment: int) -> None:
+        if self.alive and moment == self._wakes_at:
+            self._wakes_at = None
+            self._do(0, self._fire)
+
+    def _fire(self) -> None:
+        now, due = self._kernel.now, self._due
+        self._carry(self.dispatch.fire(now))
+        while due and (due[0][0] <= now or not self._waited_for(*due[0][2:])):
+            _, _, exchange, call = heapq.heappop(due)
+            if self._waited_for(exchange, call):
+                self._too_late(exchange, call)
+        moments = [due[0][0]] if due else []
+        timer = self.dispatch.next_timer_us
+        if timer is not None:
+            moments.append(timer)
+        if moments:
+            self._wake_at(min(moments))
+
+    @staticmethod
+    def _waited_for(exchange: Exchange, call: Call | None) -> bool:
+        phase = exchange.state.phase
+        return phase is r.Phase.CALLING and (call is None or call is exchange.call) or (
+            phase is r.Phase.TAKEN and call is None)
+
+    def _too_late(self, exchange: Exchange, call: Call | None) -> None:
+        if call is None:
+            self._on(exchange, LATE)
+            return
+        self._drop_call(exchange)
+        outcome = i.Outcome.TIMEOUT if call.sent_at else i.Outcome.CONNECT_FAILED
+        self._on(exchange, r.CallEnded(outcome))
+
+    # ---- its end ----
+
+    def die(self) -> list[Exchange]:
+        """Killed: its connections are reset, or wait at their servers where packets pass through. Returns
+        what it held, with what its machine had accepted for it."""
+        self.alive = False
+        held = [*self.exchanges.values(), *self._backlog.values()]
+        for exchange in held:
+            if exchange.call is None:
+                continue
+            if self.settings.pass_through and exchange.state.phase is r.Phase.STANDING:
+                self._machines.park(exchange.call)
+            else:
+                self._machines.close(exchange.call)
+            exchange.call = None
+        self.exchanges, self._backlog = {}, {}
+        self._steps.clear()
+        self._due.clear()
+        return held
+
+    def leave(self, over: Callable[[], None]) -> None:
+        """SIGTERM: every request taken gets its answer, every standing connection's client is told to move;
+        `over` is called when the process exits."""
+        leaving = Leaving(self._kernel.now / SECOND_US, self.settings)
+        self._kernel.at(round(leaving.moves_from * SECOND_US), self._leave, leaving, set(), [], over)
+
+    def _leave(self, leaving: Leaving, told: set[int], left: list[Exchange],
+               over: Callable[[], None]) -> None:
+        if not self.alive:
+            return
+        now = self._kernel.now / SECOND_US
+        while left and left[-1].state.phase is not r.Phase.STANDING:
+            left.pop()
+        if not left:
+            left = [exchange for exchange in self.standing if exchange.event.request not in told][::-1]
+        arriving = now < leaving.arrivals_until(self._last_arrival / SECOND_US)
+        if now >= leaving.leave_at or not (left or arriving or self.exchanges or self._backlog):
+            over()
+            return
+        gap = ANSWERS_S
+        if left and not arriving:
+            told.add(left[-1].event.request)
+            self._do(self._costs.notice, self._move, left.pop(), CANCELLED)
+            gap = leaving.gap_s(now, len(left))
+        self._kernel.after(round(gap * SECOND_US), self._leave, leaving, told, left, over)
