Clients, their front and the posts of relays in virtual time, and their faults

Clients are places in columns with their moments in arrays, 8 bytes each; whatever they draw, they draw when they first come. The front spreads by a hash and hears late of what dies.

--- /dev/null
+++ b/glenfold_lab/model/clients.py
@@ -0,0 +1,406 @@
+"""What clients do: ask, wait, try again, stand, change their load, go, and come again when they were cut off.
+
+A client is a place in some columns, with an `Exchange` while a relay has its request or connection. Whatever
+it draws it drew when it first came: what relays decide shifts nobody's day.
+"""
+
+import math
+from array import array
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from typing import Protocol
+
+import numpy as np
+from numpy.typing import NDArray
+
+from glenfold.request import RequestState
+from glenfold_lab.model.draw import value
+from glenfold_lab.model.front import Front
+from glenfold_lab.model.kernel import SECOND_US, Kernel
+from glenfold_lab.model.network import Network
+from glenfold_lab.model.plan import MOST_CLIENTS, Plan
+from glenfold_lab.model.population import Drawn, Population
+from glenfold_lab.model.relays import Exchange, Relay
+from glenfold_lab.model.wire import Machines, Wanted
+from glenfold_lab.observe import End, Watcher
+from glenfold_lab.spec import Clients as ClientTerms
+from glenfold_lab.spec import Scenario
+from glenfold_lab.streams import Streams
+from linnetspread import interface as i
+
+DRAWN_US = SECOND_US // 4     # clients are drawn for so long ahead
+LINES_US = 2 * SECOND_US      # between two lines that a client sends on a standing connection
+PATIENCE_US = 100_000         # beyond its deadline and the slack: an answer may still be under way
+SYN_AGAIN_US = SECOND_US      # TCP's first wait before it asks again for a connection
+PACKETS_US = SECOND_US        # within which packets of a connection come after the front sends them elsewhere
+FIRST_ASKS_US = 3 * SECOND_US  # within which those come that nobody could hold at the start
+CHANGES = 4096                # drawn at once
+
+ASK, LEAVE, CHANGE, GIVE_UP = range(4)  # what is planned
+
+
+WAITING = 0    # to ask
+ASKING = 1
+STANDING = 2
+PARKED = 3     # its packets reach no relay until the front sends them elsewhere
+RESIGNED = 4   # it has tried often enough, but still wants a connection
+GONE = 5
+
+
+class Relays(Protocol):
+    """The relays' processes, by number."""
+
+    def running(self, relay: int) -> Relay | None:
+        """None while its process is not there: connections to its machine are refused."""
+
+    def reachable(self, relay: int) -> bool:
+        """Whether packets pass between it and its clients."""
+
+
+@dataclass(frozen=True, slots=True)
+class Habits:
+    """Drawn for all clients of a history; times in microseconds, by class where there are several."""
+
+    deadlines: tuple[int, ...]
+    change_us: tuple[float, ...]
+    swing: tuple[float, ...]
+    backoff_us: float
+    backoff_most_us: float
+    rejoin_us: tuple[float, float]
+    slack_us: int
+
+    @classmethod
+    def of(cls, scenario: Scenario, streams: Streams) -> "Habits":
+        clients, classes = scenario.clients, scenario.classes
+        least, most = clients.rejoin_ms
+        return cls(
+            deadlines=tuple(round(kind.deadline_ms * 1000) for kind in classes),
+            change_us=tuple(value(kind.change_s, streams.of("classes", "change", number)) * SECOND_US
+                            for number, kind in enumerate(classes)),
+            swing=tuple(value(kind.swing_sigma, streams.of("classes", "swing", number))
+                        for number, kind in enumerate(classes)),
+            backoff_us=value(clients.backoff_ms, streams.of("clients", "backoff")) * 1000,
+            backoff_most_us=clients.backoff_most_ms * 1000,
+            rejoin_us=(least * 1000, most * 1000),
+            slack_us=round(scenario.rules.answer_slack_ms * 1000))
+
+
+class Columns:
+    """What is known of each client, by its number; clients are only added."""
+
+    def __init__(self) -> None:
+        self.first_ask, self.until, self.due = array("q"), array("q"), array("q")
+        self.key, self.group = array("Q"), array("Q")
+        self.kind, self.scheme, self.zone = array("B"), array("H"), array("B")
+        self.usual, self.load = array("d"), array("d")
+        self.pace, self.rejoin = array("f"), array("f")
+        self.honours, self.state, self.returning, self.mid_flow = (array("B") for _ in range(4))
+        self.tries, self.turn = array("H"), array("I")
+        self.relay = array("h")  # that it asked last
+        self.exchange: list[Exchange | None] = []
+
+    def __len__(self) -> int:
+        return len(self.key)
+
+    def add(self, drawn: Drawn) -> range:
+        first, count = len(self), len(drawn.at)
+        assert first + count <= MOST_CLIENTS
+        for column, values in (
+                (self.first_ask, drawn.at), (self.until, drawn.until), (self.due, drawn.at),
+                (self.key, drawn.key), (self.group, drawn.group), (self.kind, drawn.request_class),
+                (self.scheme, drawn.scheme), (self.zone, drawn.zone), (self.usual, drawn.load),
+                (self.load, drawn.load), (self.pace, drawn.pace), (self.rejoin, drawn.rejoin),
+                (self.honours, drawn.honours)):
+            _extend(column, values)
+        for flags in (self.state, self.returning, self.mid_flow, self.tries, self.turn):
+            _extend(flags, np.zeros(count))
+        _extend(self.relay, np.full(count, -1))
+        self.exchange.extend([None] * count)
+        return range(first, first + count)
+
+
+def _extend(column: "array[int] | array[float]", values: NDArray[np.generic]) -> None:
+    column.frombytes(values.astype(column.typecode).tobytes())
+
+
+class Clients:
+    def __init__(self, scenario: Scenario, population: Population, streams: Streams, kernel: Kernel,
+                 network: Network, machines: Machines, service: Wanted, watcher: Watcher,
+                 front: Front, relays: Relays) -> None:
+        self._terms: ClientTerms = scenario.clients
+        self._habits = Habits.of(scenario, streams)
+        self._pass_through = scenario.relays.pass_through
+        self._kernel, self._network, self._machines = kernel, network, machines
+        self._service, self._watcher = service, watcher
+        self._front, self._relays = front, relays
+        self._population = population
+        self._all = Columns()
+        self._requests = 0
+        self._changes = _changes(streams)
+        until = kernel.now + round(scenario.length_s * SECOND_US)
+        self._plan = Plan(kernel, until, (self._ask, self._leave, self._change, self._give_up))
+        self._coming = population.coming(DRAWN_US)
+
+    # ---- who comes ----
+
+    def start(self) -> None:
+        """Those who stand already, and then those who come."""
+        now = self._kernel.now
+        drawn = self._population.standing()
+        refused = [client for client in self._new(drawn) if not self._stands(client)]
+        for place, client in enumerate(refused):
+            self._plan_ask(client, now + FIRST_ASKS_US * place // len(refused))
+        for (kind, scheme), count in sorted(Counter(zip(
+                drawn.request_class.tolist(), drawn.scheme.tolist(), strict=True)).items()):
+            self._service.wanted(kind, scheme, count)
+        self._come()
+
+    def _stands(self, client: int) -> bool:
+        self._all.turn[client] = 1  # it has asked, and is wanted
+        relay = self._relay_for(client)
+        running = None if relay is None else self._relays.running(relay)
+        if running is None:
+            return False
+        exchange = self._exchange(client, running)
+        if not running.stand(exchange):
+            return False
+        self._all.state[client] = STANDING
+        self._all.exchange[client] = exchange
+        return True
+
+    def _come(self) -> None:
+        drawn = next(self._coming, None)
+        if drawn is None:
+            return
+        for client, at in zip(self._new(drawn), drawn.at.tolist(), strict=True):
+            self._plan.add(at, client, ASK)
+        self._kernel.after(DRAWN_US, self._come)
+
+    def _new(self, drawn: Drawn) -> range:
+        """Each has its end and its next change of load planned, whatever becomes of it."""
+        clients = self._all.add(drawn)
+        add, every = self._plan.add, self._habits.change_us
+        for client, at, until, kind in zip(clients, drawn.at.tolist(), drawn.until.tolist(),
+                                           drawn.request_class.tolist(), strict=True):
+            add(until, client, LEAVE)
+            add(at + int(every[kind] * next(self._changes)[1]), client, CHANGE)
+        return clients
+
+    # ---- asking ----
+
+    def _plan_ask(self, client: int, at: int) -> None:
+        self._all.state[client] = WAITING
+        self._all.due[client] = at
+        self._plan.add(at, client, ASK)
+
+    def _relay_for(self, client: int) -> int | None:
+        """A connection that goes on elsewhere leaves its relay; the front knows what runs only later."""
+        every = self._all
+        relay = self._front.relay_for(every.zone[client], every.key[client], every.turn[client],
+                                      every.relay[client] if every.mid_flow[client] else -1)
+        every.relay[client] = -1 if relay is None else relay
+        return relay
+
+    def _ask(self, client: int, moment: int) -> None:
+        """Its first line reaches a relay's machine at this moment, or nobody."""
+        every = self._all
+        if every.due[client] != moment or every.state[client] != WAITING:
+            return
+        kind = every.kind[client]
+        sent = moment - self._network.client_us()
+        if not every.turn[client]:
+            self._service.wanted(kind, every.scheme[client], 1)
+            every.first_ask[client] = sent
+        relay = self._relay_for(client)
+        every.turn[client] += 1
+        running = None if relay is None else self._relays.running(relay)
+        if relay is None or not self._relays.reachable(relay):
+            self._asking(client, sent, None)
+        elif running is None:
+            self._again(client, 0)
+        else:
+            exchange = self._exchange(client, running)
+            self._watcher.asked(moment, self._requests, client, kind, every.first_ask[client])
+            self._asking(client, sent, exchange)
+            if not running.offer(exchange, sent + self._habits.deadlines[kind]):
+                every.exchange[client] = None
+                self._plan_ask(client, moment + SYN_AGAIN_US)
+
+    def _exchange(self, client: int, relay: Relay) -> Exchange:
+        self._requests += 1
+        every = self._all
+        kind, scheme, group = every.kind[client], every.scheme[client], every.group[client]
+        deadline = self._habits.deadlines[kind]
+        event = i.Request(
+            self._requests, deadline, every.key[client], group, kind, scheme, None,
+            client_retry=self._terms.marks_retry and every.tries[client] > 0,
+            mid_flow=bool(every.mid_flow[client]), returning=bool(every.returning[client]))
+        state = RequestState(self._requests, self._kernel.now + deadline)
+        return Exchange(relay, client, scheme, group, event, state)
+
+    def _asking(self, client: int, sent: int, exchange: Exchange | None) -> None:
+        every, habits = self._all, self._habits
+        every.state[client] = ASKING
+        every.exchange[client] = exchange
+        due = sent + habits.deadlines[every.kind[client]] + habits.slack_us + PATIENCE_US
+        every.due[client] = due
+        self._plan.add(due, client, GIVE_UP)
+
+    def _give_up(self, client: int, moment: int) -> None:
+        every = self._all
+        if every.due[client] != moment or every.state[client] != ASKING:
+            return
+        self._closes(client)
+        if every.mid_flow[client]:
+            self._come_back(client)
+        else:
+            self._again(client, 0)
+
+    def _closes(self, client: int) -> None:
+        """Its own side of whatever it has."""
+        exchange, standing = self._all.exchange[client], self._all.state[client] == STANDING
+        if exchange is None:
+            return
+        if standing:
+            self._watcher.ended(self._kernel.now, exchange.event.request, End.CLIENT)
+        else:
+            self._watcher.left(self._kernel.now, exchange.event.request)
+        self._all.exchange[client] = None
+        exchange.relay.client_left(exchange)
+
+    def _again(self, client: int, wait_us: int) -> None:
+        """After a try that came to nothing; `wait_us` is what BUSY advised."""
+        every, habits = self._all, self._habits
+        every.exchange[client] = None
+        every.tries[client] += 1
+        tries = every.tries[client]
+        if tries > self._terms.retries:
+            every.state[client] = RESIGNED
+            return
+        pause = min(habits.backoff_us * 2 ** min(tries - 1, 20), habits.backoff_most_us)
+        pause *= 0.5 + every.pace[client]
+        if every.honours[client]:
+            pause = max(pause, wait_us)
+        ways = self._network.client_us() + self._network.client_us()
+        self._plan_ask(client, self._kernel.now + ways + int(pause))
+
+    def _come_back(self, client: int) -> None:
+        """Its connection broke or was moved."""
+        every, (least, most) = self._all, self._habits.rejoin_us
+        every.exchange[client] = None
+        every.mid_flow[client] = False
+        every.returning[client] = self._terms.marks_returning
+        self._plan_ask(client, self._kernel.now + int(least + (most - least) * every.rejoin[client]))
+
+    # ---- while it lives ----
+
+    def _leave(self, client: int, moment: int) -> None:
+        every = self._all
+        self._closes(client)
+        every.state[client] = GONE
+        self._service.wanted(every.kind[client], every.scheme[client], -1)
+
+    def _change(self, client: int, moment: int) -> None:
+        every = self._all
+        if every.state[client] == GONE:
+            return
+        kind, (place, interval) = every.kind[client], next(self._changes)
+        swing = self._habits.swing[kind]
+        load = every.load[client] = every.usual[client] * math.exp(swing * place - swing * swing / 2)
+        exchange = every.exchange[client]
+        if exchange is not None and exchange.call is not None and every.state[client] == STANDING:
+            self._machines.change_load(exchange.call, load)
+            if self._machines.answer_us(exchange.call) is not None:
+                exchange.relay.load_changed(exchange, load)
+        self._plan.add(moment + int(self._habits.change_us[kind] * interval), client, CHANGE)
+
+    def drop(self, part: float, over_us: int, random: np.random.Generator) -> None:
+        """So many of those that stand lose their connections at once, and come again within that time."""
+        every, struck = self._all, np.flatnonzero(random.uniform(size=len(self._all)) < part)
+        waits = random.uniform(0, over_us, size=len(struck))
+        for client, wait in zip(struck.tolist(), waits.tolist(), strict=True):
+            if every.state[client] == STANDING:
+                self._closes(client)
+                every.returning[client] = self._terms.marks_returning
+                self._plan_ask(client, self._kernel.now + int(wait))
+
+    # ---- what relays see and say: `Clientele` ----
+
+    def load(self, client: int) -> float:
+        return self._all.load[client]
+
+    def next_line(self, client: int) -> int:
+        now = self._kernel.now
+        return now + (client * 1_618_033 - now) % LINES_US
+
+    def up(self, exchange: Exchange) -> None:
+        client, every = exchange.client, self._all
+        if self._hears(exchange):
+            every.state[client] = STANDING
+            every.tries[client] = every.returning[client] = every.mid_flow[client] = 0
+
+    def turned_away(self, exchange: Exchange, wait_us: int) -> None:
+        if not self._hears(exchange):
+            return
+        if self._all.mid_flow[exchange.client]:  # it stood, and does no more
+            self._come_back(exchange.client)
+        else:
+            self._again(exchange.client, wait_us)
+
+    def over(self, exchange: Exchange, how: End) -> None:
+        if self._all.exchange[exchange.client] is exchange:
+            self._watcher.ended(self._kernel.now, exchange.event.request, how)
+            self._come_back(exchange.client)
+
+    def _hears(self, exchange: Exchange) -> bool:
+        """Whether it is still there, and reached by what its relay says."""
+        return self._all.exchange[exchange.client] is exchange and (
+            self._relays.reachable(exchange.relay.number))
+
+    # ---- where packets go ----
+
+    def lost_relay(self, exchange: Exchange) -> bool:
+        """Its relay's process died. True for one whose connection goes on when its packets are sent to
+        another; the others see theirs reset."""
+        client, every = exchange.client, self._all
+        if every.exchange[client] is not exchange:
+            return False
+        stood = every.state[client] == STANDING
+        every.exchange[client] = None
+        if stood:
+            self._watcher.ended(self._kernel.now, exchange.event.request, End.RELAY_DIED)
+        if self._pass_through and (stood or every.mid_flow[client]):
+            every.state[client] = PARKED
+            return True
+        if stood:
+            self._come_back(client)
+        else:
+            self._again(client, 0)
+        return False
+
+    def goes_elsewhere(self, exchange: Exchange) -> None:
+        """The front sends the packets of a standing connection to another relay from now on."""
+        client = exchange.client
+        if self._all.exchange[client] is exchange and self._all.state[client] == STANDING:
+            self._watcher.ended(self._kernel.now, exchange.event.request, End.RELAY_DIED)
+            self._all.exchange[client] = None
+            exchange.relay.goes_elsewhere(exchange)
+            self._all.state[client] = PARKED
+            self.reach_relays([client])
+
+    def reach_relays(self, clients: Iterable[int]) -> None:
+        """Packets of these parked connections come to relays again, as each sends its next."""
+        every = self._all
+        for client in clients:
+            if every.state[client] == PARKED:
+                every.mid_flow[client] = True
+                self._plan_ask(client, self._kernel.now + int(PACKETS_US * every.pace[client]))
+
+
+def _changes(streams: Streams) -> Iterator[tuple[float, float]]:
+    """For each change of a load: how far it swings, and when the next comes, in mean intervals."""
+    random = streams.of("clients", "changes")
+    while True:
+        yield from zip(random.standard_normal(CHANGES).tolist(), random.uniform(0.5, 1.5, CHANGES).tolist(),
+                       strict=True)
--- /dev/null
+++ b/glenfold_lab/model/population.py
@@ -0,0 +1,171 @@
+"""Who the clients of a history are, and when each comes: drawn ahead, whatever the relays decide."""
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import numpy as np
+from numpy.typing import NDArray
+
+from glenfold_lab.model.draw import value
+from glenfold_lab.model.kernel import SECOND_US
+from glenfold_lab.model.machinery import Terms
+from glenfold_lab.spec import Scenario
+from glenfold_lab.streams import Streams
+
+Floats = NDArray[np.float64]
+Whole = NDArray[np.int64]
+Keys = NDArray[np.uint64]
+
+STANDING, COMING = 0, 1
+SIZE_BIASED = 1.0  # a connection met at a random moment is longer than usual, in proportion to its length
+
+
+@dataclass(frozen=True, slots=True)
+class Drawn:
+    """Some clients, in the order in which they come; all columns are as long.
+
+    at, until: microseconds, when each first asks and when it no longer wants its connection. request_class,
+    scheme, zone: places in the scenario. group: 0 for none. load: its usual one, microseconds a second.
+    pace, rejoin: its own place, 0 to 1, within the spread of backing off and of coming again.
+    """
+
+    at: Whole
+    until: Whole
+    request_class: Whole
+    scheme: Whole
+    zone: Whole
+    key: Keys
+    group: Keys
+    load: Floats
+    pace: Floats
+    rejoin: Floats
+    honours: NDArray[np.bool_]
+
+
+class Population:
+    """Moments are of the kernel's clock; `start` is that of the history's start.
+
+    The number of clients that want a connection stays about the same where `shape` is steady: those that
+    stand at the start and those that come follow from one rate and one spread of lives.
+    """
+
+    def __init__(self, scenario: Scenario, terms: Terms, streams: Streams, start: int) -> None:
+        self._scenario = scenario
+        self._clients = scenario.clients
+        self._terms = terms
+        self._streams = streams
+        self._start = start
+        self._length = round(scenario.length_s * SECOND_US)
+        self._rate = self._rate_per_us()
+        self._life_sigma = self._value("life_sigma")
+        self._swing = self._value("swing")
+        self._swing_at = float(streams.of("clients", "swing").uniform())
+        self._honour = self._value("honour")
+        self._class_shares = _shares([kind.share for kind in scenario.classes])
+        self._load_sigma = np.array([value(kind.load_sigma, streams.of("classes", "load_sigma", number))
+                                     for number, kind in enumerate(scenario.classes)])
+        self._scheme_shares = _shares([
+            scheme.share * value(scheme.usage, streams.of("clients", "usage", number))
+            for number, scheme in enumerate(scenario.schemes)] or [1.0])
+        self._zone_shares = self._skewed_zones()
+        self._group_shares, self._group_keys = self._draw_groups()
+
+    def _value(self, name: str) -> float:
+        return value(getattr(self._clients, name), self._streams.of("clients", name))
+
+    def _rate_per_us(self) -> float:
+        """New clients, at the history's mean."""
+        life = self._terms.life_us
+        load = self._value("load")
+        if self._clients.connections is not None:
+            return self._clients.connections / (self._length + (life if self._clients.standing else 0.0))
+        return load * self._terms.capacity / self._terms.mean_load / life
+
+    @property
+    def usual(self) -> float:
+        """How many want a connection at once."""
+        return self._rate * self._terms.life_us
+
+    def _skewed_zones(self) -> Floats:
+        zones, random = len(self._scenario.zones.names), self._streams.of("clients", "zone_skew")
+        skew = value(self._clients.zone_skew, random)
+        spread = np.linspace(-1.0, 1.0, zones) if zones > 1 else np.zeros(1)
+        return _shares(1 + skew * random.permutation(spread))
+
+    def _draw_groups(self) -> tuple[Floats, Keys]:
+        random = self._streams.of("clients", "group_keys")
+        if not self._clients.groups:
+            return np.ones(1), np.zeros(1, np.uint64)
+        count = max(1, round(self.usual / self._value("group_size")))
+        sizes = np.arange(1, count + 1) ** -self._value("group_zipf")
+        return _shares(sizes), _draw_keys(random, count)
+
+    # ---- the clients ----
+
+    def standing(self) -> Drawn:
+        """Those whose connections stood before the history."""
+        count = round(self.usual) if self._clients.standing else 0
+        at = np.full(count, self._start)
+        random = self._streams.of("clients", "lives", STANDING)
+        left = random.uniform(size=count) * self._lives(random, count, SIZE_BIASED)
+        return self._drawn(at, left, STANDING)
+
+    def coming(self, step_us: int) -> Iterator[Drawn]:
+        """Those that come, a step's worth at a time."""
+        arrivals = self._streams.of("clients", "arrivals")
+        lives = self._streams.of("clients", "lives", COMING)
+        for begin in range(0, self._length, step_us):
+            end = min(begin + step_us, self._length)
+            mean = self._rate * (end - begin) * self._course((begin + end) / 2 / self._length)
+            count = int(arrivals.poisson(mean))
+            at = self._start + np.sort(arrivals.integers(begin, end, size=count))
+            yield self._drawn(at, self._lives(lives, count, 0.0), COMING)
+
+    def _course(self, place: float) -> float:
+        """The rate at a place of the history (0 to 1), against its mean."""
+        if self._clients.shape == "ramp":
+            return 1 + self._swing * (2 * place - 1)
+        return 1 + self._swing * math.sin(2 * math.pi * (place + self._swing_at))
+
+    def _lives(self, random: np.random.Generator, count: int, biased: float) -> Floats:
+        sigma = self._life_sigma
+        middle = math.log(self._terms.life_us) + (biased - 0.5) * sigma * sigma
+        return random.lognormal(middle, sigma, count)
+
+    def _drawn(self, at: Whole, life: Floats, which: int) -> Drawn:
+        count = len(at)
+
+        def of(purpose: str) -> np.random.Generator:
+            return self._streams.of("clients", purpose, which)
+
+        classes = _places(of("classes"), self._class_shares, count)
+        sigma = self._load_sigma[classes]
+        spread = np.exp(sigma * of("loads").standard_normal(count) - sigma * sigma / 2)
+        return Drawn(
+            at=at, until=at + np.minimum(life, 1e15).astype(np.int64) + 1,
+            request_class=classes,
+            scheme=_places(of("schemes"), self._scheme_shares, count),
+            zone=_places(of("zones"), self._zone_shares, count),
+            key=_draw_keys(of("keys"), count),
+            group=self._group_keys[_places(of("groups"), self._group_shares, count)],
+            load=np.array(self._terms.class_load)[classes] * spread,
+            pace=of("paces").uniform(size=count),
+            rejoin=of("rejoins").uniform(size=count),
+            honours=of("honours").uniform(size=count) < self._honour)
+
+
+def _shares(weights: list[float] | NDArray[np.floating[Any]]) -> Floats:
+    """Sums of all shares up to each, the last being 1."""
+    sums = np.cumsum(weights)
+    return np.asarray(sums / sums[-1])
+
+
+def _places(random: np.random.Generator, shares: Floats, count: int) -> Whole:
+    return np.searchsorted(shares, random.uniform(size=count), side="right").astype(np.int64)
+
+
+def _draw_keys(random: np.random.Generator, count: int) -> Keys:
+    """Never 0, which means that there is none."""
+    return random.integers(1, 1 << 64, size=count, dtype=np.uint64)
--- /dev/null
+++ b/glenfold_lab/model/posts.py
@@ -0,0 +1,186 @@
+"""Where relays run: their processes die, start again, leave and stall, and the front hears of it late."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+from glenfold_lab.model.clients import Clients
+from glenfold_lab.model.draw import value
+from glenfold_lab.model.front import Front
+from glenfold_lab.model.kernel import SECOND_US, Kernel
+from glenfold_lab.model.network import Network
+from glenfold_lab.model.relays import Relay
+from glenfold_lab.model.wire import Listing
+from glenfold_lab.observe import Watcher
+from glenfold_lab.spec import Range, Scenario
+from glenfold_lab.streams import Streams
+from linnetspread.choice import SEEDS, mix
+
+FRONT_TOLD_S = (0.2, 0.4)  # after SIGTERM new connections keep arriving for so long
+
+MakeRelay = Callable[[int, int], Relay]  # its number, and the seed of this life
+
+
+@dataclass(slots=True, eq=False)
+class Post:
+    """The machine of one relay. lost: clients whose connections wait for the front to send them elsewhere.
+    lives: how often its process has started; leaving: it has been told to stop."""
+
+    relay: Relay | None = None
+    lives: int = 0
+    leaving: bool = False
+    lost: list[int] = field(default_factory=list)
+
+
+class Posts:
+    """All posts, by the number of their relay. `clients` is set before anything starts."""
+
+    clients: Clients
+
+    def __init__(self, scenario: Scenario, streams: Streams, kernel: Kernel, network: Network,
+                 listing: Listing, watcher: Watcher, front: Front, make: MakeRelay) -> None:
+        self._scenario = scenario
+        self._kernel, self._network, self._listing, self._watcher = kernel, network, listing, watcher
+        self._front, self._make = front, make
+        self._posts = [Post() for _ in range(scenario.relays.count)]
+        self._seeds = [streams.of("relays", "seed", number) for number in range(len(self._posts))]
+        self._waits = streams.of("relays", "waits")
+        self._reshuffle = value(scenario.front.reshuffle, streams.of("front", "reshuffle"))
+        self._changes = 0  # of the set of relays that the front knows
+        network.on_change.append(self._zone_changed)
+
+    def __len__(self) -> int:
+        return len(self._posts)
+
+    def running(self, relay: int) -> Relay | None:
+        return self._posts[relay].relay
+
+    def reachable(self, relay: int) -> bool:
+        return not self._network.relay_cut(relay)
+
+    def start(self) -> None:
+        for number in range(len(self._posts)):
+            self._boot(number, 0)
+
+    def _boot(self, number: int, lives: int) -> None:
+        """Its process starts with the list that it had last, and answers PING at once."""
+        post = self._posts[number]
+        if post.lives != lives:
+            return
+        post.lives, post.leaving = lives + 1, False
+        relay = post.relay = self._make(number, int(self._seeds[number].integers(1 << 63)))
+        self._listing.relay_up(number, relay.heard)
+        self._watcher.relay_up(self._kernel.now, number)
+        if self._front.admits(number):  # back before the front had noticed: its packets go there as before
+            self._find_relays(post)
+        elif self.reachable(number):
+            self._admit(number)
+
+    # ---- how processes end ----
+
+    def crash(self, number: int) -> None:
+        """Killed at once; starts again after a while."""
+        post = self._posts[number]
+        if post.relay is not None:
+            self._end(post, number)
+            self._kernel.after(self._notice_us(), self._noticed, number, post.lives)
+
+    def restart(self, number: int) -> None:
+        """SIGTERM: the front is told, and the process leaves when it has finished; then it starts again."""
+        post = self._posts[number]
+        if post.relay is None or post.leaving:
+            return
+        post.leaving = True
+        self._kernel.after(self._draw_us(FRONT_TOLD_S), self._taken_out, number, post.lives)
+        post.relay.leave(lambda: self._left(number, post.lives))
+
+    def _taken_out(self, number: int, lives: int) -> None:
+        if self._posts[number].lives == lives and self._front.admits(number):
+            self._front.remove(number)
+            self._set_changed(number)
+
+    def _left(self, number: int, lives: int) -> None:
+        post = self._posts[number]
+        if post.relay is not None and post.lives == lives:
+            self._end(post, number)
+            self._front.remove(number)
+            self._find_relays(post)
+
+    def _end(self, post: Post, number: int) -> None:
+        relay, post.relay = post.relay, None
+        assert relay is not None
+        self._watcher.relay_down(self._kernel.now, number)
+        self._listing.relay_down(number)
+        post.lost += [exchange.client for exchange in relay.die() if self.clients.lost_relay(exchange)]
+        self._kernel.after(self._draw_us(self._scenario.relays.restart_s), self._boot, number, post.lives)
+
+    def stall(self, number: int, until: int) -> None:
+        """Its process stops, and then goes on; its machine still takes connections."""
+        relay = self._posts[number].relay
+        if relay is not None:
+            relay.stall(until)
+
+    def _notice_us(self) -> int:
+        return self._draw_us(self._scenario.front.notice_s)
+
+    def _draw_us(self, wanted: Range) -> int:
+        return round(value(wanted, self._waits) * SECOND_US)
+
+    # ---- what the front hears ----
+
+    def _noticed(self, number: int, lives: int) -> None:
+        """That the process of this life is dead, unless another has started meanwhile."""
+        post = self._posts[number]
+        if post.lives != lives or post.relay is not None:
+            return
+        self._front.remove(number)
+        self._find_relays(post)
+        self._set_changed(number)
+
+    def _find_relays(self, post: Post) -> None:
+        lost, post.lost = post.lost, []
+        self.clients.reach_relays(lost)
+
+    def _admit(self, number: int) -> None:
+        self._front.admit(number)
+        self._set_changed(number)
+        self._find_relays(self._posts[number])
+
+    def _set_changed(self, number: int) -> None:
+        """Part of the connections of the zone's other relays land elsewhere, where packets pass through."""
+        self._changes += 1
+        if not self._scenario.relays.pass_through or self._kernel.now == self._kernel.start:
+            return
+        zone, salt = self._network.zone_of(number), self._changes * SEEDS[0]
+        for other, post in enumerate(self._posts):
+            if other == number or post.relay is None or self._network.zone_of(other) != zone:
+                continue
+            for exchange in post.relay.standing:
+                if mix(exchange.event.key + salt) < self._reshuffle * (1 << 64):
+                    self.clients.goes_elsewhere(exchange)
+
+    # ---- zones that are cut off ----
+
+    def _zone_changed(self, zone: int) -> None:
+        for number in self._of_zone(zone):
+            if self.reachable(number) and not self._front.admits(number) and self._ready(number):
+                self._admit(number)
+            elif not self.reachable(number) and self._front.admits(number):
+                self._kernel.after(self._notice_us(), self._cut_noticed, number)
+
+    def _ready(self, number: int) -> bool:
+        return self._posts[number].relay is not None and not self._posts[number].leaving
+
+    def _cut_noticed(self, number: int) -> None:
+        """Its process runs on, but its clients' packets go elsewhere."""
+        post = self._posts[number]
+        if self.reachable(number) or not self._front.admits(number):
+            return
+        self._front.remove(number)
+        self._find_relays(post)
+        self._set_changed(number)
+        if post.relay is not None:
+            for exchange in post.relay.standing:
+                self.clients.goes_elsewhere(exchange)
+
+    def _of_zone(self, zone: int) -> Sequence[int]:
+        return [number for number in range(len(self._posts)) if self._network.zone_of(number) == zone]
--- a/glenfold_lab/model/relays.py
+++ b/glenfold_lab/model/relays.py
@@ -170,21 +170,38 @@
     def _most_wait(self) -> int:
         return self.settings.max_retry_after_us if self.settings.may_retry_after else 0
 
-    def resume(self, exchange: Exchange, server: int) -> bool:
-        """A connection that stood at this server before the relay did; False if the server can't hold it."""
+    def stand(self, exchange: Exchange) -> bool:
+        """A connection that stood before the relay did; False if no server that the decisions name holds it.
+
+        It comes as a real relay's does, as one that already stands somewhere. The decisions are asked where
+        they would have placed it, as a fleet that has run for long is one that these decisions have filled:
+        each sees what it has placed before, so a full server has sent its share elsewhere."""
+        now, event = self._kernel.now, exchange.event
+        actions = self.dispatch.balancer.handle(now, event)
+        for tries in range(self.settings.max_attempts):
+            server = next((action.server for action in actions if isinstance(action, i.Attempt)), None)
+            if server is None:
+                return False
+            call = self._new_call(exchange, server, now + event.expires_in_us)
+            held = self._machines.resume(call)
+            outcome = i.Outcome.CANCELLED if held else i.Outcome.FULL
+            answer = i.Answer(event.request, tries, server, outcome, 0, held)
+            actions = self.dispatch.balancer.handle(now, answer)
+            if held:
+                self._resume(exchange, call)
+                return True
+        return False
+
+    def _resume(self, exchange: Exchange, call: Call) -> None:
         now = self._kernel.now
-        call = self._new_call(exchange, server, now + exchange.event.expires_in_us)
-        if not self._machines.resume(call):
-            return False
         self.exchanges[exchange.event.request] = exchange
-        self._tell(i.Existing(exchange.event, server))
-        exchange.state.resume(server, now)
+        self._tell(i.Existing(exchange.event, call.server))
+        exchange.state.resume(call.server, now)
         exchange.call = call
-        for effect in exchange.state.on(CALL_UP, now):
+        for effect in exchange.state.on(CALL_UP, now + (self._machines.answer_us(call) or 0)):
             if isinstance(effect, r.Report):
                 self._tell(effect.event)
         self._load_heard(exchange, call.load)
-        return True
 
     def client_left(self, exchange: Exchange) -> None:
         """It closed its side, be it answered by now or not."""
