--- /dev/null
+++ b/glenfold_lab/model/fleet.py
@@ -0,0 +1,156 @@
+"""The machines of the push servers and what a history draws for them, before anything moves."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import numpy as np
+
+from glenfold.destinations import server_number
+from glenfold_lab.model.draw import between, in_shares, lognormals, value
+from glenfold_lab.model.kernel import SECOND_US
+from glenfold_lab.spec import Range, Scenario, ServerKind
+from glenfold_lab.streams import Streams
+
+CORE = 1_000_000.0        # microseconds of work that a standard core does in a second
+TABLE_TAX: Range = (0.2, 0.4)  # of the capacity, lost to a full table of connections
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What one history drew that clients and machines have to agree on. Loads in microseconds a second on a
+    standard core; a class or scheme goes by its place in the scenario.
+
+    life_us: mean time for which a client wants its connection. mean_load: of a connection, over all classes;
+    class_load: of one of each class. capacity: of all push servers that the history starts with, warm, also
+    in loads. quotas: connections of each scheme within its share.
+    """
+
+    life_us: float
+    mean_load: float
+    class_load: tuple[float, ...]
+    capacity: float
+    quotas: tuple[float, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class KindTerms:
+    """One kind of server, drawn. per_core: of connections of the mean load; times in microseconds."""
+
+    name: str
+    cores: int
+    weight: float
+    speed: float
+    speed_cv: float
+    per_core: float
+    cap: float
+    queue: float
+    cold_from: float
+    cold_us: int
+    buffer_s: float
+    message_us: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class Machine:
+    """One push server, as it is and not as it is listed. capacity: of all its cores, warm, in loads."""
+
+    index: int
+    number: int
+    host: str
+    kind: KindTerms
+    kind_place: int
+    zone: int
+    cell: int
+    speed: float
+    capacity: float
+
+
+class Fleet:
+    """All push servers of a history. New ones get numbers of their own and never those of earlier ones."""
+
+    def __init__(self, scenario: Scenario, streams: Streams) -> None:
+        self._scenario = scenario
+        self._streams = streams
+        self._shares = [kind.share for kind in scenario.servers.kinds]
+        self._zone_shares = list(scenario.servers.zone_shares or [1.0] * len(scenario.zones.names))
+        self._hosts = 0
+        self._numbers: set[int] = set()
+        self.kinds = self._draw_kinds()
+        self.table_tax = value(TABLE_TAX, streams.of("servers", "table"))
+        self._speeds = [self._speeds_of(place, kind) for place, kind in enumerate(self.kinds)]
+        self.machines: list[Machine] = []
+        count = scenario.servers.count
+        kinds = in_shares(count, self._shares, streams.of("servers", "kinds"))
+        zones = in_shares(count, self._zone_shares, streams.of("servers", "zones"))
+        for kind, zone in zip(kinds, zones, strict=True):
+            self.add(kind, zone)
+        self.terms = self._draw_terms()
+
+    def add(self, kind_place: int, zone: int) -> Machine:
+        """A machine more, that no list has named yet."""
+        kind, speed = self.kinds[kind_place], next(self._speeds[kind_place])
+        index = len(self.machines)
+        host, number = self._new_name()
+        # A core of a kind that carries more connections than one of the first does that much more work.
+        capacity = kind.cores * speed * CORE * kind.per_core / self.kinds[0].per_core
+        cell = index // self._scenario.servers.cell_size
+        self.machines.append(Machine(index, number, host, kind, kind_place, zone, cell, speed, capacity))
+        return self.machines[-1]
+
+    def add_drawn(self) -> Machine:
+        """One of a kind and in a zone that the shares decide."""
+        random = self._streams.of("servers", "new")
+        return self.add(_drawn(self._shares, random), _drawn(self._zone_shares, random))
+
+    def warm_per_s(self, machine: Machine) -> float:
+        """New connections a second whose usual load fills all of its cores."""
+        return machine.capacity / self.terms.mean_load / self.terms.life_us * SECOND_US
+
+    def _new_name(self) -> tuple[str, int]:
+        while True:
+            self._hosts += 1
+            host = f"s-{self._hosts:04}"
+            number = server_number(host)
+            if number not in self._numbers:  # relays would leave out the second of two that are alike
+                self._numbers.add(number)
+                return host, number
+
+    def _draw_kinds(self) -> list[KindTerms]:
+        # Kinds with the same range carry the same number: it is the connections' doing, not the servers'.
+        place = float(self._streams.of("servers", "per_core").uniform())
+        return [self._draw_kind(number, kind, between(kind.per_core, place))
+                for number, kind in enumerate(self._scenario.servers.kinds)]
+
+    def _draw_kind(self, number: int, kind: ServerKind, per_core: float) -> KindTerms:
+        def drawn(name: str) -> float:
+            return value(getattr(kind, name), self._streams.of("servers", name, number))
+
+        return KindTerms(
+            name=kind.name, cores=kind.cores, weight=kind.weight or float(kind.cores), per_core=per_core,
+            cold_us=int(drawn("cold_s") * SECOND_US), message_us=drawn("message_ms") * 1000,
+            speed=drawn("speed"), speed_cv=drawn("speed_cv"), cap=drawn("cap"), queue=drawn("queue"),
+            cold_from=drawn("cold_from"), buffer_s=drawn("buffer_s"), burst=drawn("burst"))
+
+    def _speeds_of(self, place: int, kind: KindTerms) -> Iterator[float]:
+        return lognormals(kind.speed, kind.speed_cv, self._streams.of("servers", "speeds", place))
+
+    def _draw_terms(self) -> Terms:
+        mean = CORE / self.kinds[0].per_core
+        classes = self._scenario.classes
+        loads = [value(kind.load, self._streams.of("classes", "load", n)) for n, kind in enumerate(classes)]
+        usual = sum(load * kind.share for load, kind in zip(loads, classes, strict=True))
+        usual /= sum(kind.share for kind in classes)
+        capacity = sum(machine.capacity for machine in self.machines)
+        life = value(self._scenario.clients.life_s, self._streams.of("clients", "life"))
+        return Terms(
+            life_us=life * SECOND_US,
+            mean_load=mean,
+            class_load=tuple(mean * load / usual for load in loads),
+            capacity=capacity,
+            quotas=tuple(scheme.share * capacity / mean for scheme in self._scenario.schemes))
+
+
+def _drawn(shares: list[float], random: np.random.Generator) -> int:
+    place = random.uniform() * sum(shares)
+    return min(int(np.searchsorted(np.cumsum(shares), place, side="right")), len(shares) - 1)
--- /dev/null
+++ b/glenfold_lab/model/listing/feeds.py
@@ -0,0 +1,277 @@
+"""From discovery to each relay: what it finds out, gathers and sends, and what is late or lost on the way.
+
+Each relay's machine has an agent that holds the list as far as it has come; whatever the agent holds counts
+as told. The relay reads a watch on it, as `glenfold.net.discovery` does: a change that it can't place ends
+the watch, and the next one begins with a whole list.
+"""
+
+from collections.abc import Callable
+
+import numpy as np
+
+from glenfold.destinations import BadList
+from glenfold.net.discovery import AGAIN_S, LONGEST_SILENCE_S
+from glenfold_lab.model.draw import value
+from glenfold_lab.model.fleet import Fleet, Machine
+from glenfold_lab.model.kernel import SECOND_US, Kernel
+from glenfold_lab.model.listing.known import Known
+from glenfold_lab.model.listing.versions import Document, Entry, Versions, names_of
+from glenfold_lab.model.network import Network
+from glenfold_lab.observe import Told, Watcher
+from glenfold_lab.spec import Range, Scenario
+from glenfold_lab.streams import Streams
+from linnetspread.interface import ServerList
+
+AGAIN_US = int(AGAIN_S * SECOND_US)
+LONGEST_SILENCE_US = int(LONGEST_SILENCE_S * SECOND_US)
+HEARTBEAT_US = 2 * SECOND_US  # an agent finds out so much later at the most that a change is missing
+ANSWER_US = 1_000             # an agent on the same machine answers at once
+
+Heard = Callable[[ServerList], None]
+
+
+class Feed:
+    """One relay's agent, and its relay while that is up.
+
+    held: the version that the agent has come to. missing: versions that it should have by now, each with
+    whether it counts as told all the same. last: the version that the relay heard last. reads: whether the
+    relay has a watch that works. free_at: nothing sent now arrives before that.
+    """
+
+    __slots__ = ("relay", "heard", "known", "held", "missing", "last", "reads", "life", "free_at", "behind",
+                 "quiet_since")
+
+    def __init__(self, relay: int, version: int) -> None:
+        self.relay = relay
+        self.heard: Heard | None = None
+        self.known: Known | None = None
+        self.held = self.last = version
+        self.missing: dict[int, bool] = {}
+        self.reads = False
+        self.life = 0
+        self.free_at = 0
+        self.behind: list[int] = []  # changes that come after the next one
+        self.quiet_since = 0         # 0: the agent hears of discovery
+
+
+class RelayLists:
+    """Implements `wire.Listing`."""
+
+    def __init__(self, scenario: Scenario, streams: Streams, kernel: Kernel, watcher: Watcher, fleet: Fleet,
+                 network: Network) -> None:
+        spec = scenario.server_list
+        self._kernel, self._watcher, self._network = kernel, watcher, network
+        self._spec = spec
+
+        def micros(wanted: Range, unit: int, purpose: str) -> int:
+            return int(value(wanted, streams.of("list", purpose)) * unit)
+
+        self._notice_us = micros(spec.notice_s, SECOND_US, "notice")
+        self._add_us = micros(spec.add_s, SECOND_US, "add")
+        self._silent_notice_us = micros(spec.silent_notice_s, SECOND_US, "silent_notice")
+        self._spread_us = micros(spec.spread_ms, 1000, "spread")
+        self._period_us = max(1000, micros(spec.period_ms, 1000, "period"))
+        self._late_us = micros(spec.late_s, SECOND_US, "late")
+        self._told_within_us = int(spec.told_within_s * SECOND_US)
+        self._streams = streams
+        self._nothing = Known.nothing(names_of(scenario))
+        first = [Entry(machine, Told.READY, 0) for machine in fleet.machines]
+        self._versions = Versions(scenario.zones.names, first)
+        self._feeds = [Feed(relay, 1) for relay in range(scenario.relays.count)]
+        self._news_of: dict[int, int] = {}        # how much has happened to each server
+        self._noticed_of: dict[int, int] = {}     # and how much of it is known
+        self._gathered: dict[int, Entry] = {}
+        self._silent_until = 0
+        network.on_change.append(self._zone_changed)
+
+    # ---- discovery ----
+
+    def news(self, machine: Machine, state: Told, started: int, silent: bool) -> None:
+        """Something has happened to a server, of which discovery finds out later."""
+        happened = self._news_of[machine.number] = self._news_of.get(machine.number, 0) + 1
+        delay = self._silent_notice_us if silent else self._notice_us
+        delay = self._add_us if state is Told.READY else delay
+        self._kernel.after(delay, self._notice, Entry(machine, state, started), happened)
+
+    def _notice(self, entry: Entry, happened: int) -> None:
+        number = entry.machine.number
+        if happened < self._noticed_of.get(number, 0):
+            return  # it has been seen to be otherwise since
+        self._noticed_of[number] = happened
+        if not self._gathered:
+            self._kernel.at((self._kernel.now // self._period_us + 1) * self._period_us, self._publish)
+        self._gathered[number] = entry
+
+    def _publish(self) -> None:
+        gathered, self._gathered = self._gathered, {}
+        version = self._versions.add(list(gathered.values()))
+        if version is None:
+            return
+        count = len(self._feeds)
+        spread = self._draw("spreads", count) * self._spread_us
+        lost = (self._draw("lost", count) < self._spec.lost).tolist()
+        late = (self._draw("late", count) < self._spec.late).tolist()
+        for feed, delay, is_lost, is_late in zip(self._feeds, spread.tolist(), lost, late, strict=True):
+            feed.missing[version] = False
+            if is_lost:
+                self._kernel.after(int(delay) + HEARTBEAT_US, self._find_missing, feed, version)
+            else:
+                self._send(feed, version, int(delay) + (self._late_us if is_late else 0))
+        self._kernel.after(self._told_within_us, self._count_as_told, version)
+
+    def _draw(self, purpose: str, count: int) -> np.ndarray[tuple[int], np.dtype[np.float64]]:
+        return self._streams.of("list", purpose).uniform(size=count)
+
+    def _send(self, feed: Feed, version: int, delay: int) -> None:
+        """What is late holds up what comes behind it: it is one stream."""
+        feed.free_at = max(feed.free_at, self._kernel.now + delay)
+        self._kernel.at(feed.free_at, self._arrive, feed, version)
+
+    # ---- an agent ----
+
+    def _hears(self, feed: Feed) -> bool:
+        return self._kernel.now >= self._silent_until and not self._network.relay_cut(feed.relay)
+
+    def _arrive(self, feed: Feed, version: int) -> None:
+        """A change has come to the agent."""
+        if version not in feed.missing or not self._hears(feed):
+            return
+        if min(feed.missing) < version and not feed.behind:  # there is a gap: it asks for the whole list
+            return self._come_to(feed, version, True)
+        if self._luck("out_of_order", self._spec.out_of_order):
+            feed.behind.append(version)
+            return self._kernel.after(HEARTBEAT_US, self._late_ones, feed)
+        self._come_to(feed, version, False)
+        if self._luck("doubled", self._spec.doubled):
+            self._write(feed, version, False)
+        self._late_ones(feed)
+
+    def _luck(self, purpose: str, share: float) -> bool:
+        return share > 0 and self._streams.of("list", purpose).uniform() < share
+
+    def _late_ones(self, feed: Feed) -> None:
+        behind, feed.behind = feed.behind, []
+        for version in behind:
+            if version in feed.missing and self._hears(feed):
+                self._come_to(feed, version, False)
+
+    def _find_missing(self, feed: Feed, version: int) -> None:
+        """Nothing came behind the change that was lost."""
+        if version in feed.missing and self._hears(feed):
+            self._come_to(feed, self._versions.last, True)
+
+    def _come_to(self, feed: Feed, version: int, whole: bool) -> None:
+        """The agent holds this version now, or all versions up to it."""
+        feed.held = max(feed.held, version)
+        come = [v for v in feed.missing if v <= version] if whole else [version]
+        for one in come:
+            self._tell_change(feed, one)
+            del feed.missing[one]
+        self._write(feed, version, whole)
+
+    # ---- a relay ----
+
+    def relay_up(self, relay: int, heard: Heard) -> None:
+        feed = self._feeds[relay]
+        feed.heard, feed.known = heard, self._nothing
+        feed.life += 1
+        cached, feed.reads = feed.last, True
+        self._read(feed, self._versions.whole(cached), True)
+        if not self._hears(feed):  # its agent can't know either, until it is told again
+            feed.missing |= {version: False for version in range(cached + 1, feed.held + 1)}
+        self._tell_start(feed, cached)
+        if feed.held != cached:  # else the watch would begin with the list that it has
+            feed.reads = False
+            self._kernel.after(ANSWER_US, self._watch_again, feed, feed.life)
+
+    def relay_down(self, relay: int) -> None:
+        feed = self._feeds[relay]
+        feed.heard, feed.known, feed.reads = None, None, False
+        feed.life += 1
+
+    def _write(self, feed: Feed, version: int, whole: bool) -> None:
+        if feed.reads:
+            versions = self._versions
+            self._read(feed, versions.whole(version) if whole else versions.change(version))
+
+    def _read(self, feed: Feed, document: Document, cached: bool = False) -> None:
+        if feed.heard is None or feed.known is None:
+            return
+        try:
+            feed.known = feed.known.read(document, cached)
+        except BadList:
+            feed.reads = False
+            return self._kernel.after(AGAIN_US, self._watch_again, feed, feed.life)
+        feed.last = document["seq"]
+        feed.heard(feed.known.told)
+
+    def _watch_again(self, feed: Feed, life: int) -> None:
+        """A watch begins with a whole list. One that finds its agent silent begins when that speaks again."""
+        if life == feed.life and not feed.reads and self._hears(feed):
+            feed.reads = True
+            self._write(feed, feed.held, True)
+
+    # ---- what counts as told ----
+
+    def _tell(self, feed: Feed, entry: Entry) -> None:
+        self._watcher.told(self._kernel.now, feed.relay, entry.machine.number, entry.state, entry.started)
+
+    def _tell_change(self, feed: Feed, version: int) -> None:
+        if feed.heard is None:
+            return
+        for entry in self._versions.changed(version):
+            latest = self._versions.changed_last(entry.machine.number)
+            if latest == version or latest > feed.held or latest in feed.missing:
+                self._tell(feed, entry)  # else what it has been told is newer
+
+    def _tell_start(self, feed: Feed, cached: int) -> None:
+        """The list that it starts with, then what its agent holds beyond it or has to."""
+        now, told, relay = self._kernel.now, self._watcher.told, feed.relay
+        for entry in self._versions.entries(cached):  # thousands, at thousands of relays
+            told(now, relay, entry.machine.number, entry.state, entry.started)
+        for version in range(1, self._versions.last + 1):
+            due = feed.missing.get(version, version <= feed.held)
+            if due and (version > cached or version in feed.missing):
+                self._tell_change(feed, version)
+
+    def _count_as_told(self, version: int) -> None:
+        for feed in self._feeds:
+            if version in feed.missing:
+                feed.missing[version] = True
+                self._tell_change(feed, version)
+
+    # ---- silence ----
+
+    def silence(self, us: int) -> None:
+        """Discovery and all agents say nothing for so long."""
+        self._silent_until = max(self._silent_until, self._kernel.now + us)
+        self._mark_quiet()
+        self._kernel.at(self._silent_until, self._speak)
+
+    def _zone_changed(self, _zone: int) -> None:
+        self._mark_quiet()
+        self._speak()
+
+    def _mark_quiet(self) -> None:
+        for feed in self._feeds:
+            if not self._hears(feed):
+                feed.quiet_since = feed.quiet_since or self._kernel.now
+
+    def _speak(self) -> None:
+        for feed in self._feeds:
+            if feed.quiet_since and self._hears(feed):
+                self._catch_up(feed, self._kernel.now - feed.quiet_since)
+                feed.quiet_since = 0
+
+    def _catch_up(self, feed: Feed, silent_us: int) -> None:
+        """A watch that said nothing for long was given up and begins anew; another just goes on."""
+        feed.held = self._versions.last
+        for version in sorted(feed.missing):
+            self._tell_change(feed, version)
+            if feed.reads and silent_us < LONGEST_SILENCE_US:
+                self._write(feed, version, False)
+        feed.missing.clear()
+        if feed.heard is not None and (silent_us >= LONGEST_SILENCE_US or not feed.reads):
+            feed.reads = False
+            again = int(self._streams.of("list", "again").uniform() * AGAIN_US)
+            self._kernel.after(again, self._watch_again, feed, feed.life)
--- /dev/null
+++ b/glenfold_lab/model/listing/known.py
@@ -0,0 +1,51 @@
+"""The real `DestinationSet` of each relay, held once for all relays that heard the same."""
+
+import copy
+from weakref import WeakValueDictionary
+
+from glenfold.config import Names
+from glenfold.destinations import DestinationSet
+from glenfold_lab.model.listing.versions import Document
+from linnetspread.interface import ListKind, ServerList
+
+Heard = tuple[int, bool, bool]  # version, whether whole, whether cached
+
+
+class _Set(DestinationSet):
+    def twin(self) -> "_Set":
+        """One that goes its own way from here. What a set knows is replaced with each list, never changed in
+        place, but for those that have left."""
+        other = copy.copy(self)
+        other._left = dict(self._left)
+        return other
+
+
+class Known:
+    """What relays know that heard the same lists in the same order, and the list that they heard last.
+
+    10,000 servers told to 1,000 relays would be 10 million entries to read: so the first relay that hears a
+    list reads it, and those that come to the same knowledge by the same list share what came of it. It holds
+    only for as long as somebody keeps it.
+    """
+
+    __slots__ = ("_set", "_next", "told", "__weakref__")
+
+    def __init__(self, known: _Set, told: ServerList) -> None:
+        self._set = known
+        self._next: WeakValueDictionary[Heard, Known] = WeakValueDictionary()
+        self.told = told
+
+    @classmethod
+    def nothing(cls, names: Names) -> "Known":
+        """What a relay knows before it has heard any list."""
+        return cls(_Set(names), ServerList(ListKind.CACHED))
+
+    def read(self, document: Document, cached: bool = False) -> "Known":
+        """The knowledge after this list; `BadList` as the set has it. The same version must be the same
+        document."""
+        heard = document["seq"], document["whole"], cached
+        known = self._next.get(heard)
+        if known is None:
+            twin = self._set.twin()
+            known = self._next[heard] = Known(twin, twin.read(document, cached))
+        return known
--- /dev/null
+++ b/glenfold_lab/model/listing/versions.py
@@ -0,0 +1,98 @@
+"""What discovery knows of the push servers, version by version, as documents in its own form."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from typing import Any
+
+from glenfold.config import Names
+from glenfold.destinations import STATES
+from glenfold_lab.model.fleet import Machine
+from glenfold_lab.observe import Told
+from glenfold_lab.spec import Scenario
+
+Document = dict[str, Any]
+
+PORT = 3000
+WHOLE_KEPT = 8  # whole lists of so many versions are kept; others are put together again
+WORDS = {Told[state.name]: word for word, state in STATES.items()}
+
+
+def names_of(scenario: Scenario) -> Names:
+    """Places as relays are told them by their settings."""
+    def places(parts: tuple[Any, ...]) -> dict[str, int]:
+        return {part.name: place for place, part in enumerate(parts)}
+
+    sites = {name: place for place, name in enumerate(scenario.zones.names)}
+    return Names(places(scenario.classes), places(scenario.schemes), sites, places(scenario.servers.kinds))
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One server as the list has it; `started` in microseconds, 0 if long ago."""
+
+    machine: Machine
+    state: Told
+    started: int
+
+    def document(self, zones: tuple[str, ...]) -> Document:
+        machine = self.machine
+        return {"host": machine.host, "dial": f"{machine.host}:{PORT}", "site": zones[machine.zone],
+                "class": machine.kind.name, "block": machine.cell, "health": WORDS[self.state],
+                "share": machine.kind.weight, "born_ms": self.started // 1000}
+
+
+class Versions:
+    """Version 1 is the list that the history starts with; every change makes one more."""
+
+    def __init__(self, zones: tuple[str, ...], first: list[Entry]) -> None:
+        self._zones = zones
+        self._changes: list[list[Entry]] = [[], first]  # by version
+        self._latest: dict[int, tuple[int, Entry]] = {e.machine.number: (1, e) for e in first}
+        self._whole: OrderedDict[int, tuple[list[Entry], Document]] = OrderedDict()
+
+    @property
+    def last(self) -> int:
+        return len(self._changes) - 1
+
+    def add(self, entries: list[Entry]) -> int | None:
+        """A version more, of those entries that say something new; None if none does."""
+        new = [entry for entry in entries if self._says_new(entry)]
+        if not new:
+            return None
+        self._changes.append(new)
+        for entry in new:
+            self._latest[entry.machine.number] = self.last, entry
+        return self.last
+
+    def _says_new(self, entry: Entry) -> bool:
+        known = self._latest.get(entry.machine.number)
+        return entry != known[1] if known is not None else entry.state is not Told.GONE
+
+    def changed(self, version: int) -> list[Entry]:
+        return self._changes[version]
+
+    def change(self, version: int) -> Document:
+        return self._document(version, False, self._changes[version])
+
+    def changed_last(self, server: int) -> int:
+        """The version in which this server changed last."""
+        return self._latest[server][0]
+
+    def entries(self, version: int) -> list[Entry]:
+        """All servers that were there in that version."""
+        return self._whole_of(version)[0]
+
+    def whole(self, version: int) -> Document:
+        return self._whole_of(version)[1]
+
+    def _whole_of(self, version: int) -> tuple[list[Entry], Document]:
+        if version not in self._whole:
+            by_server = {e.machine.number: e for step in self._changes[:version + 1] for e in step}
+            entries = [entry for entry in by_server.values() if entry.state is not Told.GONE]
+            self._whole[version] = entries, self._document(version, True, entries)
+            if len(self._whole) > WHOLE_KEPT:
+                self._whole.popitem(last=False)
+        return self._whole[version]
+
+    def _document(self, version: int, whole: bool, entries: list[Entry]) -> Document:
+        return {"seq": version, "whole": whole, "hosts": [entry.document(self._zones) for entry in entries]}
--- /dev/null
+++ b/glenfold_lab/model/machine_faults.py
@@ -0,0 +1,191 @@
+"""What goes wrong with push servers and their list, as a scenario says; whom it strikes is drawn."""
+
+from collections.abc import Callable, Sequence
+
+from glenfold_lab.model.draw import value
+from glenfold_lab.model.kernel import SECOND_US, Kernel
+from glenfold_lab.model.listing.feeds import RelayLists
+from glenfold_lab.model.network import Network
+from glenfold_lab.model.servers.calls import PushServers
+from glenfold_lab.model.servers.lives import Lives
+from glenfold_lab.model.servers.server import Server
+from glenfold_lab.results import Happened
+from glenfold_lab.spec import Fault, Scenario
+from glenfold_lab.streams import Streams
+
+# Where a fault does not say it: the part of the servers that it strikes, the cores that a neighbour takes,
+# how many times smaller a fleet becomes, and how long a flapping server is away and back.
+PART, TAKEN, SMALLER, FLAP_S = 0.25, 0.5, 2.0, 4.0
+
+
+class Due:
+    """A fault of the scenario, drawn: times in microseconds, `at` from the start of the history. Its place in
+    the scenario decides its generators, so that one fault more shifts no other."""
+
+    def __init__(self, fault: Fault, place: int, streams: Streams) -> None:
+        self.fault = fault
+        self._streams, self._place = streams, place
+        self.at, self.length, self.over, self.every = (
+            int(self.drawn(name, 0.0) * SECOND_US) for name in ("at_s", "len_s", "over_s", "every_s"))
+
+    def drawn(self, name: str, default: float) -> float:
+        wanted = getattr(self.fault, name)
+        return default if wanted is None else value(wanted, self._streams.of("faults", name, self._place))
+
+    def count_of(self, servers: int) -> int:
+        part = self.drawn("part", PART)
+        return min(servers, self.fault.count or max(1, round(part * servers)))
+
+    def choose(self, servers: Sequence[Server], count: int) -> list[Server]:
+        order = self._streams.of("faults", "whom", self._place).permutation(len(servers))
+        return [servers[place] for place in sorted(order[:count].tolist())]
+
+    def place_of(self, count: int) -> int:
+        return int(self._streams.of("faults", "where", self._place).integers(count))
+
+
+class MachineFaults:
+    """Each kind of fault is one method, called at its moment; it tells until when it lasts and of whom."""
+
+    def __init__(self, scenario: Scenario, streams: Streams, kernel: Kernel, servers: PushServers,
+                 lives: Lives, lists: RelayLists, network: Network, note: Callable[[Happened], None]) -> None:
+        self._kernel, self._servers, self._lives = kernel, servers, lives
+        self._lists, self._network = lists, network
+        self._relays = scenario.relays.count
+        self._end = kernel.start + int(scenario.length_s * SECOND_US)
+        self._note = note
+        self._kinds: dict[str, Callable[[Due], Happened]] = {
+            "neighbour": self._neighbour, "shrink": self._shrink, "drain": self._drain,
+            "restart_servers": self._restart, "start_servers": self._start_new, "server_crash": self._crash,
+            "server_vanish": self._vanish, "server_jam": self._jam, "zone_loss": self._zone_loss,
+            "list_silent": self._list_silent, "flap": self._flap}
+        self._due = [Due(fault, place, streams) for place, fault in enumerate(scenario.faults)
+                     if fault.kind in self._kinds]
+
+    def start(self) -> None:
+        for due in self._due:
+            self._kernel.at(self._kernel.start + due.at, self._strike, due)
+
+    def _strike(self, due: Due) -> None:
+        self._note(self._kinds[due.fault.kind](due))
+
+    def _chosen(self, due: Due) -> list[Server]:
+        running = self._lives.running()
+        return due.choose(running, due.count_of(len(running)))
+
+    def _happened(self, due: Due, servers: Sequence[Server], us: int = 0,
+                  relays: tuple[int, ...] = ()) -> Happened:
+        """us: for how long; 0 is for good."""
+        now = self._kernel.now - self._kernel.start
+        numbers = tuple(server.machine.number for server in servers)
+        return Happened(due.fault.kind, now, now + us if us else None, numbers, relays)
+
+    # ---- capacity ----
+
+    def _neighbour(self, due: Due) -> Happened:
+        struck, share = self._chosen(due), min(1.0, due.drawn("size", TAKEN))
+        until = self._kernel.now + due.length if due.length else self._end
+        for server in struck:
+            self._take_turns(server, share, due.every or until, until)
+        return self._happened(due, struck, due.length)
+
+    def _take_turns(self, server: Server, share: float, every: int, until: int, away: float = 0.0) -> None:
+        """On for a while and off for a while."""
+        now = self._kernel.now
+        self._lives.take_cores(server, share if now < until else 0.0)
+        if now < until:
+            self._kernel.at(min(now + every, until), self._take_turns, server, away, every, until, share)
+
+    def _jam(self, due: Due) -> Happened:
+        struck = self._chosen(due)
+        for server in struck:
+            self._lives.jam(server, True)
+            if due.length:
+                self._kernel.after(due.length, self._lives.jam, server, False)
+        return self._happened(due, struck, due.length)
+
+    # ---- the fleet ----
+
+    def _shrink(self, due: Due) -> Happened:
+        running = self._lives.running()
+        left = max(1, round(len(running) / max(1.0, due.drawn("size", SMALLER))))
+        return self._drain_all(due, due.choose(running, len(running) - left))
+
+    def _drain(self, due: Due) -> Happened:
+        struck = self._chosen(due)
+        happened = self._drain_all(due, struck)
+        for server in struck if due.fault.replace else ():
+            machine = server.machine
+            self._lives.add(self._servers.fleet.add(machine.kind_place, machine.zone))
+        return happened
+
+    def _drain_all(self, due: Due, struck: list[Server]) -> Happened:
+        for server in struck:
+            self._lives.drain(server, due.over)
+        return self._happened(due, struck, due.over)
+
+    def _restart(self, due: Due) -> Happened:
+        struck = self._chosen(due)
+        for turn, server in enumerate(struck):
+            self._kernel.after(due.over * turn // len(struck), self._lives.restart, server, due.length)
+        return self._happened(due, struck, due.over + due.length)
+
+    def _start_new(self, due: Due) -> Happened:
+        count = due.fault.count or due.count_of(len(self._lives.running()))
+        for turn in range(count):
+            self._kernel.after(due.over * turn // count, self._add_one)
+        return self._happened(due, (), due.over)
+
+    def _add_one(self) -> None:
+        self._lives.add(self._servers.fleet.add_drawn())
+
+    def _crash(self, due: Due) -> Happened:
+        struck = self._chosen(due)
+        for server in struck:
+            if due.length:
+                self._lives.restart(server, due.length)
+            else:
+                self._lives.end(server)
+        return self._happened(due, struck, due.length)
+
+    # ---- silence ----
+
+    def _vanish(self, due: Due) -> Happened:
+        struck = self._chosen(due)
+        for server in struck:
+            self._lives.vanish(server)
+            if due.length:
+                self._kernel.after(due.length, self._lives.appear, server, server.life)
+        return self._happened(due, struck, due.length)
+
+    def _zone_loss(self, due: Due) -> Happened:
+        names = self._network.names
+        zone = names.index(due.fault.zone) if due.fault.zone else due.place_of(len(names))
+        struck = self._lives.cut(zone, due.fault.relays)
+        if due.length:
+            self._kernel.after(due.length, self._lives.restore, zone)
+        relays = range(self._relays) if due.fault.relays else ()
+        cut_off = tuple(relay for relay in relays if self._network.zone_of(relay) == zone)
+        return self._happened(due, struck, due.length, cut_off)
+
+    # ---- the list ----
+
+    def _list_silent(self, due: Due) -> Happened:
+        self._lists.silence(due.length or self._end - self._kernel.now)
+        return self._happened(due, (), due.length)
+
+    def _flap(self, due: Due) -> Happened:
+        struck = self._chosen(due)
+        until = self._kernel.now + due.length if due.length else self._end
+        half = (due.every or int(FLAP_S * SECOND_US)) // 2
+        for server in struck:
+            self._flap_out(server, server.life, half, until)
+        return self._happened(due, struck, due.length)
+
+    def _flap_out(self, server: Server, life: int, half: int, until: int) -> None:
+        if self._kernel.now < until and server.life == life and self._lives.turn_away(server):
+            self._kernel.after(half, self._flap_back, server, life, half, until)
+
+    def _flap_back(self, server: Server, life: int, half: int, until: int) -> None:
+        self._lives.take_again(server, life)
+        self._kernel.after(half, self._flap_out, server, life, half, until)
--- a/glenfold_lab/model/network.py
+++ b/glenfold_lab/model/network.py
@@ -35,9 +35,9 @@
     def zone_of(self, relay: int) -> int:
         return relay % len(self.names)
 
-    def mean_us(self, zone: int, other: int) -> float:
-        """One way, without jitter."""
-        return self._one_way[zone][other]
+    def round_trip_us(self, zone: int, server_zone: int) -> float:
+        """From a client through a relay of its zone to a push server and back, without jitter."""
+        return 2 * (self._client_us + self._one_way[zone][server_zone])
 
     def delay_us(self, zone: int, other: int) -> int:
         """Of one message between a relay and a push server."""
--- /dev/null
+++ b/glenfold_lab/model/servers/calls.py
@@ -0,0 +1,313 @@
+"""Push servers as relays meet them: attempts, standing connections, and their ends."""
+
+import math
+from collections.abc import Callable, Iterator
+
+import numpy as np
+
+from glenfold.net.passing import SILENT_S
+from glenfold_lab.model.draw import BLOCK, lognormals, value
+from glenfold_lab.model.fleet import Fleet, Machine
+from glenfold_lab.model.kernel import SECOND_US, Kernel
+from glenfold_lab.model.network import Network
+from glenfold_lab.model.servers.messages import Messages, Moment
+from glenfold_lab.model.servers.placed import Placed
+from glenfold_lab.model.servers.server import Server, Stage
+from glenfold_lab.model.wire import Call
+from glenfold_lab.observe import End, Over, Watcher
+from glenfold_lab.spec import Scenario
+from glenfold_lab.streams import Streams
+
+TICK_US = 250_000
+LEAST_US = 1_000       # until a set-up that is not done yet is looked at again
+SET_UP_SIGMA = 0.9     # of the logarithm of a set-up's work
+OWN_SPREAD = 0.1       # of a set-up's own time, on the mean
+CHANCE = 2.0           # connections beyond the budget that a cold server survives, as relays share nothing,
+SPREADS = 2.0          # and so many times the spread of a Poisson count of the budget's size
+SILENT_US = SILENT_S * SECOND_US
+ROOM = 0.95            # of its capacity: what a server that sheds connections comes down to
+
+
+class PushServers:
+    """Implements `wire.Machines`. A server goes by its number outside and by its index in tables."""
+
+    def __init__(self, scenario: Scenario, streams: Streams, kernel: Kernel, watcher: Watcher, fleet: Fleet,
+                 network: Network) -> None:
+        self.kernel, self.watcher, self.fleet, self.network = kernel, watcher, fleet, network
+        self._rules = scenario.rules
+        self._group_cost = fleet.terms.mean_load * value(
+            scenario.servers.group_cost, streams.of("servers", "group_cost"))
+        self._error_rate = value(scenario.servers.error_rate, streams.of("servers", "error_rate"))
+        self._park_us = int(value(scenario.servers.park_s, streams.of("servers", "park")) * SECOND_US)
+        self._works = [
+            lognormals(value(kind.set_up_ms, streams.of("classes", "set_up", n)) * 1000, SET_UP_SIGMA,
+                       streams.of("servers", "set_ups", n)) for n, kind in enumerate(scenario.classes)]
+        self._spread = _exponentials(streams.of("servers", "spread"))
+        self._luck = streams.of("servers", "errors")
+        aims = [kind.message_aim_ms * 1000 for kind in scenario.classes]
+        self.messages = Messages(network, aims)
+        self.placed = Placed(len(network.names), len(scenario.classes), len(scenario.schemes))
+        self.all: list[Server] = []
+        self._by_number: dict[int, Server] = {}
+        self.moment: Moment | None = None
+        self.on_fall: Callable[[Server], None] = self.break_all
+        network.on_change.append(self._zone_changed)
+        for machine in fleet.machines:
+            self.add(machine)
+
+    def add(self, machine: Machine) -> Server:
+        """A machine whose process does not run yet."""
+        server = Server(machine, self.fleet.terms.mean_load, self.fleet.table_tax, self._group_cost)
+        self.all.append(server)
+        self._by_number[machine.number] = server
+        self.placed.add_server()
+        self.messages.add_server(machine)
+        return server
+
+    # ---- attempts ----
+
+    def call(self, call: Call) -> None:
+        server = self._by_number[call.server]
+        if not self._reached(call, server):
+            return
+        way = self._way(call, server)
+        call.sent_at = self.kernel.now + 2 * way
+        if server.running:
+            self.kernel.after(3 * way, self._arrive, call, server)
+        else:
+            self.kernel.after(way, self._refuse, call, server)
+
+    def _arrive(self, call: Call, server: Server) -> None:
+        if call.dropped or not self._reached(call, server):
+            return
+        now = self.kernel.now
+        mid_flow = server.parked.get(call.connection) if call.mid_flow else None
+        if not server.running or mid_flow is None and server.held >= server.cap:
+            return self._refuse(call, server)
+        call.arrived = True
+        self.watcher.sent(now, call.request, call.relay, call.server, call.sent_at)
+        server.advance(now)
+        if mid_flow is not None:
+            server.unpark(mid_flow)
+            call.resumed = True
+            self._stand(call, server)
+        elif server.cold and self._too_many(server):
+            self._answer(call, server, Over.RESET)
+            self.on_fall(server)
+        elif server.stage is Stage.DRAINS or now > call.deadline or len(server.waiting) >= server.queue:
+            self._answer(call, server, Over.BUSY)
+        else:
+            self._set_up(call, server)
+
+    def _too_many(self, server: Server) -> bool:
+        """Whether this new connection is beyond what a cold server survives."""
+        now, arrivals, rules = self.kernel.now, server.arrivals, self._rules
+        arrivals.append(now)
+        while arrivals[0] <= now - rules.fall_s * SECOND_US:
+            arrivals.popleft()
+        present = self.fleet.warm_per_s(server.machine) * server.warmth(now)
+        budget = rules.fall_multiple * rules.fall_s * present
+        return len(arrivals) > budget + CHANCE + SPREADS * math.sqrt(budget)
+
+    def _set_up(self, call: Call, server: Server) -> None:
+        wait = min(server.pile_us(), TICK_US * 1.0) if server.capacity() <= 0 else server.pile_us()
+        work = next(self._works[call.request_class])
+        own = work / server.machine.speed
+        end = server.queue_up(call, work)
+        spread = next(self._spread) * (OWN_SPREAD * own + server.wait_us)
+        self.kernel.after(int(wait + own + spread), self._done, call, server, end)
+
+    def _done(self, call: Call, server: Server, end: float) -> None:
+        if call.over or call.dropped or not self._reached(call, server):
+            return
+        server.advance(self.kernel.now)
+        if server.served < end - 1:  # its capacity has fallen since
+            capacity = server.capacity()
+            left = (end - server.served) / capacity * 1e6 if capacity > 0 else TICK_US
+            return self.kernel.after(max(LEAST_US, min(TICK_US, int(left))), self._done, call, server, end)
+        del server.waiting[call.request]
+        if self.kernel.now > call.deadline:
+            self._answer(call, server, Over.BUSY)
+        elif self._error_rate and self._luck.uniform() < self._error_rate:
+            self._answer(call, server, Over.ERROR)
+        else:
+            self._stand(call, server)
+
+    def _stand(self, call: Call, server: Server) -> None:
+        self._put(call, server)
+        self._answer(call, server, Over.UP)
+
+    def _refuse(self, call: Call, server: Server) -> None:
+        if not call.dropped:
+            self._answer(call, server, Over.REFUSED)
+
+    def _answer(self, call: Call, server: Server, over: Over) -> None:
+        call.over = True
+        self.watcher.attempt_over(self.kernel.now, call.request, call.server, over)
+        if self._reached(call, server):
+            self.kernel.after(self._way(call, server), self._replied, call, server, over)
+
+    def _replied(self, call: Call, server: Server, over: Over) -> None:
+        if call.dropped:
+            return
+        call.back.replied(call, over)
+        if call.stands and (server.quiet or not self._reached(call, server)):
+            call.back.fell_silent(call)
+
+    # ---- standing connections ----
+
+    def resume(self, call: Call) -> bool:
+        server = self._by_number[call.server]
+        if not server.running or server.held >= server.cap:
+            return False
+        server.advance(self.kernel.now)
+        call.arrived = call.over = True
+        self._put(call, server)
+        return True
+
+    def close(self, call: Call) -> None:
+        if call.dropped:
+            return
+        call.dropped = True
+        server = self._by_number[call.server]
+        if call.stands:
+            self._take_off(call, server)
+        elif call.arrived and not call.over:
+            server.advance(self.kernel.now)
+            server.give_up(call)
+            self.watcher.attempt_over(self.kernel.now, call.request, call.server, Over.ABANDONED)
+        elif server.parked.get(call.connection) is call:
+            self._forget_parked(call, server)
+
+    def park(self, call: Call) -> None:
+        if not call.stands:
+            return self.close(call)
+        server = self._by_number[call.server]
+        server.advance(self.kernel.now)
+        server.park(call)
+        self._count(call, server, -1)
+        call.stands = False
+        self.kernel.after(self._park_us, self._forget_parked, call, server)
+
+    def _forget_parked(self, call: Call, server: Server) -> None:
+        if server.parked.get(call.connection) is call:
+            server.advance(self.kernel.now)
+            server.unpark(call)
+
+    def change_load(self, call: Call, load: float) -> None:
+        if call.stands:
+            server = self._by_number[call.server]
+            server.advance(self.kernel.now)
+            server.demand += load - call.load
+        call.load = load
+
+    def answer_us(self, call: Call) -> int | None:
+        server = self._by_number[call.server]
+        if not call.stands or not self._reached(call, server):
+            return None
+        server.advance(self.kernel.now)
+        took = server.pile_us() + server.wait_us + self.messages.own_us(server.machine.index)
+        way = self.network.delay_us(self.network.zone_of(call.relay), server.machine.zone)
+        return int(2 * way + took) if took < float("inf") else None
+
+    def break_off(self, call: Call, server: Server, how: End) -> None:
+        """Ends a standing connection from the server's side."""
+        self._take_off(call, server)
+        if self._reached(call, server):
+            self.kernel.after(self._way(call, server), self._ended, call, how)
+
+    def break_all(self, server: Server) -> None:
+        """The process dies: all it holds is reset, and whoever waits there as well."""
+        for call, _, _ in list(server.waiting.values()):
+            self._answer(call, server, Over.RESET)
+        for call in list(server.standing.values()):
+            self.break_off(call, server, End.BROKEN)
+        server.clear()
+
+    def _ended(self, call: Call, how: End) -> None:
+        if not call.dropped:
+            call.back.ended(call, how)
+
+    def _put(self, call: Call, server: Server) -> None:
+        server.put(call)
+        self._count(call, server, 1)
+        call.stands = True
+
+    def _take_off(self, call: Call, server: Server) -> None:
+        server.advance(self.kernel.now)
+        server.take_off(call)
+        self._count(call, server, -1)
+        call.stands = False
+
+    def _count(self, call: Call, server: Server, change: int) -> None:
+        zone = self.network.zone_of(call.relay)
+        self.placed.count(server.machine.index, zone, call.request_class, call.scheme, change)
+
+    # ---- the way between ----
+
+    def _reached(self, call: Call, server: Server) -> bool:
+        zone = self.network.zone_of(call.relay)
+        return not server.silent and self.network.passes(zone, server.machine.zone)
+
+    def _way(self, call: Call, server: Server) -> int:
+        return self.network.delay_us(self.network.zone_of(call.relay), server.machine.zone)
+
+    def tell_silent(self, server: Server) -> None:
+        """Its connections, that is to say those whose lines go unanswered now."""
+        for call in list(server.standing.values()):
+            if server.quiet or not self._reached(call, server):
+                call.back.fell_silent(call)
+
+    def _zone_changed(self, _zone: int) -> None:
+        for server in self.all:
+            if server.running and not server.silent and not server.quiet:
+                self.tell_silent(server)
+
+    # ---- every tick ----
+
+    def tick(self) -> Moment:
+        """Brings all servers up to now and gives them as tables; those that hold too much shed."""
+        rows = [self._tick_one(server) for server in self.all]
+        demand, capacity, set_ups, pile = np.array(rows, dtype=np.float64).T
+        used = np.divide(demand + set_ups, capacity, out=np.ones_like(demand), where=capacity > 0)
+        zones = range(len(self.network.names))
+        answers = np.array([[s.running and not s.silent and self.network.passes(zone, s.machine.zone)
+                             for zone in zones] for s in self.all])
+        self.moment = Moment(demand, capacity, used, pile, answers)
+        for server, wait in zip(self.all, self.messages.waits(used).tolist(), strict=True):
+            server.wait_us = wait
+        return self.moment
+
+    def _tick_one(self, server: Server) -> tuple[float, float, float, float]:
+        if not server.running:
+            return 0.0, 0.0, 0.0, 0.0
+        now = self.kernel.now
+        if server.cold:
+            server.refresh(now)
+        else:
+            server.advance(now)
+        if server.piled > server.machine.kind.buffer_s * server.machine.capacity:
+            self._shed(server)
+        server.set_up_load = (server.set_up_load + server.set_up_work / TICK_US * SECOND_US) / 2
+        server.set_up_work = 0.0
+        pile = server.pile_us()
+        if server.quiet != (pile > SILENT_US):
+            server.quiet = not server.quiet
+            if server.quiet:
+                self.tell_silent(server)
+        return server.demand, server.capacity(), server.set_up_load, pile
+
+    def _shed(self, server: Server) -> None:
+        """More is piled up than it has room for: it drops the heaviest, one at least, until the rest fits."""
+        heaviest = sorted(server.standing.values(), key=lambda call: (-call.load, call.request))
+        for turn, call in enumerate(heaviest):
+            capacity = server.capacity()
+            if turn and (server.demand <= ROOM * capacity or capacity <= 0):
+                break
+            self.break_off(call, server, End.BROKEN)
+        server.skip(server.piled - server.machine.kind.buffer_s * server.machine.capacity)
+
+
+def _exponentials(random: np.random.Generator) -> Iterator[float]:
+    while True:
+        yield from random.exponential(1.0, BLOCK).tolist()
--- /dev/null
+++ b/glenfold_lab/model/servers/lives.py
@@ -0,0 +1,182 @@
+"""How push servers start, drain, end, fall silent and come back, and who is told of it."""
+
+import math
+from collections.abc import Callable
+
+from glenfold_lab.model.fleet import Machine
+from glenfold_lab.model.kernel import SECOND_US
+from glenfold_lab.model.servers.calls import PushServers
+from glenfold_lab.model.servers.server import Server, Stage
+from glenfold_lab.observe import Capacity, End, Told
+from glenfold_lab.results import Happened
+from glenfold_lab.spec import Rules
+
+STEP_US = 100_000  # a draining server asks some of its clients to leave every so often
+MS = 1000          # lists tell the moment of a start in milliseconds: starts fall on whole ones
+
+# Machine, its new state, when it started, and whether it went without a word.
+News = Callable[[Machine, Told, int, bool], None]
+
+
+class Lives:
+    """All changes of a server's stage are made here, once each; what is over for a server stays so until its
+    next process. `news` hears of what discovery has to find out."""
+
+    def __init__(self, servers: PushServers, rules: Rules, news: News,
+                 note: Callable[[Happened], None]) -> None:
+        self._servers = servers
+        self._kernel, self._watcher = servers.kernel, servers.watcher
+        self._rules = rules
+        self._news = news
+        self._note = note
+        servers.on_fall = self._fall
+
+    def begin(self) -> None:
+        """All servers run, and have long been warm."""
+        for server in self._servers.all:
+            server.stage = Stage.RUNS
+            server.refresh(self._kernel.now)
+            self._tell_started(server, False)
+
+    def running(self) -> list[Server]:
+        """Ready ones that can be struck by something, in the order of their index."""
+        return [s for s in self._servers.all if s.stage is Stage.RUNS and not s.silent]
+
+    def add(self, machine: Machine) -> Server:
+        """A new machine, whose process starts cold."""
+        server = self._servers.add(machine)
+        self.start(server)
+        return server
+
+    def start(self, server: Server) -> None:
+        """Cold, at the next whole millisecond."""
+        self._kernel.at(-(-self._kernel.now // MS) * MS, self._start, server)
+
+    def _start(self, server: Server) -> None:
+        if server.running:
+            return
+        server.stage, server.silent = Stage.RUNS, False
+        server.at = server.started = self._kernel.now
+        server.cold = True
+        server.refresh(self._kernel.now)
+        self._tell_started(server, True)
+        self._news(server.machine, Told.READY, server.started, False)
+
+    def _tell_started(self, server: Server, cold: bool) -> None:
+        rules = self._rules
+        capacity = Capacity(self._servers.fleet.warm_per_s(server.machine), rules.cold_share,
+                            int(rules.cold_s * SECOND_US))
+        self._watcher.server_started(self._kernel.now, server.machine.number, capacity, cold)
+
+    def end(self, server: Server) -> None:
+        """Its process dies: what it holds is reset, and what comes is refused."""
+        if not server.running:
+            return
+        server.stage = Stage.DOWN
+        self._servers.break_all(server)
+        if not server.silent:
+            self._tell_ended(server)
+        self._news(server.machine, Told.GONE, server.started, server.silent)
+
+    def _tell_ended(self, server: Server) -> None:
+        self._watcher.server_ended(self._kernel.now, server.machine.number)
+
+    def restart(self, server: Server, down_us: int) -> None:
+        """The process ends at once and a new one starts so much later."""
+        self.end(server)
+        self._kernel.after(down_us, self.start, server)
+
+    def _fall(self, server: Server) -> None:
+        self.end(server)
+        at = self._kernel.now - self._kernel.start
+        self._note(Happened("fell_over", at, None, (server.machine.number,)))
+
+    # ---- drains ----
+
+    def drain(self, server: Server, over_us: int) -> None:
+        """Asks its clients to leave, evenly over that time, then ends; what is left is reset."""
+        if not self.turn_away(server):
+            return
+        until = self._kernel.now + over_us
+        self._ask_to_leave(server, server.life, until)
+        self._kernel.at(until, self._end_life, server, server.life)
+
+    def turn_away(self, server: Server) -> bool:
+        """It drains: it takes nothing new. False if it already did, or does not run."""
+        if server.stage is not Stage.RUNS:
+            return False
+        server.stage = Stage.DRAINS
+        self._watcher.server_draining(self._kernel.now, server.machine.number)
+        self._news(server.machine, Told.DRAINING, server.started, False)
+        return True
+
+    def take_again(self, server: Server, life: int) -> None:
+        """A drain is called off, if that process still runs."""
+        if server.stage is Stage.DRAINS and server.life == life:
+            server.stage = Stage.RUNS
+            self._tell_started(server, False)
+            self._news(server.machine, Told.READY, server.started, False)
+
+    def _ask_to_leave(self, server: Server, life: int, until: int) -> None:
+        left_us = until - self._kernel.now
+        if server.life != life or left_us <= 0:
+            return
+        each = math.ceil(len(server.standing) * min(1.0, STEP_US / left_us))
+        for call in list(server.standing.values())[:each]:
+            self._servers.break_off(call, server, End.MOVED)
+        self._kernel.after(STEP_US, self._ask_to_leave, server, life, until)
+
+    def _end_life(self, server: Server, life: int) -> None:
+        if server.life == life:
+            self.end(server)
+
+    # ---- silence ----
+
+    def vanish(self, server: Server) -> None:
+        """Nothing reaches it any more and nothing comes from it; nobody is told."""
+        if not server.running or server.silent:
+            return
+        server.silent = True
+        self._go_silent(server)
+        self._servers.tell_silent(server)
+
+    def appear(self, server: Server, life: int) -> None:
+        """It is back as it went, if that process still runs."""
+        if server.silent and server.life == life:
+            server.silent = False
+            self._come_back(server)
+
+    def cut(self, zone: int, relays: bool) -> list[Server]:
+        """Cuts a zone off (`Network.cut`); gives the servers that were."""
+        struck = [s for s in self._servers.all if s.machine.zone == zone and s.running and not s.silent]
+        self._servers.network.cut(zone, relays)
+        for server in struck:
+            self._go_silent(server)
+        return struck
+
+    def restore(self, zone: int) -> None:
+        self._servers.network.restore(zone)
+        for server in self._servers.all:
+            if server.machine.zone == zone and server.running and not server.silent:
+                self._come_back(server)
+
+    def _go_silent(self, server: Server) -> None:
+        self._tell_ended(server)
+        self._news(server.machine, Told.GONE, server.started, True)
+
+    def _come_back(self, server: Server) -> None:
+        self._tell_started(server, False)
+        state = Told.READY if server.stage is Stage.RUNS else Told.DRAINING
+        self._news(server.machine, state, server.started, False)
+
+    # ---- capacity ----
+
+    def take_cores(self, server: Server, share: float) -> None:
+        """A neighbour has that share of its cores from now on."""
+        server.neighbour = share
+        server.refresh(self._kernel.now)
+
+    def jam(self, server: Server, jammed: bool) -> None:
+        """While it is jammed nothing is done, and what comes piles up."""
+        server.jammed = jammed
+        server.refresh(self._kernel.now)
