--- a/glenfold_lab/model/actor_faults.py
+++ b/glenfold_lab/model/actor_faults.py
@@ -1,69 +1,60 @@
 """Faults of relays and clients: crashes, planned restarts, stalled processes, mass drops."""
 
-from collections.abc import Callable
-
-import numpy as np
+from collections.abc import Callable, Sequence
 
 from glenfold_lab.model.clients import Clients
-from glenfold_lab.model.draw import value
-from glenfold_lab.model.kernel import SECOND_US, Kernel
+from glenfold_lab.model.kernel import Kernel
+from glenfold_lab.model.machine_faults import PART, Due
 from glenfold_lab.model.posts import Posts
 from glenfold_lab.results import Happened
-from glenfold_lab.spec import Fault, Range
+from glenfold_lab.spec import Fault
 from glenfold_lab.streams import Streams
 
-PART = 0.25  # of the relays or clients, where a fault does not say
-
 
 class ActorFaults:
-    """Plans those faults of a scenario that are not the machines'. `happened` gets each as it comes."""
+    """Plans those faults of a scenario that are not the machines'. `note` gets each as it comes."""
 
-    def __init__(self, faults: tuple[Fault, ...], streams: Streams, kernel: Kernel, posts: Posts,
-                 clients: Clients, happened: list[Happened]) -> None:
-        self._streams, self._kernel = streams, kernel
-        self._posts, self._clients = posts, clients
-        self._happened = happened
-        kinds: dict[str, Callable[[Fault, np.random.Generator], None]] = {
+    def __init__(self, faults: Sequence[Fault], streams: Streams, kernel: Kernel, posts: Posts,
+                 clients: Clients, note: Callable[[Happened], None]) -> None:
+        self._kernel, self._posts, self._clients = kernel, posts, clients
+        self._note = note
+        kinds: dict[str, Callable[[Due], Happened]] = {
             "relay_crash": self._crash, "relay_restart": self._restart,
             "relay_stall": self._stall, "reconnect": self._reconnect}
-        for number, fault in enumerate(faults):
+        for place, fault in enumerate(faults):
             if fault.kind in kinds:
-                random = streams.of("actor faults", fault.kind, number)
-                kernel.at(kernel.start + _us(fault.at_s, random), kinds[fault.kind], fault, random)
-
-    def _crash(self, fault: Fault, random: np.random.Generator) -> None:
-        struck = self._struck(fault, random)
-        self._note(fault, 0, struck)
-        for relay in struck:
-            self._posts.crash(relay)
+                due = Due(fault, place, streams)
+                kernel.at(kernel.start + due.at, self._strike, kinds[fault.kind], due)
 
-    def _restart(self, fault: Fault, random: np.random.Generator) -> None:
-        struck, over = self._struck(fault, random), _us(fault.over_s, random)
-        self._note(fault, over, struck)
-        for place, relay in enumerate(struck):
-            self._kernel.after(over * place // len(struck), self._posts.restart, relay)
+    def _strike(self, happen: Callable[[Due], Happened], due: Due) -> None:
+        self._note(happen(due))
 
-    def _stall(self, fault: Fault, random: np.random.Generator) -> None:
-        struck, length = self._struck(fault, random), _us(fault.len_s, random)
-        self._note(fault, length, struck)
-        for relay in struck:
-            self._posts.stall(relay, self._kernel.now + length)
+    def _chosen(self, due: Due) -> list[int]:
+        return due.choose(range(len(self._posts)), due.count_of(len(self._posts)))
 
-    def _reconnect(self, fault: Fault, random: np.random.Generator) -> None:
-        part, over = value(PART if fault.size is None else fault.size, random), _us(fault.over_s, random)
-        self._note(fault, over, [])
-        self._clients.drop(part, over, random)
+    def _happened(self, due: Due, us: int, relays: Sequence[int] = ()) -> Happened:
+        at = self._kernel.now - self._kernel.start
+        return Happened(due.fault.kind, at, at + us if us else None, relays=tuple(relays))
 
-    def _struck(self, fault: Fault, random: np.random.Generator) -> list[int]:
-        """Which relays, in a drawn order; at least one."""
-        part = value(PART if fault.part is None else fault.part, random)
-        count = fault.count or max(1, round(part * len(self._posts)))
-        return [int(relay) for relay in random.permutation(len(self._posts))[:count]]
+    def _crash(self, due: Due) -> Happened:
+        struck = self._chosen(due)
+        for relay in struck:
+            self._posts.crash(relay)
+        return self._happened(due, 0, struck)
 
-    def _note(self, fault: Fault, length: int, struck: list[int]) -> None:
-        at = self._kernel.now - self._kernel.start
-        self._happened.append(Happened(fault.kind, at, at + length if length else None, (), tuple(struck)))
+    def _restart(self, due: Due) -> Happened:
+        """One by one."""
+        struck = self._chosen(due)
+        for turn, relay in enumerate(struck):
+            self._kernel.after(due.over * turn // len(struck), self._posts.restart, relay)
+        return self._happened(due, due.over, struck)
 
+    def _stall(self, due: Due) -> Happened:
+        struck = self._chosen(due)
+        for relay in struck:
+            self._posts.stall(relay, self._kernel.now + due.length)
+        return self._happened(due, due.length, struck)
 
-def _us(wanted: Range, random: np.random.Generator) -> int:
-    return round(value(wanted, random) * SECOND_US)
+    def _reconnect(self, due: Due) -> Happened:
+        self._clients.drop(due.drawn("size", PART), due.over, due.random("clients"))
+        return self._happened(due, due.over)
--- a/glenfold_lab/model/machine_faults.py
+++ b/glenfold_lab/model/machine_faults.py
@@ -1,6 +1,9 @@
 """What goes wrong with push servers and their list, as a scenario says; whom it strikes is drawn."""
 
 from collections.abc import Callable, Sequence
+from typing import TypeVar
+
+import numpy as np
 
 from glenfold_lab.model.draw import value
 from glenfold_lab.model.kernel import SECOND_US, Kernel
@@ -13,6 +16,8 @@
 from glenfold_lab.spec import Fault, Scenario
 from glenfold_lab.streams import Streams
 
+T = TypeVar("T")
+
 # Where a fault does not say it: the part of the servers that it strikes, the cores that a neighbour takes,
 # how many times smaller a fleet becomes, and how long a flapping server is away and back.
 PART, TAKEN, SMALLER, FLAP_S = 0.25, 0.5, 2.0, 4.0
@@ -30,18 +35,21 @@
 
     def drawn(self, name: str, default: float) -> float:
         wanted = getattr(self.fault, name)
-        return default if wanted is None else value(wanted, self._streams.of("faults", name, self._place))
+        return default if wanted is None else value(wanted, self.random(name))
 
-    def count_of(self, servers: int) -> int:
+    def count_of(self, machines: int) -> int:
         part = self.drawn("part", PART)
-        return min(servers, self.fault.count or max(1, round(part * servers)))
+        return min(machines, self.fault.count or max(1, round(part * machines)))
+
+    def random(self, purpose: str) -> np.random.Generator:
+        return self._streams.of("faults", purpose, self._place)
 
-    def choose(self, servers: Sequence[Server], count: int) -> list[Server]:
-        order = self._streams.of("faults", "whom", self._place).permutation(len(servers))
-        return [servers[place] for place in sorted(order[:count].tolist())]
+    def choose(self, machines: Sequence[T], count: int) -> list[T]:
+        order = self.random("whom").permutation(len(machines))
+        return [machines[place] for place in sorted(order[:count].tolist())]
 
     def place_of(self, count: int) -> int:
-        return int(self._streams.of("faults", "where", self._place).integers(count))
+        return int(self.random("where").integers(count))
 
 
 class MachineFaults:
