--- /dev/null
+++ b/tests/glenfold_lab/test_measures.py
@@ -0,0 +1,60 @@
+"""What a history was like for its clients."""
+
+from glenfold_lab.measures import FORGET_US, Measures
+from glenfold_lab.observe import End, Final
+from glenfold_lab.results import Series
+
+S = 1_000_000
+START = 1000 * S
+
+
+def test_a_set_up_counts_from_the_first_ask_over_all_tries():
+    measures = Measures(("chat", "feed"), START)
+    for number, final in ((1, Final.BUSY), (2, Final.UP)):
+        measures.asked(START + number * S, number, 7, 1, START + S)
+        measures.taken(START + number * S + 100, number, 0, START + 5 * S, 1)
+        measures.answered(START + number * S + 1000, number, final, None, 0)
+    assert measures.answers() == {"up": 1, "busy": 1, "error": 0, "closed": 0, "left": 0}
+    assert list(measures.set_up()) == ["feed"]
+    found = measures.set_up()["feed"]
+    assert found.count == 1 and all(abs(value - (S + 1000)) < 1000 for value in found.quantiles.values())
+
+
+def test_the_warm_up_does_not_count_but_in_series():
+    measures = Measures(("chat",), START, START + 2 * S, step_us=S // 2)
+    for number, at in enumerate((0, 1_900_000, 2 * S, 2_100_000)):
+        measures.asked(START + at, number, number, 0, START + at)
+        measures.sent(START + at, number, 0, 100, START + at)
+        measures.answered(START + at, number, Final.BUSY, None, 0)
+        measures.ended(START + at, number, End.MOVED)
+    measures.finish(START + 3 * S)
+    assert measures.answers()["busy"] == 2 and measures.figures()["moves"] == 2
+    assert measures.series()["refused"].values == (2.0, 0.0, 0.0, 2.0, 4.0, 0.0)
+    assert measures.series()["attempts"] == Series(
+        S // 2, (2.0, 0.0, 0.0, 2.0, 4.0, 0.0), "attempts a second")
+
+
+def test_attempts_count_by_request_and_a_relay_that_stays_down_counts_to_the_end():
+    measures = Measures(("chat",), START)
+    for number, tries in ((1, 2), (2, 4), (3, 1)):
+        measures.taken(START, number, 0, START + S, 0)
+        for _ in range(tries):
+            measures.sent(START, number, 0, 100, START)
+    measures.left(START, 2)
+    measures.relay_down(START + S, 0)
+    measures.relay_up(START + 3 * S, 0)
+    measures.relay_down(START + 5 * S, 1)
+    measures.relay_up(START + 5 * S, 2)  # it was never down
+    measures.finish(START + 10 * S)
+    assert measures.figures() == {"most_attempts": 4.0, "moves": 0.0, "relays_down_s": 7.0}
+    assert measures.answers()["left"] == 1
+
+
+def test_a_try_without_an_answer_is_forgotten_after_a_while():
+    measures = Measures(("chat",), START)
+    for number in range(5):
+        measures.asked(START + number * FORGET_US, number, number, 0, START)
+    assert len(measures._open) + len(measures._older) == 2
+    measures.answered(START + 5 * FORGET_US, 3, Final.UP, 100, 0)  # the minute before: still known
+    measures.answered(START + 5 * FORGET_US, 0, Final.UP, 100, 0)
+    assert measures.set_up()["chat"].count == 1 and measures.answers()["up"] == 2
