--- a/glenfold_lab/model/clients.py
+++ b/glenfold_lab/model/clients.py
@@ -142,6 +142,10 @@
         self._plan = Plan(kernel, until, (self._ask, self._leave, self._change, self._give_up))
         self._coming = population.coming(DRAWN_US)
 
+    def __len__(self) -> int:
+        """How many have come so far."""
+        return len(self._all)
+
     # ---- who comes ----
 
     def start(self) -> None:
--- a/glenfold_lab/model/population.py
+++ b/glenfold_lab/model/population.py
@@ -9,8 +9,8 @@
 from numpy.typing import NDArray
 
 from glenfold_lab.model.draw import value
+from glenfold_lab.model.fleet import Terms
 from glenfold_lab.model.kernel import SECOND_US
-from glenfold_lab.model.machinery import Terms
 from glenfold_lab.spec import Scenario
 from glenfold_lab.streams import Streams
 
--- a/glenfold_lab/model/relay_settings.py
+++ b/glenfold_lab/model/relay_settings.py
@@ -6,7 +6,7 @@
 
 from glenfold.config import Room
 from glenfold_lab.model.draw import value
-from glenfold_lab.model.machinery import Terms
+from glenfold_lab.model.fleet import Terms
 from glenfold_lab.spec import Relays, RequestClass, Scenario
 from glenfold_lab.streams import Streams
 from linnetspread import interface as i
--- a/glenfold_lab/model/world.py
+++ b/glenfold_lab/model/world.py
@@ -18,24 +18,138 @@
 from glenfold_lab.model.posts import Posts
 from glenfold_lab.model.relay_settings import Costs, settings_of
 from glenfold_lab.model.relays import Relay, Surroundings
-from glenfold_lab.observe import Final, Watcher, Watchers
+from glenfold_lab.observe import Watcher, Watchers
 from glenfold_lab.results import RunResult
 from glenfold_lab.spec import Scenario
 from glenfold_lab.streams import Streams
 
-SLICE_US = SECOND_US // 2   # of virtual time, between two words on the progress
-LAST_ANSWERS_US = 1_500_000  # beyond the longest deadline: until then the last requests are judged
+SLICE_US = SECOND_US // 2     # of virtual time, between two words on the progress
+LAST_ANSWERS_US = 1_500_000   # beyond the longest deadline: by then the last requests are judged
+FELL = "fell_over"            # what happens to a cold push server that was sent too much
 
 Progress = Callable[[float], None]
 
 
 class Tally(Watcher):
-    """Counts over the whole history. `zones`: of each relay, by its number; `zone_of`: of a push server."""
+    """What goes between relays and push servers, over the whole history."""
 
-    def __init__(self, zones: Sequence[int], zone_of: Callable[[int], int]) -> None:
-        self._zones, self._zone_of = zones, zone_of
-        self.taken = self.attempts = self.crossings = self.refused = 0
+    def __init__(self, world: "World") -> None:
+        self._world = world
+        self._zones: dict[int, int] = {}  # of push servers
+        self.taken_in = self.attempts = self.crossings = 0
 
-    def taken_one(self) -> None:
-        self.taken += 1
-"""
+    def taken(self, at: int, request: int, relay: int, deadline: int, request_class: int) -> None:
+        self.taken_in += 1
+
+    def sent(self, at: int, request: int, relay: int, server: int, first: int) -> None:
+        self.attempts += 1
+        zone = self._zones.get(server)
+        if zone is None:
+            machines = self._world.machinery.servers.fleet.machines
+            self._zones = {machine.number: machine.zone for machine in machines}
+            zone = self._zones[server]
+        self.crossings += zone != self._world.machinery.network.zone_of(relay)
+
+    def figures(self) -> dict[str, float]:
+        """requests taken; attempts_per_request; cross_zone: share of attempts between two zones."""
+        return {"requests": float(self.taken_in),
+                "attempts_per_request": self.attempts / max(1, self.taken_in),
+                "cross_zone": self.crossings / max(1, self.attempts)}
+
+
+class World:
+    """All parts of one history, wired; `run` plays it once."""
+
+    def __init__(self, scenario: Scenario, seed: int, watchers: Sequence[Watcher]) -> None:
+        self.scenario, self.seed = scenario, seed
+        self.kernel, self._streams = Kernel(), Streams(seed)
+        start = self.kernel.start
+        self.checker = Checker(scenario.rules, slack_us=0, start_us=start)
+        self.measures = Measures([kind.name for kind in scenario.classes], start_us=start,
+                                 counted_from=start + round(scenario.warm_up_s * SECOND_US))
+        self.tally = Tally(self)
+        self.watcher = Watchers(self.checker, self.measures, self.tally, *watchers)
+        self.machinery = Machinery(scenario, self._streams, self.kernel, self.watcher)
+        self.clients, self.posts = self._actors()
+        ActorFaults(scenario.faults, self._streams, self.kernel, self.posts, self.clients,
+                    self.machinery.happened.append)
+
+    def _actors(self) -> tuple[Clients, Posts]:
+        scenario, streams, machinery = self.scenario, self._streams, self.machinery
+        network, terms = machinery.network, machinery.terms
+        front = Front([network.zone_of(number) for number in range(scenario.relays.count)])
+        posts = Posts(scenario, streams, self.kernel, network, machinery.listing, self.watcher, front,
+                      lambda number, seed: Relay(number, settings[number], seed, around))
+        population = Population(scenario, terms, streams, self.kernel.start)
+        clients = posts.clients = Clients(
+            scenario, population, streams, self.kernel, network, machinery.servers, machinery.service,
+            self.watcher, front, posts)
+        around = Surroundings(self.kernel, machinery.servers, clients, self.watcher,
+                              Costs.of(scenario.relays, streams))
+        settings = [settings_of(scenario, terms, number, network.zone_of(number))
+                    for number in range(len(posts))]
+        return clients, posts
+
+    def start(self) -> None:
+        self.machinery.start()
+        self.posts.start()
+        self.clients.start()
+
+    def run(self, progress: Progress | None) -> None:
+        length = round(self.scenario.length_s * SECOND_US)
+        longest = max(round(kind.deadline_ms * 1000) for kind in self.scenario.classes)
+        end = self.kernel.start + length + longest + LAST_ANSWERS_US
+        while self.kernel.now < end:
+            self.kernel.run(min(end, self.kernel.now + SLICE_US))
+            if progress is not None:
+                progress((self.kernel.now - self.kernel.start) / (end - self.kernel.start))
+        self.watcher.finish(end)
+
+    def result(self, revision: str, cost: dict[str, float]) -> RunResult:
+        service, measures, verdicts = self.machinery.service, self.measures, self.checker.verdicts()
+        happened = tuple(sorted(self.machinery.happened, key=lambda one: one.at_us))
+        answers = measures.answers()
+        figures = service.figures() | measures.figures() | self.tally.figures() | {
+            "clients": float(len(self.clients)),
+            "refused": float(answers["busy"]),
+            "rules_broken": float(len(verdicts) + self.checker.left_out),
+            "servers_fallen": float(sum(len(one.servers) for one in happened if one.what == FELL)),
+        }
+        return RunResult(
+            scenario=self.scenario.name, seed=self.seed, revision=revision,
+            length_us=round(self.scenario.length_s * SECOND_US), figures=figures, answers=answers,
+            set_up=measures.set_up(), series=service.series() | measures.series(),
+            server_load=service.server_load(), verdicts=verdicts,
+            verdicts_left_out=self.checker.left_out, happened=happened, cost=cost)
+
+
+def play(scenario: Scenario, seed: int, *, revision: str = "work tree", watchers: Sequence[Watcher] = (),
+         progress: Progress | None = None) -> RunResult:
+    """Plays one history. The same scenario, seed and decision package give the same `results.encode`.
+
+    watchers: see all observations besides the checker and the measures. progress: is told the part (0 to 1)
+    that has been played. `revision` is only noted: whoever calls sees to it that the `linnetspread` of that
+    revision was imported. `cost`: seconds in all, and build_s of these until the clock went; peak_mb of
+    the process so far.
+    """
+    began = time.perf_counter()
+    with _no_collections(), shared_anchors():
+        world = World(scenario, seed, watchers)
+        world.start()
+        built = time.perf_counter()
+        world.run(progress)
+        played = time.perf_counter()
+    peak_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    return world.result(revision, {"seconds": played - began, "build_s": built - began, "peak_mb": peak_mb})
+
+
+@contextmanager
+def _no_collections() -> Iterator[None]:
+    """The model lets go of what it makes without cycles; looking for them in a million objects costs."""
+    was_on = gc.isenabled()
+    gc.disable()
+    try:
+        yield
+    finally:
+        if was_on:
+            gc.enable()
