--- a/glenfold_lab/results.py
+++ b/glenfold_lab/results.py
@@ -68,6 +68,7 @@
     verdicts_left_out: int = 0  # broken rules beyond those that are kept
     happened: tuple[Happened, ...] = ()
     factors: dict[str, str] = {}
+    guards_against: str = ""  # the scenario's own words
     format: int = FORMAT
     cost: dict[str, float] = {}
 
