Draw results as one HTML file, and write the same figures as JSON

A history is a page to read: service with faults shaded, load of each server against its limit, set-up latencies, answers, connections, verdicts with their evidence, what failed when, cost. Drawings are inline SVG in the page's own colours, light and dark; the same input gives the same bytes.

--- /dev/null
+++ b/glenfold_lab/commands/report.py
@@ -0,0 +1,36 @@
+"""`glenfold lab report`: results as one HTML file, and the same figures as JSON."""
+
+from pathlib import Path
+
+import click
+import msgspec
+
+from glenfold_lab.reports.read import BadResult, read
+
+
+@click.command("report")
+@click.argument("results", nargs=-1, required=True, type=click.Path(path_type=Path))
+@click.option("--out", required=True, type=click.Path(path_type=Path), help="The HTML file to write.")
+@click.option("--json", "json_out", type=click.Path(path_type=Path), help="Write the figures there, too.")
+def command(results: tuple[Path, ...], out: Path, json_out: Path | None) -> None:
+    """Draw RESULTS (JSON files of `run`, `play` or `experiment`) as one HTML file.
+
+    Several results are compared. Exit status 2 if a file can't be read; then nothing is written.
+    """
+    try:
+        found = read(results)
+    except BadResult as error:
+        raise click.UsageError(str(error)) from error
+    from glenfold_lab.reports.page import page  # draws, which takes half a second to load
+    from glenfold_lab.reports.summary import summarize
+
+    report = summarize(found)
+    content = page(found, report)
+    try:
+        out.write_text(content, encoding="utf-8")
+        if json_out is not None:
+            json_out.write_bytes(msgspec.json.format(msgspec.json.encode(report, order="sorted")) + b"\n")
+    except OSError as error:
+        raise click.ClickException(f"{error.filename}: {error.strerror}") from error
+    broken = sum(group.rules_broken for group in report.groups)
+    click.echo(f"{out}: {len(found)} results, rules broken {broken} times")
--- /dev/null
+++ b/glenfold_lab/reports/page.py
@@ -0,0 +1,92 @@
+"""The page: one HTML file that needs nothing else, not even a script."""
+
+from collections.abc import Iterator, Sequence
+
+import jinja2
+from markupsafe import Markup
+
+from glenfold_lab.reports import plots, terms
+from glenfold_lab.reports.plots import Day
+from glenfold_lab.reports.summary import Group, History, Report, one_by_one
+from glenfold_lab.reports.thin import loads
+from glenfold_lab.results import RunResult
+
+OTHERS = 12    # series without a picture of their own that are drawn
+COMPARED = 6   # figures that are compared in pictures
+GROUPS = 60    # that a comparison shows
+PARTS = {
+    "figures": "Figures",
+    "service": "Service over time",
+    "load": "Load of servers against their limits",
+    "set-up": "Set-up latencies",
+    "answers": "Answers",
+    "connections": "Connections, moves and refusals",
+    "rules": "Rules",
+    "happened": "What failed when",
+    "cost": "Cost",
+}
+
+
+def page(results: Sequence[RunResult], report: Report) -> str:
+    """`report`: the summary of these results."""
+    environment = jinja2.Environment(
+        loader=jinja2.PackageLoader("glenfold_lab.reports"), autoescape=True, trim_blocks=True,
+        lstrip_blocks=True, undefined=jinja2.StrictUndefined)
+    environment.filters.update(number=number, seconds=seconds, title=terms.title, unit=terms.unit)
+    environment.globals.update(rules=terms.RULES, parts=PARTS, in_order=terms.in_order,
+                               quantile_marks=quantile_marks)
+    told = zip(report.histories, one_by_one(results), strict=True)
+    groups = report.groups[:GROUPS]
+    names = compared(groups)
+    return environment.get_template("page.html.j2").render(
+        report=report, groups_shown=GROUPS, compared_names=names,
+        pictures={history.name: dict(pictures(history.name, result)) for history, result in told},
+        spreads=list(spreads(groups, names)))
+
+
+def compared(groups: Sequence[Group]) -> list[str]:
+    return terms.in_order({name for group in groups for name in group.figures})[:COMPARED]
+
+
+def quantile_marks(history: History) -> list[str]:
+    """All quantiles that a history tells of its set-ups, from the least."""
+    return sorted({mark for one in history.set_up.values() for mark in one.quantiles}, key=float)
+
+
+def number(value: float) -> str:
+    """Four digits that say something, and all of a whole number's."""
+    if float(value).is_integer():
+        return f"{int(value):,}"
+    return f"{value:,.4g}" if abs(value) < 1e4 else f"{value:,.0f}"
+
+
+def seconds(us: int) -> str:
+    return f"{us / 1e6:,.3f}"
+
+
+def pictures(name: str, result: RunResult) -> Iterator[tuple[str, Markup]]:
+    """All drawings of one history, by what they show; empty where there is nothing to draw."""
+    day = Day(name, result.length_us, result.happened)
+    for one in terms.PICTURES:
+        drawn = {key: result.series[key] for key in one.series if key in result.series}
+        shown = {series.label or terms.title(key): series for key, series in drawn.items()}
+        draw = plots.stacked if one.stacked else plots.lines
+        yield one.name, Markup(draw(day, one.name, shown, one.unit, one.top))
+    of_servers = loads(result.server_load)
+    yield "heat", Markup(plots.heat(day, of_servers))
+    yield "worst", Markup(plots.worst(day, of_servers))
+    yield "percentiles", Markup(plots.percentiles(day, result.set_up))
+    yield "happened", Markup(plots.time_line(day))
+    in_pictures = {key for one in terms.PICTURES for key in one.series}
+    others = [key for key in result.series if key not in in_pictures]
+    yield "others", Markup("").join(
+        Markup(plots.lines(day, f"other{n}", {terms.title(key): result.series[key]}, terms.title(key)))
+        for n, key in enumerate(others[:OTHERS]))
+
+
+def spreads(groups: Sequence[Group], names: Sequence[str]) -> Iterator[tuple[str, Markup]]:
+    """Titles and drawings of what there is to compare."""
+    for n, name in enumerate(names if len(groups) > 1 else ()):
+        values = {group.name: group.figures[name].values for group in groups if name in group.figures}
+        yield terms.title(name), Markup(
+            plots.spread(f"spread{n}", terms.title(name), terms.unit(name), values))
--- /dev/null
+++ b/glenfold_lab/reports/plots.py
@@ -0,0 +1,199 @@
+"""The drawings of one history, each as inline SVG, or "" where there is nothing to draw."""
+
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+
+import numpy as np
+from matplotlib.axes import Axes
+from matplotlib.colors import LinearSegmentedColormap
+from matplotlib.ticker import FuncFormatter, MaxNLocator
+
+from glenfold_lab.reports.svg import COLOURS, LINES, Drawing, label
+from glenfold_lab.reports.thin import POINTS, ROWS, Loads, Values, blocks, thin
+from glenfold_lab.results import Distribution, Happened, Series
+
+EVENTS = 40       # that are shaded, or have a row of their own in the time line
+HEAT_TOP = 2.0    # the load at which the colours of the heat map end
+WORST = 5         # servers drawn one by one
+
+# Nothing at 0, so that it does on a light and a dark page; blue up to the limit, from there on red.
+HEAT = LinearSegmentedColormap.from_list("load", [
+    (0.0, (0.25, 0.5, 0.85, 0.0)), (0.4999, (0.15, 0.4, 0.85, 0.9)),
+    (0.5, (0.95, 0.6, 0.1, 1.0)), (1.0, (0.75, 0.0, 0.1, 1.0))])
+
+
+@dataclass(frozen=True, slots=True)
+class Day:
+    """What all drawings of one history share. name: as of the drawings, without spaces."""
+
+    name: str
+    length_us: int
+    happened: tuple[Happened, ...] = ()
+
+    def over_time(self, axes: Axes, unit: str) -> None:
+        axes.set_xlim(0.0, self.length_us / 1e6)
+        axes.set_xlabel("time, s")
+        axes.set_ylabel(unit)
+        for event in self.happened[:EVENTS]:
+            since, until = event.at_us / 1e6, event.until_us
+            if until is None:
+                axes.axvline(since, color=COLOURS["faint"], linewidth=0.8, linestyle=":")
+            else:
+                axes.axvspan(since, until / 1e6, facecolor=COLOURS["shade"], alpha=0.22, linewidth=0)
+
+
+def lines(day: Day, name: str, series: Mapping[str, Series], unit: str, top: float | None = None) -> str:
+    """Series over time in one picture, by their labels. top: of the axis, where the unit has an end."""
+    drawn = {shown: thin(one) for shown, one in series.items() if one.values}
+    if not drawn:
+        return ""
+    with Drawing(f"{day.name}-{name}", 2.5) as drawing:
+        axes = drawing.axes()
+        day.over_time(axes, unit)
+        for n, (shown, one) in enumerate(drawn.items()):
+            axes.plot(_ends(one), one.values, label=label(shown), drawstyle="steps-pre",
+                      linestyle="-" if n < LINES else "--")
+        axes.set_ylim(0.0, top and top * 1.02)
+        _thousands(axes)
+        if len(drawn) > 1:
+            _legend(axes, len(drawn))
+        return drawing.svg(f"{', '.join(drawn)} over time")
+
+
+def stacked(day: Day, name: str, series: Mapping[str, Series], unit: str, top: float | None = None) -> str:
+    """Series on top of each other, in their order."""
+    drawn = {shown: thin(one) for shown, one in series.items() if one.values}
+    if not drawn:
+        return ""
+    with Drawing(f"{day.name}-{name}", 2.5) as drawing:
+        axes = drawing.axes()
+        day.over_time(axes, unit)
+        longest = max(drawn.values(), key=lambda one: len(one.values))
+        heights = [np.interp(_ends(longest), _ends(one), one.values) for one in drawn.values()]
+        axes.stackplot(_ends(longest), heights, step="pre", labels=[label(shown) for shown in drawn],
+                       colors=[COLOURS[f"line{n % LINES}"] for n in range(len(drawn))], alpha=0.85)
+        axes.set_ylim(0.0, top)
+        _thousands(axes)
+        _legend(axes, len(drawn))
+        return drawing.svg(f"{', '.join(drawn)} over time, on top of each other")
+
+
+def heat(day: Day, loads: Loads) -> str:
+    """The load of each server against its limit at the moment; of many servers the greatest of neighbours."""
+    if not loads.names:
+        return ""
+    shown = blocks(loads.values)
+    with Drawing(f"{day.name}-heat", 1.6 + 2.4 * min(1.0, len(shown) / ROWS)) as drawing:
+        axes = drawing.axes()
+        span_s = loads.values.shape[1] * loads.step_us / 1e6
+        image = axes.imshow(shown, cmap=HEAT, vmin=0.0, vmax=HEAT_TOP, aspect="auto", interpolation="none",
+                            extent=(0.0, span_s, len(loads.names), 0))
+        axes.grid(False)
+        axes.set_xlim(0.0, day.length_us / 1e6)
+        axes.set_xlabel("time, s")
+        axes.set_ylabel("servers, worst first")
+        axes.yaxis.set_major_locator(MaxNLocator(nbins=6, integer=True, min_n_ticks=1))
+        bar = drawing.figure.colorbar(image, ax=axes, extend="max", pad=0.01, aspect=30)
+        bar.set_label("load, of the limit")
+        bar.outline.set_visible(False)
+        return drawing.svg("load of each server against its limit over time")
+
+
+def worst(day: Day, loads: Loads) -> str:
+    """The servers longest over their limit, the median of all, and the limit."""
+    if not loads.names:
+        return ""
+    with Drawing(f"{day.name}-worst", 2.6) as drawing:
+        axes = drawing.axes()
+        day.over_time(axes, "load, of the limit")
+        for name, values in zip(loads.names[:WORST], loads.values, strict=False):
+            _row(axes, loads, values, label=label(name), linewidth=1.2)
+        _row(axes, loads, np.nanmedian(loads.values, axis=0), label="median of all", color=COLOURS["ink"],
+             linestyle="--")
+        axes.axhline(1.0, color=COLOURS["bad"], linewidth=1.6, label="limit")
+        axes.set_ylim(bottom=0.0)
+        _legend(axes, WORST + 2)
+        return drawing.svg("load of the worst servers against the limit over time")
+
+
+def percentiles(day: Day, set_up: Mapping[str, Distribution]) -> str:
+    """Set-up latencies by class, from the median to the greatest."""
+    slowest_first = sorted(
+        ((name, one) for name, one in set_up.items() if one.count and one.quantiles),
+        key=lambda pair: (-max(pair[1].quantiles.values()), pair[0]))[:LINES]
+    if not slowest_first:
+        return ""
+    marks = sorted({mark for _, one in slowest_first for mark in one.quantiles}, key=float)
+    with Drawing(f"{day.name}-percentiles", 2.6) as drawing:
+        axes = drawing.axes()
+        for name, one in slowest_first:
+            places = [place for place, mark in enumerate(marks) if mark in one.quantiles]
+            axes.plot(places, [max(one.quantiles[marks[place]], 1) / 1e3 for place in places],
+                      marker="o", markersize=4, label=label(name))
+        axes.set_yscale("log")
+        axes.yaxis.set_major_formatter(FuncFormatter(lambda value, _: f"{value:,g}"))
+        axes.set_ylabel("set-up, ms (log.)")
+        axes.set_xlabel("share of set-ups that took no longer, %")
+        axes.set_xticks(range(len(marks)), marks)
+        _legend(axes, len(slowest_first))
+        return drawing.svg("set-up latency by share of set-ups")
+
+
+def time_line(day: Day) -> str:
+    """What failed when: a row for each kind of event, in the order of their first."""
+    events = sorted(day.happened, key=lambda event: event.at_us)
+    rows = list(dict.fromkeys(event.what for event in events))[:EVENTS]
+    if not rows:
+        return ""
+    with Drawing(f"{day.name}-happened", 0.8 + 0.24 * len(rows)) as drawing:
+        axes = drawing.axes()
+        for place, what in enumerate(rows):
+            mine = [event for event in events if event.what == what][:POINTS]
+            spans = [(event.at_us / 1e6, (event.until_us - event.at_us) / 1e6)
+                     for event in mine if event.until_us is not None]
+            axes.broken_barh(spans, (place - 0.3, 0.6), facecolor=COLOURS["shade"], alpha=0.6, linewidth=0)
+            moments = [event.at_us / 1e6 for event in mine]
+            axes.plot(moments, [place] * len(moments), linestyle="", marker="|", markersize=9,
+                      color=COLOURS["bad"])
+        axes.set_yticks(range(len(rows)), [label(what, 60) for what in rows])
+        axes.set_ylim(len(rows) - 0.5, -0.5)
+        axes.set_xlim(0.0, day.length_us / 1e6)
+        axes.set_xlabel("time, s")
+        return drawing.svg("what failed when")
+
+
+def spread(name: str, title: str, unit: str, groups: Mapping[str, Sequence[float]]) -> str:
+    """One figure by group: a dot for each seed, a bar at the mean."""
+    with Drawing(name, 0.8 + 0.26 * len(groups)) as drawing:
+        axes = drawing.axes()
+        for place, values in enumerate(groups.values()):
+            axes.plot(values, [place] * len(values), linestyle="", marker="o", markersize=4.5, alpha=0.55,
+                      color=COLOURS["line0"])
+            axes.plot([float(np.mean(values))], [place], marker="|", markersize=13, markeredgewidth=2.2,
+                      color=COLOURS["ink"])
+        axes.set_yticks(range(len(groups)), [label(group, 60) for group in groups])
+        axes.set_ylim(len(groups) - 0.5, -0.5)
+        axes.set_xlabel(f"{title}, {unit}" if unit else title)
+        return drawing.svg(f"{title} by group, a dot for each seed")
+
+
+def _ends(series: Series) -> Values:
+    return np.arange(1, len(series.values) + 1, dtype=np.float64) * (series.step_us / 1e6)
+
+
+def _row(axes: Axes, loads: Loads, values: Values, **style: object) -> None:
+    shown = blocks(values[np.newaxis], steps=POINTS)[0]
+    span_s = len(values) * loads.step_us / 1e6
+    steps = -(-len(values) // len(shown))
+    ends = np.minimum((np.arange(len(shown)) + 1.0) * steps * (loads.step_us / 1e6), span_s)
+    axes.plot(ends, shown, drawstyle="steps-pre", **style)  # type: ignore[arg-type]
+
+
+def _legend(axes: Axes, entries: int) -> None:
+    axes.legend(loc="lower left", bbox_to_anchor=(0.0, 1.0), ncols=min(entries, 4), borderaxespad=0.2,
+                handlelength=1.4, columnspacing=1.2)
+
+
+def _thousands(axes: Axes) -> None:
+    shown: Callable[[float, object], str] = lambda value, _: f"{value:,.10g}"  # noqa: E731
+    axes.yaxis.set_major_formatter(FuncFormatter(shown))
--- /dev/null
+++ b/glenfold_lab/reports/summary.py
@@ -0,0 +1,161 @@
+"""What a report tells, as plain values: the page is drawn from it, and --json writes it as it is."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Sequence
+from statistics import fmean
+
+import msgspec
+import numpy as np
+
+from glenfold_lab.reports.terms import RULES
+from glenfold_lab.reports.thin import Loads, loads, thin
+from glenfold_lab.results import Distribution, Happened, RunResult, Series, Verdict
+
+FORMAT = 1
+HISTORIES = 12   # told one by one
+VERDICTS = 100   # of a history
+EVENTS = 100
+SERVERS = 12     # the worst
+ENTRIES = 60     # of any other table
+
+
+class ServerLoad(msgspec.Struct, frozen=True):
+    """Load over the limit at the moment. over_s: seconds over the limit."""
+
+    server: str
+    peak: float
+    mean: float
+    over_s: float
+
+
+class History(msgspec.Struct, frozen=True):
+    """One history. Series are thinned to a bounded number of values, tables cut to their worst entries."""
+
+    name: str  # of its section: unlike that of any other
+    scenario: str
+    guards_against: str
+    seed: int
+    revision: str
+    factors: dict[str, str]
+    length_s: float
+    figures: dict[str, float]
+    answers: dict[str, int]
+    set_up: dict[str, Distribution]
+    series: dict[str, Series]
+    servers: int
+    worst_servers: tuple[ServerLoad, ...]
+    broken: dict[str, int]  # verdicts that the result has, by rule
+    verdicts: tuple[Verdict, ...]
+    verdicts_left_out: int
+    happened: tuple[Happened, ...]
+    happened_left_out: int
+    cost: dict[str, float]
+
+
+class Spread(msgspec.Struct, frozen=True):
+    """One figure over the seeds of a group. values: in the order of the seeds."""
+
+    mean: float
+    least: float
+    greatest: float
+    values: tuple[float, ...]
+
+
+class Group(msgspec.Struct, frozen=True):
+    """Histories that differ in their seeds only."""
+
+    name: str
+    scenario: str
+    revision: str
+    factors: dict[str, str]
+    seeds: tuple[int, ...]
+    rules_broken: int
+    figures: dict[str, Spread]
+
+
+class Report(msgspec.Struct, frozen=True):
+    """histories: those that need a look first, where there are many; groups: all of them."""
+
+    histories: tuple[History, ...]
+    histories_left_out: int
+    groups: tuple[Group, ...]
+    format: int = FORMAT
+
+
+def one_by_one(results: Sequence[RunResult]) -> list[RunResult]:
+    """Of many, those that broke rules, and then those that served least; in the order given."""
+    chosen = set(sorted(range(len(results)), key=lambda n: _need(results[n]))[:HISTORIES])
+    return [result for n, result in enumerate(results) if n in chosen]
+
+
+def summarize(results: Sequence[RunResult]) -> Report:
+    told = one_by_one(results)
+    return Report(
+        histories=tuple(_history(f"h{n}", result) for n, result in enumerate(told, start=1)),
+        histories_left_out=len(results) - len(told),
+        groups=tuple(_groups(results)))
+
+
+def broken(result: RunResult) -> int:
+    return len(result.verdicts) + result.verdicts_left_out
+
+
+def _need(result: RunResult) -> tuple[float, float]:
+    return -broken(result), result.figures.get("service", 1.0)
+
+
+def _history(name: str, result: RunResult) -> History:
+    of_servers = loads(result.server_load)
+    happened = sorted(result.happened, key=lambda event: event.at_us)
+    shown = _in_turn(result.verdicts)[:VERDICTS]
+    return History(
+        name=name, scenario=result.scenario, guards_against=result.guards_against, seed=result.seed,
+        revision=result.revision, factors=result.factors, length_s=result.length_us / 1e6,
+        figures=result.figures, answers=result.answers,
+        set_up=dict(sorted(result.set_up.items(), key=lambda pair: -pair[1].count)[:ENTRIES]),
+        series={key: thin(series) for key, series in list(result.series.items())[:ENTRIES]},
+        servers=len(of_servers.names), worst_servers=_worst(of_servers),
+        broken=dict.fromkeys(RULES, 0) | Counter(verdict.rule for verdict in result.verdicts),
+        verdicts=tuple(sorted(shown, key=lambda verdict: verdict.at_us)),
+        verdicts_left_out=broken(result) - len(shown),
+        happened=tuple(happened[:EVENTS]), happened_left_out=len(happened[EVENTS:]),
+        cost=result.cost)
+
+
+def _in_turn(verdicts: Iterable[Verdict]) -> list[Verdict]:
+    """The first of each rule, then the second of each, and so on: one rule must not hide another."""
+    seen: Counter[str] = Counter()
+    numbered = []
+    for verdict in sorted(verdicts, key=lambda verdict: verdict.at_us):
+        seen[verdict.rule] += 1
+        numbered.append((seen[verdict.rule], verdict))
+    return [verdict for _, verdict in sorted(numbered, key=lambda pair: pair[0])]
+
+
+def _worst(of_servers: Loads) -> tuple[ServerLoad, ...]:
+    return tuple(
+        ServerLoad(name, float(np.nanmax(row)), float(np.nanmean(row)), float(over_s))
+        for name, row, over_s in zip(of_servers.names[:SERVERS], of_servers.values, of_servers.over_s,
+                                     strict=False))
+
+
+def _groups(results: Iterable[RunResult]) -> Iterable[Group]:
+    together: dict[tuple[object, ...], list[RunResult]] = defaultdict(list)
+    for result in results:
+        together[result.scenario, result.revision, *sorted(result.factors.items())].append(result)
+    revisions = {result.revision for members in together.values() for result in members}
+    for members in together.values():
+        first = members[0]
+        names = [first.scenario, *(f"{key}={value}" for key, value in sorted(first.factors.items()))]
+        if len(revisions) > 1:
+            names.append(f"at {first.revision}")
+        yield Group(
+            name=" ".join(names), scenario=first.scenario, revision=first.revision, factors=first.factors,
+            seeds=tuple(result.seed for result in members),
+            rules_broken=sum(map(broken, members)),
+            figures={name: _spread([result.figures[name] for result in members if name in result.figures])
+                     for name in dict.fromkeys(name for result in members for name in result.figures)})
+
+
+def _spread(values: Sequence[float]) -> Spread:
+    return Spread(fmean(values), min(values), max(values), tuple(values))
--- /dev/null
+++ b/glenfold_lab/reports/terms.py
@@ -0,0 +1,52 @@
+"""How figures and series are named to a reader: title, unit, and which series share a picture."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+UNITS = {"us": "µs", "ms": "ms", "s": "s", "mb": "MB", "per_s": "1/s", "share": "of 1"}
+FIRST = ("service", "worst_window", "rules_broken")  # figures that a reader wants first
+RULES = {
+    "answer": "one final answer in time",
+    "attempt": "at most one attempt out",
+    "drain": "nothing new to a drained or gone server",
+    "cold": "no cold server pushed over",
+    "move": "MOVE before a cut",
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Picture:
+    """Series that are drawn together, by name. top: where the axis ends, None: where the values do."""
+
+    name: str
+    title: str
+    unit: str
+    series: tuple[str, ...]
+    top: float | None = None
+    stacked: bool = False
+
+
+PICTURES = (
+    Picture("service", "Service", "share of what was asked", ("service",), top=1.0),
+    Picture("connections", "Connections", "connections", ("connections", "wanted")),
+    Picture("answers", "Answers by kind", "answers a second", ("up", "busy", "error", "closed"),
+            stacked=True),
+    Picture("moves", "Moves and refusals", "a second", ("moved", "refused")),
+)
+
+
+def title(name: str) -> str:
+    return (name.removesuffix("_" + _suffix(name)) if unit(name) else name).replace("_", " ")
+
+
+def unit(name: str) -> str:
+    return UNITS.get(_suffix(name), "")
+
+
+def _suffix(name: str) -> str:
+    return "per_s" if name.endswith("_per_s") else name.rsplit("_", 1)[-1] if "_" in name else ""
+
+
+def in_order(names: Iterable[str]) -> list[str]:
+    """Of figures: those that a reader wants first, then by their names."""
+    return sorted(names, key=lambda name: (FIRST.index(name) if name in FIRST else len(FIRST), name))
