--- a/glenfold_lab/measures.py
+++ b/glenfold_lab/measures.py
@@ -10,6 +10,7 @@
 
 LONGEST_US = 3_600_000_000
 DIGITS = 3
+KINDS = ("up", "refused", "error", "closed")  # names of series, in the order of Final
 QUANTILES = ("50", "90", "99", "99.9", "100")
 FORGET_US = 60_000_000  # a try that is open for longer (at least; twice that at most) had no answer
 
@@ -38,7 +39,8 @@
         self._forget_at = start_us + FORGET_US
         self._answers = [0] * len(Final)
         self._set_up: list[HdrHistogram] = [HdrHistogram(1, LONGEST_US, DIGITS) for _ in classes]
-        self._refused: list[int] = []
+        self._by_kind: list[list[int]] = [[] for _ in Final]
+        self._moved: list[int] = []
         self._attempts: list[int] = []
         self._most_attempts = 0
         self._moves = 0
@@ -72,8 +74,7 @@
 
     def answered(self, at: int, request: int, final: Final, server: int | None, wait_us: int) -> None:
         known = self._open.pop(request, None) or self._older.pop(request, None)
-        if final == Final.BUSY:
-            self._count(self._refused, at)
+        self._count(self._by_kind[final], at)
         if at < self._counted_from:
             return
         self._answers[final] += 1
@@ -86,7 +87,9 @@
             self._left += at >= self._counted_from
 
     def ended(self, at: int, request: int, how: End) -> None:
-        self._moves += how == End.MOVED and at >= self._counted_from
+        if how == End.MOVED:
+            self._count(self._moved, at)
+            self._moves += at >= self._counted_from
 
     def relay_down(self, at: int, relay: int) -> None:
         self._down_since.setdefault(relay, at)
@@ -117,10 +120,12 @@
                 if seen.get_total_count()}
 
     def series(self) -> dict[str, Series]:
-        """What was "refused", and "attempts": each in a second, however long a step is."""
+        """Answers by kind ("refused" are BUSY), "moved" and "attempts": each in a second, however long a step
+        is."""
         steps = -(-max(0, self._ends_at - self._start) // self._step)
-        return {"refused": self._per_second(self._refused, steps, "refused a second"),
-                "attempts": self._per_second(self._attempts, steps, "attempts a second")}
+        counts = dict(zip(KINDS, self._by_kind, strict=True))
+        return {name: self._per_second(seen, steps, f"{name} a second")
+                for name, seen in (*counts.items(), ("moved", self._moved), ("attempts", self._attempts))}
 
     def figures(self) -> dict[str, float]:
         """most_attempts of any try, moves, and relays_down_s of all relays together."""
