--- a/glenfold_lab/model/world.py
+++ b/glenfold_lab/model/world.py
@@ -120,7 +120,8 @@
             length_us=round(self.scenario.length_s * SECOND_US), figures=figures, answers=answers,
             set_up=measures.set_up(), series=service.series() | measures.series(),
             server_load=service.server_load(), verdicts=verdicts,
-            verdicts_left_out=self.checker.left_out, happened=happened, cost=cost)
+            verdicts_left_out=self.checker.left_out, happened=happened, cost=cost,
+            guards_against=" ".join(self.scenario.guards_against.split()))
 
 
 def play(scenario: Scenario, seed: int, *, revision: str = "work tree", watchers: Sequence[Watcher] = (),
