--- a/glenfold_lab/reports/terms.py
+++ b/glenfold_lab/reports/terms.py
@@ -29,8 +29,8 @@
 PICTURES = (
     Picture("service", "of what was wanted", ("service",), top=1.0),
     Picture("connections", "connections", ("connections", "wanted")),
-    Picture("answers", "a second", ("up", "busy", "error", "closed"), stacked=True),
-    Picture("moves", "a second", ("moves", "refused", "attempts")),
+    Picture("answers", "a second", ("up", "refused", "error", "closed"), stacked=True),
+    Picture("moves", "a second", ("moved", "attempts")),
 )
 
 
