--- a/glenfold_lab/experiments/factors.py
+++ b/glenfold_lab/experiments/factors.py
@@ -80,19 +80,24 @@
 def _put(file: Located, base: Located, data: Any, factor: Factor, level: Any) -> None:
     *way, last = factor.path
     for part in way:
-        data = data.setdefault(part, {}) if isinstance(data, dict) else _at(data, part)
-    if not isinstance(data, dict) and _at(data, last) is None:
+        data = data.setdefault(part, {}) if _table(data, part) else _at(data, part)
+    if not _table(data, last) and _at(data, last) is None:
         raise file.fault(factor.key, f"{base.data['name']} has nothing at {factor.name}")
     data[last] = copy.deepcopy(level)
 
 
+def _table(data: Any, part: str | int) -> bool:
+    return isinstance(data, dict) and isinstance(part, str)
+
+
 def _at(data: Any, part: str | int) -> Any:
     return data[part] if isinstance(data, list) and isinstance(part, int) and part < len(data) else None
 
 
 def _blame(file: Located, base: Located, chosen: Sequence[tuple[Factor, int]], error: BadFile) -> BadFile:
-    """The scenario is sound without them, so a level is at fault: that which the error names, if any."""
-    factor, index = next(((factor, index) for factor, index in chosen
-                          if error.key[:len(factor.path)] == factor.path), chosen[-1])
-    reason = f"{base.data['name']} with {factor.name} = {_text(factor.levels[index])}: "
-    return file.fault((*factor.key, index), f"{reason}{written(error.key)}: {error.reason}")
+    """The scenario is sound without them, so it is the level that the error names, or some of them together."""
+    alone = [(factor, index) for factor, index in chosen if error.key[:len(factor.path)] == factor.path]
+    levels = ", ".join(f"{factor.name} = {_text(factor.levels[index])}" for factor, index in alone or chosen)
+    factor, index = (alone or chosen)[0]
+    reason = f"{base.data['name']} with {levels}: {written(error.key)}: {error.reason}"
+    return file.fault((*factor.key, index), reason)
--- a/glenfold_lab/experiments/plan.py
+++ b/glenfold_lab/experiments/plan.py
@@ -19,7 +19,7 @@
 MOST_CELLS = 1_000_000
 APART = ("commands", "experiments", "reports")  # folders of the lab that no history depends on
 
-Seed = Annotated[int, Meta(ge=0, lt=1 << 63)]
+Seed = Annotated[int, Meta(ge=0, lt=1 << 53)]
 Seeds = Annotated[tuple[Seed, ...], Meta(min_length=1)]
 
 
--- a/glenfold_lab/experiments/pool.py
+++ b/glenfold_lab/experiments/pool.py
@@ -1,5 +1,6 @@
 """Plays cells over many worker processes."""
 
+import fcntl
 import os
 import subprocess
 import sys
@@ -8,6 +9,7 @@
 from collections.abc import Callable, Iterable
 from typing import IO, TypeVar
 
+import click
 import msgspec
 import trio
 
@@ -16,7 +18,7 @@
 from glenfold_lab.experiments.revisions import ROOT, Decisions
 from glenfold_lab.experiments.store import Outcome
 
-PLAYER = "glenfold_lab.model.world:play"
+PLAYER = "glenfold_lab.model.world:play"  # what a worker calls to play a history
 TRIES = 2  # of a cell whose worker died
 TAIL = 2000  # bytes of a dead worker's last words
 
@@ -28,7 +30,7 @@
     """A worker ended while it was wanted."""
 
 
-class WrongDecisions(Exception):
+class WrongDecisions(click.ClickException):
     """A worker has imported other decisions than those that it was given."""
 
 
@@ -43,11 +45,11 @@
         self._input = b""
 
     @classmethod
-    async def start(cls, decisions: Decisions, words: IO[bytes], player: str) -> "Worker":
+    async def start(cls, decisions: Decisions, words: IO[bytes]) -> "Worker":
         paths = [str(decisions.folder), str(ROOT), os.environ.get("PYTHONPATH", "")]
         # -P: else the current folder would go ahead of them all. A session of its own: Ctrl-C is for us.
         process = await trio.lowlevel.open_process(
-            [sys.executable, "-P", "-m", "glenfold_lab.experiments.worker", player],
+            [sys.executable, "-P", "-m", "glenfold_lab.experiments.worker", PLAYER],
             stdin=subprocess.PIPE, stdout=subprocess.PIPE, stderr=words, start_new_session=True,
             env={**os.environ, "PYTHONPATH": os.pathsep.join(filter(None, paths))})
         return cls(decisions, words, process)
@@ -100,7 +102,7 @@
         self._words.truncate(0)
 
 
-async def run(plan: Plan, cells: Iterable[Cell], workers: int, take: Take, player: str = PLAYER) -> None:
+async def run(plan: Plan, cells: Iterable[Cell], workers: int, take: Take) -> None:
     """Plays these cells; `take` gets each one's record as soon as it is done, in any order.
 
     A cell that fails is recorded as failed; so is one whose worker died, and died again."""
@@ -109,7 +111,7 @@
     try:
         async with trio.open_nursery() as nursery:
             for _ in range(min(workers, len(left))):
-                nursery.start_soon(Place(plan, take, player).work, left)
+                nursery.start_soon(Place(plan, take).work, left)
     except BaseExceptionGroup as group:
         raise first(group) from group
 
@@ -122,13 +124,14 @@
 class Place:
     """Where one worker at a time plays: replaced when it has died, and for another revision."""
 
-    def __init__(self, plan: Plan, take: Take, player: str) -> None:
-        self._plan, self._take, self._player = plan, take, player
+    def __init__(self, plan: Plan, take: Take) -> None:
+        self._plan, self._take = plan, take
         self._worker: Worker | None = None
 
     async def work(self, left: "deque[Cell]") -> None:
-        # Appended to by the worker, wherever this side has read to.
-        with tempfile.TemporaryFile("a+b") as words:
+        with tempfile.TemporaryFile() as words:
+            # A worker must go on at the end, wherever this side has read to or cut it off.
+            fcntl.fcntl(words, fcntl.F_SETFL, fcntl.fcntl(words, fcntl.F_GETFL) | os.O_APPEND)
             try:
                 while left:
                     self._take(await self._outcome(left.popleft(), words))
@@ -150,7 +153,7 @@
         if self._worker is not None and self._worker.decisions is not decisions:
             await self._dismiss()
         if self._worker is None:
-            self._worker = await Worker.start(decisions, words, self._player)
+            self._worker = await Worker.start(decisions, words)
             await self._worker.greet()
         return self._worker
 
--- a/glenfold_lab/experiments/worker.py
+++ b/glenfold_lab/experiments/worker.py
@@ -50,7 +50,7 @@
 
 def main() -> None:
     answers = os.fdopen(os.dup(1), "wb")
-    os.dup2(2, 1)  # whatever a history prints must not fall between the answers
+    os.dup2(os.open(os.devnull, os.O_WRONLY), 1)  # what a history prints must not fall between the answers
     module, _, name = sys.argv[1].partition(":")
     player: Play = getattr(import_module(module), name)
     folder = Path(str(linnetspread.__file__)).parent
