Pass over what no watcher of several cares for, also when they are nested

A checker is made of several watchers and stands beside others; an observation that none of its parts takes still cost a call and a loop each time.

--- a/glenfold_lab/observe.py
+++ b/glenfold_lab/observe.py
@@ -139,7 +139,8 @@
         for name in OBSERVATIONS:
             calls = [getattr(watcher, name) for watcher in watchers
                      if getattr(type(watcher), name) is not getattr(Watcher, name) or name in vars(watcher)]
-            setattr(self, name, _to_all(calls))
+            if calls:
+                setattr(self, name, _to_all(calls))
 
 
 def _to_all(calls: list[Callable[..., None]]) -> Callable[..., None]:
