--- a/glenfold_lab/checker/answer.py
+++ b/glenfold_lab/checker/answer.py
@@ -4,33 +4,46 @@
 client that gave up when its time ran out excuses nothing.
 """
 
+from collections.abc import Callable
+
 from glenfold_lab.checker.state import Request
 from glenfold_lab.checker.verdicts import Seen, Verdicts
 from glenfold_lab.observe import Final, Over
 
+Death = Callable[[Request], int | None]  # when the relay that took the request died, if it did since
+
 
-def judge(found: Verdicts, state: Request, now: int, died: int | None) -> None:
-    """`died`: when its relay did, if it has since it took the request."""
-    if state.final is None:
-        _judge_none(found, state, now, died)
-    elif state.left_at is not None and state.left_at < min(state.deadline, state.final_at):
+def judge(found: Verdicts, state: Request, now: int, death: Death) -> None:
+    final, left = state.final, state.left_at
+    if final is None:
+        _judge_none(found, state, now, death)
+    elif left is not None and left < min(state.deadline, state.final_at):
         return
     elif state.again:
         second(found, state)
-    elif state.final == Final.CLOSED:
-        if died is None or died > state.final_at:
-            _broken(found, state, state.final_at, [state.final_seen()])
     elif state.final_at > state.due:
         _broken(found, state, state.final_at, [_due(state), state.final_seen()])
-    elif state.final == Final.UP and not any(
-            one.how == Over.UP and one.server == state.receipt_of for one in state.attempts):
-        attempts = [seen for one in state.attempts for seen in one.seen()]
-        nobody = (state.final_at, "no push server had given an UP like this for it")
-        _broken(found, state, state.final_at, [*attempts, state.final_seen(), nobody])
+    elif final == Final.UP:
+        _judge_up(found, state)
+    elif final == Final.CLOSED:
+        died = death(state)
+        if died is None or died > state.final_at:
+            _broken(found, state, state.final_at, [state.final_seen()])
+
+
+def _judge_up(found: Verdicts, state: Request) -> None:
+    one = state.last
+    while one is not None:
+        if one.how == Over.UP and one.server == state.receipt_of:
+            return
+        one = one.before
+    attempts = [seen for one in state.attempts() for seen in one.seen()]
+    nobody = (state.final_at, "no push server had given an UP like this for it")
+    _broken(found, state, state.final_at, [*attempts, state.final_seen(), nobody])
 
 
-def _judge_none(found: Verdicts, state: Request, now: int, died: int | None) -> None:
-    left = state.left_at
+def _judge_none(found: Verdicts, state: Request, now: int, death: Death) -> None:
+    left, died = state.left_at, death(state)
     if now < state.due or left is not None and left < state.deadline or died is not None and died < state.due:
         return
     seen = [_due(state)] if left is None else [_due(state), (left, "its client gave up")]
--- a/glenfold_lab/checker/drain.py
+++ b/glenfold_lab/checker/drain.py
@@ -85,15 +85,13 @@
 
     def sent(self, at: int, request: int, relay: int, server: int, first: int) -> None:
         known = self._relays.get(relay)
-        if known is not None:
-            if first <= known.died:  # under way when its relay died: by a list that is void by now
-                return
-            away = known.away.get(server)
-            if away is not None:
-                if away.since + self._grace < first and (away.until is None or first < away.until):
-                    self._late(away, at, request, relay, server, first)
-                return
-        if self.told_start(relay, server) == NOT_NAMED:
+        if known is not None and first <= known.died:  # by a list that is void by now
+            return
+        away = known.away.get(server) if known is not None else None
+        if away is not None:
+            if away.since + self._grace < first and (away.until is None or first < away.until):
+                self._late(away, at, request, relay, server, first)
+        elif self.told_start(relay, server) == NOT_NAMED:
             unnamed = (at, f"the list of relay {relay} had never named server {server}")
             self._broken([unnamed], at, request, relay, server, first)
 
--- a/glenfold_lab/checker/requests.py
+++ b/glenfold_lab/checker/requests.py
@@ -44,25 +44,27 @@
         state = self._open.get(request)
         if state is None:
             return attempt.for_nobody(self._found, at, request, relay, server, first)
-        new = Attempt(server, first, at)
+        new = Attempt(server, first, at, state.last)
         if state.over_before and any(who == server and first <= over for who, over in state.over_before):
             new.over_at, new.how = at, Over.ABANDONED
         if state.judged:
             attempt.judge_late(self._found, state, new, self._slack)
-        elif state.attempts:
-            state.attempts = [*state.attempts, new]
         else:
-            state.attempts = (new,)
+            state.last = new
 
     def attempt_over(self, at: int, request: int, server: int, how: Over) -> None:
         state = self._open.get(request)
         if state is None or state.judged:
             return
-        for one in state.attempts:
+        one, out = state.last, None
+        while one is not None:  # of two at one server, the older
             if one.server == server and one.over_at is None:
-                one.over_at, one.how = at, how
-                return
-        state.over_before = (*state.over_before, (server, at))
+                out = one
+            one = one.before
+        if out is None:
+            state.over_before = (*state.over_before, (server, at))
+        else:
+            out.over_at, out.how = at, how
 
     def answered(self, at: int, request: int, final: Final, server: int | None, wait_us: int) -> None:
         state = self._open.get(request)
@@ -109,14 +111,14 @@
 
     def _judge_step(self, step: int, now: int) -> None:
         for state in self._to_judge.pop(step):
-            answer.judge(self._found, state, now, self._death(state))
+            answer.judge(self._found, state, now, self._death)
             attempt.judge(self._found, state, now, self._most, self._slack)
-            state.judged, state.attempts = True, ()
+            state.judged, state.last = True, None
             if state.over and self._open.get(state.number) is state:
                 del self._open[state.number]
 
     def _death(self, state: Request) -> int | None:
-        """When the relay that took it died."""
+        """When the relay that took it died; None if it lives on."""
         deaths = self._deaths.get(state.relay)
         if deaths is None:
             return None
--- a/glenfold_lab/checker/state.py
+++ b/glenfold_lab/checker/state.py
@@ -1,6 +1,5 @@
 """What was seen of one request and of its attempts."""
 
-from collections.abc import Sequence
 from dataclasses import dataclass
 
 from glenfold_lab.checker.verdicts import Seen
@@ -9,11 +8,12 @@
 
 @dataclass(slots=True, eq=False)
 class Attempt:
-    """over_at is None while it is out."""
+    """over_at is None while it is out. before: the one that arrived before it, for the same request."""
 
     server: int
     first: int
     at: int
+    before: "Attempt | None"
     over_at: int | None = None
     how: Over | None = None
 
@@ -27,16 +27,17 @@
 
 @dataclass(slots=True, eq=False)
 class Request:
-    """due: the last moment for its answer. receipt_of: the server whose receipt its UP bears. again: answers
-    after the first. over_before: attempts that were over before they had arrived, by server and moment.
-    lost: its connection has broken the rule on moves."""
+    """due: the last moment for its answer. last: its attempts, the latest first; let go once it has been
+    judged, as the connection may stand for long. receipt_of: the server whose receipt its UP bears.
+    again: answers after the first. over_before: attempts that were over before they had arrived, by server
+    and moment. lost: its connection has broken the rule on moves."""
 
     number: int
     relay: int
     taken_at: int
     deadline: int
     due: int
-    attempts: Sequence[Attempt] = ()
+    last: Attempt | None = None
     final: Final | None = None
     final_at: int = 0
     receipt_of: int | None = None
@@ -51,6 +52,14 @@
     def over(self) -> bool:
         return self.final != Final.UP or self.ended or self.left_at is not None
 
+    def attempts(self) -> list[Attempt]:
+        """In the order of their arrival."""
+        found, one = [], self.last
+        while one is not None:
+            found.append(one)
+            one = one.before
+        return found[::-1]
+
     def taken_seen(self) -> Seen:
         return self.taken_at, f"relay {self.relay} took request {self.number}"
 
