--- a/glenfold/request.py
+++ b/glenfold/request.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-from glenfold.decisions import RequestAction
+from glenfold.dispatch import RequestAction
 from linnetspread import interface as i
 
 
@@ -103,6 +103,8 @@
 
 
 class RequestState:
+    __slots__ = ("number", "deadline_us", "phase", "server", "_attempt", "_sent_us", "_bound")
+
     def __init__(self, number: int, deadline_us: int) -> None:
         self.number = number
         self.deadline_us = deadline_us
