Add the command lab load: plans from words or a file, tables, JSON, and a self-test

Need: an operator puts load on relays from a shell, and must see when it was the load that lagged.

Tests show in virtual time that a stall of 2 s is in the latencies of all that should have started meanwhile, and that a closed loop hides it.

--- /dev/null
+++ b/glenfold_lab/commands/load.py
@@ -0,0 +1,295 @@
+"""`glenfold lab load`: open-loop load on relays, and what it measured."""
+
+import math
+import os
+import re
+import signal
+import time
+from collections.abc import Callable, Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from types import FrameType
+from typing import Any
+
+import click
+import msgspec
+import psutil  # type: ignore[import-untyped]
+from rich.console import Console
+from rich.progress import BarColumn, Progress, TextColumn, TimeRemainingColumn
+from rich.table import Table
+
+from glenfold.config import Address, read_address
+from glenfold_lab.load import crew, echo, plan, terms
+from glenfold_lab.load.offer import Offer
+from glenfold_lab.load.result import ENDED_EARLY, LoadResult, summarize, window_us
+from glenfold_lab.located import BadFile, Located
+from glenfold_lab.results import Distribution
+
+INTERRUPTED = 130  # as shells have it for SIGINT
+QUANTILES = ("50", "90", "99", "99.9", "100")
+RECONNECT = re.compile(r"(\d+)@(\d+(?:\.\d+)?)(?:/(\d+(?:\.\d+)?))?")
+KIND = ("name", "wait_ms", "life_s", "line_gap_ms")  # options that are keys of a class
+# Which option says what stands under a key of a plan, or a part of one.
+OPTIONS = {"reconnects": "--reconnect", "schemes": "--scheme", "rate": "--rate", "for_s": "--for",
+           "at_s": "--ramp", "wait_ms": "--wait-ms", "life_s": "--life", "line_gap_ms": "--line-gap-ms",
+           "name": "--class", "arrivals": "--rate"}
+
+
+def _in_a_folder(_: click.Context, __: click.Parameter, out: str | None) -> str | None:
+    """Known before the load, not after it."""
+    if out is not None and out != "-" and not os.access(Path(out).parent, os.W_OK):
+        raise click.BadParameter(f"no file can be written in {Path(out).parent}")
+    return out
+
+
+class Number(click.ParamType[float]):
+    """A finite number, at least or above `least`."""
+
+    name = "number"
+
+    def __init__(self, least: float = 0.0, closed: bool = True) -> None:
+        self._least, self._closed = least, closed
+
+    def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> float:
+        try:
+            number = float(value)
+        except ValueError:
+            number = math.nan
+        if not math.isfinite(number) or number < self._least or (number == self._least and not self._closed):
+            bound = "at least" if self._closed else "above"
+            self.fail(f"{value!r} is not a number {bound} {self._least:g}", param, ctx)
+        return number
+
+
+class Target(click.ParamType[Address]):
+    name = "HOST:PORT"
+
+    def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> Address:
+        try:
+            return read_address(value)
+        except ValueError as error:
+            self.fail(str(error), param, ctx)
+
+
+class ReconnectOption(click.ParamType[terms.Reconnect]):
+    name = "N@AT[/WITHIN]"
+
+    def convert(self, value: Any, param: click.Parameter | None,
+                ctx: click.Context | None) -> terms.Reconnect:
+        match = RECONNECT.fullmatch(value)
+        if match is None:
+            self.fail(f"{value!r} is not CLIENTS@SECONDS[/WITHIN], as 2000@15/1.5", param, ctx)
+        clients, at_s, within_s = match.groups()
+        return terms.Reconnect(clients=int(clients), at_s=float(at_s), within_s=float(within_s or 0))
+
+
+POSITIVE = Number(closed=False)
+
+
+@click.command("load")
+@click.option("--to", "targets", type=Target(), multiple=True, help="A relay; once for each.")
+@click.option("--self-test", is_flag=True, help="Instead of --to: against stand-ins that only echo.")
+@click.option("--plan", "file", type=click.Path(path_type=Path),
+              help="A TOML plan, instead of --rate and its like.")
+@click.option("--rate", type=POSITIVE, help="New connections a second.")
+@click.option("--for", "for_s", type=POSITIVE, help="Seconds for which clients come.")
+@click.option("--ramp", "ramp_s", type=Number(), help="Seconds of these over which the rate rises from 0.")
+@click.option("--poisson", is_flag=True, help="Starts at random, not evenly apart.")
+@click.option("--reconnect", type=ReconnectOption(), multiple=True,
+              help="So many connections drop at that second and come again, all at once or within seconds.")
+@click.option("--class", "name", help="Of the connections, as the relays know it.  [default: watch]")
+@click.option("--scheme", help="Of the clients.  [default: none]")
+@click.option("--wait-ms", type=click.IntRange(min=1),
+              help="How long a client waits for UP.  [default: 2000]")
+@click.option("--life", "life_s", type=POSITIVE, help="Seconds a client wants to stay.  [default: 10]")
+@click.option("--line-gap-ms", type=Number(), help="Between its lines; 0: none.  [default: 2000]")
+@click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True, help="Of the plan.")
+@click.option("--workers", type=click.IntRange(1, 64), default=2, show_default=True, help="Processes.")
+@click.option("--most-open", type=click.IntRange(min=1), default=20_000, show_default=True,
+              help="Connections open at once.")
+@click.option("--late-ms", type=POSITIVE, default=5.0, show_default=True,
+              help="The result is marked late if its starts are later than this at the 99th percentile.")
+@click.option("--json", "out", type=click.Path(dir_okay=False, writable=True, allow_dash=True),
+              callback=_in_a_folder,
+              help="Where the result goes as JSON; - for the output, without tables.")
+def command(targets: tuple[Address, ...], self_test: bool, file: Path | None, seed: int, workers: int,
+            most_open: int, late_ms: float, out: str | None, **options: Any) -> None:
+    """Put open-loop load on relays: clients start when the plan says, whatever became of those before them.
+
+    Exit status: 0 measured what was asked for, 1 the result is marked (late, no room) or a worker broke off,
+    2 the words or a file are at fault, 130 ended early by a signal."""
+    if self_test == bool(targets):
+        raise click.UsageError("either --to or --self-test says what the load is put on")
+    if len(set(targets)) < len(targets):
+        raise click.BadParameter("the same relay comes twice", param_hint="--to")
+    asked = _from_file(file, options) if file else _from_options(options)
+    order = Order(asked, seed, workers, most_open, round(late_ms * 1000), out == "-")
+    try:
+        result = _self_test(order) if self_test else _measure(order, targets)
+    except crew.LoadFailed as error:
+        raise click.ClickException(str(error)) from error
+    _tell(result, out)
+    if result.marks:
+        raise SystemExit(INTERRUPTED if result.marks == (ENDED_EARLY,) else 1)
+
+
+# ---- what is asked for ----
+
+
+def _from_file(file: Path, options: dict[str, Any]) -> terms.LoadPlan:
+    given = [name for name, value in options.items() if value]
+    if given:
+        raise click.UsageError("--plan says all of what --rate and its like say; give either")
+    return terms.read(file)
+
+
+def _from_options(options: dict[str, Any]) -> terms.LoadPlan:
+    rate, for_s, ramp_s = options["rate"], options["for_s"], options["ramp_s"] or 0.0
+    if rate is None or for_s is None:
+        raise click.UsageError("--rate and --for are needed, or a --plan")
+    if ramp_s > for_s:
+        raise click.BadParameter("is longer than --for", param_hint="--ramp")
+    kind = {key: options[key] for key in KIND if options[key] is not None}
+    document = {
+        "format": 1,
+        "arrivals": _arrivals(rate, for_s, ramp_s, "poisson" if options["poisson"] else "constant"),
+        "classes": [{"name": "watch", **kind}],
+        "schemes": [{"name": options["scheme"]}] if options["scheme"] else [],
+        "reconnects": msgspec.to_builtins(options["reconnect"]),
+    }
+    try:
+        return terms.checked(Located("options", document, {}))
+    except BadFile as error:
+        hint = next(option for key, option in OPTIONS.items() if key in error.key)
+        raise click.BadParameter(error.reason, param_hint=hint) from error
+
+
+def _arrivals(rate: float, for_s: float, ramp_s: float, process: str) -> list[dict[str, object]]:
+    rising = {"rate": [0, rate], "for_s": ramp_s, "process": process}
+    steady = {"rate": rate, "at_s": ramp_s, "for_s": for_s - ramp_s, "process": process}
+    return [part for part in (rising, steady) if part["for_s"]]
+
+
+# ---- the measurement ----
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    asked: terms.LoadPlan
+    seed: int
+    workers: int
+    most_open: int
+    late_us: int
+    quiet: bool
+
+
+def _self_test(order: Order) -> LoadResult:
+    all_cores = psutil.Process().cpu_affinity()
+    own = {core for cores in crew.cores_for(order.workers) for core in cores}
+    others = [core for core in all_cores if core not in own]
+    with echo.echoes(order.workers, others or all_cores) as targets:
+        return _measure(order, targets)
+
+
+def _measure(order: Order, targets: Sequence[Address]) -> LoadResult:
+    clients = plan.draw(order.asked, order.seed, len(targets))
+    length_us = plan.length_us(order.asked)
+    offer = Offer(order.asked, targets, order.most_open, window_us(length_us))
+    with _told_to_stop() as stopped, _progress(length_us / plan.SECOND_US, order.quiet) as show:
+
+        def look() -> bool:
+            show()
+            return stopped()
+
+        reports = crew.offer_all(offer, clients, order.workers, look)
+        return summarize(order.seed, offer, clients, length_us, reports, order.late_us, stopped())
+
+
+@contextmanager
+def _told_to_stop() -> Iterator[Callable[[], bool]]:
+    """SIGINT and SIGTERM end the load early, with what it measured so far; twice ends it at once."""
+    heard: list[int] = []
+
+    def hear(number: int, _: FrameType | None) -> None:
+        heard.append(number)
+        if len(heard) > 1:
+            raise KeyboardInterrupt
+
+    before = {number: signal.signal(number, hear) for number in (signal.SIGINT, signal.SIGTERM)}
+    try:
+        yield lambda: bool(heard)
+    finally:
+        for number, handler in before.items():
+            signal.signal(number, handler)
+
+
+@contextmanager
+def _progress(length_s: float, quiet: bool) -> Iterator[Callable[[], None]]:
+    console = Console(stderr=True)
+    columns = (TextColumn("load"), BarColumn(), TimeRemainingColumn())
+    with Progress(*columns, console=console, transient=True, disable=quiet or not console.is_terminal) as bar:
+        task, began = bar.add_task("load", total=length_s), time.monotonic()
+        yield lambda: bar.update(task, completed=time.monotonic() - began)
+
+
+# ---- what is told ----
+
+
+def _tell(result: LoadResult, out: str | None) -> None:
+    if out != "-":
+        show(result, Console())
+    if out is not None:
+        with click.open_file(out, "wb") as file:
+            file.write(msgspec.json.format(msgspec.json.encode(result), indent=1) + b"\n")
+
+
+def show(result: LoadResult, console: Console) -> None:
+    """The tables that people read."""
+    table = Table("in ms", "count", *(f"{name} %" for name in QUANTILES[:-1]), "greatest", title="Latencies")
+    for column in table.columns[1:]:
+        column.justify = "right"
+    for name, values in result.set_up.items():
+        _row(table, f"set-up of {name}", values)
+    for kind, values in result.answers.items():
+        if kind != "up":
+            _row(table, f"answer: {kind}", values)
+    _row(table, "lines, there and back", result.lines)
+    _row(table, "the load's own lateness", result.lateness)
+    _row(table, "that of its lines", result.line_lateness)
+    console.print(table, _windows(result))
+    if len(result.targets) > 1:
+        console.print(_targets(result))
+    console.print(_summary(result))
+
+
+def _row(table: Table, name: str, values: Distribution) -> None:
+    if values.count:
+        table.add_row(name, str(values.count), *(f"{values.quantiles[at] / 1000:.1f}" for at in QUANTILES))
+
+
+def _windows(result: LoadResult) -> Table:
+    table = Table("from s", "starts", "up", "50 % ms", "99 % ms", title="Set-up over time")
+    for window in result.windows:
+        up = window.set_up
+        table.add_row(f"{window.from_us / 1e6:g}", str(window.started), str(up.count),
+                      *(f"{up.quantiles[at] / 1000:.1f}" if up.count else "-" for at in ("50", "99")))
+    return table
+
+
+def _targets(result: LoadResult) -> Table:
+    table = Table("relay", *result.answers, title="Answers")
+    for name, counts in result.targets.items():
+        table.add_row(name, *(str(counts.get(kind, 0)) for kind in result.answers))
+    return table
+
+
+def _summary(result: LoadResult) -> str:
+    answered = sum(values.count for values in result.answers.values())
+    lines = [f"{result.started} of {result.planned} planned starts, {answered} answered; "
+             f"{result.standing} stood at the end; {result.lines_unanswered} lines unanswered",
+             "ended: " + (", ".join(f"{count} {how}" for how, count in result.partings.items()) or "none"),
+             f"the load itself: {result.cost['cpu_s']:.1f} s of CPU, {result.cost['memory_mb']:.0f} MB"]
+    if result.marks:
+        lines.append(f"[bold red]Not what was asked for: {', '.join(result.marks)}[/]")
+    return "\n".join(lines)
--- /dev/null
+++ b/glenfold_lab/load/echo.py
@@ -0,0 +1,80 @@
+"""The least that a load can be put on: says UP to each first line at once and gives back all later ones.
+
+What is measured against it is what the load itself costs, with the machine and its loopback.
+"""
+
+import gc
+import multiprocessing
+import signal
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from multiprocessing.connection import Connection
+
+import psutil  # type: ignore[import-untyped]
+import trio
+
+from glenfold.config import Address
+from glenfold.lines import END, MAX_LINE
+from glenfold_lab.load.crew import descriptors
+
+BACKLOG = 4096
+UP = b"UP echo" + END
+
+
+@contextmanager
+def echoes(count: int, cores: Sequence[int]) -> Iterator[list[Address]]:
+    """So many processes on ephemeral loopback ports, on these cores; they end with this block, or with this
+    process."""
+    context = multiprocessing.get_context("spawn")
+    pipes = []
+    processes = []
+    for _ in range(count):
+        here, there = context.Pipe()
+        process = context.Process(target=serve, args=(there, list(cores)), daemon=True)
+        process.start()
+        there.close()
+        pipes.append(here)
+        processes.append(process)
+    try:
+        yield [pipe.recv() for pipe in pipes]
+    finally:
+        for pipe in pipes:
+            pipe.close()
+        for process in processes:
+            process.join()
+
+
+def serve(pipe: Connection, cores: list[int]) -> None:
+    """One such process: tells its address, and ends with the pipe."""
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    psutil.Process().cpu_affinity(cores)
+    descriptors()
+    gc.disable()  # its pauses would be taken for the load's
+    trio.run(_serve, pipe)
+
+
+async def _serve(pipe: Connection) -> None:
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1", backlog=BACKLOG)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, echo, listeners)
+        pipe.send(listeners[0].socket.getsockname())
+        await trio.lowlevel.wait_readable(pipe.fileno())
+        nursery.cancel_scope.cancel()
+
+
+async def echo(stream: trio.abc.HalfCloseableStream) -> None:
+    """One connection, to its end."""
+    try:
+        first = b""
+        while not first.endswith(END):
+            data = await stream.receive_some(MAX_LINE)
+            if not data:
+                return
+            first += data
+        await stream.send_all(UP)
+        while data := await stream.receive_some(MAX_LINE):
+            await stream.send_all(data)
+    except trio.BrokenResourceError:
+        pass  # that is the end of it too
+    finally:
+        await trio.aclose_forcefully(stream)
--- a/glenfold_lab/load/offer.py
+++ b/glenfold_lab/load/offer.py
@@ -73,6 +73,7 @@
         self._connect = connect
         self._open = 0
         self._unanswered = 0
+        self._standing = 0
         self._answered = trio.Event()
 
     async def run(self, clients: Clients, stop: trio.Event) -> None:
@@ -91,7 +92,7 @@
         self._end(scope)
 
     def _end(self, scope: trio.CancelScope) -> None:
-        self.tally.standing = self._open - self._unanswered
+        self.tally.standing = self._standing
         scope.cancel()
 
     async def _start_all(self, clients: Clients, nursery: trio.Nursery) -> None:
@@ -116,7 +117,10 @@
         def tell(news: c.News) -> None:
             hearing.hear(news)
             if isinstance(news, c.Answered):
+                self._standing += news.answer is c.Answer.UP
                 self._one_answered()
+            elif isinstance(news, c.Parted):
+                self._standing -= 1
 
         state = c.ClientState(wish(offer.terms, client), client.start_us, now_us)
         try:
--- a/glenfold_lab/load/plan.py
+++ b/glenfold_lab/load/plan.py
@@ -5,7 +5,7 @@
 import numpy as np
 from numpy.typing import NDArray
 
-from glenfold_lab.load.terms import Arrivals, Groups, LoadPlan, Reconnect
+from glenfold_lab.load.terms import DAY_S, Arrivals, Groups, LoadPlan, Reconnect, rates
 from glenfold_lab.streams import Streams
 
 SECOND_US = 1_000_000
@@ -21,13 +21,6 @@
 Clients = NDArray[np.void]
 
 
-def expected_starts(terms: LoadPlan) -> float:
-    """How many clients these terms ask for, on the mean."""
-    rates = [(_rates(arrivals), arrivals.for_s) for arrivals in terms.arrivals]
-    return (sum((first + last) / 2 * for_s for (first, last), for_s in rates)
-            + sum(reconnect.clients for reconnect in terms.reconnects))
-
-
 def length_us(terms: LoadPlan) -> int:
     """From the load's start to the last moment at which a client may start."""
     ends = [arrivals.at_s + arrivals.for_s for arrivals in terms.arrivals]
@@ -46,15 +39,9 @@
     return clients[np.argsort(clients["start_us"], kind="stable")]
 
 
-def _rates(arrivals: Arrivals) -> tuple[float, float]:
-    if isinstance(arrivals.rate, tuple):
-        return arrivals.rate[0], arrivals.rate[1]
-    return arrivals.rate, arrivals.rate
-
-
 def _starts(arrivals: Arrivals, random: np.random.Generator) -> NDArray[np.int64]:
     """Moments at which the sum of the rate so far reaches a count: whole ones, or drawn evenly."""
-    first, last = _rates(arrivals)
+    first, last = rates(arrivals)
     total = (first + last) / 2 * arrivals.for_s
     if arrivals.process == "poisson":
         counts = np.sort(random.uniform(0, total, random.poisson(total)))
@@ -115,7 +102,7 @@
     mean = np.array([kind.life_s for kind in terms.classes])[kinds]
     sigma = np.array([kind.life_sigma for kind in terms.classes])[kinds]
     spread = np.exp(sigma * random.standard_normal(len(kinds)) - sigma * sigma / 2)
-    return np.asarray(mean * spread * SECOND_US, dtype=np.int64)
+    return np.asarray(np.minimum(mean * spread, DAY_S) * SECOND_US, dtype=np.int64)
 
 
 def _groups(groups: Groups, alone: NDArray[np.uint64], random: np.random.Generator,
--- a/glenfold_lab/load/terms.py
+++ b/glenfold_lab/load/terms.py
@@ -1,16 +1,30 @@
 """The terms of a load plan: plain values, checked as they are read. Shares are relative to each other."""
 
+import re
+from collections.abc import Iterator
+from pathlib import Path
 from typing import Annotated, Literal
 
-import msgspec
 from msgspec import Meta
 
 from glenfold.lines import MOST_WAIT_MS
-from glenfold_lab.spec import Count, Name, NotNegative, Pair, Part, Positive, Share
-
-MOST_STARTS = 5_000_000  # of one plan: what its arrays and the tables of its workers can hold
-
+from glenfold_lab import located
+from glenfold_lab.located import Key, Located
+from glenfold_lab.spec import Name, Part, Positive, Share
+
+MOST_STARTS = 5_000_000  # of one plan: what the tables of its workers can hold
+DAY_S = 86_400
+LEAST_GAP_MS = 10        # bounds how many lines of one client can be unanswered
+WORD = re.compile(r"[!-+\--~]+")  # what can stand in a first line: no blank, no comma
+
+Rate = Annotated[float, Meta(ge=0, le=1e6)]
+Ramp = Annotated[tuple[Rate, ...], Meta(min_length=2, max_length=2)]
+Seconds = Annotated[float, Meta(ge=0, le=DAY_S)]
+Length = Annotated[float, Meta(gt=0, le=DAY_S)]
 Wait = Annotated[int, Meta(ge=1, le=MOST_WAIT_MS)]
+Milliseconds = Annotated[float, Meta(ge=0, le=1000 * DAY_S)]
+Spread = Annotated[float, Meta(ge=0, le=4)]
+Many = Annotated[int, Meta(ge=1, le=1_000_000)]
 
 
 class Arrivals(Part, frozen=True):
@@ -19,9 +33,9 @@
     rate: starts a second; of a pair, it goes evenly from the first to the second.
     process: "constant" has starts evenly apart, "poisson" at random, each without regard to the others."""
 
-    rate: NotNegative | Pair
-    for_s: Positive
-    at_s: NotNegative = 0.0
+    rate: Rate | Ramp
+    for_s: Length
+    at_s: Seconds = 0.0
     process: Literal["constant", "poisson"] = "constant"
 
 
@@ -29,27 +43,29 @@
     """At `at_s`, `clients` connections end at once, and their clients come again within `within_s`, evenly at
     random; 0: at once. Where fewer stand by the plan, the rest come from elsewhere. All say `again=1`."""
 
-    at_s: NotNegative
-    clients: Count
-    within_s: NotNegative = 0.0
+    at_s: Seconds
+    clients: Many
+    within_s: Seconds = 0.0
 
 
 class LoadClass(Part, frozen=True):
     """A class of connections, by its name in the relays' settings.
 
     wait_ms: how long a client waits for its answer. life_s: the mean time for which it wants its connection,
-    from the intended start on; life_sigma: its spread (lognormal; 0: all alike). line_gap_ms: between its
-    lines; 0: it says none."""
+    from the intended start on; life_sigma: its spread (lognormal; 0: all alike), up to a day. line_gap_ms:
+    between its lines; 0: it says none."""
 
     name: Name
     share: Positive = 1.0
     wait_ms: Wait = 2000
-    life_s: Positive = 10.0
-    life_sigma: NotNegative = 0.0
-    line_gap_ms: NotNegative = 2000.0
+    life_s: Length = 10.0
+    life_sigma: Spread = 0.0
+    line_gap_ms: Milliseconds = 2000.0
 
 
 class SchemeShare(Part, frozen=True):
+    """A scheme (tenant), by its name in the relays' settings."""
+
     name: Name
     share: Positive = 1.0
 
@@ -58,12 +74,12 @@
     """share: of the clients that belong to a group; the rest are each their own. zipf: how unequal the sizes
     of the `count` groups are; 0: alike."""
 
-    count: Count
+    count: Many
     share: Share = 1.0
-    zipf: NotNegative = 0.8
+    zipf: Spread = 0.8
 
 
-class LoadPlan(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+class LoadPlan(Part, frozen=True):
     """What is asked of the relays; each seed draws one plan of it."""
 
     format: Literal[1]
@@ -72,3 +88,46 @@
     schemes: tuple[SchemeShare, ...] = ()
     groups: Groups | None = None
     reconnects: tuple[Reconnect, ...] = ()
+
+
+def read(path: str | Path) -> LoadPlan:
+    """Raises BadFile, with key and line, for the first fault."""
+    return checked(located.read(path))
+
+
+def checked(values: Located) -> LoadPlan:
+    """Raises BadFile, too."""
+    terms = values.convert(LoadPlan)
+    for key, reason in faults(terms):
+        raise values.fault(key, reason)
+    return terms
+
+
+def rates(arrivals: Arrivals) -> tuple[float, float]:
+    """At their first moment and at their last."""
+    if isinstance(arrivals.rate, tuple):
+        return arrivals.rate[0], arrivals.rate[1]
+    return arrivals.rate, arrivals.rate
+
+
+def expected_starts(terms: LoadPlan) -> float:
+    """How many clients these terms ask for, on the mean."""
+    arriving = sum(sum(rates(arrivals)) / 2 * arrivals.for_s for arrivals in terms.arrivals)
+    return arriving + sum(reconnect.clients for reconnect in terms.reconnects)
+
+
+def faults(terms: LoadPlan) -> Iterator[tuple[Key, str]]:
+    """What the types of the values don't tell."""
+    expected = expected_starts(terms)
+    if not 1 <= expected <= MOST_STARTS:
+        yield ("arrivals",), f"{expected:.0f} clients would start; it must be 1 to {MOST_STARTS}"
+    for part, names in (("classes", [kind.name for kind in terms.classes]),
+                        ("schemes", [scheme.name for scheme in terms.schemes])):
+        for n, name in enumerate(names):
+            if not WORD.fullmatch(name):
+                yield (part, n, "name"), f"{name!r} can't stand in a first line: blanks, commas and such"
+            if name in names[:n]:
+                yield (part, n, "name"), f"{name!r} comes twice"
+    for n, kind in enumerate(terms.classes):
+        if 0 < kind.line_gap_ms < LEAST_GAP_MS:
+            yield ("classes", n, "line_gap_ms"), f"must be 0 or at least {LEAST_GAP_MS}"
--- /dev/null
+++ b/tests/glenfold_lab/test_load_offer.py
@@ -0,0 +1,234 @@
+"""An open loop: what stalls shows in the latencies of all that should have started meanwhile."""
+
+import errno
+import gc
+import math
+import pickle
+from collections.abc import Awaitable, Callable
+
+import numpy as np
+import trio
+from trio.testing import MockClock, memory_stream_pair
+
+from glenfold.config import Address
+from glenfold.net.sockets import reset_on_close
+from glenfold_lab.load import client as c
+from glenfold_lab.load.crew import Report
+from glenfold_lab.load.echo import echo
+from glenfold_lab.load.offer import Load, Offer
+from glenfold_lab.load.plan import Clients, draw
+from glenfold_lab.load.result import ENDED_EARLY, LATE, NO_ROOM, LoadResult, summarize
+from glenfold_lab.load.talk import RunClock, Stream, talk
+from glenfold_lab.load.tally import Histogram, Tally
+from glenfold_lab.load.terms import Arrivals, LoadClass, LoadPlan
+
+Server = Callable[[Stream], Awaitable[None]]
+TERMS = LoadPlan(format=1, arrivals=(Arrivals(rate=20, for_s=5),),
+                 classes=(LoadClass(name="watch", wait_ms=4000, life_s=3, line_gap_ms=500),))
+
+
+def run(server: Server, terms: LoadPlan = TERMS, most_open: int = 1000, work_s: float = 0.0,
+        stop_at: float = math.inf) -> tuple[Tally, Clients, Offer]:
+    """The load against that server, in virtual time; each start costs the load's process `work_s`."""
+    time = MockClock(autojump_threshold=0)
+    clients = draw(terms, 1, 1)
+    offer = Offer(terms, [("127.0.0.1", 1)], most_open, 1_000_000)
+
+    async def main() -> Tally:
+        async with trio.open_nursery() as nursery:
+            async def connect(_: Address) -> Stream:
+                here, there = memory_stream_pair()
+                nursery.start_soon(server, there)
+                time.jump(work_s)
+                return here
+
+            load, stop = Load(offer, RunClock(trio.current_time()), connect), trio.Event()
+            with trio.move_on_at(stop_at):
+                async with trio.open_nursery() as both:
+                    both.start_soon(stop_then, stop, stop_at)
+                    await load.run(clients, stop)
+                    both.cancel_scope.cancel()
+            nursery.cancel_scope.cancel()
+        return load.tally
+
+    return trio.run(main, clock=time), clients, offer
+
+
+async def stop_then(stop: trio.Event, at: float) -> None:
+    await trio.sleep_until(at - 0.001)
+    stop.set()
+
+
+def result(tally: Tally, clients: Clients, offer: Offer, early: bool = False) -> LoadResult:
+    return summarize(1, offer, clients, 5_000_000, [Report(tally, 0.0, 0.0)], 5_000, early)
+
+
+async def stalls(stream: Stream) -> None:
+    """From 1 s to 3 s after the clock's start nothing is answered."""
+    if 1 <= trio.current_time() < 3:
+        await trio.sleep_until(3)
+    await echo(stream)
+
+
+def test_a_stall_of_2_s_shows_in_all_that_should_have_started_meanwhile() -> None:
+    tally, _, _ = run(stalls)
+    up = tally.answers["up"]
+    assert up.distribution().count == 100
+    slow = 40  # of 100: those intended from 1 s to 3 s, waiting evenly from 2 s down to 0
+    assert up.at(100 - slow) < 1_000 < up.at(100 - slow + 2)
+    for share in (0.25, 0.5, 0.75):
+        expected_us = 2_000_000 * share
+        assert abs(up.at(100 - slow * (1 - share)) - expected_us) < 60_000
+    assert tally.late.at(100) == 0
+
+
+def test_a_closed_loop_would_have_hidden_that_stall() -> None:
+    seen = Histogram()
+
+    async def main() -> None:
+        begin = trio.current_time()
+        clock = RunClock(begin)
+        while trio.current_time() < begin + 5:
+            async with trio.open_nursery() as nursery:
+                here, there = memory_stream_pair()
+                nursery.start_soon(stalls, there)
+                now = clock.now_us()
+                state = c.ClientState(c.Wish(b"OPEN\r\n", 4_000_000, now), now, now)
+
+                async def connect(stream: Stream = here) -> Stream:
+                    return stream
+
+                def tell(news: c.News) -> None:
+                    if isinstance(news, c.Answered):
+                        seen.record(news.us)
+
+                await talk(state, connect, tell, clock)
+            await trio.sleep(0.01)
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+    assert seen.distribution().count > 200
+    assert seen.at(99) < 1_000 and seen.at(100) >= 1_900_000
+
+
+def test_a_server_that_never_answers_costs_each_client_its_deadline_and_no_more() -> None:
+    async def silent(stream: Stream) -> None:
+        await trio.sleep_forever()
+
+    tally, clients, offer = run(silent)
+    none = result(tally, clients, offer).answers["none"]
+    assert (none.count, none.quantiles["100"] // 10_000) == (100, 405)
+    assert tally.standing == 0
+
+
+def test_lines_count_from_their_intended_moments() -> None:
+    async def stops_reading(stream: Stream) -> None:
+        await stream.receive_some()
+        await stream.send_all(b"UP r\r\n")
+        await trio.sleep(2.2)
+        while data := await stream.receive_some():
+            await stream.send_all(data)
+
+    one_and_a_later_one = LoadPlan(format=1, arrivals=(Arrivals(rate=0.25, for_s=8),), classes=TERMS.classes)
+    tally, _, _ = run(stops_reading, one_and_a_later_one)
+    # The lines due 0.5, 1, 1.5 and 2 s after UP are answered 2.2 s after it, that due after 2.5 s at once.
+    assert [round(tally.lines.at(at), -4) for at in (20, 40, 60, 80, 100)] == [
+        0, 200_000, 700_000, 1_200_000, 1_700_000]
+    assert tally.lines_late.at(100) == 0
+
+
+def test_starts_that_find_no_room_are_told_of_and_never_put_off() -> None:
+    async def hang(stream: Stream) -> None:
+        await trio.sleep_forever()
+
+    found = result(*run(hang, most_open=10))
+    assert found.started + found.no_room == 100 and found.no_room > 50
+    assert found.marks == (NO_ROOM,)
+
+    async def no_ports(_: Address) -> Stream:
+        raise OSError(errno.EADDRNOTAVAIL, "no ports")
+
+    async def main() -> Tally:
+        load = Load(Offer(TERMS, [("127.0.0.1", 1)], 9, 1_000_000), RunClock(trio.current_time()), no_ports)
+        await load.run(draw(TERMS, 1, 1), trio.Event())
+        return load.tally
+
+    tally = trio.run(main, clock=MockClock(autojump_threshold=0))
+    assert (tally.no_room, tally.started.total(), dict(tally.answers)) == (100, 0, {})
+
+
+def test_a_load_that_ran_late_says_so_and_counts_it() -> None:
+    punctual, late = result(*run(echo, work_s=0.04)), result(*run(echo, work_s=0.06))
+    assert punctual.marks == () and punctual.lateness.quantiles["100"] == 0
+    # 60 ms of work every 50 ms: the last of 100 starts is 99 times 10 ms behind, and its answer with it.
+    assert late.marks == (LATE,) and late.lateness.quantiles["100"] // 1000 == 990
+    assert late.set_up["watch"].quantiles["100"] >= 990_000 + 60_000
+
+
+def test_ended_early_it_gives_what_was_measured_so_far() -> None:
+    tally, clients, offer = run(echo, stop_at=2.02)
+    found = result(tally, clients, offer, early=True)
+    assert (found.started, found.planned, found.marks) == (41, 100, (ENDED_EARLY,))
+    assert (found.answers["up"].count, found.standing) == (41, 41)
+    assert [(window.from_us, window.started) for window in found.windows] == [
+        (0, 20), (1_000_000, 20), (2_000_000, 1)]
+
+
+def test_workers_tallies_add_up_to_that_of_one() -> None:
+    random = np.random.default_rng(1)
+    whole, parts = Tally(), [Tally(), Tally()]
+    for n, us in enumerate(random.integers(0, 3_000_000, 1000)):
+        for tally in (whole, parts[n % 2]):
+            tally.set_up[f"class {n % 3}"].record(int(us))
+            tally.late.record(int(us))
+            tally.started[n % 5] += 1
+            tally.standing += 1
+    added = Tally()
+    for part in parts:
+        added.add(pickle.loads(pickle.dumps(part)))  # as they come from another process
+    assert (added.started, added.standing) == (whole.started, whole.standing)
+    assert added.late.distribution() == whole.late.distribution()
+    assert {n: h.distribution() for n, h in added.set_up.items()} == {
+        n: h.distribution() for n, h in whole.set_up.items()}
+
+
+async def meets_all_kinds(count: int) -> None:
+    """So many clients, over sockets: some served, some reset, refused, moved, or without an answer."""
+    met = 0
+
+    async def in_turn(stream: trio.SocketStream) -> None:
+        nonlocal met
+        met += 1
+        if met % 4 == 0:
+            reset_on_close(stream.socket)
+        elif met % 4 == 1:
+            await trio.sleep_forever()
+        elif met % 4 == 2:
+            await stream.send_all(b"UP r\r\nMOVE\r\n")
+        else:
+            await echo(stream)
+
+    kinds = (LoadClass(name="watch", wait_ms=1, life_s=0.001, line_gap_ms=10),)
+    terms = LoadPlan(format=1, arrivals=(Arrivals(rate=count * 100, for_s=0.01),), classes=kinds)
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(trio.serve_listeners, in_turn, listeners)
+        targets = [listeners[0].socket.getsockname(), ("127.0.0.1", 1)]
+        load = Load(Offer(terms, targets, 10_000, 1_000_000), RunClock(trio.current_time()))
+        await load.run(draw(terms, 1, len(targets)), trio.Event())
+        nursery.cancel_scope.cancel()
+
+
+def test_it_leaves_no_garbage_that_only_a_collector_would_free() -> None:
+    """Its workers run without one."""
+    def left(count: int) -> int:
+        gc.collect()
+        trio.run(meets_all_kinds, count)
+        return gc.collect()
+
+    gc.disable()
+    try:
+        left(4)
+        few, many = left(4), left(100)
+    finally:
+        gc.enable()
+    assert many - few < 50
