Let a lab client tell lines that it did not ask for, and say a last line before it leaves

Stand-in clients judge relays: a second answer must not pass unseen, and a push server has to know a client that is done from one whose relay died. So the states tell each line that answers nothing, what an answer said, and may take their leave in words.

--- a/glenfold_lab/load/client.py
+++ b/glenfold_lab/load/client.py
@@ -52,12 +52,14 @@
 @dataclass(frozen=True, slots=True)
 class Wish:
     """What a client wants. line: its first line, with its end. wait_us: for its answer, from the sending of
-    that line. until_us: it wants the connection until then. line_gap_us: between lines; 0: it says none."""
+    that line. until_us: it wants the connection until then. line_gap_us: between lines; 0: it says none.
+    last_line: what it says, with its end, before it leaves."""
 
     line: bytes
     wait_us: int
     until_us: int
     line_gap_us: int = 0
+    last_line: bytes = b""
 
 
 # ---- what comes in ----
@@ -133,9 +135,17 @@
 
 @dataclass(frozen=True, slots=True)
 class LineBack:
-    """us: since the moment for which the line was intended."""
+    """us: since the moment for which the line was intended. answer: without its end."""
 
     us: int
+    answer: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class Unasked:
+    """A line that answers nothing, or came after a final answer that leaves nothing to be said."""
+
+    line: bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,7 +154,7 @@
     unanswered: int  # lines
 
 
-News = Answered | LineSaid | LineBack | Parted
+News = Answered | LineSaid | LineBack | Unasked | Parted
 Effect = Send | Finish | Close | News
 
 
@@ -192,22 +202,27 @@
 
     def _heard(self, data: bytes, now_us: int) -> list[Effect]:
         effects: list[Effect] = []
+        beyond: list[Effect] = []  # told before the Close that ended it, as that comes last
         for line in self._lines.feed(data):
-            effects += self._line(line, now_us)
+            if self.phase is Phase.ENDED:
+                beyond.append(Unasked(line))
+            else:
+                effects += self._line(line, now_us)
         if self._lines.too_long:
             effects += self._end(Answer.ERROR, Parting.GARBLED, now_us)
+        effects[-1:-1] = beyond
         return effects
 
     def _line(self, line: bytes, now_us: int) -> list[Effect]:
-        if self.phase is Phase.ENDED:
-            return []
         if not self.stands:
             return self._answered(line, now_us)
         if line in (b"MOVE", b"BYE"):
             return self._leave(Parting.MOVED if line == b"MOVE" else Parting.SERVED, now_us)
-        if line.startswith(b"LOAD ") or not self._said:
+        if line.startswith(b"LOAD "):
             return []
-        back = LineBack(now_us - self._said.popleft())
+        if not self._said:
+            return [Unasked(line)]
+        back = LineBack(now_us - self._said.popleft(), line)
         self._set_due()
         return [back]
 
@@ -243,7 +258,8 @@
         if self._said and now_us >= self._said[0] + SILENT_US:
             return self._end(Answer.NONE, Parting.SILENT, now_us)
         if now_us >= self.wish.until_us:
-            return [Finish(), *self._leave(Parting.LEFT, now_us)]
+            last = [Send(self.wish.last_line)] if self.wish.last_line else []
+            return [*last, Finish(), *self._leave(Parting.LEFT, now_us)]
         return self._say(now_us)
 
     def _say(self, now_us: int) -> list[Effect]:
--- a/tests/glenfold_lab/test_load_client.py
+++ b/tests/glenfold_lab/test_load_client.py
@@ -59,7 +59,7 @@
     said = state.on(c.Due(), 2_500 * MS)
     assert said == [c.Send(b"M 2000000\r\n"), c.LineSaid(500 * MS)]
     back = state.on(c.Heard(b"LOAD 7\r\nM 2000000\r\nnews\r\n"), 2_600 * MS)
-    assert back == [c.LineBack(600 * MS)]
+    assert back == [c.LineBack(600 * MS, b"M 2000000"), c.Unasked(b"news")]
     assert (state.phase, state.due_us) == (c.Phase.UP, 4_000 * MS)
 
 
@@ -115,3 +115,10 @@
     first = parse_open(bytearray(line), len(line))
     assert (first.key, first.wait_ms, first.number(b"g", 16)) == (0xAB, 2000, 0x5C0F)
     assert first.flag(b"again")
+
+
+def test_what_comes_behind_a_final_answer_is_told_before_the_close() -> None:
+    state = c.ClientState(WISH, 0, 0)
+    state.on(c.Connected(), 0)
+    told = state.on(c.Heard(b"BUSY\r\nUP r1\r\n"), 5)
+    assert told[1:] == [c.Unasked(b"UP r1"), c.Close()]
