--- a/glenfold_lab/model/world.py
+++ b/glenfold_lab/model/world.py
@@ -133,7 +133,7 @@
     the process so far.
     """
     began = time.perf_counter()
-    with _no_collections(), shared_anchors():
+    with no_collections(), shared_anchors():
         world = World(scenario, seed, watchers)
         world.start()
         built = time.perf_counter()
@@ -144,7 +144,7 @@
 
 
 @contextmanager
-def _no_collections() -> Iterator[None]:
+def no_collections() -> Iterator[None]:
     """The model lets go of what it makes without cycles; looking for them in a million objects costs."""
     was_on = gc.isenabled()
     gc.disable()
--- a/glenfold_lab/stands/agent.py
+++ b/glenfold_lab/stands/agent.py
@@ -92,6 +92,10 @@
                 self.entries[entry.host] = entry
         self.seq = max(self.seq, change.seq)
 
+    def newest(self, change: Change) -> list[Entry]:
+        """Those of its entries that no later change has replaced."""
+        return [entry for entry in change.entries if change.seq >= self._since.get(entry.host, 0)]
+
     def whole(self) -> bytes:
         return _document(self.seq, True, tuple(self.entries.values()))
 
@@ -174,12 +178,6 @@
         self._listen()
         return self.address
 
-    def relay_started(self, relay: int) -> None:
-        """What it had heard is void: it counts as told what it starts with, and what is held here."""
-        now = self._clock.now_us()
-        for entry in self.holding.entries.values():
-            self._seen.told(now, relay, entry.number, entry.state, entry.started_us)
-
     # ---- its tasks ----
 
     def _listen(self) -> None:
@@ -289,7 +287,7 @@
         now = self._clock.now_us()
         for change in self.holding.sent[self._told:count]:
             for relay in self.relays:
-                for entry in change.entries:
+                for entry in self.holding.newest(change):
                     self._seen.told(now, relay, entry.number, entry.state, entry.started_us)
         self._told = max(self._told, count)
 
--- /dev/null
+++ b/glenfold_lab/stands/lateness.py
@@ -0,0 +1,25 @@
+"""By how much an event loop runs late: what it had planned for a moment came so much after it."""
+
+import numpy as np
+import trio
+
+STEP_S = 0.01
+MOST_MS = 20.0  # at the 99th percentile: beyond it the stand-ins' own lateness colours what they saw
+
+
+class Lateness:
+    """Looks every 10 ms; the figures are of the time since `run` began."""
+
+    def __init__(self) -> None:
+        self.ms: list[float] = []
+
+    async def run(self) -> None:
+        due = trio.current_time()
+        while True:
+            due += STEP_S  # also one that is past by now: each that was missed counts
+            await trio.sleep_until(due)
+            self.ms.append((trio.current_time() - due) * 1000)
+
+
+def percentile(ms: list[float], part: float) -> float:
+    return float(np.percentile(ms, part)) if ms else 0.0
--- a/glenfold_lab/stands/push_server.py
+++ b/glenfold_lab/stands/push_server.py
@@ -86,6 +86,12 @@
     def standing(self) -> int:
         return len(self.holder.by_key)
 
+    def load(self) -> float:
+        """Over what it can do at this moment; 0 while it is down."""
+        fluid = self.holder.fluid
+        fluid.advance(self._clock.now_us())
+        return fluid.demand / fluid.capacity() if fluid.running and fluid.capacity() > 0 else 0.0
+
     async def serve(self) -> None:
         """Not up until `start` is called: until then connections are refused."""
         try:
@@ -137,15 +143,16 @@
 
     # ---- drains ----
 
-    def drain(self, over_us: int) -> None:
-        """It wants nothing new, and sends its clients away one by one over this time; 0: it does not."""
-        if self.holder.fluid.stage is not Stage.RUNS:
-            return
-        now = self._clock.now_us()
-        self.holder.fluid.stage = Stage.DRAINS
-        self.holder.seen.server_draining(now, self.holder.number)
-        if self._nursery is not None and over_us:
-            self._nursery.start_soon(self._pace_moves, now, over_us)
+    def drain(self) -> None:
+        """It finishes its work and takes nothing new."""
+        if self.holder.fluid.stage is Stage.RUNS:
+            self.holder.fluid.stage = Stage.DRAINS
+            self.holder.seen.server_draining(self._clock.now_us(), self.holder.number)
+
+    def send_away(self, over_us: int) -> None:
+        """While it drains it tells its clients to move, one by one over this time."""
+        if self._nursery is not None:
+            self._nursery.start_soon(self._pace_moves, self._clock.now_us(), over_us)
 
     def undrain(self) -> None:
         """The drain is called off."""
@@ -169,13 +176,14 @@
         """Its machine is cut off from all relays."""
         self.cut(range(len(self._doors)))
 
-    def cut(self, relays: Iterable[int]) -> None:
+    def cut(self, relays: Iterable[int], ended: bool = True) -> None:
         """Nothing passes between it and these relays: what is open stays open and silent, nothing new comes
-        up. Counts as ended from then on."""
+        up. ended: whether the machine counts as gone from then on."""
         now = self._clock.now_us()
         if not self.up:
             return
-        self._tell_ended(now)
+        if ended:
+            self._tell_ended(now)
         self._cut |= set(relays)
         for held in self._held:
             if held.state.relay in self._cut:
@@ -190,9 +198,9 @@
 
     def come_back(self) -> None:
         """What was cut off is reset, and it goes on with the rest as it was."""
-        if not self.up or not self._gone:
+        if not self.up:
             return
-        now, cut, self._cut, self._gone = self._clock.now_us(), self._cut, set(), False
+        now, cut, self._cut = self._clock.now_us(), self._cut, set()
         for held in self._held:
             if held.state.relay in cut:
                 held.state.end(now, Ending.RESET, Over.RESET)
@@ -201,7 +209,9 @@
             if door.filler is not None:
                 door.close()
                 self._open(door)
-        self.holder.seen.server_started(now, self.holder.number, self.holder.capacity, False)
+        if self._gone:
+            self._gone = False
+            self.holder.seen.server_started(now, self.holder.number, self.holder.capacity, False)
 
     # ---- what else befalls it ----
 
--- a/glenfold_lab/stands/push_states.py
+++ b/glenfold_lab/stands/push_states.py
@@ -278,7 +278,7 @@
     def hang(self, now: int) -> None:
         """From now on it stays open and silent."""
         if self.phase is Phase.STANDING and not self._hung:
-            self._broke(now)
+            self._broke(now, silent=True)
         elif self.phase is Phase.SETTING_UP:
             self._give_up_turn(now)
         self._hung = True
@@ -290,7 +290,7 @@
             self._attempt_over(now, over)
         elif self.phase is Phase.STANDING:
             if not word and not self._hung:
-                self._broke(now)
+                self._broke(now, silent=False)
             self._leave(now, park=False)
         self.out += word
         self.phase = Phase.OVER
@@ -425,7 +425,8 @@
         if self.phase is Phase.OVER:
             return
         self.holder.syntax += 1
-        self.holder.seen.syntax(self.relay, self.holder.number, fault)
+        words = f"it sent server {self.holder.number} what no client sends: {fault}"
+        self.holder.seen.fault(now, self.relay, words)
         self.end(now, Ending.CLOSE, Over.ERROR, b"SYNTAX\r\n")
 
     # ---- standing ----
@@ -483,8 +484,8 @@
             moments.append(self._change_at)
         self.due = min(moments, default=None)
 
-    def _broke(self, now: int) -> None:
-        self.holder.seen.broke(now, self.request, self.holder.number)
+    def _broke(self, now: int, silent: bool) -> None:
+        self.holder.seen.broke(now, self.request, self.holder.number, silent)
 
     def _leave(self, now: int, park: bool) -> None:
         """It stands no more."""
--- a/glenfold_lab/stands/relays.py
+++ b/glenfold_lab/stands/relays.py
@@ -23,12 +23,12 @@
 
 import glenfold
 from glenfold_lab.stands.moments import MachineClock
+from glenfold_lab.stands.ping import Ping, ping
 from glenfold_lab.stands.seen import Seen
-from glenfold_lab.stands.sockets import Address, bind, take, written
+from glenfold_lab.stands.sockets import Address, bind, written
 
 READY_S = 30.0     # for a relay to answer its first PING
 LOOK_S = 0.02      # between two tries to reach one that starts
-LEAVE_US = 3_700_000  # SIGKILL follows SIGTERM after so long
 TAIL = 40          # lines of a log that are kept for the report
 PR_SET_PDEATHSIG = 1
 ROOT = Path(glenfold.__file__).parent.parent
@@ -135,9 +135,9 @@
 
     async def ready(self) -> None:
         """Returns once it has answered PING; `NotReady` when it ended or took too long."""
-        with trio.move_on_after(READY_S):
+        with trio.move_on_at(trio.current_time() + READY_S):
             while self.running:
-                if await answers_ping(self.listen):
+                if await ping(self.listen) is Ping.ANSWERED:
                     self._seen.relay_up(self._clock.now_us(), self.number)
                     return
                 await trio.sleep(LOOK_S)
@@ -161,14 +161,13 @@
         self._signal(signal.SIGKILL)
         self._process.wait()
 
-    async def stop(self, within_us: int = LEAVE_US) -> None:
-        """SIGTERM, and SIGKILL if it is still there after that time."""
+    async def stop(self, kill_at: int) -> None:
+        """SIGTERM, and SIGKILL if it is still there at that moment."""
         if not self.running:
             return
-        began = self._clock.now_us()
-        self._seen.stopping(began, self.number)
+        self._seen.stopping(self._clock.now_us(), self.number)
         self._signal(signal.SIGTERM)
-        while self.running and self._clock.now_us() < began + within_us:
+        while self.running and self._clock.now_us() < kill_at:
             self.sample()
             await trio.sleep(LOOK_S)
         if self.running:
@@ -206,15 +205,6 @@
                 self.crash()
 
 
-async def answers_ping(address: Address) -> bool:
-    """Whether a relay there answers PING."""
-    with suppress(OSError), trio.move_on_after(1.0), trio.socket.socket() as sock:
-        await sock.connect(address)
-        await take(sock, b"PING\r\n")
-        return await sock.recv(64) == b"PONG\r\n"
-    return False
-
-
 def free_address(host: str) -> Address:
     """A port at that loopback address which nobody listens on."""
     with bind(host) as sock:
--- a/glenfold_lab/stands/seen.py
+++ b/glenfold_lab/stands/seen.py
@@ -1,22 +1,23 @@
 """What stand-ins saw: the lab's observations, and what only both ends together can name.
 
-A stand-in records `broke`, `unsaid`, `stopping` and `listed` as it sees them; `glenfold_lab.stands.judge`
-turns them into observations once those of all stand-ins are at hand.
+A stand-in records `broke`, `unsaid`, `stopping`, `stalled` and `due` as it sees them; `judge` turns them into
+observations once those of all stand-ins are at hand.
 """
 
 from glenfold_lab.observe import Recorder, Told
 
 
 class Seen(Recorder):
-    """Observations as records, the moment first. faults: what can't be a part of any history."""
+    """Observations as records, the moment first. faults: what no relay may do, beyond the platform's rules:
+    the moment, the relay, and words."""
 
     def __init__(self) -> None:
         super().__init__()
-        self.faults: list[str] = []
+        self.faults: list[tuple[int, int, str]] = []
 
-    def broke(self, at: int, request: int, server: int) -> None:
+    def broke(self, at: int, request: int, server: int, silent: bool) -> None:
         """The push server ended this standing connection without a word, or is silent on it from now on."""
-        self.records.append(("broke", (at, request, server)))
+        self.records.append(("broke", (at, request, server, silent)))
 
     def unsaid(self, at: int, request: int) -> None:
         """A client's standing connection ended without MOVE or BYE."""
@@ -26,10 +27,13 @@
         """SIGTERM is sent to the relay: a planned restart begins."""
         self.records.append(("stopping", (at, relay)))
 
-    def listed(self, at: int, server: int, state: Told, started_us: int) -> None:
-        """Discovery knows this of the server; each relay counts as told some seconds later at the latest."""
-        self.records.append(("listed", (at, server, state, started_us)))
+    def stalled(self, at: int, relay: int, until: int) -> None:
+        """The relay's process is stopped until then."""
+        self.records.append(("stalled", (at, relay, until)))
 
-    def syntax(self, relay: int, server: int, fault: str) -> None:
-        """The relay sent that server a first line that no client sent."""
-        self.faults.append(f"relay {relay} sent server {server} what no client sends: {fault}")
+    def due(self, at: int, relay: int, server: int, state: Told, started_us: int) -> None:
+        """The relay counts as told this by now, whether it was or not."""
+        self.records.append(("due", (at, relay, server, state, started_us)))
+
+    def fault(self, at: int, relay: int, words: str) -> None:
+        self.faults.append((at, relay, words))
--- /dev/null
+++ b/glenfold_lab/stands/service.py
@@ -0,0 +1,96 @@
+"""What clients had of what they wanted, second by second, and what the last second brought."""
+
+from collections import Counter
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+import numpy as np
+from numpy.typing import NDArray
+
+from glenfold_lab.stands.moments import SECOND_US
+
+Floats = NDArray[np.float64]
+
+
+@dataclass(slots=True)
+class Second:
+    """What one process of stand-ins saw in one second: `answers` by kind, `set_ups_us` of those that came up,
+    `standing` at its end."""
+
+    second: int
+    standing: int = 0
+    new: int = 0
+    lines: int = 0
+    moves: int = 0
+    answers: Counter[str] = field(default_factory=Counter)
+    set_ups_us: list[int] = field(default_factory=list)
+
+
+class Served:
+    """Seconds of clients, by class and second of the history: `wanted`, and `served`, that is with a
+    connection whose lines came back within the aim. Moments are microseconds of one clock."""
+
+    def __init__(self, classes: int, start: int, length_us: int) -> None:
+        shape = classes, -(-length_us // SECOND_US)
+        self.wanted: Floats = np.zeros(shape)
+        self.served: Floats = np.zeros(shape)
+        self._start = start
+        self._end = start + length_us
+
+    def add(self, table: Floats, request_class: int, begin: int, end: int) -> None:
+        """Adds this stretch to `wanted` or `served`, as far as it lies in the history."""
+        begin, end = max(begin, self._start) - self._start, min(end, self._end) - self._start
+        while begin < end:
+            second = begin // SECOND_US
+            stop = min(end, (second + 1) * SECOND_US)
+            table[request_class, second] += (stop - begin) / SECOND_US
+            begin = stop
+
+
+class Stretch:
+    """Whether one standing connection serves its client, by its lines: those that come back late, or never,
+    take away the time from their own moment to that of the next one in time."""
+
+    def __init__(self, served: Served, request_class: int, aim_us: float, up_at: int) -> None:
+        self._served, self._class, self._aim = served, request_class, aim_us
+        self._good_since: int | None = up_at
+        self._said: list[int] = []
+
+    def said(self, at: int) -> None:
+        self._said.append(at)
+
+    def back(self, now: int) -> None:
+        at = self._said.pop(0)
+        if now - at > self._aim:
+            self._close(at)
+        elif self._good_since is None:
+            self._good_since = at
+
+    def over(self, now: int) -> None:
+        late = self._said and now - self._said[0] > self._aim
+        self._close(self._said[0] if late else now)
+
+    def _close(self, at: int) -> None:
+        if self._good_since is not None:
+            self._served.add(self._served.served, self._class, self._good_since, at)
+            self._good_since = None
+
+
+def figures(wanted: Floats, served: Floats, classes: Sequence[str], warm_up: int,
+            window: int = 10) -> dict[str, float]:
+    """service: the share of all that was wanted; worst_window: of the worst so many seconds; worst_class; and
+    one for each class. The first `warm_up` seconds do not count; 1 where nothing was wanted."""
+    wanted, served = wanted[:, warm_up:], served[:, warm_up:]
+    by_class = [_share(float(had.sum()), float(asked.sum()))
+                for had, asked in zip(served, wanted, strict=True)]
+    length = min(window, wanted.shape[1])
+    had, asked = (np.convolve(table.sum(axis=0), np.ones(length), "valid") if length else np.ones(1)
+                  for table in (served, wanted))
+    found = {"service": _share(float(served.sum()), float(wanted.sum())),
+             "worst_window": min(_share(float(h), float(a)) for h, a in zip(had, asked, strict=True)),
+             "worst_class": min(by_class)}
+    return found | {f"service {name}": share for name, share in zip(classes, by_class, strict=True)}
+
+
+def _share(had: float, asked: float) -> float:
+    return min(1.0, had / asked) if asked > 0 else 1.0
--- a/tests/glenfold_lab/test_stand_in_servers.py
+++ b/tests/glenfold_lab/test_stand_in_servers.py
@@ -79,7 +79,8 @@
         streams = [await world.open(key) for key in range(4)]
         for stream in streams:
             assert (await read_line(stream)).startswith(b"UP ")
-        world.servers[0].drain(over_us=1_000_000)
+        world.servers[0].drain()
+        world.servers[0].send_away(over_us=1_000_000)
         assert await world.answer(key=99) == b"BUSY 700\r\n"
         began, moments = world.clock.now_us(), []
         for stream in streams:
