--- a/glenfold_lab/load/crew.py
+++ b/glenfold_lab/load/crew.py
@@ -1,7 +1,7 @@
 """The worker processes of a load: each has a slice of the plan, and its own core where there are enough.
 
-Over its pipe a worker says `Ready`, hears the moment of the start, and sends what it measured. Anything more
-that it hears (also the end of the pipe) ends it early.
+Over its pipe a worker says `Ready`, hears the moment of the start on the machine's clock, and sends what it
+measured. Anything more that it hears (also the end of the pipe) ends it early.
 """
 
 import fcntl
@@ -23,8 +23,8 @@
 from glenfold_lab.load.client import ANSWER_SLACK_US
 from glenfold_lab.load.offer import Load, Offer
 from glenfold_lab.load.plan import Clients
-from glenfold_lab.load.talk import SECOND_US, RunClock
 from glenfold_lab.load.tally import Tally
+from glenfold_lab.stands.moments import SECOND_US, MachineClock
 
 START_S = 0.3       # from the last worker's being ready to the start: time for all to hear of it
 READY_S = 60.0      # for a worker to be ready
@@ -93,7 +93,7 @@
     def run(self, stopped: Callable[[], bool]) -> list[Report]:
         self._hear(time.monotonic() + READY_S, lambda: False)
         start = time.monotonic() + START_S
-        self._tell(start)
+        self._tell(round(start * SECOND_US))
         reports = self._hear(start + self._longest_s, stopped)
         return [report for report in reports if isinstance(report, Report)]
 
@@ -121,7 +121,7 @@
             raise LoadFailed(f"worker {n} ended with status {self._processes[n].exitcode}") from None
         return message
 
-    def _tell(self, message: float | None) -> None:
+    def _tell(self, message: int | None) -> None:
         for pipe in self._pipes:
             with suppress(OSError):  # that it is gone is heard where it is heard
                 pipe.send(message)
@@ -147,11 +147,11 @@
     gc.disable()
     pipe.send(Ready())
     try:
-        start = pipe.recv()
+        start_us = pipe.recv()
     except EOFError:
         return
     before = time.process_time()
-    tally = trio.run(_offer, offer, clients, pipe, start)
+    tally = trio.run(_offer, offer, clients, pipe, start_us)
     report = Report(tally, time.process_time() - before, process.memory_info().rss / 1e6)
     with suppress(OSError):  # whom it would be for is gone
         pipe.send(report)
@@ -169,8 +169,8 @@
     return most
 
 
-async def _offer(offer: Offer, clients: Clients, pipe: Connection, start: float) -> Tally:
-    load = Load(offer, RunClock(start - time.monotonic() + trio.current_time()))
+async def _offer(offer: Offer, clients: Clients, pipe: Connection, start_us: int) -> Tally:
+    load = Load(offer, MachineClock(), start_us)
     stop = trio.Event()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_hear_stop, pipe, stop)
--- a/glenfold_lab/load/offer.py
+++ b/glenfold_lab/load/offer.py
@@ -51,7 +51,8 @@
             yield Planned(*values)
 
 
-def wish(terms: LoadPlan, client: Planned) -> c.Wish:
+def wish(terms: LoadPlan, client: Planned, begin_us: int) -> c.Wish:
+    """begin_us: when the load starts, on the clients' clock."""
     figures: dict[str, str | int] = {"c": terms.classes[client.request_class].name}
     if terms.schemes:
         figures["t"] = terms.schemes[client.scheme].name
@@ -60,16 +61,17 @@
     if client.again:
         figures["again"] = 1
     line = c.open_line(client.ident, client.key, figures)
-    return c.Wish(line, client.wait_us, client.end_us, client.line_gap_us)
+    return c.Wish(line, client.wait_us, begin_us + client.end_us, client.line_gap_us)
 
 
 class Load:
-    """One process's part of a load."""
+    """One process's part of a load, which starts at `begin_us` of that clock."""
 
-    def __init__(self, offer: Offer, clock: Moments, connect: ConnectTo = connect_to) -> None:
+    def __init__(self, offer: Offer, clock: Moments, begin_us: int, connect: ConnectTo = connect_to) -> None:
         self.tally = Tally()
         self._offer = offer
         self._clock = clock
+        self._begin_us = begin_us
         self._connect = connect
         self._open = 0
         self._unanswered = 0
@@ -98,7 +100,7 @@
     async def _start_all(self, clients: Clients, nursery: trio.Nursery) -> None:
         """One pass of the event loop for each start: a burst must not keep answers from being read."""
         for client in planned(clients):
-            await trio.sleep_until(self._clock.to_trio(client.start_us))
+            await trio.sleep_until(self._clock.to_trio(self._begin_us + client.start_us))
             if self._open >= self._offer.most_open:
                 self.tally.no_room += 1
                 continue
@@ -107,8 +109,9 @@
             nursery.start_soon(self._client, client)
 
     async def _client(self, client: Planned) -> None:
-        offer, tally, now_us = self._offer, self.tally, self._clock.now_us()
-        tally.late.record(now_us - client.start_us)
+        offer, tally = self._offer, self.tally
+        intended_us, now_us = self._begin_us + client.start_us, self._clock.now_us()
+        tally.late.record(now_us - intended_us)
         window = client.start_us // offer.window_us
         tally.started[window] += 1
         target = offer.targets[client.target]
@@ -122,7 +125,7 @@
             elif isinstance(news, c.Parted):
                 self._standing -= 1
 
-        state = c.ClientState(wish(offer.terms, client), client.start_us, now_us)
+        state = c.ClientState(wish(offer.terms, client, self._begin_us), intended_us, now_us)
         try:
             await talk(state, lambda: self._connect(target), tell, self._clock)
         except OSError:
--- a/glenfold_lab/load/talk.py
+++ b/glenfold_lab/load/talk.py
@@ -11,8 +11,7 @@
 from glenfold.lines import MAX_LINE
 from glenfold_lab.load import client as c
 
-SECOND_US = 1_000_000
-SEND_S = c.SILENT_US / SECOND_US  # a side that takes nothing for so long is not worth waiting for
+SEND_S = c.SILENT_US / 1e6  # a side that takes nothing for so long is not worth waiting for
 NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
 Stream = trio.abc.HalfCloseableStream
@@ -21,27 +20,14 @@
 
 
 class Moments(Protocol):
-    """The clock of the clients. What `to_trio` gives for a moment must not be before it by `now_us`: a client
-    woken too early would only go to sleep again."""
+    """The clock of the clients, as `stands.moments.MachineClock` is one. At what `to_trio` gives for a moment
+    `now_us` must have reached it: a client woken too early would only go to sleep again."""
 
     def now_us(self) -> int: ...
 
     def to_trio(self, at_us: int) -> float: ...
 
 
-class RunClock:
-    """Microseconds from a load's start, which falls on `start` in trio's time."""
-
-    def __init__(self, start: float) -> None:
-        self._start = start
-
-    def now_us(self) -> int:
-        return round((trio.current_time() - self._start) * SECOND_US)
-
-    def to_trio(self, at_us: int) -> float:
-        return at_us / SECOND_US + self._start
-
-
 async def connect_to(address: Address) -> Stream:
     sock = trio.socket.socket()
     try:
--- a/tests/glenfold_lab/test_load_offer.py
+++ b/tests/glenfold_lab/test_load_offer.py
@@ -18,9 +18,10 @@
 from glenfold_lab.load.offer import Load, Offer
 from glenfold_lab.load.plan import Clients, draw
 from glenfold_lab.load.result import ENDED_EARLY, LATE, NO_ROOM, LoadResult, summarize
-from glenfold_lab.load.talk import RunClock, Stream, talk
+from glenfold_lab.load.talk import Stream, talk
 from glenfold_lab.load.tally import Histogram, Tally
 from glenfold_lab.load.terms import Arrivals, LoadClass, LoadPlan
+from glenfold_lab.stands.moments import MachineClock
 
 Server = Callable[[Stream], Awaitable[None]]
 TERMS = LoadPlan(format=1, arrivals=(Arrivals(rate=20, for_s=5),),
@@ -42,7 +43,8 @@
                 time.jump(work_s)
                 return here
 
-            load, stop = Load(offer, RunClock(trio.current_time()), connect), trio.Event()
+            clock, stop = MachineClock(), trio.Event()
+            load = Load(offer, clock, clock.now_us(), connect)
             with trio.move_on_at(stop_at):
                 async with trio.open_nursery() as both:
                     both.start_soon(stop_then, stop, stop_at)
@@ -87,7 +89,7 @@
 
     async def main() -> None:
         begin = trio.current_time()
-        clock = RunClock(begin)
+        clock = MachineClock()
         while trio.current_time() < begin + 5:
             async with trio.open_nursery() as nursery:
                 here, there = memory_stream_pair()
@@ -148,7 +150,8 @@
         raise OSError(errno.EADDRNOTAVAIL, "no ports")
 
     async def main() -> Tally:
-        load = Load(Offer(TERMS, [("127.0.0.1", 1)], 9, 1_000_000), RunClock(trio.current_time()), no_ports)
+        clock = MachineClock()
+        load = Load(Offer(TERMS, [("127.0.0.1", 1)], 9, 1_000_000), clock, clock.now_us(), no_ports)
         await load.run(draw(TERMS, 1, 1), trio.Event())
         return load.tally
 
@@ -213,7 +216,8 @@
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         nursery.start_soon(trio.serve_listeners, in_turn, listeners)
         targets = [listeners[0].socket.getsockname(), ("127.0.0.1", 1)]
-        load = Load(Offer(terms, targets, 10_000, 1_000_000), RunClock(trio.current_time()))
+        clock = MachineClock()
+        load = Load(Offer(terms, targets, 10_000, 1_000_000), clock, clock.now_us())
         await load.run(draw(terms, 1, len(targets)), trio.Event())
         nursery.cancel_scope.cancel()
 
--- a/tests/glenfold_lab/test_load_plan.py
+++ b/tests/glenfold_lab/test_load_plan.py
@@ -95,10 +95,10 @@
 def test_a_client_asks_what_its_row_says() -> None:
     terms = plan(Arrivals(rate=1, for_s=1), schemes=(SchemeShare(name="valleys"),))
     row = np.array([(0, 9, 2_000_000, 5, 1, 2, 3, 0, 0, 0, True)], CLIENT)
-    asked = wish(terms, next(planned(row)))
+    asked = wish(terms, next(planned(row)), begin_us=70)
     assert asked.line == (b"OPEN 0000000000000001 0000000000000002 "
                           b"c=watch,t=valleys,d=2000,g=0000000000000003,again=1\r\n")
-    assert (asked.wait_us, asked.until_us, asked.line_gap_us) == (2_000_000, 9, 5)
+    assert (asked.wait_us, asked.until_us, asked.line_gap_us) == (2_000_000, 79, 5)
 
 
 GOOD = """format = 1
