Tell operators how to put load on relays; measure what the load tool can offer

Need: the page that goes with lab load, and a program that anyone can run for the tool's own figures.

Change: docs/operators/lab-load.md, whose example and plan are run by tests; benchmarks/load_tool.py puts the load on 20 real relays with 20 stand-in push servers, or on bare echoes, and prints JSON lines.

--- /dev/null
+++ b/benchmarks/load_tool.py
@@ -0,0 +1,244 @@
+"""What the load tool can offer, and what it costs: prints JSON lines, one for each repeat and one for all.
+
+    python -m benchmarks.load_tool relays|echo [--repeats 3] [--seconds 30] [--rate 500] [--life 10]
+
+`relays`: 20 real relays, each a process, in front of 20 stand-in push servers, each in a process of its own,
+all on loopback on this machine; new connections come at `--rate` together, each says a line every 2 s. The
+load's two workers have a core each, all else shares the other cores. `echo`: the same load on bare stand-ins
+that say UP at once, which shows what the tool itself costs. Seeds are `--seed` (1) and those after it.
+"""
+
+import json
+import statistics
+import tempfile
+from collections.abc import Iterator, Sequence
+from contextlib import contextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import click
+import psutil  # type: ignore[import-untyped]
+import trio
+
+from glenfold.config import Address
+from glenfold_lab import spec
+from glenfold_lab.load import crew, plan, terms
+from glenfold_lab.load.echo import echoes
+from glenfold_lab.load.offer import Offer
+from glenfold_lab.load.result import LoadResult, summarize, window_us
+from glenfold_lab.results import Distribution
+from glenfold_lab.stands.crew import RemotePart, remote
+from glenfold_lab.stands.keeper import Keeper
+from glenfold_lab.stands.lateness import percentile
+from glenfold_lab.stands.moments import SECOND_US, MachineClock
+from glenfold_lab.stands.part import Part, Share, Times
+from glenfold_lab.stands.places import RELAYS, Net, Places
+from glenfold_lab.stands.relays import Limits, RelayProcess, ended_in_the_end, free_address
+from glenfold_lab.stands.script import draw
+from glenfold_lab.stands.seen import Seen
+from glenfold_lab.stands.told import settings_json
+
+COUNT = 20         # of relays, and of push servers
+WORKERS = 2
+LATE_US = 5_000
+SETTLE_US = 2 * SECOND_US  # from the last relay's being ready to the load's start
+AFTER_S = 10.0     # that the stand-ins stay after the last start
+SOCKETS = 4096     # of a relay
+
+Figures = dict[str, Any]
+
+
+class Unsealed(Part):
+    """Push servers that take the lines of any client: those of a load bear no seal of a run."""
+
+    async def bind(self) -> Places:
+        places = await super().bind()
+        for server in self._servers.values():
+            server.holder.seal = None
+        return places
+
+
+def scenario(seconds: float) -> spec.Scenario:
+    """Push servers large enough for what the load makes stand: about 800 connections each."""
+    kind = spec.ServerKind(name="large", cores=24, speed=1.0, speed_cv=0.0, per_core=33, message_ms=1.5)
+    return spec.Scenario(
+        format=1, name="load-tool", guards_against="a load that measures itself",
+        classes=(spec.RequestClass(name="watch", load_sigma=0.5, set_up_ms=3.0),),
+        length_s=seconds + AFTER_S, zones=spec.Zones(names=("one",), same_ms=0.2),
+        servers=spec.Servers(count=COUNT, kinds=(kind,), group_cost=0.0),
+        relays=spec.Relays(count=COUNT, sockets=SOCKETS), clients=spec.Clients(load=0.3, standing=False))
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    rate: float
+    seconds: float
+    life: float
+
+    def offer(self, targets: Sequence[Address]) -> Offer:
+        kinds = (terms.LoadClass(name="watch", life_s=self.life),)
+        arrivals = (terms.Arrivals(rate=self.rate, for_s=self.seconds, process="poisson"),)
+        asked = terms.LoadPlan(format=1, arrivals=arrivals, classes=kinds)
+        return Offer(asked, targets, 20_000, window_us(plan.length_us(asked)))
+
+    def measure(self, targets: Sequence[Address], seed: int) -> LoadResult:
+        offer = self.offer(targets)
+        clients, length_us = plan.draw(offer.terms, seed, len(targets)), plan.length_us(offer.terms)
+        reports = crew.offer_all(offer, clients, WORKERS, lambda: False)
+        return summarize(seed, offer, clients, length_us, reports, LATE_US, False)
+
+
+@contextmanager
+def beside_the_load() -> Iterator[None]:
+    """What is started inside stays off the cores that the load's workers take after it."""
+    process = psutil.Process()
+    cores = process.cpu_affinity()
+    own = {core for some in crew.cores_for(WORKERS) for core in some}
+    process.cpu_affinity([core for core in cores if core not in own] or cores)
+    try:
+        yield
+    finally:
+        process.cpu_affinity(cores)
+
+
+# ---- the two arrangements ----
+
+
+def against_echo(asked: Asked, seed: int) -> Figures:
+    with beside_the_load():
+        cores = psutil.Process().cpu_affinity()
+    with echoes(WORKERS, cores) as targets:
+        return figures(asked.measure(targets, seed))
+
+
+def against_relays(asked: Asked, seed: int) -> Figures:
+    with tempfile.TemporaryDirectory(prefix="glenfold-load-") as folder:
+        return trio.run(play, asked, seed, Path(folder))
+
+
+async def play(asked: Asked, seed: int, folder: Path) -> Figures:
+    return await Fleet(asked, seed, folder).measure()
+
+
+class Fleet:
+    """The relays, and the stand-ins that they need."""
+
+    def __init__(self, asked: Asked, seed: int, folder: Path) -> None:
+        self._asked, self._seed, self._folder = asked, seed, folder
+        self._scenario = scenario(asked.seconds)
+        self._script = draw(self._scenario, seed)
+        self._clock, self._seen, self._net = MachineClock(), Seen(), Net()
+        self._begin, self._times = trio.Event(), Times(0, 0)
+
+    async def measure(self) -> Figures:
+        parts = [Unsealed(self._scenario, self._seed, Share(n, (n,), (n,), None), self._net)
+                 for n in range(COUNT)]
+        with beside_the_load(), remote(parts) as played:
+            places = Places(relays=[free_address(self._net.host(RELAYS, n)) for n in range(COUNT)])
+            for part in played:
+                places |= await part.bind()
+            relays = [self._relay(n, places) for n in range(COUNT)]
+            keeper = Keeper(self._script, self._seed, relays, places, self._seen, self._clock)
+            async with ended_in_the_end(relays):
+                return await self._play(played, places, relays, keeper)
+
+    def _relay(self, n: int, places: Places) -> RelayProcess:
+        settings = settings_json(self._scenario, self._script.fleet.terms, n, 0)
+        return RelayProcess(n, f"n{n}", self._folder / f"n{n}", places.relays[n], places.agents[n], settings,
+                            Limits(sockets=SOCKETS), self._seen, self._clock)
+
+    async def _play(self, played: Sequence[RemotePart], places: Places, relays: Sequence[RelayProcess],
+                    keeper: Keeper) -> Figures:
+        async with trio.open_nursery() as nursery:
+            async with trio.open_nursery() as parts:
+                for part in played:
+                    parts.start_soon(part.play, places, self._begun, lambda _: None)
+                await keeper.start_all()
+                start = self._clock.now_us() + SETTLE_US
+                self._times = Times(start, start)
+                self._begin.set()
+                nursery.start_soon(keeper.run, start)
+                await self._clock.until(start)
+                found = await self._loaded(places, relays)
+            nursery.cancel_scope.cancel()
+        late_ms = [max(percentile(part.report().late_ms, 99) for part in played)]
+        faults = [*self._seen.faults, *(fault for part in played for fault in part.report().faults)]
+        return found | {"stand_ins_late_p99_ms": round(late_ms[0], 2), "faults": len(faults)}
+
+    async def _begun(self) -> Times:
+        await self._begin.wait()
+        return self._times
+
+    async def _loaded(self, places: Places, relays: Sequence[RelayProcess]) -> Figures:
+        before = cpu_s(relays)
+        began = trio.current_time()
+        psutil.Process().cpu_affinity(list(range(psutil.cpu_count())))
+        result = await trio.to_thread.run_sync(self._asked.measure, places.relays, self._seed)
+        took_s = trio.current_time() - began
+        spent = [after - first for after, first in zip(cpu_s(relays), before, strict=True)]
+        share = [seconds / took_s for seconds in spent]
+        return figures(result) | {
+            "relay_cores": spread(share), "relays_cores_together": round(sum(share), 2),
+            "relay_cpu_ms_a_start": round(1000 * sum(spent) / result.started, 3),
+            "relay_peak_mb": spread([relay.usage.peak_mb for relay in relays])}
+
+
+def cpu_s(relays: Sequence[RelayProcess]) -> list[float]:
+    for relay in relays:
+        relay.sample()
+    return [relay.usage.cpu_s for relay in relays]
+
+
+# ---- what is told ----
+
+
+def spread(values: Sequence[float]) -> Figures:
+    return {"least": round(min(values), 3), "median": round(statistics.median(values), 3),
+            "most": round(max(values), 3)}
+
+
+def in_ms(values: Distribution) -> dict[str, float]:
+    return {at: round(us / 1000, 2) for at, us in values.quantiles.items()}
+
+
+def figures(result: LoadResult) -> Figures:
+    return {
+        "seed": result.seed, "planned": result.planned, "started": result.started, "marks": result.marks,
+        "answers": {kind: values.count for kind, values in result.answers.items()},
+        "lateness_ms": in_ms(result.lateness), "line_lateness_ms": in_ms(result.line_lateness),
+        "set_up_ms": in_ms(result.set_up["watch"]), "lines_ms": in_ms(result.lines),
+        "lines": result.lines.count, "lines_unanswered": result.lines_unanswered,
+        "standing": result.standing, "partings": result.partings,
+        "load_cpu_ms_a_start": round(1000 * result.cost["cpu_s"] / result.started, 3),
+        "load_memory_mb": round(result.cost["memory_mb"], 1)}
+
+
+def over_repeats(repeats: Sequence[Figures]) -> Figures:
+    """Of the figures that are measured, what they came to over all repeats."""
+    return {f"{name} {at}": spread([repeat[name][at] for repeat in repeats])
+            for name in ("lateness_ms", "set_up_ms", "lines_ms") for at in ("50", "99", "99.9")
+            } | {name: spread([repeat[name] for repeat in repeats])
+                 for name in ("load_cpu_ms_a_start", "relays_cores_together") if name in repeats[0]}
+
+
+@click.command()
+@click.argument("against", type=click.Choice(["relays", "echo"]))
+@click.option("--repeats", type=click.IntRange(1, 9), default=3, show_default=True)
+@click.option("--seconds", type=click.FloatRange(1, 60), default=30.0, show_default=True)
+@click.option("--rate", type=click.FloatRange(1), default=500.0, show_default=True)
+@click.option("--life", type=click.FloatRange(0.1), default=10.0, show_default=True)
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+def main(against: str, repeats: int, seconds: float, rate: float, life: float, seed: int) -> None:
+    asked = Asked(rate, seconds, life)
+    measure = against_relays if against == "relays" else against_echo
+    told = {"benchmark": "load_tool", "against": against, "rate": rate, "seconds": seconds, "life_s": life}
+    found = []
+    for n in range(repeats):
+        found.append(measure(asked, seed + n))
+        click.echo(json.dumps(told | found[-1]))
+    click.echo(json.dumps(told | {"repeats": repeats} | over_repeats(found)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/glenfold_lab/test_load_command.py
@@ -0,0 +1,150 @@
+"""`glenfold lab load` from its words to its result, and the operators' page about it."""
+
+import json
+import re
+import shlex
+import threading
+from collections.abc import Iterator
+from pathlib import Path
+
+import click
+import msgspec
+import pytest
+import trio
+from click.testing import CliRunner, Result
+
+from glenfold.config import Address
+from glenfold_lab.commands.load import command
+from glenfold_lab.load import crew
+from glenfold_lab.load.echo import echo
+from glenfold_lab.load.offer import Offer
+from glenfold_lab.load.plan import draw
+from glenfold_lab.load.result import LoadResult, summarize
+from glenfold_lab.load.terms import Arrivals, LoadClass, LoadPlan, checked
+from glenfold_lab.located import parse
+
+PAGE = (Path(__file__).parents[2] / "docs/operators/lab-load.md").read_text()
+
+
+def load(*words: str) -> Result:
+    return CliRunner().invoke(command, words)
+
+
+def blocks(kind: str) -> list[str]:
+    return re.findall(rf"```{kind}\n(.*?)```", PAGE, re.DOTALL)
+
+
+@pytest.fixture
+def relay() -> Iterator[Address]:
+    """In another thread: the command keeps this one."""
+    found: list[Address] = []
+    up, down = threading.Event(), trio.Event()
+
+    async def main() -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1", backlog=1000)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, echo, listeners)
+            found.append(listeners[0].socket.getsockname())
+            tokens.append(trio.lowlevel.current_trio_token())
+            up.set()
+            await down.wait()
+            nursery.cancel_scope.cancel()
+
+    tokens: list[trio.lowlevel.TrioToken] = []
+    thread = threading.Thread(target=trio.run, args=(main,))
+    thread.start()
+    up.wait()
+    yield found[0]
+    tokens[0].run_sync_soon(down.set)
+    thread.join()
+
+
+def test_the_worked_example_of_the_page(relay: Address, tmp_path: Path) -> None:
+    example, = blocks("sh")
+    words = shlex.split(example)
+    assert words[:3] == ["glenfold", "lab", "load"]
+    out = tmp_path / "load.json"
+    replaced = [{"127.0.0.1:7000": f"127.0.0.1:{relay[1]}", "load.json": str(out)}.get(word, word)
+                for word in words[3:]]
+    result = load(*replaced, "--late-ms", "60000")  # how late it runs is the machine's affair
+    assert result.exit_code == 0, result.output
+    assert "50 of 50 planned starts, 50 answered" in result.output
+    found = json.loads(out.read_text())
+    assert (found["answers"]["up"]["count"], found["marks"]) == (50, [])
+    assert found["lines"]["count"] > 100 and set(found["partings"]) <= {"left"}
+    assert found["targets"] == {f"127.0.0.1:{relay[1]}": {"up": 50}}
+
+
+def test_the_page_names_each_option_key_and_figure() -> None:
+    options = {word for param in command.params if isinstance(param, click.Option) for word in param.opts}
+    figures = {f"`{field.name}`" for field in msgspec.structs.fields(LoadResult)}
+    assert {word for word in options | figures if word not in PAGE} == set()
+    plan, = blocks("toml")
+    assert len(checked(parse(plan, "page")).arrivals) == 3
+
+
+BASE = ("--to", "127.0.0.1:9", "--rate", "10", "--for", "1")
+
+
+@pytest.mark.parametrize(("words", "named"), [
+    ((), "--to"),
+    (("--self-test", *BASE), "--self-test"),
+    (("--to", "127.0.0.1", "--rate", "1", "--for", "1"), "'--to': '127.0.0.1' is not HOST:PORT"),
+    ((*BASE, "--to", "127.0.0.1:9"), "--to: the same relay comes twice"),
+    (("--to", "127.0.0.1:9", "--rate", "10"), "--for"),
+    ((*BASE, "--rate", "nan"), "'--rate'"),
+    ((*BASE, "--rate", "0"), "'--rate'"),
+    ((*BASE, "--rate", "1e6", "--for", "60"), "--rate: 60000000 clients would start"),
+    ((*BASE, "--rate", "1e7"), "--rate"),
+    ((*BASE, "--ramp", "2"), "--ramp: is longer than --for"),
+    ((*BASE, "--life", "1e6"), "--life: expected a number of at most 86400"),
+    ((*BASE, "--wait-ms", "60001"), "--wait-ms"),
+    ((*BASE, "--line-gap-ms", "5"), "--line-gap-ms: must be 0 or at least 10"),
+    ((*BASE, "--class", "a b"), "--class"),
+    ((*BASE, "--scheme", "a,b"), "--scheme"),
+    ((*BASE, "--reconnect", "5@1.2.3"), "'--reconnect'"),
+    ((*BASE, "--reconnect", "5@100000"), "--reconnect: expected a number of at most 86400"),
+    ((*BASE, "--workers", "0"), "'--workers'"),
+    ((*BASE, "--json", "/nowhere/at/all"), "'--json'"),
+    ((*BASE, "--plan", "plan.toml"), "--plan"),
+    (("--to", "127.0.0.1:9", "--plan", "/nowhere.toml"), "/nowhere.toml: can't be read"),
+])
+def test_bad_words_are_refused_by_name(words: tuple[str, ...], named: str) -> None:
+    result = load(*words)
+    assert result.exit_code == 2 and named in result.output.replace("\n", " ")
+
+
+LONG = LoadPlan(format=1, arrivals=(Arrivals(rate=20, for_s=600),), classes=(LoadClass(name="watch"),))
+
+
+def test_a_load_that_is_told_to_stop_gives_what_it_measured(relay: Address) -> None:
+    looks = 0
+
+    def stopped() -> bool:
+        nonlocal looks
+        looks += 1
+        return looks > 5  # 5 looks of 0.2 s, after START_S
+
+    reports = crew.offer_all(Offer(LONG, [relay], 100, 60_000_000), draw(LONG, 1, 1), 1, stopped)
+    tally = reports[0].tally
+    assert 0 < tally.started.total() < 12_000
+    assert tally.answers["up"].distribution().count == tally.standing > 0
+
+
+def test_a_worker_that_breaks_off_ends_the_load() -> None:
+    with pytest.raises(crew.LoadFailed, match="worker 0 ended with status 1"):
+        crew.offer_all(Offer(LONG, [], 100, 60_000_000), draw(LONG, 1, 1), 1, lambda: False)
+
+
+@pytest.mark.parametrize(("marks", "status"), [
+    (("late",), 1), (("no room", "ended early"), 1), (("ended early",), 130), ((), 0)])
+def test_the_exit_status_says_whether_it_measured_what_was_asked(
+        marks: tuple[str, ...], status: int, monkeypatch: pytest.MonkeyPatch, tmp_path: Path) -> None:
+    offer = Offer(LONG, [("127.0.0.1", 9)], 1, 1_000_000)
+    empty = summarize(1, offer, draw(LONG, 1, 1)[:0], 1, [], 1, False)
+    marked = msgspec.structs.replace(empty, marks=marks)
+    monkeypatch.setattr("glenfold_lab.commands.load._measure", lambda order, targets: marked)
+    result = load(*BASE, "--json", str(tmp_path / "out.json"))
+    assert result.exit_code == status
+    assert json.loads((tmp_path / "out.json").read_text())["marks"] == list(marks)
+    assert all(mark in result.output for mark in marks)
