--- a/glenfold_lab/reports/page.py
+++ b/glenfold_lab/reports/page.py
@@ -8,6 +8,7 @@
 from glenfold_lab.experiments.compare import Difference
 from glenfold_lab.reports import plots, terms
 from glenfold_lab.reports.plots import Day
+from glenfold_lab.reports.read import Experiment
 from glenfold_lab.reports.summary import Group, History, Report
 from glenfold_lab.reports.thin import loads
 from glenfold_lab.results import RunResult
@@ -42,8 +43,7 @@
                                quantile_marks=quantile_marks)
     groups = report.groups[:GROUPS]
     names = compared(groups)
-    pairs = [one for experiment in report.experiments for one in experiment.differences
-             if one.figure in (*names, "rules_broken")]
+    pairs = pairs_of(report.experiments, terms.in_order([*names, "rules_broken"]))
     return environment.get_template("page.html.j2").render(
         report=report, toc_parts=len(report.histories) <= TOC_PARTS, groups_shown=GROUPS,
         compared_names=names, pairs=pairs[:PAIRS], pairs_left_out=len(pairs[PAIRS:]),
@@ -57,6 +57,12 @@
     return terms.in_order(names)[:COMPARED]
 
 
+def pairs_of(experiments: Sequence[Experiment], names: Sequence[str]) -> list[Difference]:
+    """Those of the figures that are compared, figure by figure."""
+    pairs = [one for experiment in experiments for one in experiment.differences if one.figure in names]
+    return sorted(pairs, key=lambda one: names.index(one.figure))
+
+
 def quantile_marks(history: History) -> list[str]:
     """All quantiles that a history tells of its set-ups, from the least."""
     return sorted({mark for one in history.set_up.values() for mark in one.quantiles}, key=float)
