--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -1,10 +1,28 @@
+"""What the documents show can be done as they show it."""
+
 import pathlib
 import re
 
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+def test_the_readme_opens_with_commands_that_the_makefile_knows():
+    first = re.search(r"(?m)^(    .+\n)+", (ROOT / "README.md").read_text())
+    assert first is not None
+    words = [line.split() for line in first[0].splitlines()]
+    assert words == [["make", "demo"], ["make", "test"]]
+    makefile = (ROOT / "Makefile").read_text()
+    assert all(re.search(rf"(?m)^{target}:", makefile) for _, target in words)
+
+
+def test_links_between_documents_lead_somewhere():
+    for document in (ROOT / "README.md", *ROOT.glob("docs/**/*.md")):
+        for link in re.findall(r"\]\(([^)#]+)", document.read_text()):
+            assert (document.parent / link).exists(), f"{document.name}: {link}"
+
 
 def test_the_embedding_example_runs(capsys):
-    text = (pathlib.Path(__file__).parent.parent / "README.md").read_text()
-    code = re.findall(r"```python\n(.*?)```", text, re.S)
+    code = re.findall(r"```python\n(.*?)```", (ROOT / "docs/design/00-relay.md").read_text(), re.S)
     assert len(code) == 1
-    exec(compile(code[0], "README.md", "exec"), {})
+    exec(compile(code[0], "00-relay.md", "exec"), {})
     assert capsys.readouterr().out == "True\n"
