--- /dev/null
+++ b/glenfold_lab/load/talk.py
@@ -0,0 +1,113 @@
+"""The socket side of one client: carries out what its states say."""
+
+import errno
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Protocol
+
+import trio
+
+from glenfold.config import Address
+from glenfold.lines import MAX_LINE
+from glenfold_lab.load import client as c
+
+SECOND_US = 1_000_000
+SEND_S = c.SILENT_US / SECOND_US  # a side that takes nothing for so long is not worth waiting for
+NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
+
+Stream = trio.abc.HalfCloseableStream
+Connect = Callable[[], Awaitable[Stream]]
+Tell = Callable[[c.News], None]
+
+
+class Moments(Protocol):
+    """The clock of the clients. What `to_trio` gives for a moment must not be before it by `now_us`: a client
+    woken too early would only go to sleep again."""
+
+    def now_us(self) -> int: ...
+
+    def to_trio(self, at_us: int) -> float: ...
+
+
+class RunClock:
+    """Microseconds from a load's start, which falls on `start` in trio's time."""
+
+    def __init__(self, start: float) -> None:
+        self._start = start
+
+    def now_us(self) -> int:
+        return round((trio.current_time() - self._start) * SECOND_US)
+
+    def to_trio(self, at_us: int) -> float:
+        return at_us / SECOND_US + self._start
+
+
+async def connect_to(address: Address) -> Stream:
+    sock = trio.socket.socket()
+    try:
+        await sock.connect(address)
+    except BaseException:
+        sock.close()
+        raise
+    return trio.SocketStream(sock)
+
+
+async def talk(state: c.ClientState, connect: Connect, tell: Tell, clock: Moments) -> None:
+    """From the connecting to the end; whatever the other side does, only this client's end comes of it.
+
+    Raises OSError, before it has told anything, where this machine has no socket or port left for it."""
+    stream = await _connected(connect, clock.to_trio(state.due_us))
+    if stream is None:
+        for effect in state.on(c.Unreachable(), clock.now_us()):
+            if isinstance(effect, c.News):
+                tell(effect)
+        return
+    incident: c.Incident = c.Connected()
+    try:
+        while True:
+            for effect in state.on(incident, clock.now_us()):
+                await _carry_out(effect, stream, tell)
+            if state.phase is c.Phase.ENDED:
+                return
+            incident = await _next(stream, clock.to_trio(state.due_us))
+    finally:
+        await trio.aclose_forcefully(stream)
+
+
+async def _connected(connect: Connect, until: float) -> Stream | None:
+    with trio.move_on_at(until):
+        try:
+            return await connect()
+        except OSError as error:
+            if error.errno in NO_ROOM:
+                raise
+    return None
+
+
+async def _carry_out(effect: c.Effect, stream: Stream, tell: Tell) -> None:
+    match effect:
+        case c.Send(data):
+            with trio.move_on_at(trio.current_time() + SEND_S):
+                await _unless_broken(stream.send_all(data))
+        case c.Finish():
+            await _unless_broken(stream.send_eof())
+        case c.Close():
+            pass  # done by the stream's owner, as the states have ended
+        case _:
+            tell(effect)
+
+
+async def _unless_broken(sending: Awaitable[None]) -> None:
+    """A side that can't be sent to has ended; that is heard where it is read from."""
+    with suppress(trio.BrokenResourceError):
+        await sending
+
+
+async def _next(stream: Stream, until: float) -> c.Incident:
+    with trio.move_on_at(until):
+        try:
+            data = await stream.receive_some(MAX_LINE)
+        except trio.BrokenResourceError:
+            return c.Broken()
+        return c.Heard(bytes(data)) if data else c.Finished()
+    return c.Due()
