--- a/glenfold_lab/stands/run.py
+++ b/glenfold_lab/stands/run.py
@@ -313,7 +313,8 @@
             server_load={host: Series(SECOND_US, tuple(loads), host) for report in self._reports
                          for host, loads in sorted(report.loads.items())},
             verdicts=verdicts, verdicts_left_out=checker.left_out,
-            happened=tuple(sorted(happened, key=lambda one: one.at_us)), cost=self._cost())
+            happened=tuple(sorted(happened, key=lambda one: one.at_us)), cost=self._cost(),
+            guards_against=" ".join(self.scenario.guards_against.split()))
 
     def _faults(self) -> list[Verdict]:
         """What relays did that no rule of the platform words."""
