--- /dev/null
+++ b/benchmarks/result_stores.py
@@ -0,0 +1,124 @@
+"""Ways to keep an experiment's results: what a cell costs, how large they are, and how fast figures are read.
+
+    python -m benchmarks.result_stores RESULTS [CELLS]
+
+RESULTS: a file of `glenfold lab experiment`, whose results are written CELLS times (default 1,000), each of
+them on the disk before the next. Parquet takes part if pyarrow is installed; as it can't be added to, it
+gets a file for each cell.
+"""
+
+import os
+import sqlite3
+import struct
+import sys
+import tempfile
+import time
+import zlib
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+import msgspec
+
+from glenfold_lab.experiments.store import Header, Outcome, Short, go_on, look
+
+Way = tuple[Callable[[Path, Sequence[Outcome]], None], Callable[[Path], int]]
+
+HEAD = struct.Struct(">II")
+
+
+def write_lines(folder: Path, outcomes: Sequence[Outcome]) -> None:
+    store = go_on(str(folder / "results"), Header("bench", "what it costs", len(outcomes), {}))
+    for outcome in outcomes:
+        store.add(msgspec.json.encode(outcome))
+    store.close()
+
+
+def read_lines(folder: Path) -> int:
+    return sum(short.result is not None for short in look(str(folder / "results")).outcomes(Short))
+
+
+def write_msgpack(folder: Path, outcomes: Sequence[Outcome]) -> None:
+    with (folder / "results").open("ab") as file:
+        for outcome in outcomes:
+            data = msgspec.msgpack.encode(outcome)
+            file.write(HEAD.pack(len(data), zlib.crc32(data)) + data)
+            file.flush()
+            os.fdatasync(file.fileno())
+
+
+def read_msgpack(folder: Path) -> int:
+    found, data, at = 0, (folder / "results").read_bytes(), 0
+    while at < len(data):
+        size, check = HEAD.unpack_from(data, at)
+        record = data[at + HEAD.size:at + HEAD.size + size]
+        assert zlib.crc32(record) == check
+        short: Short = msgspec.msgpack.decode(record, type=Short)
+        found += short.result is not None
+        at += HEAD.size + size
+    return found
+
+
+def write_sqlite(folder: Path, outcomes: Sequence[Outcome]) -> None:
+    base = sqlite3.connect(folder / "results", isolation_level=None)
+    base.execute("PRAGMA journal_mode = WAL")
+    base.execute("PRAGMA synchronous = FULL")
+    base.execute("CREATE TABLE cells (cell INTEGER PRIMARY KEY, record BLOB)")
+    for outcome in outcomes:
+        base.execute("INSERT INTO cells VALUES (?, ?)", (outcome.cell, msgspec.json.encode(outcome)))
+    base.close()
+
+
+def read_sqlite(folder: Path) -> int:
+    base = sqlite3.connect(folder / "results")
+    rows = base.execute("SELECT record FROM cells ORDER BY cell")
+    return sum(msgspec.json.decode(record, type=Short).result is not None for (record,) in rows)
+
+
+def write_parquet(folder: Path, outcomes: Sequence[Outcome]) -> None:
+    import pyarrow  # type: ignore[import-not-found]
+    from pyarrow import parquet
+
+    for outcome in outcomes:
+        path = folder / f"{outcome.cell}.parquet"
+        figures = outcome.result.figures if outcome.result is not None else {}
+        row = {"cell": outcome.cell, "record": msgspec.json.encode(outcome), **figures}
+        parquet.write_table(pyarrow.Table.from_pylist([row]), path)
+        with path.open("rb") as file:
+            os.fsync(file.fileno())
+
+
+def read_parquet(folder: Path) -> int:
+    from pyarrow import parquet
+
+    return sum(len(parquet.read_table(path, columns=["cell", "service"])) for path in folder.iterdir())
+
+
+WAYS: dict[str, Way] = {
+    "lines of JSON with checksums": (write_lines, read_lines),
+    "msgpack with checksums": (write_msgpack, read_msgpack),
+    "sqlite, WAL, synchronous FULL": (write_sqlite, read_sqlite),
+    "parquet, a file for each cell": (write_parquet, read_parquet),
+}
+
+
+def main(path: str, cells: int) -> None:
+    kept = list(look(path).outcomes(Outcome))
+    outcomes = [msgspec.structs.replace(kept[number % len(kept)], cell=number) for number in range(cells)]
+    for name, (write, read) in WAYS.items():
+        with tempfile.TemporaryDirectory(dir=".") as folder:
+            began = time.perf_counter()
+            try:
+                write(Path(folder), outcomes)
+            except ModuleNotFoundError as error:
+                print(f"{name:31} left out: {error}")
+                continue
+            written = time.perf_counter()
+            read(Path(folder))
+            done = time.perf_counter()
+            size = sum(file.stat().st_size for file in Path(folder).iterdir())
+            print(f"{name:31} {(written - began) / cells * 1e3:6.2f} ms a cell, {size / cells / 1e3:6.1f} kB "
+                  f"a cell, figures of all read in {done - written:.2f} s")
+
+
+if __name__ == "__main__":
+    main(sys.argv[1], int(sys.argv[2]) if len(sys.argv) > 2 else 1_000)
