--- a/glenfold_lab/experiments/compare.py
+++ b/glenfold_lab/experiments/compare.py
@@ -9,6 +9,7 @@
 
 import math
 from collections.abc import Iterator, Mapping, Sequence
+from itertools import combinations
 from statistics import NormalDist
 from typing import NamedTuple
 
@@ -66,16 +67,16 @@
 
 
 def differences(plan: Plan, table: Table) -> Iterator[Difference]:
-    """All of an experiment: every revision against the first, every level of a factor against its first."""
-    for other in range(1, len(plan.decisions)):
-        sides = [(Side(variant, 0), Side(variant, other)) for variant in range(len(plan.variants))]
+    """All of an experiment: revisions two by two, and every level of a factor against its first."""
+    for base, other in combinations(range(len(plan.decisions)), 2):
+        sides = [(Side(variant, base), Side(variant, other)) for variant in range(len(plan.variants))]
         for pair in sides:
             yield from _compare(plan, table, "revision", [pair])
         if len(sides) > 1:
             yield from _compare(plan, table, "revision", sides)
-    for base, other, factor in _neighbours(plan):
+    for first, variant, factor in _neighbours(plan):
         for revision in range(len(plan.decisions)):
-            yield from _compare(plan, table, factor, [(Side(base, revision), Side(other, revision))])
+            yield from _compare(plan, table, factor, [(Side(first, revision), Side(variant, revision))])
 
 
 def _neighbours(plan: Plan) -> Iterator[tuple[int, int, str]]:
