--- a/glenfold_lab/experiments/plan.py
+++ b/glenfold_lab/experiments/plan.py
@@ -29,7 +29,8 @@
     asks: the question that it is to answer. scenarios: names, or paths from the file's folder.
     seeds: a list, or a number n for 1 to n. repeats: plays of each cell, which must give the same bytes.
     revisions: git revisions of the decisions, "here" being the work tree's; compared two by two.
-    factors: for keys of the scenarios the values to play, of which others are compared with the first. figures: those that are printed; () prints service, worst_window and rules_broken.
+    factors: for keys of the scenarios the values to play, of which others are compared with the first.
+    figures: those that are printed; () prints service, worst_window and rules_broken.
     """
 
     format: Literal[1]
