Count what a planned restart cuts off, and one verdict for each span of a cold server

A relay that is told to stop and leaves with connections that end with it has cut them, and one that leaves with requests unanswered has lost them: both counted as its death until now, which excuses everything. A cold server that is pushed over had a verdict for each send that crossed its budget again.

--- a/glenfold_lab/checker/answer.py
+++ b/glenfold_lab/checker/answer.py
@@ -27,7 +27,7 @@
         _judge_up(found, state)
     elif final == Final.CLOSED:
         died = death(state)
-        if died is None or died > state.final_at:
+        if died is None or died >= state.final_at:
             _broken(found, state, state.final_at, [state.final_seen()])
 
 
--- a/glenfold_lab/checker/cold.py
+++ b/glenfold_lab/checker/cold.py
@@ -24,14 +24,15 @@
 @dataclass(slots=True, eq=False)
 class ColdServer:
     """since: when it started. before: a relay that was told of a start after this was told of this one.
-    sends: within the last span, by moment and whether its relay had been told."""
+    sends: within the last span, by moment and whether its relay had been told. next_verdict: not before, as
+    spans that overlap tell of the same sends."""
 
     since: int
     before: int
     capacity: Capacity
     sends: deque[tuple[int, bool]] = field(default_factory=deque)
     knowing: int = 0
-    over: bool = False
+    next_verdict: int = 0
 
     def take(self, at: int, told: bool, span_us: int) -> None:
         self.sends.append((at, told))
@@ -82,10 +83,9 @@
             return
         cold.take(at, self._told_start(relay, server) > cold.before, self._span_us)
         budget = self._multiple * cold.could_take(at - self._span_us, at)
-        was_over = cold.over
-        cold.over = (len(cold.sends) > budget + CHANCE + SPREADS * math.sqrt(budget)
-                     and 3 * cold.knowing >= 2 * len(cold.sends))
-        if cold.over and not was_over:
+        too_many = len(cold.sends) > budget + CHANCE + SPREADS * math.sqrt(budget)
+        if too_many and 3 * cold.knowing >= 2 * len(cold.sends) and at >= cold.next_verdict:
+            cold.next_verdict = at + self._span_us
             self._pushed_over(cold, budget, at, request, relay, server)
 
     def _pushed_over(self, cold: ColdServer, budget: float, at: int, request: int, relay: int,
--- a/glenfold_lab/model/clients.py
+++ b/glenfold_lab/model/clients.py
@@ -14,7 +14,7 @@
 import numpy as np
 from numpy.typing import NDArray
 
-from glenfold.request import RequestState
+from glenfold.request import Phase, RequestState
 from glenfold_lab.model.draw import value
 from glenfold_lab.model.front import Front
 from glenfold_lab.model.kernel import SECOND_US, Kernel
@@ -23,7 +23,7 @@
 from glenfold_lab.model.population import Drawn, Population
 from glenfold_lab.model.relays import Exchange, Relay
 from glenfold_lab.model.wire import Machines, Wanted
-from glenfold_lab.observe import End, Watcher
+from glenfold_lab.observe import End, Final, Watcher
 from glenfold_lab.spec import Clients as ClientTerms
 from glenfold_lab.spec import Scenario
 from glenfold_lab.streams import Streams
@@ -364,16 +364,19 @@
 
     # ---- where packets go ----
 
-    def lost_relay(self, exchange: Exchange) -> bool:
-        """Its relay's process died. True for one whose connection goes on when its packets are sent to
-        another; the others see theirs reset."""
+    def lost_relay(self, exchange: Exchange, planned: bool) -> bool:
+        """Its relay's process died, or ended as it was told to. True for one whose connection goes on when
+        its packets are sent to another; the others see theirs reset."""
         client, every = exchange.client, self._all
         if every.exchange[client] is not exchange:
             return False
         stood = every.state[client] == STANDING
         every.exchange[client] = None
         if stood:
-            self._watcher.ended(self._kernel.now, exchange.event.request, End.RELAY_DIED)
+            how = End.CUT if planned and not self._pass_through else End.RELAY_DIED
+            self._watcher.ended(self._kernel.now, exchange.event.request, how)
+        elif planned and exchange.state.phase is not Phase.STANDING:
+            self._watcher.answered(self._kernel.now, exchange.event.request, Final.CLOSED, None, 0)
         if self._pass_through and (stood or every.mid_flow[client]):
             every.state[client] = PARKED
             return True
--- a/glenfold_lab/model/posts.py
+++ b/glenfold_lab/model/posts.py
@@ -101,16 +101,17 @@
     def _left(self, number: int, lives: int) -> None:
         post = self._posts[number]
         if post.relay is not None and post.lives == lives:
-            self._end(post, number)
+            self._end(post, number, planned=True)
             self._front.remove(number)
             self._find_relays(post)
 
-    def _end(self, post: Post, number: int) -> None:
+    def _end(self, post: Post, number: int, planned: bool = False) -> None:
         relay, post.relay = post.relay, None
         assert relay is not None
         self._watcher.relay_down(self._kernel.now, number)
         self._listing.relay_down(number)
-        post.lost += [exchange.client for exchange in relay.die() if self.clients.lost_relay(exchange)]
+        post.lost += [exchange.client for exchange in relay.die()
+                      if self.clients.lost_relay(exchange, planned)]
         self._kernel.after(self._draw_us(self._scenario.relays.restart_s), self._boot, number, post.lives)
 
     def stall(self, number: int, until: int) -> None:
--- a/tests/glenfold_lab/test_checker.py
+++ b/tests/glenfold_lab/test_checker.py
@@ -161,7 +161,7 @@
 NO_FAULTS = {  # as far as may be
     "late": answer(lambda slack: DUE + slack, Final.BUSY),
     "closed by its relay's death": add(lambda slack: [
-        *request(7777, 5 * S, UNTOLD)[:2], ("relay_down", (5_001_800, UNTOLD)),
+        *request(7777, 5 * S, UNTOLD)[:2], ("relay_down", (5_001_700, UNTOLD)),
         ("answered", (5_001_800, 7777, Final.CLOSED, None, 0))]),
     "two out": put("attempt_over", PLAIN, lambda slack, at, number, server, how: (
         at + 2000 + slack if how is Over.BUSY else at, number, server, how)),
