Tell attempts that carry a connection on from new ones, and count only these as work

Where packets pass through, each connection of a relay that restarts comes to its push server once more, and goes on there. An attempt has a mark now, given by the model's and the stand-in push servers alike, that it goes on at the server which holds its connection.

--- a/glenfold_lab/checker/cold.py
+++ b/glenfold_lab/checker/cold.py
@@ -74,9 +74,9 @@
         self._ended[server] = at
         self._cold.pop(server, None)
 
-    def sent(self, at: int, request: int, relay: int, server: int, first: int) -> None:
+    def sent(self, at: int, request: int, relay: int, server: int, first: int, goes_on: bool = False) -> None:
         cold = self._cold.get(server)
-        if cold is None:
+        if cold is None or goes_on:
             return
         if at >= cold.since + self._cold_us:
             del self._cold[server]
--- a/glenfold_lab/checker/drain.py
+++ b/glenfold_lab/checker/drain.py
@@ -83,7 +83,7 @@
             known.starts.extend([NOT_NAMED] * missing)
         known.starts[place] = started_us
 
-    def sent(self, at: int, request: int, relay: int, server: int, first: int) -> None:
+    def sent(self, at: int, request: int, relay: int, server: int, first: int, goes_on: bool = False) -> None:
         known = self._relays.get(relay)
         if known is not None and first <= known.died:  # by a list that is void by now
             return
--- a/glenfold_lab/checker/requests.py
+++ b/glenfold_lab/checker/requests.py
@@ -40,7 +40,7 @@
         state = self._open[request] = Request(request, relay, at, deadline, due)
         self._to_judge[(due + LINGER_US) // STEP_US].append(state)
 
-    def sent(self, at: int, request: int, relay: int, server: int, first: int) -> None:
+    def sent(self, at: int, request: int, relay: int, server: int, first: int, goes_on: bool = False) -> None:
         state = self._open.get(request)
         if state is None:
             return attempt.for_nobody(self._found, at, request, relay, server, first)
--- a/glenfold_lab/measures.py
+++ b/glenfold_lab/measures.py
@@ -64,7 +64,7 @@
             self._forget_at = at + FORGET_US
         self._open[request] = new
 
-    def sent(self, at: int, request: int, relay: int, server: int, first: int) -> None:
+    def sent(self, at: int, request: int, relay: int, server: int, first: int, goes_on: bool = False) -> None:
         self._count(self._attempts, at)
         known = self._open.get(request) or self._older.get(request)
         if known is not None:
--- a/glenfold_lab/model/servers/calls.py
+++ b/glenfold_lab/model/servers/calls.py
@@ -85,7 +85,7 @@
         if not server.running or mid_flow is None and server.held >= server.cap:
             return self._refuse(call, server)
         call.arrived = True
-        self.watcher.sent(now, call.request, call.relay, call.server, call.sent_at)
+        self.watcher.sent(now, call.request, call.relay, call.server, call.sent_at, mid_flow is not None)
         server.advance(now)
         if mid_flow is not None:
             server.unpark(mid_flow)
--- a/glenfold_lab/model/world.py
+++ b/glenfold_lab/model/world.py
@@ -41,7 +41,7 @@
     def taken(self, at: int, request: int, relay: int, deadline: int, request_class: int) -> None:
         self.taken_in += 1
 
-    def sent(self, at: int, request: int, relay: int, server: int, first: int) -> None:
+    def sent(self, at: int, request: int, relay: int, server: int, first: int, goes_on: bool = False) -> None:
         self.attempts += 1
         zone = self._zones.get(server)
         if zone is None:
--- a/glenfold_lab/observe.py
+++ b/glenfold_lab/observe.py
@@ -102,8 +102,9 @@
     def taken(self, at: int, request: int, relay: int, deadline: int, request_class: int) -> None:
         """The last byte of the request was written to a connection that the relay's machine accepted."""
 
-    def sent(self, at: int, request: int, relay: int, server: int, first: int) -> None:
-        """An attempt: its last byte has arrived at `at`, its first was sent at `first`."""
+    def sent(self, at: int, request: int, relay: int, server: int, first: int, goes_on: bool = False) -> None:
+        """An attempt: its last byte has arrived at `at`, its first was sent at `first`. goes_on: it carries a
+        connection on that stands or is parked there already, which is no new work."""
 
     def attempt_over(self, at: int, request: int, server: int, how: Over) -> None:
         """The attempt on that server is no longer out."""
--- a/glenfold_lab/stands/push_states.py
+++ b/glenfold_lab/stands/push_states.py
@@ -144,6 +144,10 @@
         struck = self.fault is not None and self.random.random() < self.fault_share
         return Conversation(self, relay, self.fault if struck else None)
 
+    def holds(self, key: int) -> bool:
+        """Whether a connection of this client can go on here."""
+        return key in self.by_key or key in self.parked_until
+
     def start(self, now: int, cold: bool) -> None:
         """The process begins afresh."""
         self.by_key.clear()
@@ -320,7 +324,9 @@
                 raise NotSent("its class")
         except NotSent as error:
             return self._not_sent(str(error), now)
-        holder.seen.sent(now, first.request, self.relay, holder.number, self._first_at)
+        goes_on = first.figures.get("at") == holder.host or (
+            first.figures.get("mid") == "1" and holder.holds(first.key))
+        holder.seen.sent(now, first.request, self.relay, holder.number, self._first_at, goes_on)
         self._first, self._work = first, work
         self._usual = float(first.figures.get("w", work.load))
         self._call = Call(
