--- a/glenfold_lab/checker/answer.py
+++ b/glenfold_lab/checker/answer.py
@@ -13,7 +13,7 @@
 Death = Callable[[Request], int | None]  # when the relay that took the request died, if it did since
 
 
-def judge(found: Verdicts, state: Request, now: int, death: Death) -> None:
+def judge(found: Verdicts, state: Request, now: int, slack_us: int, death: Death) -> None:
     final, left = state.final, state.left_at
     if final is None:
         _judge_none(found, state, now, death)
@@ -24,21 +24,21 @@
     elif state.final_at > state.due:
         _broken(found, state, state.final_at, [_due(state), state.final_seen()])
     elif final == Final.UP:
-        _judge_up(found, state)
+        _judge_up(found, state, slack_us)
     elif final == Final.CLOSED:
         died = death(state)
         if died is None or died >= state.final_at:
             _broken(found, state, state.final_at, [state.final_seen()])
 
 
-def _judge_up(found: Verdicts, state: Request) -> None:
-    one = state.last
+def _judge_up(found: Verdicts, state: Request, slack_us: int) -> None:
+    one, by = state.last, state.final_at + slack_us
     while one is not None:
-        if one.how == Over.UP and one.server == state.receipt_of:
+        if one.how == Over.UP and one.server == state.receipt_of and (one.over_at or 0) <= by:
             return
         one = one.before
     attempts = [seen for one in state.attempts() for seen in one.seen()]
-    nobody = (state.final_at, "no push server had given an UP like this for it")
+    nobody = (state.final_at, "no push server had given such an UP for it by then")
     _broken(found, state, state.final_at, [*attempts, state.final_seen(), nobody])
 
 
--- a/glenfold_lab/checker/requests.py
+++ b/glenfold_lab/checker/requests.py
@@ -111,7 +111,7 @@
 
     def _judge_step(self, step: int, now: int) -> None:
         for state in self._to_judge.pop(step):
-            answer.judge(self._found, state, now, self._death)
+            answer.judge(self._found, state, now, self._slack, self._death)
             attempt.judge(self._found, state, now, self._most, self._slack)
             state.judged, state.last = True, None
             if state.over and self._open.get(state.number) is state:
--- a/tests/glenfold_lab/test_checker.py
+++ b/tests/glenfold_lab/test_checker.py
@@ -136,6 +136,8 @@
     "twice, while it stands": ("answer", again("answered", 10_500_000, PLAIN, Final.ERROR, None, 0)),
     "an UP out of nowhere": ("answer", answer(lambda slack: 6 * S, Final.UP)),
     "an UP of a server that was busy": ("answer", answer(lambda slack: 6 * S, Final.UP, OLD)),
+    "an UP before its server's": ("answer", put("answered", PLAIN, lambda slack, at, *rest: (
+        at - 1001 - slack, *rest))),
     "two out": ("attempt", put("attempt_over", PLAIN, lambda slack, at, number, server, how: (
         at + 3000 + slack if how is Over.BUSY else at, number, server, how))),
     "two out, one for ever": ("attempt", add(lambda slack: [
