Let set-ups at a push server move up when those before them are given up

Each was answered at a moment fixed on its arrival. In a jam relays give up hundreds that stand before it, and those behind them then waited for work that nobody did. Drains ask as many clients to leave as their time asks for, where small servers were empty halfway through.

--- a/glenfold_lab/model/machinery.py
+++ b/glenfold_lab/model/machinery.py
@@ -18,8 +18,8 @@
     """What relays and clients meet.
 
     terms: what the history drew that both sides have to agree on. servers, listing and service are as
-    `wire.Machines`, `wire.Listing` and `wire.Wanted` say. happened: the faults of machines and what came of
-    them, as they come, by microseconds from the start of the history.
+    `wire.Machines`, `wire.Listing` and `wire.Wanted` say. lives: how servers start and end. happened: the
+    faults of machines and what came of them, as they come, by microseconds from the start of the history.
     """
 
     def __init__(self, scenario: Scenario, streams: Streams, kernel: Kernel, watcher: Watcher) -> None:
@@ -31,13 +31,13 @@
         self.servers = PushServers(scenario, streams, kernel, watcher, fleet, self.network)
         self.listing = RelayLists(scenario, streams, kernel, watcher, fleet, self.network)
         self.service = Service(scenario, kernel, self.servers)
-        self._lives = Lives(self.servers, scenario.rules, self.listing.news, self.happened.append)
-        self._faults = MachineFaults(scenario, streams, kernel, self.servers, self._lives, self.listing,
+        self.lives = Lives(self.servers, scenario.rules, self.listing.news, self.happened.append)
+        self._faults = MachineFaults(scenario, streams, kernel, self.servers, self.lives, self.listing,
                                      self.network, self.happened.append)
 
     def start(self) -> None:
         """Tells of the push servers that run and sets the clock going: before any call or `resume`."""
-        self._lives.begin()
+        self.lives.begin()
         self._faults.start()
         self._kernel.after(TICK_US, self._tick)
 
--- a/glenfold_lab/model/servers/calls.py
+++ b/glenfold_lab/model/servers/calls.py
@@ -19,7 +19,6 @@
 from glenfold_lab.streams import Streams
 
 TICK_US = 250_000
-LEAST_US = 1_000       # until a set-up that is not done yet is looked at again
 SET_UP_SIGMA = 0.9     # of the logarithm of a set-up's work
 OWN_SPREAD = 0.1       # of a set-up's own time, on the mean
 CHANCE = 2.0           # connections beyond the budget that a cold server survives, as relays share nothing,
@@ -110,21 +109,38 @@
         return len(arrivals) > budget + CHANCE + SPREADS * math.sqrt(budget)
 
     def _set_up(self, call: Call, server: Server) -> None:
-        wait = min(server.pile_us(), TICK_US * 1.0) if server.capacity() <= 0 else server.pile_us()
-        work = next(self._works[call.request_class])
-        own = work / server.machine.speed
-        end = server.queue_up(call, work)
-        spread = next(self._spread) * (OWN_SPREAD * own + server.wait_us)
-        self.kernel.after(int(wait + own + spread), self._done, call, server, end)
-
-    def _done(self, call: Call, server: Server, end: float) -> None:
+        server.queue_up(call, next(self._works[call.request_class]))
+        if len(server.line) == 1:
+            self._next_turn(server)
+
+    def _next_turn(self, server: Server) -> None:
+        """When the head of the line will be done, if the capacity stays as it is."""
+        server.turns += 1
+        if server.line:
+            capacity = server.capacity()
+            wait = server.head_left() / capacity * 1e6 if capacity > 0 else TICK_US
+            wait_us = max(1, math.ceil(min(TICK_US, wait)))
+            self.kernel.after(wait_us, self._turn, server, server.life, server.turns)
+
+    def _turn(self, server: Server, life: int, turn: int) -> None:
+        if server.life == life and server.turns == turn:
+            server.advance(self.kernel.now)
+            self._take_done(server)
+
+    def _take_done(self, server: Server) -> None:
+        capacity = server.capacity()
+        for set_up in server.take_done():
+            # All cores work on it as the fluid has it, but in truth one does; and messages come between.
+            own = set_up.work / server.machine.speed
+            left = max(0.0, own - set_up.work / capacity * 1e6) if capacity > 0 else 0.0
+            spread = next(self._spread) * (OWN_SPREAD * own + server.wait_us)
+            self.kernel.after(int(left + spread), self._done, set_up.call, server)
+        self._next_turn(server)
+
+    def _done(self, call: Call, server: Server) -> None:
         if call.over or call.dropped or not self._reached(call, server):
             return
         server.advance(self.kernel.now)
-        if server.served < end - 1:  # its capacity has fallen since
-            capacity = server.capacity()
-            left = (end - server.served) / capacity * 1e6 if capacity > 0 else TICK_US
-            return self.kernel.after(max(LEAST_US, min(TICK_US, int(left))), self._done, call, server, end)
         del server.waiting[call.request]
         if self.kernel.now > call.deadline:
             self._answer(call, server, Over.BUSY)
@@ -174,7 +190,8 @@
             self._take_off(call, server)
         elif call.arrived and not call.over:
             server.advance(self.kernel.now)
-            server.give_up(call)
+            if server.give_up(call):
+                self._take_done(server)
             self.watcher.attempt_over(self.kernel.now, call.request, call.server, Over.ABANDONED)
         elif server.parked.get(call.connection) is call:
             self._forget_parked(call, server)
@@ -218,8 +235,8 @@
 
     def break_all(self, server: Server) -> None:
         """The process dies: all it holds is reset, and whoever waits there as well."""
-        for call, _, _ in list(server.waiting.values()):
-            self._answer(call, server, Over.RESET)
+        for set_up in list(server.waiting.values()):
+            self._answer(set_up.call, server, Over.RESET)
         for call in list(server.standing.values()):
             self.break_off(call, server, End.BROKEN)
         server.clear()
@@ -305,7 +322,7 @@
             if turn and (server.demand <= ROOM * capacity or capacity <= 0):
                 break
             self.break_off(call, server, End.BROKEN)
-        server.skip(server.piled - server.machine.kind.buffer_s * server.machine.capacity)
+        server.drop(server.piled - server.machine.kind.buffer_s * server.machine.capacity)
 
 
 def _exponentials(random: np.random.Generator) -> Iterator[float]:
--- a/glenfold_lab/model/servers/lives.py
+++ b/glenfold_lab/model/servers/lives.py
@@ -97,9 +97,7 @@
         """Asks its clients to leave, evenly over that time, then ends; what is left is reset."""
         if not self.turn_away(server):
             return
-        until = self._kernel.now + over_us
-        self._ask_to_leave(server, server.life, until)
-        self._kernel.at(until, self._end_life, server, server.life)
+        self._ask_to_leave(server, server.life, len(server.standing), over_us, over_us)
 
     def turn_away(self, server: Server) -> bool:
         """It drains: it takes nothing new. False if it already did, or does not run."""
@@ -117,18 +115,17 @@
             self._tell_started(server, False)
             self._news(server.machine, Told.READY, server.started, False)
 
-    def _ask_to_leave(self, server: Server, life: int, until: int) -> None:
-        left_us = until - self._kernel.now
-        if server.life != life or left_us <= 0:
+    def _ask_to_leave(self, server: Server, life: int, count: int, over_us: int, left_us: int) -> None:
+        """So many of `count` may stay as there is time left."""
+        if server.life != life:
             return
-        each = math.ceil(len(server.standing) * min(1.0, STEP_US / left_us))
-        for call in list(server.standing.values())[:each]:
+        if left_us <= 0:
+            return self.end(server)
+        step = min(STEP_US, left_us)
+        stay = math.ceil(count * (left_us - step) / over_us)
+        for call in list(server.standing.values())[:max(0, len(server.standing) - stay)]:
             self._servers.break_off(call, server, End.MOVED)
-        self._kernel.after(STEP_US, self._ask_to_leave, server, life, until)
-
-    def _end_life(self, server: Server, life: int) -> None:
-        if server.life == life:
-            self.end(server)
+        self._kernel.after(step, self._ask_to_leave, server, life, count, over_us, left_us - step)
 
     # ---- silence ----
 
--- a/glenfold_lab/model/servers/server.py
+++ b/glenfold_lab/model/servers/server.py
@@ -1,6 +1,7 @@
 """One push server as a fluid: work comes in, piles up and is done, in closed form between two events."""
 
 from collections import deque
+from dataclasses import dataclass
 from enum import Enum, auto
 
 from glenfold_lab.model.fleet import Machine
@@ -13,19 +14,31 @@
     DOWN = auto()
 
 
+@dataclass(slots=True, eq=False)
+class SetUp:
+    """A set-up in the line. end: where it ends in all work that ever came; left_out: of its work, what will
+    not be done as its relay has gone."""
+
+    call: Call
+    end: float
+    work: float
+    gone: bool = False
+    left_out: float = 0.0
+
+
 class Server:
     """Times in microseconds; work in microseconds on a standard core, loads in such work a second.
 
     All that changes the demand or the capacity comes after `advance`, so that both hold from one event to
-    the next. `served` is all work done so far: what arrives is done when that has grown by what was piled up
-    before it and by its own work, whatever happens to the capacity meanwhile.
+    the next. Work is done in the order in which it comes, whatever happens to the capacity meanwhile: a
+    set-up is done when `reached` has come to its end.
     """
 
     __slots__ = (
         "machine", "cap", "queue", "table_tax", "group_cost",
         "stage", "silent", "quiet", "life", "started", "cold", "neighbour", "jammed",
-        "base", "taken_each", "demand", "piled", "served", "at",
-        "standing", "waiting", "parked", "groups",
+        "base", "taken_each", "demand", "piled", "came", "left_out", "at",
+        "standing", "waiting", "line", "turns", "parked", "groups",
         "set_up_work", "set_up_load", "wait_us", "arrivals",
     )
 
@@ -49,9 +62,13 @@
         self.cold = False
         self.quiet = False      # its connections have been told that lines go unanswered
         self.base = self.taken_each = 0.0  # capacity, and what each connection in the table takes of it
-        self.demand = self.piled = self.served = 0.0
+        self.demand = self.piled = 0.0
+        self.came = 0.0         # all work so far, with what is piled up
+        self.left_out = 0.0     # of it, what is still in the line but will not be done
         self.standing: dict[int, Call] = {}  # by request
-        self.waiting: dict[int, tuple[Call, float, float]] = {}  # also; where it ends in `served`, its work
+        self.waiting: dict[int, SetUp] = {}  # also; until answered
+        self.line: deque[SetUp] = deque()    # those of them whose work is not done, and what is left out
+        self.turns = 0                       # how often the head of the line was looked for
         self.parked: dict[int, Call] = {}    # by the client's number
         self.groups: dict[int, int] = {}
         self.set_up_work = 0.0  # since the last tick
@@ -89,12 +106,14 @@
         if now <= self.at:
             return
         seconds, self.at = (now - self.at) * 1e-6, now
-        done = self.capacity() * seconds
-        self.piled += self.demand * seconds - done
-        if self.piled < 0:
-            done += self.piled
-            self.piled = 0.0
-        self.served += done
+        work = self.demand * seconds
+        self.came += work
+        self.piled = max(0.0, self.piled + work - self.capacity() * seconds)
+
+    @property
+    def reached(self) -> float:
+        """How much of all work that ever came is done."""
+        return self.came - self.piled - self.left_out
 
     def pile_us(self) -> float:
         """For how long it works on what is piled up."""
@@ -103,24 +122,42 @@
             return self.piled / capacity * 1e6
         return float("inf") if self.piled else 0.0
 
-    def queue_up(self, call: Call, work: float) -> float:
-        """A set-up more; gives where it ends in `served`."""
-        end = self.served + self.piled + work
+    def queue_up(self, call: Call, work: float) -> None:
+        self.came += work
         self.piled += work
         self.set_up_work += work
-        self.waiting[call.request] = call, end, work
-        return end
-
-    def give_up(self, call: Call) -> None:
-        """A set-up whose relay has gone: what is left of its work is not done."""
-        _, end, work = self.waiting.pop(call.request)
-        self.skip(min(work, end - self.served))
-
-    def skip(self, work: float) -> None:
-        """Work that is piled up and will not be done; what stands behind it moves up."""
-        left_out = min(self.piled, max(0.0, work))
-        self.piled -= left_out
-        self.served += left_out
+        set_up = self.waiting[call.request] = SetUp(call, self.came, work)
+        self.line.append(set_up)
+
+    def give_up(self, call: Call) -> bool:
+        """A set-up whose relay has gone: what is left of its work is not done. Tells whether it is the head
+        of the line."""
+        set_up = self.waiting.pop(call.request)
+        set_up.gone = True
+        set_up.left_out = max(0.0, min(set_up.work, set_up.end - self.reached, self.piled))
+        self.piled -= set_up.left_out
+        self.left_out += set_up.left_out
+        return bool(self.line) and self.line[0] is set_up
+
+    def drop(self, work: float) -> None:
+        """The latest of what is piled up, for want of room."""
+        self.piled -= work
+        self.came -= work
+
+    def take_done(self) -> list[SetUp]:
+        """Set-ups whose work is done by now; what is left out is passed by in no time."""
+        done: list[SetUp] = []
+        while self.line and self.head_left() <= 1:
+            head = self.line.popleft()
+            self.left_out -= head.left_out
+            if not head.gone:
+                done.append(head)
+        return done
+
+    def head_left(self) -> float:
+        """The work before the head of the line is done, or passed by."""
+        head = self.line[0]
+        return head.end - head.left_out - self.reached
 
     def put(self, call: Call) -> None:
         self.standing[call.request] = call
