--- a/glenfold_lab/model/listing/feeds.py
+++ b/glenfold_lab/model/listing/feeds.py
@@ -138,7 +138,7 @@
             return
         if min(feed.missing) < version and not feed.behind:  # there is a gap: it asks for the whole list
             return self._come_to(feed, version, True)
-        if self._luck("out_of_order", self._spec.out_of_order):
+        if not feed.behind and self._luck("out_of_order", self._spec.out_of_order):
             feed.behind.append(version)
             return self._kernel.after(HEARTBEAT_US, self._late_ones, feed)
         self._come_to(feed, version, False)
--- /dev/null
+++ b/tests/glenfold_lab/test_machines_listing.py
@@ -0,0 +1,182 @@
+"""What each relay of the model hears of the push servers, and when it counts as told."""
+
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from modelled_machines import MS, Fixed, S
+
+from glenfold.destinations import BadList, DestinationSet
+from glenfold_lab.model.fleet import Fleet
+from glenfold_lab.model.listing.known import Known
+from glenfold_lab.model.listing.versions import Entry, Versions, names_of
+from glenfold_lab.observe import Told
+from glenfold_lab.spec import RequestClass, Scenario, Servers
+from glenfold_lab.streams import Streams
+from linnetspread.interface import ListKind, ServerList, ServerState
+
+NOTICED = 2500 * MS + 50 * MS  # noticed, gathered and spread, at the latest
+
+
+class Told0:
+    """Relay 0 of a world, and what it hears."""
+
+    def __init__(self, **listed: Any) -> None:
+        self.world = Fixed(count=3, listed=listed)
+        self.numbers = [server.machine.number for server in self.world.servers.all]
+        self.up()
+
+    def up(self) -> None:
+        self.heard: list[ServerList] = []
+        self.world.machinery.listing.relay_up(0, self.heard.append)
+
+    def kinds(self) -> list[ListKind]:
+        return [servers.kind for servers in self.heard]
+
+    def states(self, which: int = -1) -> dict[int, ServerState]:
+        return {self.numbers.index(line.server): line.state for line in self.heard[which].servers}
+
+    def drain(self, server: int) -> None:
+        self.world.lives.turn_away(self.world.server(server))
+
+    def told(self, server: int) -> list[tuple[float, Told]]:
+        """After its start, in seconds from the start of the history."""
+        return [((at - self.world.kernel.start) / S, state)
+                for at, _, number, state, _ in self.world.observed("told")
+                if number == self.numbers[server] and at > self.world.kernel.start]
+
+
+def test_news_is_noticed_gathered_and_told_when_it_is_heard() -> None:
+    relay = Told0()
+    assert relay.kinds() == [ListKind.CACHED] and len(relay.heard[0].servers) == 3
+    relay.world.run(100 * MS)
+    relay.drain(0)
+    relay.world.run(300 * MS)
+    relay.drain(1)
+    relay.world.run(NOTICED)
+    assert relay.kinds() == [ListKind.CACHED, ListKind.DELTA]
+    assert relay.states() == {0: ServerState.DRAINING, 1: ServerState.DRAINING}
+    (at, state), = relay.told(0)
+    assert state is Told.DRAINING and 2.5 <= at <= 2.55
+
+
+def test_a_restart_that_is_noticed_first_is_not_undone_by_the_end_before_it() -> None:
+    relay = Told0()
+    relay.world.lives.restart(relay.world.server(0), 500 * MS)
+    relay.world.run(8 * S)
+    started = relay.world.server(0).started
+    assert [(one.state, one.started_us) for servers in relay.heard[1:] for one in servers.servers] == [
+        (ServerState.READY, started)]
+
+
+def test_a_lost_change_is_found_by_the_next_or_by_the_next_sign_of_life() -> None:
+    relay = Told0(lost=1.0)
+    relay.drain(0)
+    relay.world.run(NOTICED)
+    assert relay.kinds() == [ListKind.CACHED]
+    relay.world.run(2 * S)
+    assert relay.kinds() == [ListKind.CACHED, ListKind.FULL]
+    assert relay.states()[0] is ServerState.DRAINING
+
+
+def test_a_change_behind_a_later_one_ends_the_watch_and_a_whole_list_follows() -> None:
+    relay = Told0(out_of_order=1.0, period_ms=100.0)
+    relay.drain(0)
+    relay.world.run(200 * MS)
+    relay.drain(1)
+    relay.world.run(6 * S)
+    assert relay.kinds()[-1] is ListKind.FULL
+    assert relay.states() == {0: ServerState.DRAINING, 1: ServerState.DRAINING, 2: ServerState.READY}
+
+
+def test_a_change_told_twice_is_heard_twice() -> None:
+    relay = Told0(doubled=1.0)
+    relay.drain(0)
+    relay.world.run(NOTICED)
+    assert relay.kinds() == [ListKind.CACHED, ListKind.DELTA, ListKind.DELTA]
+    assert relay.heard[1].version < relay.heard[2].version
+
+
+def test_what_comes_too_late_counts_as_told_all_the_same() -> None:
+    relay = Told0(late=1.0, late_s=9.0)
+    relay.drain(0)
+    relay.world.run(20 * S)
+    (counted, state), (heard, again) = relay.told(0)
+    assert (state, again) == (Told.DRAINING, Told.DRAINING) and 8 <= counted <= 8.5 and 11 <= heard <= 11.6
+
+
+def test_a_list_gone_quiet_for_long_begins_anew_and_for_a_moment_goes_on() -> None:
+    for silent, kind in ((3 * S, ListKind.DELTA), (9 * S, ListKind.FULL)):
+        relay = Told0()
+        relay.drain(0)
+        relay.world.machinery.listing.silence(silent)
+        relay.world.run(silent - 1)
+        assert relay.kinds() == [ListKind.CACHED]
+        relay.world.run(1 * S)
+        assert relay.kinds() == [ListKind.CACHED, kind]
+        assert relay.told(0)[0][0] == (silent / S if silent < 8 * S else 8.5)
+
+
+def test_a_relay_starts_with_its_last_list_and_hears_what_its_agent_holds() -> None:
+    relay = Told0()
+    relay.drain(0)
+    relay.world.run(NOTICED)
+    relay.world.machinery.listing.relay_down(0)
+    relay.drain(1)
+    relay.world.lives.end(relay.world.server(0))
+    relay.world.run(4 * S)
+    before = len(relay.told(1))
+    relay.up()
+    assert relay.kinds() == [ListKind.CACHED]
+    assert relay.states() == {0: ServerState.DRAINING, 1: ServerState.READY, 2: ServerState.READY}
+    assert before == 0 and relay.told(1)[-1][1] is Told.DRAINING  # the agent held it: that counts
+    assert relay.told(0)[-1][1] is Told.GONE
+    relay.world.run(10 * MS)
+    assert relay.kinds() == [ListKind.CACHED, ListKind.FULL]
+    assert relay.states() == {1: ServerState.DRAINING, 2: ServerState.READY}
+
+
+def test_a_machine_that_was_cut_off_is_listed_again() -> None:
+    relay = Told0()
+    server = relay.world.server(0)
+    relay.world.lives.vanish(server)
+    relay.world.run(7 * S)
+    relay.world.lives.appear(server, server.life)
+    relay.world.run(2 * S)
+    assert [state for _, state in relay.told(0)] == [Told.GONE, Told.READY]
+
+
+ENTRIES = st.lists(st.tuples(st.integers(0, 4), st.sampled_from(list(Told)), st.integers(0, 3)), min_size=1,
+                   max_size=3)
+READS = st.lists(st.tuples(st.integers(0, 2), st.integers(1, 8), st.booleans(), st.booleans()), max_size=30)
+
+
+@settings(max_examples=100, deadline=None, derandomize=True)
+@given(st.lists(ENTRIES, min_size=7, max_size=7), READS)
+def test_relays_that_share_what_they_know_hear_what_each_would_alone(
+        changes: list[list[tuple[int, Told, int]]], reads: list[tuple[int, int, bool, bool]]) -> None:
+    """Whatever lists come to whom in whatever order, stale ones and starts with old ones among them."""
+    scenario = Scenario(format=1, name="t", guards_against="-", classes=(RequestClass(name="c"),),
+                        servers=Servers(count=5))
+    names, machines = names_of(scenario), Fleet(scenario, Streams(1)).machines
+    versions = Versions(scenario.zones.names, [Entry(machine, Told.READY, 0) for machine in machines])
+    for number, change in enumerate(changes):
+        entries = {n: Entry(machines[n], state, started * S) for n, state, started in change}
+        versions.add(list(entries.values()) or [Entry(machines[0], Told.READY, number * S)])
+    nothing = Known.nothing(names)
+    shared, alone = [nothing] * 3, [DestinationSet(names) for _ in range(3)]
+    for relay, number, whole, starts in reads:
+        version = min(number, versions.last)
+        if starts:
+            shared[relay], alone[relay] = nothing, DestinationSet(names)
+        document = versions.whole(version) if whole or version == 1 else versions.change(version)
+        try:
+            expected = alone[relay].read(document, cached=starts)
+        except BadList:
+            expected = None
+        try:
+            shared[relay] = shared[relay].read(document, cached=starts)
+            heard = shared[relay].told
+        except BadList:
+            heard = None
+        assert heard == expected
--- /dev/null
+++ b/tests/glenfold_lab/test_machines_service.py
@@ -0,0 +1,179 @@
+"""What the service of the model's machines is counted as, and the faults that strike them."""
+
+from typing import Any
+
+import pytest
+from modelled_machines import MS, Fixed, S
+
+from glenfold_lab.model.fleet import Fleet
+from glenfold_lab.model.servers.server import Stage
+from glenfold_lab.observe import End
+from glenfold_lab.results import Happened
+from glenfold_lab.spec import Fault, RequestClass, Rules, Scenario, Scheme, ServerKind, Servers
+from glenfold_lab.streams import Streams
+
+
+def served(world: Fixed, wanted: int, scheme: int = 0) -> None:
+    world.machinery.service.wanted(0, scheme, wanted)
+
+
+def test_service_falls_as_a_server_fills_and_is_nothing_once_too_much_is_piled_up() -> None:
+    shares = []
+    for load in (0.1, 0.6, 0.85, 0.95, 1.1):
+        world = Fixed(kind={"message_ms": 10.0, "buffer_s": 9.0}, length_s=10.0)
+        world.standing(load=load * 1e6)
+        served(world, 1)
+        world.run(10 * S)
+        shares.append(world.machinery.service.figures()["service"])
+    assert shares == sorted(shares, reverse=True)
+    assert shares[0] > 0.999 and 0.7 < shares[2] < 0.9 and 0.2 < shares[3] < 0.4 and shares[4] < 0.1
+
+
+def test_a_fuller_table_takes_capacity() -> None:
+    capacities = []
+    for count in (0, 10, 20):
+        world = Fixed()
+        world.standing(count, load=0.0)
+        capacities.append(world.server().capacity())
+    empty, half, full = capacities
+    assert 0.6 * empty <= full <= 0.8 * empty and half == pytest.approx((empty + full) / 2)
+
+
+def test_what_is_wanted_and_not_placed_is_missed_also_by_its_window_and_class() -> None:
+    classes = (RequestClass(name="a", worth=3.0), RequestClass(name="b", worth=1.0))
+    world = Fixed(classes=classes, length_s=40.0)
+    world.standing(2)
+    served(world, 2)
+    world.run(20 * S)
+    world.machinery.service.wanted(1, 0, 2)
+    world.run(20 * S)
+    figures = world.machinery.service.figures()
+    assert figures["service a"] == pytest.approx(1.0)
+    assert figures["service b"] == figures["worst_class"] == 0.0
+    assert figures["worst_window"] == pytest.approx(0.75, abs=0.01)  # from there on 6 of 8 are served
+    assert figures["service"] == pytest.approx((39 * 6) / (39 * 6 + 20 * 2), abs=0.01)
+
+
+@pytest.mark.parametrize(("standing", "expected"), [(12, 1.0), (4, 4 / (6 + 0.2 * 6))])
+def test_beyond_its_share_a_scheme_counts_little_on_both_sides(standing: int, expected: float) -> None:
+    """Half of what 12 servers of 1 connection carry: 12 are wanted, 6 count in full."""
+    world = Fixed(count=12, kind={"per_core": 1.0, "cap": 9.0}, schemes=(Scheme(name="s", share=0.5),),
+                  rules=Rules(over_share_worth=0.2))
+    for server in range(standing):
+        world.standing(1, server, load=1.0)
+    served(world, 12)
+    world.run(3 * S)
+    assert world.machinery.service.figures()["service s"] == pytest.approx(expected, abs=1e-3)
+
+
+def test_series_stay_short_and_tell_of_a_large_fleet_what_matters() -> None:
+    world = Fixed(count=60, length_s=250.0, faults=(Fault(kind="start_servers", at_s=100.0, count=3),))
+    busy = world.server(40).machine
+    world.standing(9, 40)
+    world.run(300 * S)  # the last answers come after the history's end
+    service, loads = world.machinery.service, world.machinery.service.server_load()
+    lengths = {(one.step_us, len(one.values)) for one in [*service.series().values(), *loads.values()]}
+    assert lengths == {(750 * MS, 334)}
+    assert len(loads) == 54 and min(loads[busy.host].values) > 0.9 and set(loads["p50"].values) == {0.0}
+
+
+# ---- faults ----
+
+def struck(fault: Fault, until: float = 2.0) -> tuple[Fixed, Happened]:
+    zones = {"names": ("here", "there")}
+    world = Fixed(count=10, length_s=60.0, relays=4, zones=zones, faults=(fault,))
+    for index in range(10):
+        world.standing(4, index)
+    world.run(until * S)
+    assert world.machinery.happened[0].what == fault.kind and world.machinery.happened[0].at_us == S
+    return world, world.machinery.happened[0]
+
+
+def stages(world: Fixed, stage: Stage) -> set[int]:
+    return {server.machine.number for server in world.servers.all if server.stage is stage}
+
+
+def test_a_neighbour_takes_its_part_by_turns_and_leaves() -> None:
+    world, happened = struck(Fault(kind="neighbour", at_s=1, len_s=5, part=0.3, size=0.5, every_s=2))
+    taken = []
+    for _ in range(6):
+        taken.append({server.machine.number for server in world.servers.all if server.neighbour == 0.5})
+        world.run(1 * S)
+    there = set(happened.servers)
+    assert len(there) == 3 and taken == [there, set(), set(), there, set(), set()]
+
+
+def test_a_shrinking_fleet_loses_what_it_should() -> None:
+    world, happened = struck(Fault(kind="shrink", at_s=1, size=2.5, over_s=3), 3.0)
+    assert stages(world, Stage.DRAINS) == set(happened.servers) and len(happened.servers) == 6
+    world.run(2 * S)
+    assert stages(world, Stage.DOWN) == set(happened.servers)
+    assert set(world.back.ends.values()) == {End.MOVED} and len(world.back.ends) == 24
+
+
+def test_drained_servers_are_replaced_by_cold_ones_that_are_told_of() -> None:
+    heard: list[int] = []
+    world, happened = struck(Fault(kind="drain", at_s=1, count=2, over_s=3, replace=True))
+    world.machinery.listing.relay_up(0, lambda servers: heard.extend(one.server for one in servers.servers))
+    old, new = ([server.machine for server in world.servers.all if (server.started > 0) is started]
+                for started in (False, True))
+    assert sorted((m.kind_place, m.zone) for m in new) == sorted(
+        (m.kind_place, m.zone) for m in old if m.number in happened.servers)
+    assert not {m.number for m in new} & set(heard)
+    world.run(3 * S)
+    assert {m.number for m in new} <= set(heard)
+
+
+def test_restarts_come_one_by_one_and_new_servers_too() -> None:
+    world, happened = struck(Fault(kind="restart_servers", at_s=1, count=4, len_s=0.5, over_s=4), 10.0)
+    starts = sorted(world.server(n).started - world.kernel.start for n in range(10))[6:]
+    assert starts == [int(at * S) for at in (1.5, 2.5, 3.5, 4.5)] and happened.until_us == 5500 * MS
+    world, _ = struck(Fault(kind="start_servers", at_s=1, count=2, over_s=4), 10.0)
+    assert [server.started - world.kernel.start for server in world.servers.all[10:]] == [1 * S, 3 * S]
+
+
+@pytest.mark.parametrize("length", [0, 3])
+@pytest.mark.parametrize("kind", ["server_crash", "server_vanish", "server_jam"])
+def test_what_strikes_servers_passes_if_it_has_a_length(kind: Any, length: float) -> None:
+    world, happened = struck(Fault(kind=kind, at_s=1, part=0.2, len_s=length))
+    world.run(20 * S)
+    ill = {server.machine.number for server in world.servers.all
+           if server.stage is Stage.DOWN or server.silent or server.jammed}
+    assert len(happened.servers) == 2 and ill == (set() if length else set(happened.servers))
+
+
+@pytest.mark.parametrize("relays", [True, False])
+def test_a_lost_zone_takes_its_servers_and_maybe_its_relays(relays: bool) -> None:
+    world, happened = struck(Fault(kind="zone_loss", at_s=1, len_s=2, zone="there", relays=relays))
+    there = {server.machine.number for server in world.servers.all if server.machine.zone == 1}
+    assert set(happened.servers) == there and happened.relays == ((1, 3) if relays else ())
+    assert world.machinery.network.relay_cut(1) is relays and not world.machinery.network.relay_cut(0)
+    assert len(world.back.silent) == 4 * 5  # all by relay 0
+    world.run(2 * S)
+    assert world.machinery.network.passes(0, 1) and not world.machinery.network.relay_cut(1)
+
+
+def test_a_flapping_server_turns_away_now_and_then_and_keeps_what_it_has() -> None:
+    world, happened = struck(Fault(kind="flap", at_s=1, len_s=5, count=3, every_s=2), 1.5)
+    away = []
+    for _ in range(7):
+        away.append(len(stages(world, Stage.DRAINS)))
+        world.run(1 * S)
+    assert away == [3, 0, 3, 0, 3, 0, 0] and not world.back.ends
+
+
+def test_one_fault_more_shifts_none_before_it_and_one_kind_more_no_other() -> None:
+    faults = tuple(Fault(kind="server_crash", at_s=(1, 5), part=(0.1, 0.5)) for _ in range(2))
+    happened = []
+    for some in (faults, (*faults, Fault(kind="server_jam", at_s=(0, 5), part=0.2))):
+        world = Fixed(count=10, faults=some)
+        world.run(10 * S)
+        happened.append([one for one in world.machinery.happened if one.what == "server_crash"])
+    assert happened[0] == happened[1] and len(happened[0]) == 2
+    speeds = []
+    for more in ((), (ServerKind(name="other", share=1e-9),)):
+        servers = Servers(count=10, kinds=(ServerKind(), *more))
+        scenario = Scenario(format=1, name="t", guards_against="-", classes=(RequestClass(name="c"),),
+                            servers=servers)
+        speeds.append([machine.speed for machine in Fleet(scenario, Streams(5)).machines])
+    assert speeds[0] == speeds[1]
