--- a/glenfold_lab/model/clients.py
+++ b/glenfold_lab/model/clients.py
@@ -23,7 +23,7 @@
 from glenfold_lab.model.population import Drawn, Population
 from glenfold_lab.model.relays import Exchange, Relay
 from glenfold_lab.model.wire import Machines, Wanted
-from glenfold_lab.observe import End, Watcher
+from glenfold_lab.observe import End, Final, Watcher
 from glenfold_lab.spec import Clients as ClientTerms
 from glenfold_lab.spec import Scenario
 from glenfold_lab.streams import Streams
@@ -154,7 +154,7 @@
         drawn = self._population.standing()
         refused = [client for client in self._new(drawn) if not self._stands(client)]
         for place, client in enumerate(refused):
-            self._plan_ask(client, now + FIRST_ASKS_US * place // len(refused))
+            self._plan_first_ask(client, now + FIRST_ASKS_US * place // len(refused))
         for (kind, scheme), count in sorted(Counter(zip(
                 drawn.request_class.tolist(), drawn.scheme.tolist(), strict=True)).items()):
             self._service.wanted(kind, scheme, count)
@@ -193,6 +193,11 @@
 
     # ---- asking ----
 
+    def _plan_first_ask(self, client: int, at: int) -> None:
+        """Of a connection that it wants anew."""
+        self._all.first_ask[client] = at
+        self._plan_ask(client, at)
+
     def _plan_ask(self, client: int, at: int) -> None:
         self._all.state[client] = WAITING
         self._all.due[client] = at
@@ -215,6 +220,7 @@
         sent = moment - self._network.client_us()
         if not every.turn[client]:
             self._service.wanted(kind, every.scheme[client], 1)
+        if every.first_ask[client] == moment:
             every.first_ask[client] = sent
         relay = self._relay_for(client)
         every.turn[client] += 1
@@ -295,7 +301,7 @@
         every.exchange[client] = None
         every.mid_flow[client] = False
         every.returning[client] = self._terms.marks_returning
-        self._plan_ask(client, self._kernel.now + int(least + (most - least) * every.rejoin[client]))
+        self._plan_first_ask(client, self._kernel.now + int(least + (most - least) * every.rejoin[client]))
 
     # ---- while it lives ----
 
@@ -327,7 +333,7 @@
             if every.state[client] == STANDING:
                 self._closes(client)
                 every.returning[client] = self._terms.marks_returning
-                self._plan_ask(client, self._kernel.now + int(wait))
+                self._plan_first_ask(client, self._kernel.now + int(wait))
 
     # ---- what relays see and say: `Clientele` ----
 
@@ -338,14 +344,18 @@
         now = self._kernel.now
         return now + (client * 1_618_033 - now) % LINES_US
 
+    def hears(self, exchange: Exchange) -> bool:
+        return self._all.exchange[exchange.client] is exchange and (
+            self._relays.reachable(exchange.relay.number))
+
     def up(self, exchange: Exchange) -> None:
         client, every = exchange.client, self._all
-        if self._hears(exchange):
+        if self.hears(exchange):
             every.state[client] = STANDING
             every.tries[client] = every.returning[client] = every.mid_flow[client] = 0
 
     def turned_away(self, exchange: Exchange, wait_us: int) -> None:
-        if not self._hears(exchange):
+        if not self.hears(exchange):
             return
         if self._all.mid_flow[exchange.client]:  # it stood, and does no more
             self._come_back(exchange.client)
@@ -357,13 +367,20 @@
             self._watcher.ended(self._kernel.now, exchange.event.request, how)
             self._come_back(exchange.client)
 
-    def _hears(self, exchange: Exchange) -> bool:
-        """Whether it is still there, and reached by what its relay says."""
-        return self._all.exchange[exchange.client] is exchange and (
-            self._relays.reachable(exchange.relay.number))
-
     # ---- where packets go ----
 
+    def cut_off(self, exchange: Exchange) -> None:
+        """Its relay ended what it had there, without an answer or without MOVE."""
+        now, number = self._kernel.now, exchange.event.request
+        if self._all.exchange[exchange.client] is not exchange:
+            return
+        if self._all.state[exchange.client] == STANDING:
+            self._watcher.ended(now, number, End.CUT)
+            self._come_back(exchange.client)
+        else:
+            self._watcher.answered(now, number, Final.CLOSED, None, 0)
+            self._again(exchange.client, 0)
+
     def lost_relay(self, exchange: Exchange) -> bool:
         """Its relay's process died. True for one whose connection goes on when its packets are sent to
         another; the others see theirs reset."""
@@ -399,7 +416,7 @@
         for client in clients:
             if every.state[client] == PARKED:
                 every.mid_flow[client] = True
-                self._plan_ask(client, self._kernel.now + int(PACKETS_US * every.pace[client]))
+                self._plan_first_ask(client, self._kernel.now + int(PACKETS_US * every.pace[client]))
 
 
 def _changes(streams: Streams) -> Iterator[tuple[float, float]]:
--- a/glenfold_lab/model/posts.py
+++ b/glenfold_lab/model/posts.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
+from glenfold.request import Phase
 from glenfold_lab.model.clients import Clients
 from glenfold_lab.model.draw import value
 from glenfold_lab.model.front import Front
@@ -16,6 +17,7 @@
 from linnetspread.choice import SEEDS, mix
 
 FRONT_TOLD_S = (0.2, 0.4)  # after SIGTERM new connections keep arriving for so long
+KILLED_S = 0.3             # SIGKILL, after the moment by which a relay leaves by itself
 
 MakeRelay = Callable[[int, int], Relay]  # its number, and the seed of this life
 
@@ -79,10 +81,8 @@
 
     def crash(self, number: int) -> None:
         """Killed at once; starts again after a while."""
-        post = self._posts[number]
-        if post.relay is not None:
-            self._end(post, number)
-            self._kernel.after(self._notice_us(), self._noticed, number, post.lives)
+        self._posts[number].leaving = False
+        self._end(number, self._posts[number].lives)
 
     def restart(self, number: int) -> None:
         """SIGTERM: the front is told, and the process leaves when it has finished; then it starts again."""
@@ -90,8 +90,10 @@
         if post.relay is None or post.leaving:
             return
         post.leaving = True
-        self._kernel.after(self._draw_us(FRONT_TOLD_S), self._taken_out, number, post.lives)
-        post.relay.leave(lambda: self._left(number, post.lives))
+        lives = post.lives
+        self._kernel.after(self._draw_us(FRONT_TOLD_S), self._taken_out, number, lives)
+        leave_at = post.relay.leave(lambda: self._left(number, lives))
+        self._kernel.at(leave_at + round(KILLED_S * SECOND_US), self._left, number, lives)
 
     def _taken_out(self, number: int, lives: int) -> None:
         if self._posts[number].lives == lives and self._front.admits(number):
@@ -99,19 +101,29 @@
             self._set_changed(number)
 
     def _left(self, number: int, lives: int) -> None:
+        """Where packets pass through, connections that it still held go on elsewhere; all else is lost."""
         post = self._posts[number]
-        if post.relay is not None and post.lives == lives:
-            self._end(post, number)
-            self._front.remove(number)
-            self._find_relays(post)
+        if post.relay is None or post.lives != lives:
+            return
+        for exchange in list(post.relay.held()):
+            if not (self._scenario.relays.pass_through and exchange.state.phase is Phase.STANDING):
+                self.clients.cut_off(exchange)
+        self._kernel.after(1, self._end, number, lives)  # what it cut it had cut before it ended
 
-    def _end(self, post: Post, number: int) -> None:
+    def _end(self, number: int, lives: int) -> None:
+        post = self._posts[number]
         relay, post.relay = post.relay, None
-        assert relay is not None
+        if relay is None or post.lives != lives:
+            return
         self._watcher.relay_down(self._kernel.now, number)
         self._listing.relay_down(number)
         post.lost += [exchange.client for exchange in relay.die() if self.clients.lost_relay(exchange)]
-        self._kernel.after(self._draw_us(self._scenario.relays.restart_s), self._boot, number, post.lives)
+        self._kernel.after(self._draw_us(self._scenario.relays.restart_s), self._boot, number, lives)
+        if post.leaving:  # the front knows
+            self._front.remove(number)
+            self._find_relays(post)
+        else:
+            self._kernel.after(self._notice_us(), self._noticed, number, lives)
 
     def stall(self, number: int, until: int) -> None:
         """Its process stops, and then goes on; its machine still takes connections."""
--- a/glenfold_lab/model/relays.py
+++ b/glenfold_lab/model/relays.py
@@ -23,6 +23,7 @@
 from linnetspread import interface as i
 
 SILENT_US = round(SILENT_S * SECOND_US)
+HELD_BACK_US = SECOND_US  # a line that waits here for longer is worth a word
 CALL_UP = r.CallUp(b"")
 CALL_ENDED = {
     Over.BUSY: r.CallEnded(i.Outcome.FULL),
@@ -62,6 +63,9 @@
     def next_line(self, client: int) -> int:
         """When it next sends a line on its standing connection."""
 
+    def hears(self, exchange: Exchange) -> bool:
+        """Whether its client is still there, and packets pass between them."""
+
     def up(self, exchange: Exchange) -> None: ...
 
     def turned_away(self, exchange: Exchange, wait_us: int) -> None:
@@ -97,7 +101,7 @@
         self._events: deque[i.Event] = deque()
         self._telling = False
         self._steps: deque[tuple[int, Callable[..., None], tuple[Any, ...]]] = deque()
-        self._busy_until = 0
+        self._busy_until = self._stalled_until = 0
         self._backlog: dict[int, Exchange] = {}   # accepted by its machine alone
         self._last_arrival = 0
         self._due: list[tuple[int, int, Exchange, Call | None]] = []  # when what must have its answer
@@ -130,6 +134,7 @@
 
     def stall(self, until: int) -> None:
         """The process stops, and goes on then; what comes meanwhile its machine accepts."""
+        self._stalled_until = max(self._stalled_until, until)
         self._busy_until = max(self._busy_until, until)
 
     # ---- from the list ----
@@ -225,7 +230,14 @@
 
     def load_changed(self, exchange: Exchange, load: float) -> None:
         """Its server says so among its lines."""
-        self._do(self._costs.notice, self._load_heard, exchange, load)
+        self._do(self._costs.notice, self._line_passed, exchange, load, self._kernel.now)
+
+    def _line_passed(self, exchange: Exchange, load: float, since: int) -> None:
+        # A process that was stopped is not to blame.
+        late = self._kernel.now - max(since, self._stalled_until)
+        if late > HELD_BACK_US:
+            self._watcher.held_back(self._kernel.now, exchange.event.request, late)
+        self._load_heard(exchange, load)
 
     def _load_heard(self, exchange: Exchange, load: float) -> None:
         if exchange.state.phase is r.Phase.STANDING:
@@ -270,7 +282,8 @@
 
     def _asked(self, call: Call) -> None:
         """The client has sent a line that may go unanswered."""
-        if self._caller(call) is None:
+        exchange = self._caller(call)
+        if exchange is None or not self._clients.hears(exchange):
             return
         takes = self._machines.answer_us(call)
         if takes is None or takes >= SILENT_US:
@@ -413,11 +426,15 @@
 
     # ---- its end ----
 
+    def held(self) -> list[Exchange]:
+        """All of it, with what its machine has accepted for it."""
+        return [*self.exchanges.values(), *self._backlog.values()]
+
     def die(self) -> list[Exchange]:
         """Killed: its connections are reset, or wait at their servers where packets pass through. Returns
-        what it held, with what its machine had accepted for it."""
+        what it held."""
         self.alive = False
-        held = [*self.exchanges.values(), *self._backlog.values()]
+        held = self.held()
         for exchange in held:
             if exchange.call is None:
                 continue
@@ -431,16 +448,20 @@
         self._due.clear()
         return held
 
-    def leave(self, over: Callable[[], None]) -> None:
+    def leave(self, over: Callable[[], None]) -> int:
         """SIGTERM: every request taken gets its answer, every standing connection's client is told to move;
-        `over` is called when the process exits."""
+        `over` is called when the process exits, which is to be by the moment that is returned."""
         leaving = Leaving(self._kernel.now / SECOND_US, self.settings)
         self._kernel.at(round(leaving.moves_from * SECOND_US), self._leave, leaving, set(), [], over)
+        return round(leaving.leave_at * SECOND_US)
 
     def _leave(self, leaving: Leaving, told: set[int], left: list[Exchange],
                over: Callable[[], None]) -> None:
         if not self.alive:
             return
+        if self._stalled_until > self._kernel.now:
+            self._kernel.at(self._stalled_until, self._leave, leaving, told, left, over)
+            return
         now = self._kernel.now / SECOND_US
         while left and left[-1].state.phase is not r.Phase.STANDING:
             left.pop()
