--- a/glenfold_lab/model/clients.py
+++ b/glenfold_lab/model/clients.py
@@ -23,7 +23,7 @@
 from glenfold_lab.model.population import Drawn, Population
 from glenfold_lab.model.relays import Exchange, Relay
 from glenfold_lab.model.wire import Machines, Wanted
-from glenfold_lab.observe import End, Final, Watcher
+from glenfold_lab.observe import End, Watcher
 from glenfold_lab.spec import Clients as ClientTerms
 from glenfold_lab.spec import Scenario
 from glenfold_lab.streams import Streams
@@ -166,6 +166,7 @@
         running = None if relay is None else self._relays.running(relay)
         if running is None:
             return False
+        self._requests += 1
         exchange = self._exchange(client, running)
         if not running.stand(exchange):
             return False
@@ -222,6 +223,8 @@
             self._service.wanted(kind, every.scheme[client], 1)
         if every.first_ask[client] == moment:
             every.first_ask[client] = sent
+        self._requests += 1
+        self._watcher.asked(moment, self._requests, client, kind, every.first_ask[client])
         relay = self._relay_for(client)
         every.turn[client] += 1
         running = None if relay is None else self._relays.running(relay)
@@ -231,14 +234,13 @@
             self._again(client, 0)
         else:
             exchange = self._exchange(client, running)
-            self._watcher.asked(moment, self._requests, client, kind, every.first_ask[client])
             self._asking(client, sent, exchange)
             if not running.offer(exchange, sent + self._habits.deadlines[kind]):
                 every.exchange[client] = None
                 self._plan_ask(client, moment + SYN_AGAIN_US)
 
     def _exchange(self, client: int, relay: Relay) -> Exchange:
-        self._requests += 1
+        """For the request that it has just begun."""
         every = self._all
         kind, scheme, group = every.kind[client], every.scheme[client], every.group[client]
         deadline = self._habits.deadlines[kind]
@@ -369,20 +371,8 @@
 
     # ---- where packets go ----
 
-    def cut_off(self, exchange: Exchange) -> None:
-        """Its relay ended what it had there, without an answer or without MOVE."""
-        now, number = self._kernel.now, exchange.event.request
-        if self._all.exchange[exchange.client] is not exchange:
-            return
-        if self._all.state[exchange.client] == STANDING:
-            self._watcher.ended(now, number, End.CUT)
-            self._come_back(exchange.client)
-        else:
-            self._watcher.answered(now, number, Final.CLOSED, None, 0)
-            self._again(exchange.client, 0)
-
-    def lost_relay(self, exchange: Exchange) -> bool:
-        """Its relay's process died. True for one whose connection goes on when its packets are sent to
+    def lost_relay(self, exchange: Exchange, how: End) -> bool:
+        """Its relay's process is gone. True for one whose connection goes on when its packets are sent to
         another; the others see theirs reset."""
         client, every = exchange.client, self._all
         if every.exchange[client] is not exchange:
@@ -390,7 +380,7 @@
         stood = every.state[client] == STANDING
         every.exchange[client] = None
         if stood:
-            self._watcher.ended(self._kernel.now, exchange.event.request, End.RELAY_DIED)
+            self._watcher.ended(self._kernel.now, exchange.event.request, how)
         if self._pass_through and (stood or every.mid_flow[client]):
             every.state[client] = PARKED
             return True
--- a/glenfold_lab/model/posts.py
+++ b/glenfold_lab/model/posts.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
-from glenfold.request import Phase
 from glenfold_lab.model.clients import Clients
 from glenfold_lab.model.draw import value
 from glenfold_lab.model.front import Front
@@ -11,7 +10,7 @@
 from glenfold_lab.model.network import Network
 from glenfold_lab.model.relays import Relay
 from glenfold_lab.model.wire import Listing
-from glenfold_lab.observe import Watcher
+from glenfold_lab.observe import End, Watcher
 from glenfold_lab.spec import Range, Scenario
 from glenfold_lab.streams import Streams
 from linnetspread.choice import SEEDS, mix
@@ -92,24 +91,14 @@
         post.leaving = True
         lives = post.lives
         self._kernel.after(self._draw_us(FRONT_TOLD_S), self._taken_out, number, lives)
-        leave_at = post.relay.leave(lambda: self._left(number, lives))
-        self._kernel.at(leave_at + round(KILLED_S * SECOND_US), self._left, number, lives)
+        leave_at = post.relay.leave(lambda: self._end(number, lives))
+        self._kernel.at(leave_at + round(KILLED_S * SECOND_US), self._end, number, lives)
 
     def _taken_out(self, number: int, lives: int) -> None:
         if self._posts[number].lives == lives and self._front.admits(number):
             self._front.remove(number)
             self._set_changed(number)
 
-    def _left(self, number: int, lives: int) -> None:
-        """Where packets pass through, connections that it still held go on elsewhere; all else is lost."""
-        post = self._posts[number]
-        if post.relay is None or post.lives != lives:
-            return
-        for exchange in list(post.relay.held()):
-            if not (self._scenario.relays.pass_through and exchange.state.phase is Phase.STANDING):
-                self.clients.cut_off(exchange)
-        self._kernel.after(1, self._end, number, lives)  # what it cut it had cut before it ended
-
     def _end(self, number: int, lives: int) -> None:
         post = self._posts[number]
         relay, post.relay = post.relay, None
@@ -117,7 +106,10 @@
             return
         self._watcher.relay_down(self._kernel.now, number)
         self._listing.relay_down(number)
-        post.lost += [exchange.client for exchange in relay.die() if self.clients.lost_relay(exchange)]
+        # What a relay still holds when it leaves it cuts off, but where packets pass through.
+        cut = post.leaving and not self._scenario.relays.pass_through
+        how = End.CUT if cut else End.RELAY_DIED
+        post.lost += [exchange.client for exchange in relay.die() if self.clients.lost_relay(exchange, how)]
         self._kernel.after(self._draw_us(self._scenario.relays.restart_s), self._boot, number, lives)
         if post.leaving:  # the front knows
             self._front.remove(number)
--- a/glenfold_lab/model/relays.py
+++ b/glenfold_lab/model/relays.py
@@ -176,11 +176,14 @@
         return self.settings.max_retry_after_us if self.settings.may_retry_after else 0
 
     def stand(self, exchange: Exchange) -> bool:
-        """A connection that stood before the relay did; False if no server that the decisions name holds it.
+        """A connection that stood before the relay did; False if it has no room for it, or no server that the
+        decisions name.
 
         It comes as a real relay's does, as one that already stands somewhere. The decisions are asked where
         they would have placed it, as a fleet that has run for long is one that these decisions have filled:
         each sees what it has placed before, so a full server has sent its share elsewhere."""
+        if len(self.exchanges) >= self._costs.room.taken:
+            return False
         now, event = self._kernel.now, exchange.event
         actions = self.dispatch.balancer.handle(now, event)
         for tries in range(self.settings.max_attempts):
@@ -426,15 +429,11 @@
 
     # ---- its end ----
 
-    def held(self) -> list[Exchange]:
-        """All of it, with what its machine has accepted for it."""
-        return [*self.exchanges.values(), *self._backlog.values()]
-
     def die(self) -> list[Exchange]:
-        """Killed: its connections are reset, or wait at their servers where packets pass through. Returns
-        what it held."""
+        """Its process ends: its connections are reset, or wait at their servers where packets pass through.
+        Returns what it held, with what its machine had accepted for it."""
         self.alive = False
-        held = self.held()
+        held = [*self.exchanges.values(), *self._backlog.values()]
         for exchange in held:
             if exchange.call is None:
                 continue
--- /dev/null
+++ b/tests/glenfold_lab/modelled_relays.py
@@ -0,0 +1,122 @@
+"""A relay of the model with push servers and clients that a test scripts; all in memory."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from glenfold.config import Room
+from glenfold.request import RequestState
+from glenfold_lab.model.kernel import SECOND_US, Kernel
+from glenfold_lab.model.relay_settings import Costs
+from glenfold_lab.model.relays import Exchange, Relay, Surroundings
+from glenfold_lab.model.wire import Call
+from glenfold_lab.observe import End, Over, Recorder
+from linnetspread import interface as i
+
+WAY_US = 500  # from the relay to a push server, or back
+SETTINGS = i.Settings(
+    classes=(i.RequestClass(aim_us=500_000, deadline_us=3 * SECOND_US, semantics=i.Semantics.REPEATABLE,
+                            message_aim_us=250_000.0),),
+    pass_through=True, max_attempts=3, may_retry_after=True, max_retry_after_us=1_500_000)
+
+
+@dataclass
+class Servers:
+    """As `wire.Machines`. `answer`: what a server says to a call; None: nothing. `silent`: never come up."""
+
+    kernel: Kernel
+    answer: Callable[[Call], Over | None] = lambda call: Over.UP
+    silent: set[int] = field(default_factory=set)
+    calls: list[Call] = field(default_factory=list)
+    closed: list[Call] = field(default_factory=list)
+    parked: list[Call] = field(default_factory=list)
+    line_us: int | None = 1000
+
+    def call(self, call: Call) -> None:
+        self.calls.append(call)
+        if call.server in self.silent:
+            return
+        call.sent_at = self.kernel.now + 2 * WAY_US
+        if (over := self.answer(call)) is not None:
+            self.kernel.after(4 * WAY_US, call.back.replied, call, over)
+
+    def resume(self, call: Call) -> bool:
+        self.calls.append(call)
+        return self.answer(call) is Over.UP
+
+    def close(self, call: Call) -> None:
+        self.closed.append(call)
+
+    def park(self, call: Call) -> None:
+        self.parked.append(call)
+
+    def change_load(self, call: Call, load: float) -> None:
+        call.load = load
+
+    def answer_us(self, call: Call) -> int | None:
+        return self.line_us
+
+
+@dataclass
+class Callers:
+    """As `relays.Clientele`: what each client heard, and when."""
+
+    kernel: Kernel
+    heard: list[tuple[str, int, int]] = field(default_factory=list)  # what, client, microseconds since start
+    waits: list[int] = field(default_factory=list)
+
+    def load(self, client: int) -> float:
+        return 40_000.0
+
+    def next_line(self, client: int) -> int:
+        return self.kernel.now + 300_000
+
+    def hears(self, exchange: Exchange) -> bool:
+        return True
+
+    def up(self, exchange: Exchange) -> None:
+        self._note("up", exchange)
+
+    def turned_away(self, exchange: Exchange, wait_us: int) -> None:
+        self.waits.append(wait_us)
+        self._note("turned away", exchange)
+
+    def over(self, exchange: Exchange, how: End) -> None:
+        self._note(how.name, exchange)
+
+    def _note(self, what: str, exchange: Exchange) -> None:
+        self.heard.append((what, exchange.client, self.kernel.now - self.kernel.start))
+
+    def told(self) -> list[str]:
+        return [what for what, _, _ in self.heard]
+
+
+class Stage:
+    """One relay that has heard of servers 1 to `servers`, and has room for `taken` connections."""
+
+    def __init__(self, servers: int = 4, taken: int = 1000, settings: i.Settings = SETTINGS,
+                 step_us: int = 100) -> None:
+        self.kernel, self.seen = Kernel(), Recorder()
+        self.servers, self.clients = Servers(self.kernel), Callers(self.kernel)
+        costs = Costs(step_us, step_us, step_us, step_us, Room(64, taken, 12))
+        around = Surroundings(self.kernel, self.servers, self.clients, self.seen, costs)
+        self.relay = Relay(0, settings, 1, around)
+        self.relay.heard(i.ServerList(i.ListKind.FULL, 1, tuple(
+            i.ListedServer(number, i.ServerState.READY) for number in range(1, servers + 1))))
+        self.run(0.01)  # the list has been read
+        self.kernel.start = self.kernel.now
+
+    def run(self, seconds: float) -> None:
+        self.kernel.run(self.kernel.now + round(seconds * SECOND_US))
+
+    def exchange(self, client: int, mid_flow: bool = False) -> Exchange:
+        number, expires = client + 1, 3 * SECOND_US
+        event = i.Request(number, expires, key=number * 7919, mid_flow=mid_flow)
+        return Exchange(self.relay, client, 0, 0, event, RequestState(number, self.kernel.now + expires))
+
+    def ask(self, *clients: int, mid_flow: bool = False) -> list[Exchange]:
+        asked = [self.exchange(client, mid_flow) for client in clients]
+        assert all(self.relay.offer(one, self.kernel.now + one.event.expires_in_us) for one in asked)
+        return asked
+
+    def observed(self, name: str) -> list[tuple[object, ...]]:
+        return [values for kind, values in self.seen.records if kind == name]
--- /dev/null
+++ b/tests/glenfold_lab/test_model_world.py
@@ -0,0 +1,161 @@
+"""Whole histories: the same bytes everywhere, what relays decide shifts nobody's day, and what befalls relays
+and clients comes out as it should."""
+
+import os
+import subprocess
+import sys
+from collections import Counter, defaultdict
+
+import msgspec
+import pytest
+
+from glenfold_lab import scenario, spec
+from glenfold_lab.model.world import World, play
+from glenfold_lab.observe import End, Recorder
+from glenfold_lab.results import RunResult, encode
+
+PLAY = """
+import sys
+from glenfold_lab import results, scenario
+from glenfold_lab.model.world import play
+sys.stdout.buffer.write(results.encode(play(scenario.load(sys.argv[1]), 3)))
+"""
+SMALL = spec.Scenario(
+    format=1, name="small", guards_against="nothing", length_s=20, classes=(spec.RequestClass(name="watch"),),
+    servers=spec.Servers(count=6), relays=spec.Relays(count=4, restart_s=2.0),
+    clients=spec.Clients(load=0.3, life_s=30.0))
+
+
+def changed(**changes: object) -> spec.Scenario:
+    return msgspec.structs.replace(SMALL, **changes)
+
+
+def played(of: spec.Scenario, seed: int = 1) -> tuple[RunResult, Recorder]:
+    seen = Recorder()
+    return play(of, seed, watchers=[seen]), seen
+
+
+def ends(seen: Recorder) -> Counter[str]:
+    return Counter(End(values[2]).name for kind, values in seen.records if kind == "ended")
+
+
+def asks(seen: Recorder) -> dict[int, list[int]]:
+    """By connection, the moments at which it asked."""
+    found: defaultdict[int, list[int]] = defaultdict(list)
+    for kind, values in seen.records:
+        if kind == "asked":
+            found[values[2]].append(values[0])
+    return found
+
+
+def broken(result: RunResult) -> set[str]:
+    return {verdict.rule for verdict in result.verdicts}
+
+
+def fault(kind: str, at_s: float = 8.0, **terms: object) -> tuple[spec.Fault, ...]:
+    return (msgspec.convert({"kind": kind, "at_s": at_s, **terms}, spec.Fault),)
+
+
+def test_the_same_seed_gives_the_same_bytes_in_every_process() -> None:
+    def bytes_with(hash_seed: str) -> bytes:
+        run = subprocess.run([sys.executable, "-c", PLAY, "relay-crash"], capture_output=True, check=True,
+                             env=os.environ | {"PYTHONHASHSEED": hash_seed}, timeout=50)
+        return run.stdout
+
+    first = bytes_with("1")
+    assert first == bytes_with("77") == encode(play(scenario.load("relay-crash"), 3))
+    assert first != encode(play(scenario.load("relay-crash"), 4))
+
+
+def test_what_befalls_relays_shifts_no_clients_day() -> None:
+    struck = (*fault("relay_crash", part=0.5), *fault("reconnect", 4.0, size=0.5, over_s=1.0))
+    (calm, calm_seen), (rough, rough_seen) = played(SMALL), played(changed(faults=struck))
+    firsts = [{client: moments[0] for client, moments in asks(seen).items()}
+              for seen in (calm_seen, rough_seen)]
+    coming = [client for client, at in firsts[0].items() if client in firsts[1]]
+    assert len(coming) > 50 and encode(calm) != encode(rough)
+    standing = calm.figures["clients"] - len(firsts[0])
+    assert all(firsts[0][client] == firsts[1][client] for client in coming if client >= standing)
+
+
+@pytest.mark.parametrize("name", ["relay-crash", "restart-storm", "mass-reconnect", "zone-loss", "late-list"])
+def test_real_decisions_keep_the_rules_that_a_relay_answers_for(name: str) -> None:
+    """That no cold server is pushed over depends on what relays can know; the lab is there to show it."""
+    assert broken(play(scenario.load(name), 5)) <= {"cold"}
+
+
+def test_connections_outlive_a_crash_where_packets_pass_through() -> None:
+    result, seen = played(changed(faults=fault("relay_crash", part=0.5)))
+    mid_flow = sum(1 for kind, values in seen.records if kind == "ended" and values[2] == End.RELAY_DIED)
+    crashed = [values for kind, values in seen.records if kind == "relay_down"]
+    assert len(crashed) == 2 and result.figures["relays_down_s"] == pytest.approx(4.0)
+    assert mid_flow > 20 and ends(seen)["BROKEN"] == 0 and not broken(result)
+
+    _, seen = played(changed(faults=fault("relay_crash", part=0.5),
+                             relays=spec.Relays(count=4, restart_s=2.0, pass_through=False)))
+    assert ends(seen)["RELAY_DIED"] < mid_flow  # no others land elsewhere when the set of relays changes
+
+
+def test_a_leaving_relay_that_is_stopped_until_it_is_killed_has_lost_what_it_held() -> None:
+    stopped = fault("relay_restart", count=4) + fault("relay_stall", 8.1, count=4, len_s=9.0)
+    result, seen = played(changed(faults=stopped, clients=spec.Clients(load=0.3, life_s=4.0),
+                                  relays=spec.Relays(count=4, restart_s=2.0, pass_through=False)))
+    assert broken(result) == {"answer", "move"} and ends(seen)["CUT"] > 20
+
+
+def test_a_planned_restart_of_all_relays_moves_every_client_and_cuts_none() -> None:
+    result, seen = played(changed(faults=fault("relay_restart", part=1.0, over_s=6.0)))
+    assert ends(seen)["MOVED"] > 50 and ends(seen)["CUT"] == 0 and not broken(result)
+    assert result.figures["relays_down_s"] > 0
+
+
+@pytest.mark.parametrize("relays", [True, False])
+def test_a_zone_that_is_cut_off_falls_to_the_other_and_comes_back(relays: bool) -> None:
+    lost = fault("zone_loss", 5.0, zone="cardiff", len_s=6.0, relays=relays)
+    result, seen = played(changed(faults=lost, clients=spec.Clients(load=0.15, life_s=30.0)))
+    start = 1_000_000_000
+    while_cut = {values[2] for kind, values in seen.records
+                 if kind == "taken" and 9e6 < values[0] - start < 11e6}
+    later = {values[2] for kind, values in seen.records
+             if kind == "taken" and values[0] - start > 14e6}
+    assert while_cut == ({1, 3} if relays else {0, 1, 2, 3}) and later == {0, 1, 2, 3}
+    assert not broken(result) and result.figures["service"] > 0.5
+
+
+CROWDED = spec.Relays(count=4, sockets=32)  # room for three connections each
+
+
+@pytest.mark.parametrize("honour", [0.0, 1.0])
+def test_refused_clients_wait_longer_each_time_and_as_long_as_advised_if_they_heed_it(honour: float) -> None:
+    _, seen = played(changed(relays=CROWDED, clients=spec.Clients(
+        load=0.3, life_s=300.0, honour=honour, backoff_ms=100.0, backoff_most_ms=1600.0)))
+    waits = [[after - before for before, after in zip(moments, moments[1:], strict=False)]
+             for moments in asks(seen).values() if len(moments) > 6]
+    assert len(waits) > 50
+    first, later = ([row[place] for row in waits] for place in (0, 5))
+    least = 1_500_000 if honour else 50_000
+    assert min(first) >= least and min(later) >= max(800_000, least) and max(later) < 2_500_000
+    assert honour or max(first) < 200_000
+
+
+def test_clients_give_up_after_their_retries_and_still_count_as_wanting_a_connection() -> None:
+    result, seen = played(changed(relays=CROWDED, clients=spec.Clients(
+        load=0.3, life_s=300.0, retries=2, backoff_ms=100.0)))
+    assert max(len(moments) for moments in asks(seen).values()) == 3
+    assert result.series["wanted"].values[-1] > 50 and result.figures["service"] < 0.2
+
+
+def test_dropped_clients_come_again_within_the_time_and_say_so() -> None:
+    _, seen = played(changed(faults=fault("reconnect", size=0.5, over_s=0.5)))
+    dropped = sum(1 for kind, values in seen.records
+                  if kind == "ended" and values[0] == 1_008_000_000 and values[2] == End.CLIENT)
+    again = sum(1 for moments in asks(seen).values() for at in moments if 0 <= at - 1_008_000_000 <= 500_000)
+    assert dropped > 30 and again >= dropped
+
+
+def test_as_many_connections_as_a_scenario_names_come_in_all() -> None:
+    world = World(changed(clients=spec.Clients(connections=400, life_s=30.0)), 1, [])
+    world.start()
+    assert len(world.clients) == pytest.approx(400 * 30 / (30 + 20), rel=0.02)
+    world.run(None)
+    assert len(world.clients) == pytest.approx(400, rel=0.1)
