--- a/glenfold_lab/model/posts.py
+++ b/glenfold_lab/model/posts.py
@@ -16,6 +16,7 @@
 from linnetspread.choice import SEEDS, mix
 
 FRONT_TOLD_S = (0.2, 0.4)  # after SIGTERM new connections keep arriving for so long
+KILLED_S = 0.3             # SIGKILL, after the moment by which a relay leaves by itself
 
 MakeRelay = Callable[[int, int], Relay]  # its number, and the seed of this life
 
@@ -79,10 +80,8 @@
 
     def crash(self, number: int) -> None:
         """Killed at once; starts again after a while."""
-        post = self._posts[number]
-        if post.relay is not None:
-            self._end(post, number)
-            self._kernel.after(self._notice_us(), self._noticed, number, post.lives)
+        self._posts[number].leaving = False
+        self._end(number, self._posts[number].lives)
 
     def restart(self, number: int) -> None:
         """SIGTERM: the front is told, and the process leaves when it has finished; then it starts again."""
@@ -90,29 +89,32 @@
         if post.relay is None or post.leaving:
             return
         post.leaving = True
-        self._kernel.after(self._draw_us(FRONT_TOLD_S), self._taken_out, number, post.lives)
-        post.relay.leave(lambda: self._left(number, post.lives))
+        lives = post.lives
+        self._kernel.after(self._draw_us(FRONT_TOLD_S), self._taken_out, number, lives)
+        leave_at = post.relay.leave(lambda: self._end(number, lives))
+        self._kernel.at(leave_at + round(KILLED_S * SECOND_US), self._end, number, lives)
 
     def _taken_out(self, number: int, lives: int) -> None:
         if self._posts[number].lives == lives and self._front.admits(number):
             self._front.remove(number)
             self._set_changed(number)
 
-    def _left(self, number: int, lives: int) -> None:
+    def _end(self, number: int, lives: int) -> None:
         post = self._posts[number]
-        if post.relay is not None and post.lives == lives:
-            self._end(post, number, planned=True)
-            self._front.remove(number)
-            self._find_relays(post)
-
-    def _end(self, post: Post, number: int, planned: bool = False) -> None:
-        relay, post.relay = post.relay, None
-        assert relay is not None
+        relay = post.relay
+        if relay is None or post.lives != lives:
+            return
+        post.relay = None
         self._watcher.relay_down(self._kernel.now, number)
         self._listing.relay_down(number)
         post.lost += [exchange.client for exchange in relay.die()
-                      if self.clients.lost_relay(exchange, planned)]
-        self._kernel.after(self._draw_us(self._scenario.relays.restart_s), self._boot, number, post.lives)
+                      if self.clients.lost_relay(exchange, post.leaving)]
+        self._kernel.after(self._draw_us(self._scenario.relays.restart_s), self._boot, number, lives)
+        if post.leaving:  # the front knows
+            self._front.remove(number)
+            self._find_relays(post)
+        else:
+            self._kernel.after(self._notice_us(), self._noticed, number, lives)
 
     def stall(self, number: int, until: int) -> None:
         """Its process stops, and then goes on; its machine still takes connections."""
--- a/tests/glenfold_lab/test_mutants.py
+++ b/tests/glenfold_lab/test_mutants.py
@@ -69,6 +69,7 @@
 
     def leave(self, over):
         self._kernel.after(0, over)
+        return self._kernel.now
 
 
 class IgnoresTheColdRamp(Balancer):
