--- a/glenfold_lab/model/clients.py
+++ b/glenfold_lab/model/clients.py
@@ -90,7 +90,8 @@
     """What is known of each client, by its number; clients are only added."""
 
     def __init__(self) -> None:
-        self.first_ask, self.until, self.due = array("q"), array("q"), array("q")
+        self.first_ask = array("q")  # for the connection that it wants now; 0 before that
+        self.until, self.due = array("q"), array("q")
         self.key, self.group = array("Q"), array("Q")
         self.kind, self.scheme, self.zone = array("B"), array("H"), array("B")
         self.usual, self.load = array("d"), array("d")
@@ -107,14 +108,14 @@
         first, count = len(self), len(drawn.at)
         assert first + count <= MOST_CLIENTS
         for column, values in (
-                (self.first_ask, drawn.at), (self.until, drawn.until), (self.due, drawn.at),
+                (self.until, drawn.until), (self.due, drawn.at),
                 (self.key, drawn.key), (self.group, drawn.group), (self.kind, drawn.request_class),
                 (self.scheme, drawn.scheme), (self.zone, drawn.zone), (self.usual, drawn.load),
                 (self.load, drawn.load), (self.pace, drawn.pace), (self.rejoin, drawn.rejoin),
                 (self.honours, drawn.honours)):
             _extend(column, values)
-        for flags in (self.state, self.returning, self.mid_flow, self.tries, self.turn):
-            _extend(flags, np.zeros(count))
+        for column in (self.first_ask, self.state, self.returning, self.mid_flow, self.tries, self.turn):
+            _extend(column, np.zeros(count))
         _extend(self.relay, np.full(count, -1))
         self.exchange.extend([None] * count)
         return range(first, first + count)
@@ -215,6 +216,7 @@
         sent = moment - self._network.client_us()
         if not every.turn[client]:
             self._service.wanted(kind, every.scheme[client], 1)
+        if not every.first_ask[client]:
             every.first_ask[client] = sent
         relay = self._relay_for(client)
         every.turn[client] += 1
@@ -343,6 +345,7 @@
         if self._hears(exchange):
             every.state[client] = STANDING
             every.tries[client] = every.returning[client] = every.mid_flow[client] = 0
+            every.first_ask[client] = 0
 
     def turned_away(self, exchange: Exchange, wait_us: int) -> None:
         if not self._hears(exchange):
--- a/glenfold_lab/stands/clients.py
+++ b/glenfold_lab/stands/clients.py
@@ -70,6 +70,7 @@
     rejoin: float
     honours: bool
     host: str | None = None
+    first_ask: int = 0   # for the connection that it wants now
     tries: int = 0
     turn: int = 0
     relay: int = -1
@@ -130,7 +131,7 @@
                 nursery.start_soon(self._live, client)
 
     async def _live(self, client: Client) -> None:
-        until = min(client.until, self.end)
+        until, client.first_ask = min(client.until, self.end), client.at
         self.served.add(self.served.wanted, client.kind, client.at, client.until)
         with trio.CancelScope(deadline=self.clock.to_trio(until)) as asking:
             while client.tries <= self.scenario.clients.retries:
@@ -139,7 +140,10 @@
                 if over is Over.DONE:
                     return
                 pause = await self._pause_us(client, over)
-                await self.clock.until(self.clock.now_us() + pause)
+                next_ask = self.clock.now_us() + pause
+                if over not in (Over.REFUSED, Over.UNREACHED):  # it had one, and wants it again
+                    client.first_ask = next_ask
+                await self.clock.until(next_ask)
 
     async def _try(self, client: Client, asking: trio.CancelScope) -> Over:
         """One try, to its end; whoever has a connection ends it itself, in good manners."""
@@ -257,7 +261,7 @@
 
     async def run(self) -> Over:
         client, crowd = self.client, self._crowd
-        crowd.seen.asked(self._began, self.request, client.number, client.kind, client.at)
+        crowd.seen.asked(self._began, self.request, client.number, client.kind, client.first_ask)
         with trio.socket.socket() as sock:
             with self._scope:
                 await self._talk(sock)
