--- a/glenfold_lab/reports/live.py
+++ b/glenfold_lab/reports/live.py
@@ -18,7 +18,7 @@
     "drain": "a server drains",
     "relay_restart": "a relay restarts",
 }
-COLUMNS = ("second", "clients up", "new/s", "set-up p50, ms", "set-up p99, ms", "lines/s", "moves", "answers")
+COLUMNS = ("second", "clients up", "new/s", "set-up p50 ms", "set-up p99 ms", "lines/s", "moves", "answers")
 NARROW = ("s", "clients\nup", "new\n/s", "set-up\np50, ms", "set-up\np99, ms", "lines\n/s", "moves\n/s",
           "answers\n/s")
 
@@ -36,7 +36,7 @@
         yield lambda second: console.print(line(second, happens), soft_wrap=True, markup=False)
         return
     rows: list[Snapshot] = []
-    with Live(table(rows, happens), console=console, auto_refresh=False) as live:
+    with Live(console=console, auto_refresh=False) as live:
 
         def show(second: Snapshot) -> None:
             rows.append(second)
@@ -46,8 +46,8 @@
 
 
 def table(rows: list[Snapshot], happens: Mapping[int, str]) -> Table:
-    relays = [relay.name for relay in rows[-1].relays] if rows else []
-    shown = Table(*NARROW, *(f"{name}: CPU,\nmemory" for name in relays), "", box=None, pad_edge=False)
+    relays = [f"{relay.name}: CPU,\nmemory" for relay in rows[-1].relays]
+    shown = Table(*NARROW, *relays, "", box=None, pad_edge=False)
     for column in shown.columns[:7]:
         column.justify = "right"
     for row in rows:
