--- a/glenfold_lab/model/clients.py
+++ b/glenfold_lab/model/clients.py
@@ -90,8 +90,7 @@
     """What is known of each client, by its number; clients are only added."""
 
     def __init__(self) -> None:
-        self.first_ask = array("q")  # for the connection that it wants now; 0 before that
-        self.until, self.due = array("q"), array("q")
+        self.first_ask, self.until, self.due = array("q"), array("q"), array("q")
         self.key, self.group = array("Q"), array("Q")
         self.kind, self.scheme, self.zone = array("B"), array("H"), array("B")
         self.usual, self.load = array("d"), array("d")
@@ -108,14 +107,14 @@
         first, count = len(self), len(drawn.at)
         assert first + count <= MOST_CLIENTS
         for column, values in (
-                (self.until, drawn.until), (self.due, drawn.at),
+                (self.first_ask, drawn.at), (self.until, drawn.until), (self.due, drawn.at),
                 (self.key, drawn.key), (self.group, drawn.group), (self.kind, drawn.request_class),
                 (self.scheme, drawn.scheme), (self.zone, drawn.zone), (self.usual, drawn.load),
                 (self.load, drawn.load), (self.pace, drawn.pace), (self.rejoin, drawn.rejoin),
                 (self.honours, drawn.honours)):
             _extend(column, values)
-        for column in (self.first_ask, self.state, self.returning, self.mid_flow, self.tries, self.turn):
-            _extend(column, np.zeros(count))
+        for flags in (self.state, self.returning, self.mid_flow, self.tries, self.turn):
+            _extend(flags, np.zeros(count))
         _extend(self.relay, np.full(count, -1))
         self.exchange.extend([None] * count)
         return range(first, first + count)
@@ -155,7 +154,7 @@
         drawn = self._population.standing()
         refused = [client for client in self._new(drawn) if not self._stands(client)]
         for place, client in enumerate(refused):
-            self._plan_ask(client, now + FIRST_ASKS_US * place // len(refused))
+            self._plan_first_ask(client, now + FIRST_ASKS_US * place // len(refused))
         for (kind, scheme), count in sorted(Counter(zip(
                 drawn.request_class.tolist(), drawn.scheme.tolist(), strict=True)).items()):
             self._service.wanted(kind, scheme, count)
@@ -167,6 +166,7 @@
         running = None if relay is None else self._relays.running(relay)
         if running is None:
             return False
+        self._requests += 1
         exchange = self._exchange(client, running)
         if not running.stand(exchange):
             return False
@@ -194,6 +194,11 @@
 
     # ---- asking ----
 
+    def _plan_first_ask(self, client: int, at: int) -> None:
+        """Of a connection that it wants anew."""
+        self._all.first_ask[client] = at
+        self._plan_ask(client, at)
+
     def _plan_ask(self, client: int, at: int) -> None:
         self._all.state[client] = WAITING
         self._all.due[client] = at
@@ -216,8 +221,10 @@
         sent = moment - self._network.client_us()
         if not every.turn[client]:
             self._service.wanted(kind, every.scheme[client], 1)
-        if not every.first_ask[client]:
+        if every.first_ask[client] == moment:
             every.first_ask[client] = sent
+        self._requests += 1
+        self._watcher.asked(moment, self._requests, client, kind, every.first_ask[client])
         relay = self._relay_for(client)
         every.turn[client] += 1
         running = None if relay is None else self._relays.running(relay)
@@ -227,14 +234,13 @@
             self._again(client, 0)
         else:
             exchange = self._exchange(client, running)
-            self._watcher.asked(moment, self._requests, client, kind, every.first_ask[client])
             self._asking(client, sent, exchange)
             if not running.offer(exchange, sent + self._habits.deadlines[kind]):
                 every.exchange[client] = None
                 self._plan_ask(client, moment + SYN_AGAIN_US)
 
     def _exchange(self, client: int, relay: Relay) -> Exchange:
-        self._requests += 1
+        """For the request that it has just begun."""
         every = self._all
         kind, scheme, group = every.kind[client], every.scheme[client], every.group[client]
         deadline = self._habits.deadlines[kind]
@@ -297,7 +303,7 @@
         every.exchange[client] = None
         every.mid_flow[client] = False
         every.returning[client] = self._terms.marks_returning
-        self._plan_ask(client, self._kernel.now + int(least + (most - least) * every.rejoin[client]))
+        self._plan_first_ask(client, self._kernel.now + int(least + (most - least) * every.rejoin[client]))
 
     # ---- while it lives ----
 
@@ -329,7 +335,7 @@
             if every.state[client] == STANDING:
                 self._closes(client)
                 every.returning[client] = self._terms.marks_returning
-                self._plan_ask(client, self._kernel.now + int(wait))
+                self._plan_first_ask(client, self._kernel.now + int(wait))
 
     # ---- what relays see and say: `Clientele` ----
 
@@ -340,15 +346,18 @@
         now = self._kernel.now
         return now + (client * 1_618_033 - now) % LINES_US
 
+    def hears(self, exchange: Exchange) -> bool:
+        return self._all.exchange[exchange.client] is exchange and (
+            self._relays.reachable(exchange.relay.number))
+
     def up(self, exchange: Exchange) -> None:
         client, every = exchange.client, self._all
-        if self._hears(exchange):
+        if self.hears(exchange):
             every.state[client] = STANDING
             every.tries[client] = every.returning[client] = every.mid_flow[client] = 0
-            every.first_ask[client] = 0
 
     def turned_away(self, exchange: Exchange, wait_us: int) -> None:
-        if not self._hears(exchange):
+        if not self.hears(exchange):
             return
         if self._all.mid_flow[exchange.client]:  # it stood, and does no more
             self._come_back(exchange.client)
@@ -360,15 +369,10 @@
             self._watcher.ended(self._kernel.now, exchange.event.request, how)
             self._come_back(exchange.client)
 
-    def _hears(self, exchange: Exchange) -> bool:
-        """Whether it is still there, and reached by what its relay says."""
-        return self._all.exchange[exchange.client] is exchange and (
-            self._relays.reachable(exchange.relay.number))
-
     # ---- where packets go ----
 
-    def lost_relay(self, exchange: Exchange) -> bool:
-        """Its relay's process died. True for one whose connection goes on when its packets are sent to
+    def lost_relay(self, exchange: Exchange, how: End) -> bool:
+        """Its relay's process is gone. True for one whose connection goes on when its packets are sent to
         another; the others see theirs reset."""
         client, every = exchange.client, self._all
         if every.exchange[client] is not exchange:
@@ -376,7 +380,7 @@
         stood = every.state[client] == STANDING
         every.exchange[client] = None
         if stood:
-            self._watcher.ended(self._kernel.now, exchange.event.request, End.RELAY_DIED)
+            self._watcher.ended(self._kernel.now, exchange.event.request, how)
         if self._pass_through and (stood or every.mid_flow[client]):
             every.state[client] = PARKED
             return True
@@ -402,7 +406,7 @@
         for client in clients:
             if every.state[client] == PARKED:
                 every.mid_flow[client] = True
-                self._plan_ask(client, self._kernel.now + int(PACKETS_US * every.pace[client]))
+                self._plan_first_ask(client, self._kernel.now + int(PACKETS_US * every.pace[client]))
 
 
 def _changes(streams: Streams) -> Iterator[tuple[float, float]]:
