--- a/glenfold_lab/model/clients.py
+++ b/glenfold_lab/model/clients.py
@@ -15,7 +15,7 @@
 from numpy.typing import NDArray
 
 from glenfold.request import Phase, RequestState
-from glenfold_lab.model.draw import value
+from glenfold_lab.model.draw import value, value_by_ratio
 from glenfold_lab.model.front import Front
 from glenfold_lab.model.kernel import SECOND_US, Kernel
 from glenfold_lab.model.network import Network
@@ -25,7 +25,7 @@
 from glenfold_lab.model.wire import Machines, Wanted
 from glenfold_lab.observe import End, Final, Watcher
 from glenfold_lab.spec import Clients as ClientTerms
-from glenfold_lab.spec import Scenario
+from glenfold_lab.spec import Pair, Scenario
 from glenfold_lab.streams import Streams
 from linnetspread import interface as i
 
@@ -68,12 +68,12 @@
     backoff_us: float
     backoff_most_us: float
     rejoin_us: tuple[float, float]
+    move_us: tuple[float, float]
     slack_us: int
 
     @classmethod
     def of(cls, scenario: Scenario, streams: Streams) -> "Habits":
         clients, classes = scenario.clients, scenario.classes
-        least, most = clients.rejoin_ms
         return cls(
             deadlines=tuple(round(kind.deadline_ms * 1000) for kind in classes),
             change_us=tuple(value(kind.change_s, streams.of("classes", "change", number)) * SECOND_US
@@ -82,10 +82,24 @@
                         for number, kind in enumerate(classes)),
             backoff_us=value(clients.backoff_ms, streams.of("clients", "backoff")) * 1000,
             backoff_most_us=clients.backoff_most_ms * 1000,
-            rejoin_us=(least * 1000, most * 1000),
+            rejoin_us=_about(clients.rejoin_ms, streams.of("clients", "rejoin")),
+            move_us=_about(clients.move_ms, streams.of("clients", "move")),
             slack_us=round(scenario.rules.answer_slack_ms * 1000))
 
 
+    def away_us(self, moved: bool, place: float) -> int:
+        """How long a client stays away that was moved, or whose connection broke; `place` is its own."""
+        least, most = self.move_us if moved else self.rejoin_us
+        return int(least + (most - least) * place)
+
+
+def _about(wanted: Pair, random: np.random.Generator) -> tuple[float, float]:
+    """Half to one and a half of the mean that is drawn, within the pair itself; milliseconds in, microseconds
+    out."""
+    mean, (least, most) = value_by_ratio(wanted, random), wanted
+    return max(least, mean / 2) * 1000, min(most, mean * 1.5) * 1000
+
+
 class Columns:
     """What is known of each client, by its number; clients are only added."""
 
@@ -297,13 +311,13 @@
         ways = self._network.client_us() + self._network.client_us()
         self._plan_ask(client, self._kernel.now + ways + int(pause))
 
-    def _come_back(self, client: int) -> None:
+    def _come_back(self, client: int, moved: bool = False) -> None:
         """Its connection broke or was moved."""
-        every, (least, most) = self._all, self._habits.rejoin_us
+        every = self._all
         every.exchange[client] = None
         every.mid_flow[client] = False
         every.returning[client] = self._terms.marks_returning
-        self._plan_first_ask(client, self._kernel.now + int(least + (most - least) * every.rejoin[client]))
+        self._plan_first_ask(client, self._kernel.now + self._habits.away_us(moved, every.rejoin[client]))
 
     # ---- while it lives ----
 
@@ -367,7 +381,7 @@
     def over(self, exchange: Exchange, how: End) -> None:
         if self._all.exchange[exchange.client] is exchange:
             self._watcher.ended(self._kernel.now, exchange.event.request, how)
-            self._come_back(exchange.client)
+            self._come_back(exchange.client, how is End.MOVED)
 
     # ---- where packets go ----
 
--- a/glenfold_lab/model/draw.py
+++ b/glenfold_lab/model/draw.py
@@ -18,6 +18,14 @@
     return float(wanted)
 
 
+def value_by_ratio(wanted: Range, random: np.random.Generator) -> float:
+    """As `value`, but evenly by the logarithm: 10 to 20 as often as 20 to 40."""
+    if isinstance(wanted, tuple) and min(wanted) > 0:
+        low, high = wanted
+        return float(math.exp(random.uniform(math.log(low), math.log(high))))
+    return value(wanted, random)
+
+
 def between(wanted: Range, place: float) -> float:
     """The value at that place (0 to 1) of a range; for values that are drawn together."""
     if isinstance(wanted, tuple):
--- a/glenfold_lab/model/fleet.py
+++ b/glenfold_lab/model/fleet.py
@@ -22,13 +22,15 @@
 
     life_us: mean time for which a client wants its connection. mean_load: of a connection, over all classes;
     class_load: of one of each class. capacity: of all push servers that the history starts with, warm, also
-    in loads. quotas: connections of each scheme within its share.
+    in loads. group_cost: of a group at each server that holds any of it, likewise. quotas: connections of
+    each scheme within its share.
     """
 
     life_us: float
     mean_load: float
     class_load: tuple[float, ...]
     capacity: float
+    group_cost: float
     quotas: tuple[float, ...]
 
 
@@ -148,6 +150,8 @@
             mean_load=mean,
             class_load=tuple(mean * load / usual for load in loads),
             capacity=capacity,
+            group_cost=mean * value(self._scenario.servers.group_cost,
+                                    self._streams.of("servers", "group_cost")),
             quotas=tuple(scheme.share * capacity / mean for scheme in self._scenario.schemes))
 
 
--- a/glenfold_lab/model/servers/calls.py
+++ b/glenfold_lab/model/servers/calls.py
@@ -34,8 +34,6 @@
                  network: Network) -> None:
         self.kernel, self.watcher, self.fleet, self.network = kernel, watcher, fleet, network
         self._rules = scenario.rules
-        self._group_cost = fleet.terms.mean_load * value(
-            scenario.servers.group_cost, streams.of("servers", "group_cost"))
         self._error_rate = value(scenario.servers.error_rate, streams.of("servers", "error_rate"))
         self._park_us = int(value(scenario.servers.park_s, streams.of("servers", "park")) * SECOND_US)
         self._works = [
@@ -56,7 +54,8 @@
 
     def add(self, machine: Machine) -> Server:
         """A machine whose process does not run yet."""
-        server = Server(machine, self.fleet.terms.mean_load, self.fleet.table_tax, self._group_cost)
+        terms = self.fleet.terms
+        server = Server(machine, terms.mean_load, self.fleet.table_tax, terms.group_cost)
         self.all.append(server)
         self._by_number[machine.number] = server
         self.placed.add_server()
--- a/glenfold_lab/spec.py
+++ b/glenfold_lab/spec.py
@@ -133,12 +133,15 @@
 class Clients(Part, frozen=True):
     """What clients ask.
 
-    load: of all connections together, as a share of what all push servers can do when warm.
+    load: of all connections together, with what their groups share at one server each, as a share of what
+    all push servers can do when warm.
     life_s: mean time for which a client wants its connection; life_sigma: its spread (lognormal).
-    groups: whether clients come in groups; group_size: mean size; group_zipf: how unequal the sizes are.
+    groups: whether clients come in groups; group_size: mean size, drawn evenly by its logarithm;
+    group_zipf: how unequal the sizes are.
     retries: of a try that was refused, failed or got no answer; 0: none. backoff_ms: wait before the first,
     doubled each time, up to backoff_most_ms. honour: share of clients that heed the wait in BUSY.
-    rejoin_ms: a client whose connection broke or was moved comes again within this.
+    rejoin_ms: a client whose connection broke comes again within this; a history draws one mean, evenly by
+    its logarithm, and each client half to one and a half of it. move_ms: likewise, of one that was moved.
     marks_returning: whether it says so (`again=1`). zone_skew: how unequally clients spread over zones.
     standing: whether connections stand when the history starts, as many as the load says.
     connections: how many come in all, from which the load follows; None: the load decides. To be used with
@@ -158,6 +161,7 @@
     backoff_most_ms: Positive = 8000.0
     honour: Range = (0.34, 0.71)
     rejoin_ms: Pair = (64.0, 1800.0)
+    move_ms: Pair = (20.0, 200.0)
     marks_returning: bool = True
     marks_retry: bool = False
     zone_skew: Range = (0.15, 0.45)
--- a/glenfold_lab/stands/clients.py
+++ b/glenfold_lab/stands/clients.py
@@ -46,7 +46,8 @@
     DONE = auto()       # it has had what it wanted
     REFUSED = auto()    # or failed; another try follows
     UNREACHED = auto()  # nothing came up: TCP asks again by itself
-    ENDED = auto()      # it stood, and was moved or broken
+    MOVED = auto()      # it stood, and its client was told to come again
+    ENDED = auto()      # it stood, and broke
     ELSEWHERE = auto()  # it stands, and its packets come to another relay
     DROPPED = auto()    # its client lost it, with all others at that moment
 
@@ -174,8 +175,7 @@
         client.returning = self.scenario.clients.marks_returning
         if over is Over.DROPPED:
             return client.away_us
-        least, most = self.habits.rejoin_us
-        return int(least + (most - least) * client.rejoin)
+        return self.habits.away_us(over is Over.MOVED, client.rejoin)
 
     def _backing_off(self, client: Client) -> int:
         client.tries += 1
@@ -396,6 +396,7 @@
                 self._over = Over.DONE
                 crowd.seen.ended(now, self.request, End.CLIENT)
             case c.Parting.MOVED:
+                self._over = Over.MOVED
                 crowd.now.moves += 1
                 crowd.seen.ended(now, self.request, End.MOVED)
             case c.Parting.SERVED:
--- a/glenfold_lab/stands/part.py
+++ b/glenfold_lab/stands/part.py
@@ -308,7 +308,7 @@
         scenario, streams = script.scenario, Streams(seed)
         terms, rules, servers = script.fleet.terms, scenario.rules, scenario.servers
         self._script, self._streams, self._seen, self._seal = script, streams, seen, Seal(secret(seed))
-        self._group_load = terms.mean_load * value(servers.group_cost, streams.of("servers", "group_cost"))
+        self._group_load = terms.group_cost
         self._error_rate = value(servers.error_rate, streams.of("servers", "error_rate"))
         self._park_us = int(value(servers.park_s, streams.of("servers", "park")) * SECOND_US)
         self._cold = rules.cold_share, int(rules.cold_s * SECOND_US)
