--- a/Makefile
+++ b/Makefile
@@ -15,10 +15,11 @@
 	bash tests/run
 
 # The last step leaves the stamp: an environment that was broken off is made again from nothing.
-.venv/lab-made: requirements.txt requirements-lab.txt
+NEEDED = requirements.txt requirements-cli.txt requirements-lab.txt
+.venv/lab-made: $(NEEDED)
 	rm -rf .venv
 	$(PYTHON) -m venv .venv
-	.venv/bin/pip -q install -r requirements.txt -r requirements-lab.txt
+	.venv/bin/pip -q install $(NEEDED:%=-r %)
 	.venv/bin/pip -q install --no-deps -e .
 	touch $@
 
--- a/glenfold/__main__.py
+++ b/glenfold/__main__.py
@@ -118,8 +118,11 @@
 def main() -> int:
     """Without words the relay of the platform; all else is the command line's."""
     if len(sys.argv) > 1:
-        from glenfold.cli.main import main as command_line  # the platform's relay loads none of it
-
+        try:
+            from glenfold.cli.main import main as command_line  # the platform's relay loads none of it
+        except ModuleNotFoundError as error:
+            sys.stderr.write(f"the command line needs the package {error.name}: pip install glenfold\n")
+            return 2
         command_line(prog_name="glenfold")
     logger.remove()
     logger.add(sys.stderr, level="INFO", format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False)
--- a/glenfold_lab/commands/demo.py
+++ b/glenfold_lab/commands/demo.py
@@ -22,9 +22,9 @@
               help="How long it goes; faults come in proportion.")
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True,
               help="Which clients come, and who is struck.")
-@click.option("--out", type=click.Path(path_type=Path, dir_okay=False),
+@click.option("--json", "json_file", type=click.Path(path_type=Path, dir_okay=False, writable=True),
               help="Write the result there, for `report`.")
-def command(seconds: float, seed: int, out: Path | None) -> None:
+def command(seconds: float, seed: int, json_file: Path | None) -> None:
     """Run two relays with stand-ins for push servers and some 200 clients, all on loopback.
 
     A table shows each second, or a plain line where there is no terminal. Half-way a push server drains and
@@ -40,6 +40,6 @@
         raise click.ClickException(str(error)) from error
     for words in live.outcome(result):
         console.print(words, soft_wrap=True, markup=False)
-    if out is not None:
-        out.write_bytes(msgspec.json.encode(result))
+    if json_file is not None:
+        json_file.write_bytes(msgspec.json.encode(result) + b"\n")
     raise SystemExit(1 if result.figures["rules_broken"] else 0)
--- /dev/null
+++ b/tests/glenfold_lab/test_lab_page.py
@@ -0,0 +1,30 @@
+"""The operators' page: its worked example runs as it stands, and its tables have what there is."""
+
+import json
+import re
+import subprocess
+import sys
+from pathlib import Path
+
+from glenfold_lab.cli import PLACES
+from glenfold_lab.reports.terms import RULES
+
+PAGE = Path(__file__).parents[2] / "docs/operators/lab.md"
+
+
+def test_the_worked_example_runs_as_it_stands(tmp_path: Path):
+    script = "\n".join(re.findall(r"```sh\n(.*?)```", PAGE.read_text(), re.S))
+    assert script.count("glenfold lab") == 5
+    script = f'set -e\nglenfold() {{ "{sys.executable}" -m glenfold "$@" || test $? -eq 1; }}\n{script}'
+    done = subprocess.run(["sh", "-c", script], cwd=tmp_path, capture_output=True, text=True,
+                          env={"PYTHONPATH": str(PAGE.parents[2]), "PATH": "/usr/bin:/bin"})
+    assert done.returncode == 0, done.stderr
+    report = json.loads((tmp_path / "both.json").read_bytes())
+    assert [group["scenario"] for group in report["groups"]] == ["calm", "crashes"]
+    assert "server crash" in (tmp_path / "both.html").read_text()
+
+
+def test_its_tables_have_every_command_and_every_rule():
+    text = PAGE.read_text()
+    assert sorted(re.findall(r"(?m)^\| `glenfold lab (\w+)` \|", text)) == sorted(PLACES)
+    assert re.findall(r"(?m)^\| `(\w+)` \| (?!`)", text)[:len(RULES)] == list(RULES)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -50,3 +50,10 @@
     assert "report" in done.stdout and "demo" in done.stdout
     assert not [line for line in done.stderr.splitlines()
                 if line.split("|")[-1].strip().split(".")[0] in ("numpy", "matplotlib", "rich")]
+
+
+def test_without_click_a_word_is_refused_with_what_to_install():
+    done = run("-c", "import sys; sys.modules['click'] = None; sys.argv = ['glenfold', '--version'];"
+                     "from glenfold.__main__ import run; run()")
+    assert done.returncode == 2
+    assert done.stderr == "the command line needs the package click: pip install glenfold\n"
