--- a/glenfold_lab/model/posts.py
+++ b/glenfold_lab/model/posts.py
@@ -10,7 +10,7 @@
 from glenfold_lab.model.network import Network
 from glenfold_lab.model.relays import Relay
 from glenfold_lab.model.wire import Listing
-from glenfold_lab.observe import End, Watcher
+from glenfold_lab.observe import Watcher
 from glenfold_lab.spec import Range, Scenario
 from glenfold_lab.streams import Streams
 from linnetspread.choice import SEEDS, mix
@@ -101,15 +101,14 @@
 
     def _end(self, number: int, lives: int) -> None:
         post = self._posts[number]
-        relay, post.relay = post.relay, None
+        relay = post.relay
         if relay is None or post.lives != lives:
             return
+        post.relay = None
         self._watcher.relay_down(self._kernel.now, number)
         self._listing.relay_down(number)
-        # What a relay still holds when it leaves it cuts off, but where packets pass through.
-        cut = post.leaving and not self._scenario.relays.pass_through
-        how = End.CUT if cut else End.RELAY_DIED
-        post.lost += [exchange.client for exchange in relay.die() if self.clients.lost_relay(exchange, how)]
+        post.lost += [exchange.client for exchange in relay.die()
+                      if self.clients.lost_relay(exchange, post.leaving)]
         self._kernel.after(self._draw_us(self._scenario.relays.restart_s), self._boot, number, lives)
         if post.leaving:  # the front knows
             self._front.remove(number)
--- a/glenfold_lab/observe.py
+++ b/glenfold_lab/observe.py
@@ -102,8 +102,9 @@
     def taken(self, at: int, request: int, relay: int, deadline: int, request_class: int) -> None:
         """The last byte of the request was written to a connection that the relay's machine accepted."""
 
-    def sent(self, at: int, request: int, relay: int, server: int, first: int) -> None:
-        """An attempt: its last byte has arrived at `at`, its first was sent at `first`."""
+    def sent(self, at: int, request: int, relay: int, server: int, first: int, goes_on: bool = False) -> None:
+        """An attempt: its last byte has arrived at `at`, its first was sent at `first`. goes_on: it carries a
+        connection on that stands or is parked there already, which is no new work."""
 
     def attempt_over(self, at: int, request: int, server: int, how: Over) -> None:
         """The attempt on that server is no longer out."""
@@ -139,7 +140,8 @@
         for name in OBSERVATIONS:
             calls = [getattr(watcher, name) for watcher in watchers
                      if getattr(type(watcher), name) is not getattr(Watcher, name) or name in vars(watcher)]
-            setattr(self, name, _to_all(calls))
+            if calls:
+                setattr(self, name, _to_all(calls))
 
 
 def _to_all(calls: list[Callable[..., None]]) -> Callable[..., None]:
