--- /dev/null
+++ b/tests/glenfold_lab/test_demo.py
@@ -0,0 +1,82 @@
+"""The demo: each second as a row or a line, service and verdicts at the end, and its exit status."""
+
+import io
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+from rich.console import Console
+
+from glenfold_lab import scenario
+from glenfold_lab.commands import demo
+from glenfold_lab.reports import live
+from glenfold_lab.results import RunResult, Verdict
+from glenfold_lab.stands.relays import NotReady
+from glenfold_lab.stands.run import RelayNow, Snapshot
+
+BROKEN = Verdict("move", 5, 7, None, 1, ("4.0 s: [bold]told relay 1", "4.5 s: cut"))
+
+
+def second(number: int, **changes: object) -> Snapshot:
+    fields: dict[str, object] = {
+        "second": number, "relays_up": 1, "standing": 1000 + number, "new": 11,
+        "answers": {"up": 9, "busy": 2}, "lines": 77, "moves": 3,
+        "set_up_p50_ms": 12.4, "set_up_p99_ms": 34.6,
+        "relays": (RelayNow("n0", True, 0.25, 33.3), RelayNow("n1", False, 0.0, 0.0))}
+    return Snapshot(**(fields | changes))  # type: ignore[arg-type]
+
+
+def shown(terminal: bool, *seconds: Snapshot, happens: dict[int, str] | None = None) -> str:
+    out = io.StringIO()
+    with live.watch(Console(file=out, force_terminal=terminal, width=100), happens or {}) as show:
+        for one in seconds:
+            show(one)
+    return out.getvalue()
+
+
+def result(*verdicts: Verdict) -> RunResult:
+    figures = {"service": 0.994, "worst_window": 0.9, "rules_broken": float(len(verdicts))}
+    return RunResult("demo", 1, "here", 20_000_000, figures, answers={"up": 9, "busy": 0}, verdicts=verdicts)
+
+
+def test_without_a_terminal_each_second_is_one_plain_line():
+    lines = shown(False, second(0), second(1, answers={}), happens={1: "a server [drains]"}).splitlines()
+    assert lines == [
+        "second 0, clients up 1000, new/s 11, set-up p50 ms 12, set-up p99 ms 35, lines/s 77, moves 3, "
+        "answers up 9 busy 2, n0 25% 33 MB, n1 down",
+        "second 1, clients up 1001, new/s 11, set-up p50 ms 12, set-up p99 ms 35, lines/s 77, moves 3, "
+        "answers none, n0 25% 33 MB, n1 down, a server [drains]"]
+
+
+def test_on_a_terminal_the_table_keeps_to_the_newest_seconds():
+    all_shown = shown(True, *(second(n) for n in range(50)), happens={49: "a relay restarts"})
+    last = all_shown.rsplit("clients", 1)[1]
+    assert "1049" in last and "1020" in last and "1019" not in last
+    assert "a relay restarts" in last and "25% 33 MB" in last
+
+
+def test_the_demos_day_says_when_its_faults_strike_and_not_those_that_are_drawn():
+    day = scenario.load(str(demo.DAY))
+    assert live.notes(day) == {6: "a server drains", 11: "a relay restarts"}
+    drawn = tuple(msgspec.structs.replace(fault, at_s=(1.0, 2.0)) for fault in day.faults)
+    assert live.notes(msgspec.structs.replace(day, faults=drawn)) == {}
+
+
+@pytest.mark.parametrize(("played", "status", "says"), [
+    (result(), 0, "rule move      MOVE before a cut: kept"),
+    (result(BROKEN), 1, "broken 1 times\n  4.0 s: [bold]told relay 1\n  4.5 s: cut"),
+    (NotReady("n1 did not answer"), 1, "Error: n1 did not answer"),
+])
+def test_it_ends_with_service_and_verdicts_and_with_status_1_if_a_rule_was_broken(
+        monkeypatch, tmp_path, played, status, says):
+    def play(*_: object, on_second: object) -> RunResult:
+        if isinstance(played, Exception):
+            raise played
+        return played
+
+    monkeypatch.setattr(demo, "play_on_sockets", play)
+    done = CliRunner().invoke(demo.command, ["--json", str(tmp_path / "out.json")])
+    assert done.exit_code == status and says in done.output
+    if isinstance(played, RunResult):
+        assert "99.4% of what they wanted, 90.0% in the worst 10 s\nup 9 answers" in done.output
+        assert msgspec.json.decode((tmp_path / "out.json").read_bytes(), type=RunResult) == played
