--- a/glenfold_lab/reports/plots.py
+++ b/glenfold_lab/reports/plots.py
@@ -15,6 +15,7 @@
 EVENTS = 40       # that are shaded, or have a row of their own in the time line
 HEAT_TOP = 2.0    # the load at which the colours of the heat map end
 WORST = 5         # servers drawn one by one
+DASHES = ((0, (4, 2)), (0, (1, 1.5)), (0, (6, 2, 1, 2)), (0, (9, 3)))
 
 # Nothing at 0, so that it does on a light and a dark page; blue up to the limit, from there on red.
 HEAT = LinearSegmentedColormap.from_list("load", [
@@ -109,8 +110,10 @@
         day.over_time(axes, "load, of the limit")
         for name, values in zip(loads.names[:WORST], loads.values, strict=False):
             _row(axes, loads, values, label=label(name), linewidth=1.2)
-        for name, values in loads.percentiles or (("median of all", np.nanmedian(loads.values, axis=0)),):
-            _row(axes, loads, values, label=label(name), color=COLOURS["ink"], linestyle="--", linewidth=1.0)
+        of_all = loads.percentiles or (("median of all", np.nanmedian(loads.values, axis=0)),)
+        for n, (name, values) in enumerate(of_all):
+            _row(axes, loads, values, label=label(name), color=COLOURS["ink"], linewidth=1.0,
+                 linestyle=DASHES[n % len(DASHES)])
         axes.axhline(1.0, color=COLOURS["bad"], linewidth=1.6, label="limit")
         axes.set_ylim(bottom=0.0)
         _legend(drawing)
--- a/glenfold_lab/reports/summary.py
+++ b/glenfold_lab/reports/summary.py
@@ -44,7 +44,8 @@
     answers: dict[str, int]
     set_up: dict[str, Distribution]
     series: dict[str, Series]
-    servers: int
+    servers: int  # that the result tells of one by one
+    all_servers: bool
     worst_servers: tuple[ServerLoad, ...]
     broken: dict[str, int]  # verdicts that the result has, by rule
     verdicts: tuple[Verdict, ...]
@@ -116,7 +117,8 @@
         figures=result.figures, answers=result.answers,
         set_up=dict(sorted(result.set_up.items(), key=lambda pair: -pair[1].count)[:ENTRIES]),
         series={key: thin(series) for key, series in list(result.series.items())[:ENTRIES]},
-        servers=len(of_servers.names), worst_servers=_worst(of_servers),
+        servers=len(of_servers.names), all_servers=not of_servers.percentiles,
+        worst_servers=_worst(of_servers),
         broken=dict.fromkeys(RULES, 0) | Counter(verdict.rule for verdict in result.verdicts),
         verdicts=tuple(sorted(shown, key=lambda verdict: verdict.at_us)),
         verdicts_left_out=len(result.verdicts) + result.verdicts_left_out - len(shown),
--- a/glenfold_lab/reports/terms.py
+++ b/glenfold_lab/reports/terms.py
@@ -32,7 +32,7 @@
     Picture("service", "of 1", ("service",), top=1.0),
     Picture("connections", "connections", ("connections", "wanted")),
     Picture("answers", "a second", ("up", "refused", "error", "closed"), stacked=True),
-    Picture("moves", "a second", ("moved", "attempts")),
+    Picture("moves", "a second", ("moved", "refused", "attempts")),
 )
 
 
