--- a/glenfold_lab/experiments/store.py
+++ b/glenfold_lab/experiments/store.py
@@ -141,6 +141,7 @@
         with tempfile.NamedTemporaryFile(dir=folder, prefix=".results-") as file:
             file.write(MAGIC + _line(msgspec.json.encode(header)))
             file.flush()
+            os.fchmod(file.fileno(), 0o644)
             os.fsync(file.fileno())
             os.link(file.name, path)
         sync_folder(folder)
