--- a/glenfold_lab/commands/load.py
+++ b/glenfold_lab/commands/load.py
@@ -4,6 +4,7 @@
 import os
 import re
 import signal
+import socket
 import time
 from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
@@ -66,10 +67,15 @@
     name = "HOST:PORT"
 
     def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> Address:
+        """Looked up once: for each connection anew, it would be a part of what is measured."""
         try:
-            return read_address(value)
+            host, port = read_address(value)
+            found = socket.getaddrinfo(host, port, socket.AF_INET, socket.SOCK_STREAM)
         except ValueError as error:
             self.fail(str(error), param, ctx)
+        except OSError as error:
+            self.fail(f"{value!r} has no IPv4 address: {error}", param, ctx)
+        return str(found[0][4][0]), port
 
 
 class ReconnectOption(click.ParamType[terms.Reconnect]):
--- a/tests/glenfold_lab/test_load_command.py
+++ b/tests/glenfold_lab/test_load_command.py
@@ -91,6 +91,7 @@
     (("--self-test", *BASE), "--self-test"),
     (("--to", "127.0.0.1", "--rate", "1", "--for", "1"), "'--to': '127.0.0.1' is not HOST:PORT"),
     ((*BASE, "--to", "127.0.0.1:9"), "--to: the same relay comes twice"),
+    ((*BASE, "--to", "[::1]:9"), "'[::1]:9' has no IPv4 address"),
     (("--to", "127.0.0.1:9", "--rate", "10"), "--for"),
     ((*BASE, "--rate", "nan"), "'--rate'"),
     ((*BASE, "--rate", "1e6", "--for", "60"), "--rate: 60000000 clients would start"),
