--- a/glenfold_lab/commands/load.py
+++ b/glenfold_lab/commands/load.py
@@ -103,7 +103,7 @@
 @click.option("--ramp", "ramp_s", type=Number(), help="Seconds of these over which the rate rises from 0.")
 @click.option("--poisson", is_flag=True, help="Starts at random, not evenly apart.")
 @click.option("--reconnect", type=ReconnectOption(), multiple=True,
-              help="So many connections drop at that second and come again, all at once or within seconds.")
+              help="So many clients drop from that second on and come again, at once or within seconds.")
 @click.option("--class", "name", help="Of the connections, as the relays know it.  [default: watch]")
 @click.option("--scheme", help="Of the clients.  [default: none]")
 @click.option("--wait-ms", type=click.IntRange(min=1),
--- a/glenfold_lab/load/terms.py
+++ b/glenfold_lab/load/terms.py
@@ -40,8 +40,9 @@
 
 
 class Reconnect(Part, frozen=True):
-    """At `at_s`, `clients` connections end at once, and their clients come again within `within_s`, evenly at
-    random; 0: at once. Where fewer stand by the plan, the rest come from elsewhere. All say `again=1`."""
+    """Of those that stand at `at_s`, so many clients come again within `within_s`, evenly at random; 0: at
+    once. Each one's connection ends some time between. Where fewer stand by the plan, the rest come from
+    elsewhere. All say `again=1`."""
 
     at_s: Seconds
     clients: Many
