--- a/glenfold_lab/load/plan.py
+++ b/glenfold_lab/load/plan.py
@@ -121,8 +121,8 @@
     dropped = streams.of(PART, "dropped", n).choice(standing, few, replace=False)
     starts = _returns(reconnect, at_us, streams.of(PART, "returns", n))
     back = clients[dropped]
-    gone = at_us + (streams.of(PART, "drops", n).random(few) * (starts[:few] - at_us)).astype(np.int64)
-    clients["end_us"][dropped] = np.minimum(gone, back["end_us"])
+    # Half way there: all at one moment, the ends alone would keep the load from its starts.
+    clients["end_us"][dropped] = np.minimum((at_us + starts[:few]) // 2, back["end_us"])
     # What is left of the time for which it wants its connection counts from its return.
     back["end_us"] += starts[:few] - at_us
     back["start_us"] = starts[:few]
--- a/glenfold_lab/load/terms.py
+++ b/glenfold_lab/load/terms.py
@@ -41,7 +41,7 @@
 
 class Reconnect(Part, frozen=True):
     """Of those that stand at `at_s`, so many clients come again within `within_s`, evenly at random; 0: at
-    once. Each one's connection ends some time between. Where fewer stand by the plan, the rest come from
+    once. Each one's connection ends half way to that. Where fewer stand by the plan, the rest come from
     elsewhere. All say `again=1`."""
 
     at_s: Seconds
