Use one measure of chance for cold servers in the model and the checker, and know one that was cut off

The model's machines had the checker's figures written down once more. A cold server whose network came back counted as warm to the checker.

--- a/glenfold_lab/checker/cold.py
+++ b/glenfold_lab/checker/cold.py
@@ -21,6 +21,11 @@
 SPREADS = 2.0
 
 
+def beyond_chance(count: int, budget: float) -> bool:
+    """Whether so many new connections are more than a budget of this size explains."""
+    return count > budget + CHANCE + SPREADS * math.sqrt(budget)
+
+
 @dataclass(slots=True, eq=False)
 class ColdServer:
     """since: when it started. before: a relay that was told of a start after this was told of this one.
@@ -71,8 +76,7 @@
             self._cold[server] = ColdServer(at, self._ended.get(server, 0), capacity)
 
     def server_ended(self, at: int, server: int) -> None:
-        self._ended[server] = at
-        self._cold.pop(server, None)
+        self._ended[server] = at  # if only its network was cut it comes back as cold as it went
 
     def sent(self, at: int, request: int, relay: int, server: int, first: int, goes_on: bool = False) -> None:
         cold = self._cold.get(server)
@@ -83,8 +87,8 @@
             return
         cold.take(at, self._told_start(relay, server) > cold.before, self._span_us)
         budget = self._multiple * cold.could_take(at - self._span_us, at)
-        too_many = len(cold.sends) > budget + CHANCE + SPREADS * math.sqrt(budget)
-        if too_many and 3 * cold.knowing >= 2 * len(cold.sends) and at >= cold.next_verdict:
+        told_of = 3 * cold.knowing >= 2 * len(cold.sends)
+        if told_of and beyond_chance(len(cold.sends), budget) and at >= cold.next_verdict:
             cold.next_verdict = at + self._span_us
             self._pushed_over(cold, budget, at, request, relay, server)
 
--- a/glenfold_lab/model/servers/calls.py
+++ b/glenfold_lab/model/servers/calls.py
@@ -1,11 +1,11 @@
 """Push servers as relays meet them: attempts, standing connections, and their ends."""
 
-import math
 from collections.abc import Callable, Iterator
 
 import numpy as np
 
 from glenfold.net.passing import SILENT_S
+from glenfold_lab.checker.cold import beyond_chance
 from glenfold_lab.model.draw import BLOCK, lognormals, value
 from glenfold_lab.model.fleet import Fleet, Machine
 from glenfold_lab.model.kernel import SECOND_US, Kernel
@@ -22,8 +22,6 @@
 LEAST_US = 1_000       # until a set-up that is not done yet is looked at again
 SET_UP_SIGMA = 0.9     # of the logarithm of a set-up's work
 OWN_SPREAD = 0.1       # of a set-up's own time, on the mean
-CHANCE = 2.0           # connections beyond the budget that a cold server survives, as relays share nothing,
-SPREADS = 2.0          # and so many times the spread of a Poisson count of the budget's size
 SILENT_US = SILENT_S * SECOND_US
 ROOM = 0.95            # of its capacity: what a server that sheds connections comes down to
 
@@ -107,7 +105,7 @@
             arrivals.popleft()
         present = self.fleet.warm_per_s(server.machine) * server.warmth(now)
         budget = rules.fall_multiple * rules.fall_s * present
-        return len(arrivals) > budget + CHANCE + SPREADS * math.sqrt(budget)
+        return beyond_chance(len(arrivals), budget)
 
     def _set_up(self, call: Call, server: Server) -> None:
         wait = min(server.pile_us(), TICK_US * 1.0) if server.capacity() <= 0 else server.pile_us()
--- a/tests/glenfold_lab/test_checker.py
+++ b/tests/glenfold_lab/test_checker.py
@@ -156,6 +156,9 @@
     "named in an earlier life": ("drain", lambda made, slack: late_send(OLD, 20 * S, relay=UNTOLD)(
         [*made, ("relay_down", (15 * S, UNTOLD)), ("relay_up", (16 * S, UNTOLD))], slack)),
     "cold": ("cold", burst(20, 0)),
+    "cold, back after a cut of its network": ("cold", lambda made, slack: burst(20, 0)(
+        [*made, ("server_ended", (11 * S, COLD)), ("server_started", (11_500_000, COLD, CAPACITY, False))],
+        slack)),
     "cut": ("move", put("ended", PLAIN, lambda slack, at, *_: (at, PLAIN, End.CUT))),
     "cut, stood before": ("move", again("ended", S, 999, End.CUT)),
     "held back": ("move", again("held_back", 5 * S, PLAIN, S + 50_001)),
