--- a/glenfold_lab/reports/terms.py
+++ b/glenfold_lab/reports/terms.py
@@ -4,14 +4,16 @@
 from dataclasses import dataclass
 
 UNITS = {"us": "µs", "ms": "ms", "s": "s", "mb": "MB", "per_s": "1/s", "share": "of 1"}
-SHARES = ("service", "worst_", "goal")  # figures that begin so are parts of 1
-FIRST = ("goal", "service", "worst_window", "rules_broken")  # figures that a reader wants first
+SHARES = ("service", "worst_", "goal", "cross_zone")  # figures that begin so are parts of 1
+FIRST = ("goal", "service", "worst_window", "rules_broken", "worst_class", "worst_scheme", "refused",
+         "moves", "servers_fallen")  # figures that a reader wants first
 RULES = {
     "answer": "one final answer in time",
     "attempt": "at most one attempt out",
     "drain": "nothing new to a drained or gone server",
     "cold": "no cold server pushed over",
     "move": "MOVE before a cut",
+    "protocol": "nothing that the protocol does not know",
 }
 
 
@@ -27,7 +29,7 @@
 
 
 PICTURES = (
-    Picture("service", "of what was wanted", ("service",), top=1.0),
+    Picture("service", "of 1", ("service",), top=1.0),
     Picture("connections", "connections", ("connections", "wanted")),
     Picture("answers", "a second", ("up", "refused", "error", "closed"), stacked=True),
     Picture("moves", "a second", ("moved", "attempts")),
