Judge what stand-ins saw, sound and broken, with the slack of sockets

A stand-in's history is settled from both ends before it is judged: cuts, ends passed on late, planned restarts, drains that count as told. Each break has one verdict; what is within the slack has none.

--- a/glenfold_lab/model/servers/calls.py
+++ b/glenfold_lab/model/servers/calls.py
@@ -1,5 +1,6 @@
 """Push servers as relays meet them: attempts, standing connections, and their ends."""
 
+import math
 from collections.abc import Callable, Iterator
 
 import numpy as np
--- a/tests/glenfold_lab/test_mutants.py
+++ b/tests/glenfold_lab/test_mutants.py
@@ -1,11 +1,14 @@
-"""Relays and decisions that break a rule, in the model: each is caught, and sound ones pass there."""
+"""Relays and decisions that break a rule in the model, and breaks that stand-ins saw: each is caught, and
+what is sound passes."""
 
 import pytest
 
+from glenfold_lab.checker import Checker
 from glenfold_lab.model import world
 from glenfold_lab.model.relays import CALL_UP, Relay
-from glenfold_lab.observe import End, Final
-from glenfold_lab.spec import Clients, Fault, Relays, RequestClass, Scenario, Servers
+from glenfold_lab.observe import End, Final, Over, Record, Told, replay
+from glenfold_lab.spec import Clients, Fault, Relays, RequestClass, Rules, Scenario, Servers
+from glenfold_lab.stands.judge import SLACK_US, Judge
 from linnetspread import Balancer
 
 SEED = 4
@@ -111,3 +114,65 @@
 def test_decisions_that_ignore_the_cold_ramp_are_caught(monkeypatch):
     monkeypatch.setattr("glenfold.dispatch.Balancer", IgnoresTheColdRamp)
     assert rules(COLD) == {"cold"}
+
+
+# ---- what stand-ins saw: their records are settled, and judged with the slack of sockets ----
+
+S = 1_000_000
+SERVER, STOOD, ASKED = 100, 1, 2
+CONNECTION: list[Record] = [
+    ("relay_up", (0, 0)), ("taken", (S, STOOD, 0, 4 * S, 0)),
+    ("sent", (1_003_000, STOOD, 0, SERVER, 1_002_000)), ("attempt_over", (1_006_000, STOOD, SERVER, Over.UP)),
+    ("answered", (1_007_000, STOOD, Final.UP, SERVER, 0))]
+UNSAID = ("unsaid", (9 * S, STOOD))
+STOPS = [("stopping", (8 * S, 0)), ("relay_down", (9 * S, 0))]
+
+
+def asks(sent: int, *answers: Record) -> list[Record]:
+    return [("taken", (sent - 2000, ASKED, 0, sent + 3 * S, 0)),
+            ("sent", (sent + 500, ASKED, 0, SERVER, sent)),
+            ("attempt_over", (sent + 900, ASKED, SERVER, Over.BUSY)), *answers]
+
+
+def refused(sent: int, wait: int = 2000) -> Record:
+    return "answered", (sent + wait, ASKED, Final.BUSY, None, 0)
+
+
+DRAINS = ("due", (10 * S, 0, SERVER, Told.DRAINING, 0))
+SOUND: dict[str, list[Record]] = {
+    "its server broke it": [("broke", (8_100_000, STOOD, SERVER, False)), UNSAID],
+    "its server fell silent": [("broke", (2 * S, STOOD, SERVER, True)), UNSAID],
+    "moved before a planned restart": [("ended", (8_500_000, STOOD, End.MOVED)), *STOPS],
+    "its relay was killed": [("relay_down", (8_999_000, 0)), UNSAID],
+    "sent just after a drain was due": [DRAINS, *asks(12_040_000, refused(12_040_000))],
+    "answered just in time": asks(10 * S, refused(10 * S, 3_090_000)),
+}
+BROKEN: dict[str, tuple[str, list[Record]]] = {
+    "cut": ("move", [UNSAID]),
+    "its server's end passed on late": ("move", [("broke", (7_900_000, STOOD, SERVER, False)), UNSAID]),
+    "its server's end never passed on": ("move", [("broke", (2 * S, STOOD, SERVER, True))]),
+    "cut by a planned restart": ("move", [UNSAID, *STOPS]),
+    "closed before its relay was killed": ("answer", [
+        *asks(8_990_000, ("answered", (8_998_000, ASKED, Final.CLOSED, None, 0))), ("relay_down", (9 * S, 0)),
+        ("ended", (9 * S, STOOD, End.RELAY_DIED))]),
+    "sent long after a drain was due": ("drain", [DRAINS, *asks(12_100_000, refused(12_100_000))]),
+    "answered late": ("answer", asks(10 * S, refused(10 * S, 3_110_000))),
+}
+
+
+def judged(more: list[Record]) -> list[str]:
+    judge, checker = Judge(1, [SERVER], pass_through=False), Checker(Rules(), SLACK_US)
+    replay(judge.settle([*CONNECTION, *more], 20 * S), checker)
+    checker.finish(20 * S)
+    return [verdict.rule for verdict in checker.verdicts()]
+
+
+@pytest.mark.parametrize("name", SOUND)
+def test_what_stand_ins_saw_of_a_sound_relay_passes(name):
+    assert judged(SOUND[name]) == []
+
+
+@pytest.mark.parametrize("name", BROKEN)
+def test_a_break_that_stand_ins_saw_is_caught(name):
+    rule, more = BROKEN[name]
+    assert judged(more) == [rule]
