--- a/tests/glenfold_lab/test_checker.py
+++ b/tests/glenfold_lab/test_checker.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from glenfold_lab.checker import Checker
+from glenfold_lab.checker.cold import CHANCE, SPREADS
 from glenfold_lab.checker.state import Request
 from glenfold_lab.observe import OBSERVATIONS, Capacity, End, Final, Over, Record, Told, Watcher, replay
 from glenfold_lab.spec import Rules
@@ -180,7 +181,9 @@
          ("told", (13_500_000, 0, DIES, Told.READY, 0))], slack),
     "cold, by relays that were not told": lambda made, slack: burst(20, UNTOLD)(
         [*made, ("told", (11 * S, UNTOLD, COLD, Told.READY, 0))], slack),
-    "a cold server's budget": burst(8, 0),
+    "cold, by relays that were told of an earlier start": lambda made, slack: burst(20, 0)(
+        [*made, ("server_ended", (11_500_000, COLD)), ("server_started", (11_600_000, COLD, CAPACITY, True))],
+        slack),
     "connections that go on at a cold server": lambda made, slack: [
         (name, (*values, True) if name == "sent" else values) for name, values in burst(20, 0)(made, slack)],
     "held back": again("held_back", 5 * S, PLAIN, S),
@@ -201,6 +204,21 @@
     assert not judge(NO_FAULTS[name](sound(Random(1)), slack), slack)
 
 
+@pytest.mark.parametrize(("age_s", "cold_s"), [(1.5, 23), (12, 23), (22.9, 23), (10, 9), (5, 23)])
+def test_a_cold_server_has_the_budget_of_its_ramp(age_s, cold_s):
+    def share(age_us):
+        return min(1.0, 0.12 + 0.88 * max(0, age_us) / (cold_s * S))
+
+    at, steps = round((10 + age_s) * S), range(0, 3 * S, 1000)
+    budget = 3 * 10 * sum(share(age_s * S - before) for before in steps) / len(steps) * 3
+    most = int(budget + CHANCE + SPREADS * budget ** 0.5)
+    start = [("server_started", (10 * S, COLD, Capacity(10.0, 0.12, cold_s * S), True))]
+    late = [record for n in range(most + 1) for record in request(7000 + n, at - 2000, 0, COLD)]
+    early = request(6000, at - 3 * S - 2000, 0, COLD) if age_s > 4 else []  # its span is over
+    assert not judge([*world(), *start, *early, *late[:-5]], 0)
+    assert judge([*world(), *start, *early, *late], 0) == {"cold": 1}
+
+
 NUMBERS = st.integers(0, 4) | st.integers(0, 2**32)
 NAMED = {"capacity": st.just(CAPACITY), "cold": st.booleans(), "state": st.sampled_from(Told),
          "how": st.integers(0, 5).map(Over), "final": st.sampled_from(Final), "server": NUMBERS,
