--- a/glenfold_lab/model/clients.py
+++ b/glenfold_lab/model/clients.py
@@ -154,7 +154,7 @@
         drawn = self._population.standing()
         refused = [client for client in self._new(drawn) if not self._stands(client)]
         for place, client in enumerate(refused):
-            self._plan_ask(client, now + FIRST_ASKS_US * place // len(refused))
+            self._plan_first_ask(client, now + FIRST_ASKS_US * place // len(refused))
         for (kind, scheme), count in sorted(Counter(zip(
                 drawn.request_class.tolist(), drawn.scheme.tolist(), strict=True)).items()):
             self._service.wanted(kind, scheme, count)
@@ -166,6 +166,7 @@
         running = None if relay is None else self._relays.running(relay)
         if running is None:
             return False
+        self._requests += 1
         exchange = self._exchange(client, running)
         if not running.stand(exchange):
             return False
@@ -193,6 +194,11 @@
 
     # ---- asking ----
 
+    def _plan_first_ask(self, client: int, at: int) -> None:
+        """Of a connection that it wants anew."""
+        self._all.first_ask[client] = at
+        self._plan_ask(client, at)
+
     def _plan_ask(self, client: int, at: int) -> None:
         self._all.state[client] = WAITING
         self._all.due[client] = at
@@ -215,7 +221,10 @@
         sent = moment - self._network.client_us()
         if not every.turn[client]:
             self._service.wanted(kind, every.scheme[client], 1)
+        if every.first_ask[client] == moment:
             every.first_ask[client] = sent
+        self._requests += 1
+        self._watcher.asked(moment, self._requests, client, kind, every.first_ask[client])
         relay = self._relay_for(client)
         every.turn[client] += 1
         running = None if relay is None else self._relays.running(relay)
@@ -225,14 +234,13 @@
             self._again(client, 0)
         else:
             exchange = self._exchange(client, running)
-            self._watcher.asked(moment, self._requests, client, kind, every.first_ask[client])
             self._asking(client, sent, exchange)
             if not running.offer(exchange, sent + self._habits.deadlines[kind]):
                 every.exchange[client] = None
                 self._plan_ask(client, moment + SYN_AGAIN_US)
 
     def _exchange(self, client: int, relay: Relay) -> Exchange:
-        self._requests += 1
+        """For the request that it has just begun."""
         every = self._all
         kind, scheme, group = every.kind[client], every.scheme[client], every.group[client]
         deadline = self._habits.deadlines[kind]
@@ -295,7 +303,7 @@
         every.exchange[client] = None
         every.mid_flow[client] = False
         every.returning[client] = self._terms.marks_returning
-        self._plan_ask(client, self._kernel.now + int(least + (most - least) * every.rejoin[client]))
+        self._plan_first_ask(client, self._kernel.now + int(least + (most - least) * every.rejoin[client]))
 
     # ---- while it lives ----
 
@@ -327,7 +335,7 @@
             if every.state[client] == STANDING:
                 self._closes(client)
                 every.returning[client] = self._terms.marks_returning
-                self._plan_ask(client, self._kernel.now + int(wait))
+                self._plan_first_ask(client, self._kernel.now + int(wait))
 
     # ---- what relays see and say: `Clientele` ----
 
@@ -338,14 +346,18 @@
         now = self._kernel.now
         return now + (client * 1_618_033 - now) % LINES_US
 
+    def hears(self, exchange: Exchange) -> bool:
+        return self._all.exchange[exchange.client] is exchange and (
+            self._relays.reachable(exchange.relay.number))
+
     def up(self, exchange: Exchange) -> None:
         client, every = exchange.client, self._all
-        if self._hears(exchange):
+        if self.hears(exchange):
             every.state[client] = STANDING
             every.tries[client] = every.returning[client] = every.mid_flow[client] = 0
 
     def turned_away(self, exchange: Exchange, wait_us: int) -> None:
-        if not self._hears(exchange):
+        if not self.hears(exchange):
             return
         if self._all.mid_flow[exchange.client]:  # it stood, and does no more
             self._come_back(exchange.client)
@@ -357,11 +369,6 @@
             self._watcher.ended(self._kernel.now, exchange.event.request, how)
             self._come_back(exchange.client)
 
-    def _hears(self, exchange: Exchange) -> bool:
-        """Whether it is still there, and reached by what its relay says."""
-        return self._all.exchange[exchange.client] is exchange and (
-            self._relays.reachable(exchange.relay.number))
-
     # ---- where packets go ----
 
     def lost_relay(self, exchange: Exchange, planned: bool) -> bool:
@@ -402,7 +409,7 @@
         for client in clients:
             if every.state[client] == PARKED:
                 every.mid_flow[client] = True
-                self._plan_ask(client, self._kernel.now + int(PACKETS_US * every.pace[client]))
+                self._plan_first_ask(client, self._kernel.now + int(PACKETS_US * every.pace[client]))
 
 
 def _changes(streams: Streams) -> Iterator[tuple[float, float]]:
--- a/glenfold_lab/stands/push_states.py
+++ b/glenfold_lab/stands/push_states.py
@@ -12,7 +12,7 @@
 
 import numpy as np
 
-from glenfold_lab.model.servers.calls import LEAST_US, OWN_SPREAD, ROOM, SET_UP_SIGMA, TICK_US
+from glenfold_lab.model.servers.calls import OWN_SPREAD, ROOM, SET_UP_SIGMA, TICK_US
 from glenfold_lab.model.servers.messages import Messages
 from glenfold_lab.model.servers.server import Server, Stage
 from glenfold_lab.model.wire import Call
@@ -27,6 +27,8 @@
 AT_ONCE_US = 3_000        # an answer due sooner is given at once: a timer costs more than it tells
 FIRST = re.compile(rb"OPEN ([0-9a-f]{1,16}) ([0-9a-f]{1,16}) ([a-z]+=[!-+\--~]*(?:,[a-z]+=[!-+\--~]*)*)")
 
+LEAST_US = 1_000  # until a set-up that is not done yet is looked at again
+
 
 class Fault(Enum):
     """What befalls a connection."""
@@ -172,7 +174,7 @@
         full = fluid.machine.kind.buffer_s * fluid.machine.capacity
         if fluid.piled <= full:
             return []
-        fluid.skip(fluid.piled - full)
+        fluid.drop(fluid.piled - full)
         return self._heaviest(capacity)
 
     def _heaviest(self, capacity: float) -> list["Conversation"]:
@@ -377,16 +379,18 @@
         wait = min(fluid.pile_us(), TICK_US) if fluid.capacity() <= 0 else fluid.pile_us()
         own = work / fluid.machine.speed
         spread = float(holder.random.exponential(1.0)) * (OWN_SPREAD * own + fluid.wait_us)
-        self._set_up_ends = fluid.queue_up(call, work)
+        fluid.queue_up(call, work)
+        self._set_up_ends = fluid.waiting[call.request].end
         self.due = now + int(wait + own + spread) + holder.ways_us[self.relay]
 
     def _look_at_set_up(self, now: int) -> None:
         fluid, call = self.holder.fluid, self._call
         assert call is not None
         fluid.advance(now)
-        if fluid.served < self._set_up_ends - 1:  # its capacity has fallen since
+        fluid.take_done()  # those that were left out ahead of it stand in its way no longer
+        if fluid.reached < self._set_up_ends - 1:  # its capacity has fallen since
             capacity = fluid.capacity()
-            left = (self._set_up_ends - fluid.served) / capacity * 1e6 if capacity > 0 else TICK_US
+            left = (self._set_up_ends - fluid.reached) / capacity * 1e6 if capacity > 0 else TICK_US
             self.due = now + max(LEAST_US, min(TICK_US, int(left)))
             return
         del fluid.waiting[call.request]
--- a/tests/glenfold_lab/test_mutants.py
+++ b/tests/glenfold_lab/test_mutants.py
@@ -72,6 +72,7 @@
 
     def leave(self, over):
         self._kernel.after(0, over)
+        return self._kernel.now
 
 
 class IgnoresTheColdRamp(Balancer):
