--- a/glenfold_lab/model/servers/calls.py
+++ b/glenfold_lab/model/servers/calls.py
@@ -48,7 +48,6 @@
         self.placed = Placed(len(network.names), len(scenario.classes), len(scenario.schemes))
         self.all: list[Server] = []
         self._by_number: dict[int, Server] = {}
-        self.moment: Moment | None = None
         self.on_fall: Callable[[Server], None] = self.break_all
         network.on_change.append(self._zone_changed)
         for machine in fleet.machines:
@@ -284,10 +283,9 @@
         zones = range(len(self.network.names))
         answers = np.array([[s.running and not s.silent and self.network.passes(zone, s.machine.zone)
                              for zone in zones] for s in self.all])
-        self.moment = Moment(demand, capacity, used, pile, answers)
         for server, wait in zip(self.all, self.messages.waits(used).tolist(), strict=True):
             server.wait_us = wait
-        return self.moment
+        return Moment(demand, capacity, used, pile, answers)
 
     def _tick_one(self, server: Server) -> tuple[float, float, float, float]:
         if not server.running:
