--- a/glenfold_lab/model/clients.py
+++ b/glenfold_lab/model/clients.py
@@ -92,7 +92,7 @@
     def __init__(self) -> None:
         self.first_ask, self.until, self.due = array("q"), array("q"), array("q")
         self.key, self.group = array("Q"), array("Q")
-        self.kind, self.scheme, self.zone = array("B"), array("H"), array("B")
+        self.kind, self.scheme, self.zone = array("H"), array("H"), array("H")
         self.usual, self.load = array("d"), array("d")
         self.pace, self.rejoin = array("f"), array("f")
         self.honours, self.state, self.returning, self.mid_flow = (array("B") for _ in range(4))
