--- /dev/null
+++ b/glenfold_lab/commands/play.py
@@ -0,0 +1,88 @@
+"""`glenfold lab play`: one history with real relays and stand-ins on loopback sockets."""
+
+import signal
+from pathlib import Path
+
+import click
+import msgspec
+from rich.console import Console
+from rich.table import Table
+
+from glenfold_lab import scenario as scenarios
+from glenfold_lab.results import RunResult, Verdict
+from glenfold_lab.stands.crew import PartFailed
+from glenfold_lab.stands.places import TooLarge
+from glenfold_lab.stands.relays import NotReady
+from glenfold_lab.stands.run import Snapshot, play_on_sockets, scaled
+
+SHOWN = ("service", "worst_window", "worst_class", "clients", "requests", "attempts_per_request", "refused",
+         "moves", "relays_down_s", "rules_broken", "late_p99_ms")
+MOST_SHOWN = 5  # verdicts
+
+
+@click.command("play")
+@click.argument("scenario")
+@click.option("--seed", default=1, show_default=True, help="Draws the day.")
+@click.option("--seconds", type=click.FloatRange(1, 3600), help="Play so long instead of its length.")
+@click.option("--relays", type=click.IntRange(1, 250), help="So many relays instead of its own.")
+@click.option("--servers", type=click.IntRange(2, 1000), help="So many push servers; load follows them.")
+@click.option("--scale", type=click.FloatRange(0.001, 1), default=1.0, show_default=True,
+              help="Part of its relays and push servers that is played.")
+@click.option("--processes", type=click.IntRange(0, 32), help="Of stand-ins; 0: none but this one.")
+@click.option("--bad-clients", default=0.5, show_default=True, type=click.FloatRange(0, 100),
+              help="A second, that no relay should suffer from.")
+@click.option("--json", "json_file", type=click.Path(dir_okay=False, path_type=Path),
+              help="Write the result there.")
+@click.option("--logs", type=click.Path(file_okay=False, path_type=Path), help="Keep the relays' logs there.")
+def command(scenario: str, seed: int, seconds: float | None, relays: int | None, servers: int | None,
+            scale: float, processes: int | None, bad_clients: float, json_file: Path | None,
+            logs: Path | None) -> None:
+    """Play one history of SCENARIO (a name or a file) in real time, with real relays.
+
+    Exit status: 0 every rule kept, 1 one was broken or the run failed, 2 the words or the file are at fault.
+    """
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # what it started is ended then, too
+    day, console = scaled(scenarios.load(scenario), scale, relays, servers), Console()
+    console.print(columns("second", "relays", "standing", "new", "up", "refused", "p99 ms", "lines"))
+    try:
+        result = play_on_sockets(day, seed, seconds, processes=processes, bad_per_s=bad_clients, logs=logs,
+                                 on_second=lambda second: console.print(row(second)))
+    except (TooLarge, NotReady, PartFailed) as error:
+        raise click.ClickException(str(error)) from error
+    if json_file is not None:
+        json_file.write_bytes(msgspec.json.format(msgspec.json.encode(result)))
+    show(console, result)
+    raise SystemExit(bool(result.verdicts))
+
+
+def columns(*values: object) -> str:
+    return "".join(f"{value!s:>10}" for value in values)
+
+
+def row(second: Snapshot) -> str:
+    answers = second.answers
+    return columns(second.second + 1, second.relays_up, second.standing, second.new, answers.get("up", 0),
+                   answers.get("busy", 0), round(second.set_up_p99_ms), second.lines)
+
+
+def show(console: Console, result: RunResult) -> None:
+    """The figures, what the relays took, and each broken rule with what shows it."""
+    table = Table("figure", "value", title=f"{result.scenario}, seed {result.seed}")
+    for name in SHOWN:
+        table.add_row(name, f"{result.figures[name]:.4g}")
+    console.print(table)
+    if result.figures["late"]:
+        console.print("[bold]late[/]: the stand-ins themselves ran late; what was measured is worth little")
+    for name in sorted(name for name in result.cost if name.endswith("cpu_s")):
+        relay = name.removesuffix(" cpu_s")
+        cpu_s, peak_mb = result.cost[name], result.cost[f"{relay} peak_mb"]
+        console.print(f"{relay}: {cpu_s:.1f} s CPU, at most {peak_mb:.0f} MB")
+    for verdict in result.verdicts[:MOST_SHOWN]:
+        console.print(words(verdict))
+    beyond = len(result.verdicts) - MOST_SHOWN + result.verdicts_left_out
+    console.print(f"and {beyond} more" if beyond > 0 else "" if result.verdicts else "every rule was kept")
+
+
+def words(verdict: Verdict) -> str:
+    evidence = "\n".join(f"    {line}" for line in verdict.evidence)
+    return f"[red]rule broken[/]: {verdict.rule}, at {verdict.at_us / 1e6:.3f} s\n{evidence}"
--- a/glenfold_lab/stands/agent.py
+++ b/glenfold_lab/stands/agent.py
@@ -134,10 +134,11 @@
         self._nursery: trio.Nursery | None = None
         self._accepting = trio.CancelScope()
 
-    async def serve(self) -> None:
+    async def serve(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         try:
             async with trio.open_nursery() as self._nursery:
                 self._listen()
+                task_status.started()
                 await trio.sleep_forever()
         finally:
             self._nursery = None
--- a/glenfold_lab/stands/clients.py
+++ b/glenfold_lab/stands/clients.py
@@ -72,6 +72,7 @@
     host: str | None = None
     tries: int = 0
     turn: int = 0
+    wanted_since: int | None = None  # without a connection
     relay: int = -1
     mid_flow: bool = False
     returning: bool = False
@@ -242,8 +243,7 @@
         self._scope = trio.CancelScope()
         self._wait_us = crowd.habits.deadlines[client.kind]
         self.first_line = crowd.line(client, request, self._wait_us)
-        until = max(client.until, self._began + self._wait_us)
-        wish = c.Wish(self.first_line, self._wait_us + PATIENCE_US, until, LINES_US, b"QUIT\r\n")
+        wish = c.Wish(self.first_line, self._wait_us + PATIENCE_US, client.until, LINES_US, b"QUIT\r\n")
         self._state = c.ClientState(wish, self._began, self._began)
 
     def give_up(self, over: Over, how: End) -> None:
@@ -257,7 +257,9 @@
 
     async def run(self) -> Over:
         client, crowd = self.client, self._crowd
-        crowd.seen.asked(self._began, self.request, client.number, client.kind, client.at)
+        if client.wanted_since is None:
+            client.wanted_since = self._began
+        crowd.seen.asked(self._began, self.request, client.number, client.kind, client.wanted_since)
         with trio.socket.socket() as sock:
             with self._scope:
                 await self._talk(sock)
@@ -360,9 +362,10 @@
         crowd.seen.answered(now, self.request, Final.UP, server, 0)
         crowd.now.set_ups_us.append(now - self._began)
         aim = crowd.scenario.classes[client.kind].message_aim_ms * 1000
-        self.stretch = Stretch(crowd.served, client.kind, aim, now)
+        self.stretch = Stretch(crowd.served, client.kind, aim, now, client.until)
         crowd.standing[self] = None
         client.tries = client.advised_us = 0
+        client.wanted_since = None
         client.mid_flow = client.returning = False
         if not crowd.front.reaches(self.relay):
             self.give_up(Over.REFUSED, End.CLIENT)  # its relay said so, and it never heard it
--- a/glenfold_lab/stands/part.py
+++ b/glenfold_lab/stands/part.py
@@ -116,13 +116,12 @@
     async def play(self, places: Places, begin: Callable[[], Awaitable[Times]],
                    tell: Callable[[Second], None]) -> None:
         """`begin` returns once all relays are up; `tell` hears of each second of the history."""
+        self._list_first(places)
         async with trio.open_nursery() as nursery:
             for server in self._servers.values():
-                nursery.start_soon(server.serve)
+                await nursery.start(server.serve)
             for agent in self._agents.values():
-                nursery.start_soon(agent.serve)
-            self._list_first(places)
-            await trio.lowlevel.checkpoint()
+                await nursery.start(agent.serve)
             for machine in self.script.first:
                 if machine.index in self._servers:
                     self._servers[machine.index].start(cold=False)
--- a/glenfold_lab/stands/push_server.py
+++ b/glenfold_lab/stands/push_server.py
@@ -92,11 +92,12 @@
         fluid.advance(self._clock.now_us())
         return fluid.demand / fluid.capacity() if fluid.running and fluid.capacity() > 0 else 0.0
 
-    async def serve(self) -> None:
+    async def serve(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
         """Not up until `start` is called: until then connections are refused."""
         try:
             async with trio.open_nursery() as self._nursery:
                 self._nursery.start_soon(self._look_round)
+                task_status.started()
                 await trio.sleep_forever()
         finally:
             self._nursery = None
--- a/glenfold_lab/stands/run.py
+++ b/glenfold_lab/stands/run.py
@@ -43,7 +43,7 @@
 BEGIN_US = SECOND_US      # from the relays' being ready to the first client: for the fronts to admit them
 FILL_PER_S = 300          # connections that stood before are opened no faster than this
 SPARE_SOCKETS = 200
-ALONE_PER_S = 60.0        # new connections and lines a second that one process plays beside its relays
+ALONE_PER_S = 300.0       # new connections a second that one process plays without running late
 LINES_PER_S = 0.5         # of a standing connection; each takes about a tenth of what a set-up takes
 LINE_COST = 0.1
 MOST_KEPT = 100           # verdicts
--- a/glenfold_lab/stands/service.py
+++ b/glenfold_lab/stands/service.py
@@ -49,10 +49,10 @@
 
 class Stretch:
     """Whether one standing connection serves its client, by its lines: those that come back late, or never,
-    take away the time from their own moment to that of the next one in time."""
+    take away the time from their own moment to that of the next one in time. until: its client wants it."""
 
-    def __init__(self, served: Served, request_class: int, aim_us: float, up_at: int) -> None:
-        self._served, self._class, self._aim = served, request_class, aim_us
+    def __init__(self, served: Served, request_class: int, aim_us: float, up_at: int, until: int) -> None:
+        self._served, self._class, self._aim, self._until = served, request_class, aim_us, until
         self._good_since: int | None = up_at
         self._said: list[int] = []
 
@@ -72,7 +72,7 @@
 
     def _close(self, at: int) -> None:
         if self._good_since is not None:
-            self._served.add(self._served.served, self._class, self._good_since, at)
+            self._served.add(self._served.served, self._class, self._good_since, min(at, self._until))
             self._good_since = None
 
 
--- a/tests/glenfold_lab/standing.py
+++ b/tests/glenfold_lab/standing.py
@@ -100,10 +100,11 @@
         listener = trio.socket.socket()
         await listener.bind(("127.0.0.1", 0))
         listener.listen()
-        for task in (*(stand.serve for stand in stands), agent.serve, decisions.run, discovery.follow):
+        for serve in (*(stand.serve for stand in stands), agent.serve):
+            await nursery.start(serve)
+        for task in (decisions.run, discovery.follow):
             nursery.start_soon(task)
         nursery.start_soon(Inbound(shared).serve, listener, nursery)
-        await trio.testing.wait_all_tasks_blocked()
         for stand in stands:
             stand.start(cold=False)
         made = World(seen, clock, stands, entries, agent, discovery, shared, listener.getsockname()[1])
