--- a/glenfold_lab/stands/clients.py
+++ b/glenfold_lab/stands/clients.py
@@ -246,8 +246,7 @@
         self._scope = trio.CancelScope()
         self._wait_us = crowd.habits.deadlines[client.kind]
         self.first_line = crowd.line(client, request, self._wait_us)
-        until = max(client.until, self._began + self._wait_us)
-        wish = c.Wish(self.first_line, self._wait_us + PATIENCE_US, until, LINES_US, b"QUIT\r\n")
+        wish = c.Wish(self.first_line, self._wait_us + PATIENCE_US, client.until, LINES_US, b"QUIT\r\n")
         self._state = c.ClientState(wish, self._began, self._began)
 
     def give_up(self, over: Over, how: End) -> None:
@@ -364,7 +363,7 @@
         crowd.seen.answered(now, self.request, Final.UP, server, 0)
         crowd.now.set_ups_us.append(now - self._began)
         aim = crowd.scenario.classes[client.kind].message_aim_ms * 1000
-        self.stretch = Stretch(crowd.served, client.kind, aim, now)
+        self.stretch = Stretch(crowd.served, client.kind, aim, now, client.until)
         crowd.standing[self] = None
         client.tries = client.advised_us = 0
         client.mid_flow = client.returning = False
