--- a/glenfold_lab/model/anchors.py
+++ b/glenfold_lab/model/anchors.py
@@ -111,8 +111,9 @@
         return self.plain.N
 
     @property
-    def buckets_of(self) -> "_Owners":  # type: ignore[override]
-        return _Owners(self._shared.plain.buckets_of, self._changes)
+    def buckets_of(self) -> "dict[int, list[int]] | _Owners":  # type: ignore[override]
+        made = self._shared.plain.buckets_of
+        return _Owners(made, self._changes) if self._changes else made
 
 
 class _Owners:
