--- a/glenfold_lab/model/servers/calls.py
+++ b/glenfold_lab/model/servers/calls.py
@@ -6,6 +6,7 @@
 import numpy as np
 
 from glenfold.net.passing import SILENT_S
+from glenfold_lab.checker.cold import beyond_chance
 from glenfold_lab.model.draw import BLOCK, lognormals, value
 from glenfold_lab.model.fleet import Fleet, Machine
 from glenfold_lab.model.kernel import SECOND_US, Kernel
@@ -21,8 +22,6 @@
 TICK_US = 250_000
 SET_UP_SIGMA = 0.9     # of the logarithm of a set-up's work
 OWN_SPREAD = 0.1       # of a set-up's own time, on the mean
-CHANCE = 2.0           # connections beyond the budget that a cold server survives, as relays share nothing,
-SPREADS = 2.0          # and so many times the spread of a Poisson count of the budget's size
 SILENT_US = SILENT_S * SECOND_US
 ROOM = 0.95            # of its capacity: what a server that sheds connections comes down to
 
@@ -34,8 +33,6 @@
                  network: Network) -> None:
         self.kernel, self.watcher, self.fleet, self.network = kernel, watcher, fleet, network
         self._rules = scenario.rules
-        self._group_cost = fleet.terms.mean_load * value(
-            scenario.servers.group_cost, streams.of("servers", "group_cost"))
         self._error_rate = value(scenario.servers.error_rate, streams.of("servers", "error_rate"))
         self._park_us = int(value(scenario.servers.park_s, streams.of("servers", "park")) * SECOND_US)
         self._works = [
@@ -55,7 +52,8 @@
 
     def add(self, machine: Machine) -> Server:
         """A machine whose process does not run yet."""
-        server = Server(machine, self.fleet.terms.mean_load, self.fleet.table_tax, self._group_cost)
+        terms = self.fleet.terms
+        server = Server(machine, terms.mean_load, self.fleet.table_tax, terms.group_cost)
         self.all.append(server)
         self._by_number[machine.number] = server
         self.placed.add_server()
@@ -83,7 +81,7 @@
         if not server.running or mid_flow is None and server.held >= server.cap:
             return self._refuse(call, server)
         call.arrived = True
-        self.watcher.sent(now, call.request, call.relay, call.server, call.sent_at)
+        self.watcher.sent(now, call.request, call.relay, call.server, call.sent_at, mid_flow is not None)
         server.advance(now)
         if mid_flow is not None:
             server.unpark(mid_flow)
@@ -105,7 +103,7 @@
             arrivals.popleft()
         present = self.fleet.warm_per_s(server.machine) * server.warmth(now)
         budget = rules.fall_multiple * rules.fall_s * present
-        return len(arrivals) > budget + CHANCE + SPREADS * math.sqrt(budget)
+        return beyond_chance(len(arrivals), budget)
 
     def _set_up(self, call: Call, server: Server) -> None:
         server.queue_up(call, next(self._works[call.request_class]))
--- a/glenfold_lab/model/world.py
+++ b/glenfold_lab/model/world.py
@@ -41,7 +41,7 @@
     def taken(self, at: int, request: int, relay: int, deadline: int, request_class: int) -> None:
         self.taken_in += 1
 
-    def sent(self, at: int, request: int, relay: int, server: int, first: int) -> None:
+    def sent(self, at: int, request: int, relay: int, server: int, first: int, goes_on: bool = False) -> None:
         self.attempts += 1
         zone = self._zones.get(server)
         if zone is None:
@@ -121,7 +121,8 @@
             length_us=round(self.scenario.length_s * SECOND_US), figures=figures, answers=answers,
             set_up=measures.set_up(), series=service.series() | measures.series(),
             server_load=service.server_load(), verdicts=verdicts,
-            verdicts_left_out=self.checker.left_out, happened=happened, cost=cost)
+            verdicts_left_out=self.checker.left_out, happened=happened, cost=cost,
+            guards_against=" ".join(self.scenario.guards_against.split()))
 
 
 def play(scenario: Scenario, seed: int, *, revision: str = "work tree", watchers: Sequence[Watcher] = (),
@@ -134,7 +135,7 @@
     of the process so far.
     """
     began = time.perf_counter()
-    with _no_collections(), shared_anchors():
+    with no_collections(), shared_anchors():
         world = World(scenario, seed, watchers)
         world.start()
         built = time.perf_counter()
@@ -145,7 +146,7 @@
 
 
 @contextmanager
-def _no_collections() -> Iterator[None]:
+def no_collections() -> Iterator[None]:
     """What a history makes it lets go of without cycles; looking for them in a million objects costs. The
     world itself is one: that of the history before is collected here."""
     gc.collect()
