--- a/glenfold_lab/model/clients.py
+++ b/glenfold_lab/model/clients.py
@@ -14,8 +14,8 @@
 import numpy as np
 from numpy.typing import NDArray
 
-from glenfold.request import RequestState
-from glenfold_lab.model.draw import value
+from glenfold.request import Phase, RequestState
+from glenfold_lab.model.draw import value, value_by_ratio
 from glenfold_lab.model.front import Front
 from glenfold_lab.model.kernel import SECOND_US, Kernel
 from glenfold_lab.model.network import Network
@@ -23,9 +23,9 @@
 from glenfold_lab.model.population import Drawn, Population
 from glenfold_lab.model.relays import Exchange, Relay
 from glenfold_lab.model.wire import Machines, Wanted
-from glenfold_lab.observe import End, Watcher
+from glenfold_lab.observe import End, Final, Watcher
 from glenfold_lab.spec import Clients as ClientTerms
-from glenfold_lab.spec import Scenario
+from glenfold_lab.spec import Pair, Scenario
 from glenfold_lab.streams import Streams
 from linnetspread import interface as i
 
@@ -68,12 +68,12 @@
     backoff_us: float
     backoff_most_us: float
     rejoin_us: tuple[float, float]
+    move_us: tuple[float, float]
     slack_us: int
 
     @classmethod
     def of(cls, scenario: Scenario, streams: Streams) -> "Habits":
         clients, classes = scenario.clients, scenario.classes
-        least, most = clients.rejoin_ms
         return cls(
             deadlines=tuple(round(kind.deadline_ms * 1000) for kind in classes),
             change_us=tuple(value(kind.change_s, streams.of("classes", "change", number)) * SECOND_US
@@ -82,17 +82,31 @@
                         for number, kind in enumerate(classes)),
             backoff_us=value(clients.backoff_ms, streams.of("clients", "backoff")) * 1000,
             backoff_most_us=clients.backoff_most_ms * 1000,
-            rejoin_us=(least * 1000, most * 1000),
+            rejoin_us=_about(clients.rejoin_ms, streams.of("clients", "rejoin")),
+            move_us=_about(clients.move_ms, streams.of("clients", "move")),
             slack_us=round(scenario.rules.answer_slack_ms * 1000))
 
 
+    def away_us(self, moved: bool, place: float) -> int:
+        """How long a client stays away that was moved, or whose connection broke; `place` is its own."""
+        least, most = self.move_us if moved else self.rejoin_us
+        return int(least + (most - least) * place)
+
+
+def _about(wanted: Pair, random: np.random.Generator) -> tuple[float, float]:
+    """Half to one and a half of the mean that is drawn, within the pair itself; milliseconds in, microseconds
+    out."""
+    mean, (least, most) = value_by_ratio(wanted, random), wanted
+    return max(least, mean / 2) * 1000, min(most, mean * 1.5) * 1000
+
+
 class Columns:
     """What is known of each client, by its number; clients are only added."""
 
     def __init__(self) -> None:
         self.first_ask, self.until, self.due = array("q"), array("q"), array("q")
         self.key, self.group = array("Q"), array("Q")
-        self.kind, self.scheme, self.zone = array("B"), array("H"), array("B")
+        self.kind, self.scheme, self.zone = array("H"), array("H"), array("H")
         self.usual, self.load = array("d"), array("d")
         self.pace, self.rejoin = array("f"), array("f")
         self.honours, self.state, self.returning, self.mid_flow = (array("B") for _ in range(4))
@@ -154,7 +168,7 @@
         drawn = self._population.standing()
         refused = [client for client in self._new(drawn) if not self._stands(client)]
         for place, client in enumerate(refused):
-            self._plan_ask(client, now + FIRST_ASKS_US * place // len(refused))
+            self._plan_first_ask(client, now + FIRST_ASKS_US * place // len(refused))
         for (kind, scheme), count in sorted(Counter(zip(
                 drawn.request_class.tolist(), drawn.scheme.tolist(), strict=True)).items()):
             self._service.wanted(kind, scheme, count)
@@ -166,6 +180,7 @@
         running = None if relay is None else self._relays.running(relay)
         if running is None:
             return False
+        self._requests += 1
         exchange = self._exchange(client, running)
         if not running.stand(exchange):
             return False
@@ -193,6 +208,11 @@
 
     # ---- asking ----
 
+    def _plan_first_ask(self, client: int, at: int) -> None:
+        """Of a connection that it wants anew."""
+        self._all.first_ask[client] = at
+        self._plan_ask(client, at)
+
     def _plan_ask(self, client: int, at: int) -> None:
         self._all.state[client] = WAITING
         self._all.due[client] = at
@@ -215,7 +235,10 @@
         sent = moment - self._network.client_us()
         if not every.turn[client]:
             self._service.wanted(kind, every.scheme[client], 1)
+        if every.first_ask[client] == moment:
             every.first_ask[client] = sent
+        self._requests += 1
+        self._watcher.asked(moment, self._requests, client, kind, every.first_ask[client])
         relay = self._relay_for(client)
         every.turn[client] += 1
         running = None if relay is None else self._relays.running(relay)
@@ -225,14 +248,13 @@
             self._again(client, 0)
         else:
             exchange = self._exchange(client, running)
-            self._watcher.asked(moment, self._requests, client, kind, every.first_ask[client])
             self._asking(client, sent, exchange)
             if not running.offer(exchange, sent + self._habits.deadlines[kind]):
                 every.exchange[client] = None
                 self._plan_ask(client, moment + SYN_AGAIN_US)
 
     def _exchange(self, client: int, relay: Relay) -> Exchange:
-        self._requests += 1
+        """For the request that it has just begun."""
         every = self._all
         kind, scheme, group = every.kind[client], every.scheme[client], every.group[client]
         deadline = self._habits.deadlines[kind]
@@ -289,13 +311,13 @@
         ways = self._network.client_us() + self._network.client_us()
         self._plan_ask(client, self._kernel.now + ways + int(pause))
 
-    def _come_back(self, client: int) -> None:
+    def _come_back(self, client: int, moved: bool = False) -> None:
         """Its connection broke or was moved."""
-        every, (least, most) = self._all, self._habits.rejoin_us
+        every = self._all
         every.exchange[client] = None
         every.mid_flow[client] = False
         every.returning[client] = self._terms.marks_returning
-        self._plan_ask(client, self._kernel.now + int(least + (most - least) * every.rejoin[client]))
+        self._plan_first_ask(client, self._kernel.now + self._habits.away_us(moved, every.rejoin[client]))
 
     # ---- while it lives ----
 
@@ -327,7 +349,7 @@
             if every.state[client] == STANDING:
                 self._closes(client)
                 every.returning[client] = self._terms.marks_returning
-                self._plan_ask(client, self._kernel.now + int(wait))
+                self._plan_first_ask(client, self._kernel.now + int(wait))
 
     # ---- what relays see and say: `Clientele` ----
 
@@ -338,14 +360,18 @@
         now = self._kernel.now
         return now + (client * 1_618_033 - now) % LINES_US
 
+    def hears(self, exchange: Exchange) -> bool:
+        return self._all.exchange[exchange.client] is exchange and (
+            self._relays.reachable(exchange.relay.number))
+
     def up(self, exchange: Exchange) -> None:
         client, every = exchange.client, self._all
-        if self._hears(exchange):
+        if self.hears(exchange):
             every.state[client] = STANDING
             every.tries[client] = every.returning[client] = every.mid_flow[client] = 0
 
     def turned_away(self, exchange: Exchange, wait_us: int) -> None:
-        if not self._hears(exchange):
+        if not self.hears(exchange):
             return
         if self._all.mid_flow[exchange.client]:  # it stood, and does no more
             self._come_back(exchange.client)
@@ -355,25 +381,23 @@
     def over(self, exchange: Exchange, how: End) -> None:
         if self._all.exchange[exchange.client] is exchange:
             self._watcher.ended(self._kernel.now, exchange.event.request, how)
-            self._come_back(exchange.client)
-
-    def _hears(self, exchange: Exchange) -> bool:
-        """Whether it is still there, and reached by what its relay says."""
-        return self._all.exchange[exchange.client] is exchange and (
-            self._relays.reachable(exchange.relay.number))
+            self._come_back(exchange.client, how is End.MOVED)
 
     # ---- where packets go ----
 
-    def lost_relay(self, exchange: Exchange) -> bool:
-        """Its relay's process died. True for one whose connection goes on when its packets are sent to
-        another; the others see theirs reset."""
+    def lost_relay(self, exchange: Exchange, planned: bool) -> bool:
+        """Its relay's process died, or ended as it was told to. True for one whose connection goes on when
+        its packets are sent to another; the others see theirs reset."""
         client, every = exchange.client, self._all
         if every.exchange[client] is not exchange:
             return False
         stood = every.state[client] == STANDING
         every.exchange[client] = None
         if stood:
-            self._watcher.ended(self._kernel.now, exchange.event.request, End.RELAY_DIED)
+            how = End.CUT if planned and not self._pass_through else End.RELAY_DIED
+            self._watcher.ended(self._kernel.now, exchange.event.request, how)
+        elif planned and exchange.state.phase is not Phase.STANDING:
+            self._watcher.answered(self._kernel.now, exchange.event.request, Final.CLOSED, None, 0)
         if self._pass_through and (stood or every.mid_flow[client]):
             every.state[client] = PARKED
             return True
@@ -399,7 +423,7 @@
         for client in clients:
             if every.state[client] == PARKED:
                 every.mid_flow[client] = True
-                self._plan_ask(client, self._kernel.now + int(PACKETS_US * every.pace[client]))
+                self._plan_first_ask(client, self._kernel.now + int(PACKETS_US * every.pace[client]))
 
 
 def _changes(streams: Streams) -> Iterator[tuple[float, float]]:
--- a/glenfold_lab/model/servers/calls.py
+++ b/glenfold_lab/model/servers/calls.py
@@ -6,6 +6,7 @@
 import numpy as np
 
 from glenfold.net.passing import SILENT_S
+from glenfold_lab.checker.cold import beyond_chance
 from glenfold_lab.model.draw import BLOCK, lognormals, value
 from glenfold_lab.model.fleet import Fleet, Machine
 from glenfold_lab.model.kernel import SECOND_US, Kernel
@@ -19,11 +20,8 @@
 from glenfold_lab.streams import Streams
 
 TICK_US = 250_000
-LEAST_US = 1_000       # until a set-up that is not done yet is looked at again
 SET_UP_SIGMA = 0.9     # of the logarithm of a set-up's work
 OWN_SPREAD = 0.1       # of a set-up's own time, on the mean
-CHANCE = 2.0           # connections beyond the budget that a cold server survives, as relays share nothing,
-SPREADS = 2.0          # and so many times the spread of a Poisson count of the budget's size
 SILENT_US = SILENT_S * SECOND_US
 ROOM = 0.95            # of its capacity: what a server that sheds connections comes down to
 
@@ -35,8 +33,6 @@
                  network: Network) -> None:
         self.kernel, self.watcher, self.fleet, self.network = kernel, watcher, fleet, network
         self._rules = scenario.rules
-        self._group_cost = fleet.terms.mean_load * value(
-            scenario.servers.group_cost, streams.of("servers", "group_cost"))
         self._error_rate = value(scenario.servers.error_rate, streams.of("servers", "error_rate"))
         self._park_us = int(value(scenario.servers.park_s, streams.of("servers", "park")) * SECOND_US)
         self._works = [
@@ -49,7 +45,6 @@
         self.placed = Placed(len(network.names), len(scenario.classes), len(scenario.schemes))
         self.all: list[Server] = []
         self._by_number: dict[int, Server] = {}
-        self.moment: Moment | None = None
         self.on_fall: Callable[[Server], None] = self.break_all
         network.on_change.append(self._zone_changed)
         for machine in fleet.machines:
@@ -57,7 +52,8 @@
 
     def add(self, machine: Machine) -> Server:
         """A machine whose process does not run yet."""
-        server = Server(machine, self.fleet.terms.mean_load, self.fleet.table_tax, self._group_cost)
+        terms = self.fleet.terms
+        server = Server(machine, terms.mean_load, self.fleet.table_tax, terms.group_cost)
         self.all.append(server)
         self._by_number[machine.number] = server
         self.placed.add_server()
@@ -85,7 +81,7 @@
         if not server.running or mid_flow is None and server.held >= server.cap:
             return self._refuse(call, server)
         call.arrived = True
-        self.watcher.sent(now, call.request, call.relay, call.server, call.sent_at)
+        self.watcher.sent(now, call.request, call.relay, call.server, call.sent_at, mid_flow is not None)
         server.advance(now)
         if mid_flow is not None:
             server.unpark(mid_flow)
@@ -107,24 +103,38 @@
             arrivals.popleft()
         present = self.fleet.warm_per_s(server.machine) * server.warmth(now)
         budget = rules.fall_multiple * rules.fall_s * present
-        return len(arrivals) > budget + CHANCE + SPREADS * math.sqrt(budget)
+        return beyond_chance(len(arrivals), budget)
 
     def _set_up(self, call: Call, server: Server) -> None:
-        wait = min(server.pile_us(), TICK_US * 1.0) if server.capacity() <= 0 else server.pile_us()
-        work = next(self._works[call.request_class])
-        own = work / server.machine.speed
-        end = server.queue_up(call, work)
-        spread = next(self._spread) * (OWN_SPREAD * own + server.wait_us)
-        self.kernel.after(int(wait + own + spread), self._done, call, server, end)
-
-    def _done(self, call: Call, server: Server, end: float) -> None:
+        server.queue_up(call, next(self._works[call.request_class]))
+        if len(server.line) == 1:
+            self._next_turn(server)
+
+    def _next_turn(self, server: Server) -> None:
+        """When the head of the line will be done, if the capacity stays as it is."""
+        if server.line:
+            capacity = server.capacity()
+            wait = server.head_left() / capacity * 1e6 if capacity > 0 else TICK_US
+            wait_us = max(1, math.ceil(min(TICK_US, wait)))
+            self.kernel.after(wait_us, self._turn, server, server.life)
+
+    def _turn(self, server: Server, life: int) -> None:
+        if server.life != life:
+            return
+        server.advance(self.kernel.now)
+        capacity = server.capacity()
+        for set_up in server.take_done():
+            # All cores work on it as the fluid has it, but in truth one does; and messages come between.
+            own = set_up.work / server.machine.speed
+            left = max(0.0, own - set_up.work / capacity * 1e6) if capacity > 0 else 0.0
+            spread = next(self._spread) * (OWN_SPREAD * own + server.wait_us)
+            self.kernel.after(int(left + spread), self._done, set_up.call, server)
+        self._next_turn(server)
+
+    def _done(self, call: Call, server: Server) -> None:
         if call.over or call.dropped or not self._reached(call, server):
             return
         server.advance(self.kernel.now)
-        if server.served < end - 1:  # its capacity has fallen since
-            capacity = server.capacity()
-            left = (end - server.served) / capacity * 1e6 if capacity > 0 else TICK_US
-            return self.kernel.after(max(LEAST_US, min(TICK_US, int(left))), self._done, call, server, end)
         del server.waiting[call.request]
         if self.kernel.now > call.deadline:
             self._answer(call, server, Over.BUSY)
@@ -176,8 +186,6 @@
             server.advance(self.kernel.now)
             server.give_up(call)
             self.watcher.attempt_over(self.kernel.now, call.request, call.server, Over.ABANDONED)
-        elif server.parked.get(call.connection) is call:
-            self._forget_parked(call, server)
 
     def park(self, call: Call) -> None:
         if not call.stands:
@@ -218,8 +226,8 @@
 
     def break_all(self, server: Server) -> None:
         """The process dies: all it holds is reset, and whoever waits there as well."""
-        for call, _, _ in list(server.waiting.values()):
-            self._answer(call, server, Over.RESET)
+        for set_up in list(server.waiting.values()):
+            self._answer(set_up.call, server, Over.RESET)
         for call in list(server.standing.values()):
             self.break_off(call, server, End.BROKEN)
         server.clear()
@@ -273,10 +281,9 @@
         zones = range(len(self.network.names))
         answers = np.array([[s.running and not s.silent and self.network.passes(zone, s.machine.zone)
                              for zone in zones] for s in self.all])
-        self.moment = Moment(demand, capacity, used, pile, answers)
         for server, wait in zip(self.all, self.messages.waits(used).tolist(), strict=True):
             server.wait_us = wait
-        return self.moment
+        return Moment(demand, capacity, used, pile, answers)
 
     def _tick_one(self, server: Server) -> tuple[float, float, float, float]:
         if not server.running:
@@ -305,7 +312,7 @@
             if turn and (server.demand <= ROOM * capacity or capacity <= 0):
                 break
             self.break_off(call, server, End.BROKEN)
-        server.skip(server.piled - server.machine.kind.buffer_s * server.machine.capacity)
+        server.drop(server.piled - server.machine.kind.buffer_s * server.machine.capacity)
 
 
 def _exponentials(random: np.random.Generator) -> Iterator[float]:
--- a/glenfold_lab/model/world.py
+++ b/glenfold_lab/model/world.py
@@ -41,7 +41,7 @@
     def taken(self, at: int, request: int, relay: int, deadline: int, request_class: int) -> None:
         self.taken_in += 1
 
-    def sent(self, at: int, request: int, relay: int, server: int, first: int) -> None:
+    def sent(self, at: int, request: int, relay: int, server: int, first: int, goes_on: bool = False) -> None:
         self.attempts += 1
         zone = self._zones.get(server)
         if zone is None:
@@ -91,11 +91,12 @@
         return clients, posts
 
     def start(self) -> None:
+        """All processes run and have heard the list; nobody has a connection yet."""
         self.machinery.start()
         self.posts.start()
-        self.clients.start()
 
     def run(self, progress: Progress | None) -> None:
+        self.clients.start()
         length = round(self.scenario.length_s * SECOND_US)
         longest = max(round(kind.deadline_ms * 1000) for kind in self.scenario.classes)
         end = self.kernel.start + length + longest + LAST_ANSWERS_US
@@ -120,7 +121,8 @@
             length_us=round(self.scenario.length_s * SECOND_US), figures=figures, answers=answers,
             set_up=measures.set_up(), series=service.series() | measures.series(),
             server_load=service.server_load(), verdicts=verdicts,
-            verdicts_left_out=self.checker.left_out, happened=happened, cost=cost)
+            verdicts_left_out=self.checker.left_out, happened=happened, cost=cost,
+            guards_against=" ".join(self.scenario.guards_against.split()))
 
 
 def play(scenario: Scenario, seed: int, *, revision: str = "work tree", watchers: Sequence[Watcher] = (),
@@ -129,8 +131,8 @@
 
     watchers: see all observations besides the checker and the measures. progress: is told the part (0 to 1)
     that has been played. `revision` is only noted: whoever calls sees to it that the `linnetspread` of that
-    revision was imported. `cost`: seconds in all, and build_s of these until the clock went; peak_mb of
-    the process so far.
+    revision was imported. `cost`: seconds in all, and build_s of these until the first connection; peak_mb
+    of the process so far.
     """
     began = time.perf_counter()
     with no_collections(), shared_anchors():
@@ -145,7 +147,9 @@
 
 @contextmanager
 def no_collections() -> Iterator[None]:
-    """The model lets go of what it makes without cycles; looking for them in a million objects costs."""
+    """What a history makes it lets go of without cycles; looking for them in a million objects costs. The
+    world itself is one: that of the history before is collected here."""
+    gc.collect()
     was_on = gc.isenabled()
     gc.disable()
     try:
--- a/glenfold_lab/stands/clients.py
+++ b/glenfold_lab/stands/clients.py
@@ -46,7 +46,8 @@
     DONE = auto()       # it has had what it wanted
     REFUSED = auto()    # or failed; another try follows
     UNREACHED = auto()  # nothing came up: TCP asks again by itself
-    ENDED = auto()      # it stood, and was moved or broken
+    MOVED = auto()      # it stood, and its client was told to come again
+    ENDED = auto()      # it stood, and broke
     ELSEWHERE = auto()  # it stands, and its packets come to another relay
     DROPPED = auto()    # its client lost it, with all others at that moment
 
@@ -70,9 +71,9 @@
     rejoin: float
     honours: bool
     host: str | None = None
+    first_ask: int = 0   # for the connection that it wants now
     tries: int = 0
     turn: int = 0
-    wanted_since: int | None = None  # without a connection
     relay: int = -1
     mid_flow: bool = False
     returning: bool = False
@@ -131,7 +132,7 @@
                 nursery.start_soon(self._live, client)
 
     async def _live(self, client: Client) -> None:
-        until = min(client.until, self.end)
+        until, client.first_ask = min(client.until, self.end), client.at
         self.served.add(self.served.wanted, client.kind, client.at, client.until)
         with trio.CancelScope(deadline=self.clock.to_trio(until)) as asking:
             while client.tries <= self.scenario.clients.retries:
@@ -140,7 +141,10 @@
                 if over is Over.DONE:
                     return
                 pause = await self._pause_us(client, over)
-                await self.clock.until(self.clock.now_us() + pause)
+                next_ask = self.clock.now_us() + pause
+                if over not in (Over.REFUSED, Over.UNREACHED):  # it had one, and wants it again
+                    client.first_ask = next_ask
+                await self.clock.until(next_ask)
 
     async def _try(self, client: Client, asking: trio.CancelScope) -> Over:
         """One try, to its end; whoever has a connection ends it itself, in good manners."""
@@ -171,8 +175,7 @@
         client.returning = self.scenario.clients.marks_returning
         if over is Over.DROPPED:
             return client.away_us
-        least, most = self.habits.rejoin_us
-        return int(least + (most - least) * client.rejoin)
+        return self.habits.away_us(over is Over.MOVED, client.rejoin)
 
     def _backing_off(self, client: Client) -> int:
         client.tries += 1
@@ -257,9 +260,7 @@
 
     async def run(self) -> Over:
         client, crowd = self.client, self._crowd
-        if client.wanted_since is None:
-            client.wanted_since = self._began
-        crowd.seen.asked(self._began, self.request, client.number, client.kind, client.wanted_since)
+        crowd.seen.asked(self._began, self.request, client.number, client.kind, client.first_ask)
         with trio.socket.socket() as sock:
             with self._scope:
                 await self._talk(sock)
@@ -365,7 +366,6 @@
         self.stretch = Stretch(crowd.served, client.kind, aim, now, client.until)
         crowd.standing[self] = None
         client.tries = client.advised_us = 0
-        client.wanted_since = None
         client.mid_flow = client.returning = False
         if not crowd.front.reaches(self.relay):
             self.give_up(Over.REFUSED, End.CLIENT)  # its relay said so, and it never heard it
@@ -395,6 +395,7 @@
                 self._over = Over.DONE
                 crowd.seen.ended(now, self.request, End.CLIENT)
             case c.Parting.MOVED:
+                self._over = Over.MOVED
                 crowd.now.moves += 1
                 crowd.seen.ended(now, self.request, End.MOVED)
             case c.Parting.SERVED:
