--- a/glenfold_lab/stands/clients.py
+++ b/glenfold_lab/stands/clients.py
@@ -46,8 +46,7 @@
     DONE = auto()       # it has had what it wanted
     REFUSED = auto()    # or failed; another try follows
     UNREACHED = auto()  # nothing came up: TCP asks again by itself
-    MOVED = auto()      # it stood, and its client was told to come again
-    ENDED = auto()      # it stood, and broke
+    ENDED = auto()      # it stood, and was moved or broken
     ELSEWHERE = auto()  # it stands, and its packets come to another relay
     DROPPED = auto()    # its client lost it, with all others at that moment
 
@@ -71,9 +70,9 @@
     rejoin: float
     honours: bool
     host: str | None = None
-    first_ask: int = 0   # for the connection that it wants now
     tries: int = 0
     turn: int = 0
+    wanted_since: int | None = None  # without a connection
     relay: int = -1
     mid_flow: bool = False
     returning: bool = False
@@ -132,7 +131,7 @@
                 nursery.start_soon(self._live, client)
 
     async def _live(self, client: Client) -> None:
-        until, client.first_ask = min(client.until, self.end), client.at
+        until = min(client.until, self.end)
         self.served.add(self.served.wanted, client.kind, client.at, client.until)
         with trio.CancelScope(deadline=self.clock.to_trio(until)) as asking:
             while client.tries <= self.scenario.clients.retries:
@@ -141,10 +140,7 @@
                 if over is Over.DONE:
                     return
                 pause = await self._pause_us(client, over)
-                next_ask = self.clock.now_us() + pause
-                if over not in (Over.REFUSED, Over.UNREACHED):  # it had one, and wants it again
-                    client.first_ask = next_ask
-                await self.clock.until(next_ask)
+                await self.clock.until(self.clock.now_us() + pause)
 
     async def _try(self, client: Client, asking: trio.CancelScope) -> Over:
         """One try, to its end; whoever has a connection ends it itself, in good manners."""
@@ -175,7 +171,8 @@
         client.returning = self.scenario.clients.marks_returning
         if over is Over.DROPPED:
             return client.away_us
-        return self.habits.away_us(over is Over.MOVED, client.rejoin)
+        least, most = self.habits.rejoin_us
+        return int(least + (most - least) * client.rejoin)
 
     def _backing_off(self, client: Client) -> int:
         client.tries += 1
@@ -246,8 +243,7 @@
         self._scope = trio.CancelScope()
         self._wait_us = crowd.habits.deadlines[client.kind]
         self.first_line = crowd.line(client, request, self._wait_us)
-        until = max(client.until, self._began + self._wait_us)
-        wish = c.Wish(self.first_line, self._wait_us + PATIENCE_US, until, LINES_US, b"QUIT\r\n")
+        wish = c.Wish(self.first_line, self._wait_us + PATIENCE_US, client.until, LINES_US, b"QUIT\r\n")
         self._state = c.ClientState(wish, self._began, self._began)
 
     def give_up(self, over: Over, how: End) -> None:
@@ -261,7 +257,9 @@
 
     async def run(self) -> Over:
         client, crowd = self.client, self._crowd
-        crowd.seen.asked(self._began, self.request, client.number, client.kind, client.first_ask)
+        if client.wanted_since is None:
+            client.wanted_since = self._began
+        crowd.seen.asked(self._began, self.request, client.number, client.kind, client.wanted_since)
         with trio.socket.socket() as sock:
             with self._scope:
                 await self._talk(sock)
@@ -364,9 +362,10 @@
         crowd.seen.answered(now, self.request, Final.UP, server, 0)
         crowd.now.set_ups_us.append(now - self._began)
         aim = crowd.scenario.classes[client.kind].message_aim_ms * 1000
-        self.stretch = Stretch(crowd.served, client.kind, aim, now)
+        self.stretch = Stretch(crowd.served, client.kind, aim, now, client.until)
         crowd.standing[self] = None
         client.tries = client.advised_us = 0
+        client.wanted_since = None
         client.mid_flow = client.returning = False
         if not crowd.front.reaches(self.relay):
             self.give_up(Over.REFUSED, End.CLIENT)  # its relay said so, and it never heard it
@@ -396,7 +395,6 @@
                 self._over = Over.DONE
                 crowd.seen.ended(now, self.request, End.CLIENT)
             case c.Parting.MOVED:
-                self._over = Over.MOVED
                 crowd.now.moves += 1
                 crowd.seen.ended(now, self.request, End.MOVED)
             case c.Parting.SERVED:
