--- a/glenfold_lab/model/fleet.py
+++ b/glenfold_lab/model/fleet.py
@@ -6,7 +6,7 @@
 import numpy as np
 
 from glenfold.destinations import server_number
-from glenfold_lab.model.draw import between, in_shares, lognormals, value
+from glenfold_lab.model.draw import between, in_shares, lognormals, value, value_by_ratio
 from glenfold_lab.model.kernel import SECOND_US
 from glenfold_lab.spec import Range, Scenario, ServerKind
 from glenfold_lab.streams import Streams
@@ -22,8 +22,9 @@
 
     life_us: mean time for which a client wants its connection. mean_load: of a connection, over all classes;
     class_load: of one of each class. capacity: of all push servers that the history starts with, warm, also
-    in loads. group_cost: of a group at each server that holds any of it, likewise. quotas: connections of
-    each scheme within its share.
+    in loads. group_cost: of a group at each server that holds any of it, likewise; group_size: its mean, in
+    connections. new_per_us: clients that come, at the history's mean; full_per_us: that would keep all
+    servers full. quotas: connections of each scheme within its share.
     """
 
     life_us: float
@@ -31,6 +32,9 @@
     class_load: tuple[float, ...]
     capacity: float
     group_cost: float
+    group_size: float
+    new_per_us: float
+    full_per_us: float
     quotas: tuple[float, ...]
 
 
@@ -144,16 +148,31 @@
         usual = sum(load * kind.share for load, kind in zip(loads, classes, strict=True))
         usual /= sum(kind.share for kind in classes)
         capacity = sum(machine.capacity for machine in self.machines)
-        life = value(self._scenario.clients.life_s, self._streams.of("clients", "life"))
+        clients, servers = self._scenario.clients, self._scenario.servers
+        life = value(clients.life_s, self._streams.of("clients", "life")) * SECOND_US
+        group_cost = mean * value(servers.group_cost, self._streams.of("servers", "group_cost"))
+        group_size = value_by_ratio(clients.group_size, self._streams.of("clients", "group_size"))
+        each = mean + (group_cost / group_size if clients.groups else 0.0)  # a group is at one server
         return Terms(
-            life_us=life * SECOND_US,
+            life_us=life,
             mean_load=mean,
             class_load=tuple(mean * load / usual for load in loads),
             capacity=capacity,
-            group_cost=mean * value(self._scenario.servers.group_cost,
-                                    self._streams.of("servers", "group_cost")),
+            group_cost=group_cost,
+            group_size=group_size,
+            new_per_us=self._new_per_us(capacity / each, life),
+            full_per_us=capacity / each / life,
             quotas=tuple(scheme.share * capacity / mean for scheme in self._scenario.schemes))
 
+    def _new_per_us(self, most: float, life_us: float) -> float:
+        """`most`: connections that all servers can do."""
+        clients = self._scenario.clients
+        load = value(clients.load, self._streams.of("clients", "load"))
+        if clients.connections is None:
+            return load * most / life_us
+        length = self._scenario.length_s * SECOND_US
+        return clients.connections / (length + (life_us if clients.standing else 0.0))
+
 
 def _drawn(shares: list[float], random: np.random.Generator) -> int:
     place = random.uniform() * sum(shares)
--- a/glenfold_lab/model/population.py
+++ b/glenfold_lab/model/population.py
@@ -8,7 +8,7 @@
 import numpy as np
 from numpy.typing import NDArray
 
-from glenfold_lab.model.draw import value, value_by_ratio
+from glenfold_lab.model.draw import value
 from glenfold_lab.model.fleet import Terms
 from glenfold_lab.model.kernel import SECOND_US
 from glenfold_lab.spec import Scenario
@@ -57,9 +57,8 @@
         self._terms = terms
         self._streams = streams
         self._start = start
-        self._group_size = value_by_ratio(self._clients.group_size, streams.of("clients", "group_size"))
         self._length = round(scenario.length_s * SECOND_US)
-        self._rate = self._rate_per_us()
+        self._rate = terms.new_per_us
         self._life_sigma = self._value("life_sigma")
         self._swing = self._value("swing")
         self._swing_at = float(streams.of("clients", "swing").uniform())
@@ -76,17 +75,6 @@
     def _value(self, name: str) -> float:
         return value(getattr(self._clients, name), self._streams.of("clients", name))
 
-    def _rate_per_us(self) -> float:
-        """New clients, at the history's mean."""
-        life = self._terms.life_us
-        load = self._value("load")
-        if self._clients.connections is not None:
-            return self._clients.connections / (self._length + (life if self._clients.standing else 0.0))
-        each = self._terms.mean_load
-        if self._clients.groups:  # each at one server
-            each += self._terms.group_cost / self._group_size
-        return load * self._terms.capacity / each / life
-
     @property
     def usual(self) -> float:
         """How many want a connection at once."""
@@ -102,7 +90,7 @@
         random = self._streams.of("clients", "group_keys")
         if not self._clients.groups:
             return np.ones(1), np.zeros(1, np.uint64)
-        count = max(1, round(self.usual / self._group_size))
+        count = max(1, round(self.usual / self._terms.group_size))
         sizes = np.arange(1, count + 1) ** -self._value("group_zipf")
         return _shares(sizes), _draw_keys(random, count)
 
--- a/glenfold_lab/model/relays.py
+++ b/glenfold_lab/model/relays.py
@@ -8,7 +8,7 @@
 import heapq
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any, Protocol
 
 from glenfold import request as r
@@ -203,10 +203,12 @@
     def _resume(self, exchange: Exchange, call: Call) -> None:
         now = self._kernel.now
         self.exchanges[exchange.event.request] = exchange
-        self._tell(i.Existing(exchange.event, call.server))
+        # Where packets pass through it comes as one that goes on: its time is no sign of what set-ups take.
+        event = replace(exchange.event, mid_flow=self.settings.pass_through)
+        self._tell(i.Existing(event, call.server))
         exchange.state.resume(call.server, now)
         exchange.call = call
-        for effect in exchange.state.on(CALL_UP, now + (self._machines.answer_us(call) or 0)):
+        for effect in exchange.state.on(CALL_UP, now + self._machines.way_us(call)):
             if isinstance(effect, r.Report):
                 self._tell(effect.event)
         self._load_heard(exchange, call.load)
--- a/glenfold_lab/model/servers/calls.py
+++ b/glenfold_lab/model/servers/calls.py
@@ -14,6 +14,7 @@
 from glenfold_lab.model.servers.messages import Messages, Moment
 from glenfold_lab.model.servers.placed import Placed
 from glenfold_lab.model.servers.server import Server, Stage
+from glenfold_lab.model.servers.store import store_of
 from glenfold_lab.model.wire import Call
 from glenfold_lab.observe import End, Over, Watcher
 from glenfold_lab.spec import Scenario
@@ -40,6 +41,7 @@
                        streams.of("servers", "set_ups", n)) for n, kind in enumerate(scenario.classes)]
         self._spread = _exponentials(streams.of("servers", "spread"))
         self._luck = streams.of("servers", "errors")
+        self._store = store_of(scenario, streams, fleet.terms)
         aims = [kind.message_aim_ms * 1000 for kind in scenario.classes]
         self.messages = Messages(network, aims)
         self.placed = Placed(len(network.names), len(scenario.classes), len(scenario.schemes))
@@ -128,9 +130,15 @@
             own = set_up.work / server.machine.speed
             left = max(0.0, own - set_up.work / capacity * 1e6) if capacity > 0 else 0.0
             spread = next(self._spread) * (OWN_SPREAD * own + server.wait_us)
-            self.kernel.after(int(left + spread), self._done, set_up.call, server)
+            self.kernel.after(int(left + spread), self._ask_store, set_up.call, server)
         self._next_turn(server)
 
+    def _ask_store(self, call: Call, server: Server) -> None:
+        if call.over or call.dropped:
+            return
+        takes = self._store.ask(self.kernel.now) if self._store is not None else 0
+        self.kernel.after(takes, self._done, call, server)
+
     def _done(self, call: Call, server: Server) -> None:
         if call.over or call.dropped or not self._reached(call, server):
             return
@@ -209,6 +217,9 @@
             server.demand += load - call.load
         call.load = load
 
+    def way_us(self, call: Call) -> int:
+        return 4 * self._way(call, self._by_number[call.server])
+
     def answer_us(self, call: Call) -> int | None:
         server = self._by_number[call.server]
         if not call.stands or not self._reached(call, server):
--- a/glenfold_lab/model/wire.py
+++ b/glenfold_lab/model/wire.py
@@ -76,6 +76,9 @@
     def change_load(self, call: Call, load: float) -> None:
         """The client's own doing; takes effect at once."""
 
+    def way_us(self, call: Call) -> int:
+        """What a call's way takes: its connection, its line and the answer, but for the work on it."""
+
     def answer_us(self, call: Call) -> int | None:
         """How long a line on this standing connection takes now from its relay and back; None: no answer."""
 
--- a/glenfold_lab/spec.py
+++ b/glenfold_lab/spec.py
@@ -62,7 +62,12 @@
 
 
 class Servers(Part, frozen=True):
-    """The push servers. cell_size: servers of a cell (a block of the list)."""
+    """The push servers. cell_size: servers of a cell (a block of the list).
+
+    store_ms: a set-up's call to the one store that all push servers share; store_headroom: how many times
+    the rate of new connections that keeps all of them full that store can serve, beyond which calls wait in
+    turn; 0: there is none.
+    """
 
     count: Count = 12
     kinds: Annotated[tuple[ServerKind, ...], Meta(min_length=1)] = (ServerKind(),)
@@ -70,6 +75,8 @@
     cell_size: Count = 4
     group_cost: Range = 2.0    # of a group at a server, in mean loads of a connection
     error_rate: Range = 0.0    # share of set-ups that it answers ERR
+    store_ms: Range = (5.0, 40.0)
+    store_headroom: Range = (10.0, 16.0)
     park_s: Range = (4.0, 9.0)  # for how long a connection whose packets stopped is kept
 
 
--- a/glenfold_lab/stands/part.py
+++ b/glenfold_lab/stands/part.py
@@ -18,6 +18,7 @@
 from glenfold_lab.model.population import Population
 from glenfold_lab.model.servers.messages import Messages
 from glenfold_lab.model.servers.server import Server
+from glenfold_lab.model.servers.store import store_of
 from glenfold_lab.model.world import LAST_ANSWERS_US
 from glenfold_lab.observe import Capacity, Record
 from glenfold_lab.spec import Scenario
@@ -102,7 +103,8 @@
         self.script, self.seen, self._clock = draw(self.scenario, self.seed), Seen(), MachineClock()
         self._lateness = Lateness()
         relays = range(self.scenario.relays.count)
-        make = _ServerMaker(self.script, self.seed, self.seen)
+        part = len(self.share.servers) / len(self.script.fleet.machines)
+        make = _ServerMaker(self.script, self.seed, self.seen, part)
         self._servers = {
             index: PushServer(make.holder(self.script.fleet.machines[index]), self._clock, [
                 self.net.host(SERVERS, index * len(relays) + relay) for relay in relays])
@@ -303,9 +305,10 @@
 class _ServerMaker:
     """Push servers as the model has them, each with generators of its own."""
 
-    def __init__(self, script: Script, seed: int, seen: Seen) -> None:
+    def __init__(self, script: Script, seed: int, seen: Seen, part: float) -> None:
         scenario, streams = script.scenario, Streams(seed)
         terms, rules, servers = script.fleet.terms, scenario.rules, scenario.servers
+        self._store = store_of(scenario, streams, terms, part)
         self._script, self._streams, self._seen, self._seal = script, streams, seen, Seal(secret(seed))
         self._group_load = terms.group_cost
         self._error_rate = value(servers.error_rate, streams.of("servers", "error_rate"))
@@ -328,4 +331,4 @@
         return Holder(
             fluid, Capacity(fleet.warm_per_s(machine), *self._cold), messages, self._seen,
             self._streams.of("stands", "server", machine.index), self._works, ways, self._seal,
-            self._error_rate, self._park_us if self._script.scenario.relays.pass_through else 0)
+            self._error_rate, self._park_us if self._script.scenario.relays.pass_through else 0, self._store)
--- a/glenfold_lab/stands/push_states.py
+++ b/glenfold_lab/stands/push_states.py
@@ -15,6 +15,7 @@
 from glenfold_lab.model.servers.calls import OWN_SPREAD, ROOM, SET_UP_SIGMA, TICK_US
 from glenfold_lab.model.servers.messages import Messages
 from glenfold_lab.model.servers.server import Server, Stage
+from glenfold_lab.model.servers.store import Store
 from glenfold_lab.model.wire import Call
 from glenfold_lab.observe import Capacity, End, Over
 from glenfold_lab.stands.moments import SECOND_US
@@ -114,7 +115,7 @@
 
     fluid: its machine. capacity: as the checker is told it. ways_us: by relay, of a message there and back.
     error_rate: share of set-ups that it answers ERR. park_us: how long a connection is kept whose relay has
-    gone; 0: not at all.
+    gone; 0: not at all. store: what every set-up asks when its work is done.
     """
 
     fluid: Server
@@ -127,6 +128,7 @@
     seal: Seal | None = None
     error_rate: float = 0.0
     park_us: int = 0
+    store: Store | None = None
     fault: Fault | None = None
     fault_share: float = 0.0
     by_key: dict[int, "Conversation"] = field(default_factory=dict)  # those that stand, by the client's key
@@ -218,6 +220,7 @@
         self._first_at = 0
         self._data = b""
         self._set_up_ends = 0.0
+        self._asked_store = False
         self._echoes: list[tuple[int, bytes]] = []
         self._change_at: int | None = None
         self._hung = False  # nothing will come any more
@@ -381,6 +384,7 @@
         spread = float(holder.random.exponential(1.0)) * (OWN_SPREAD * own + fluid.wait_us)
         fluid.queue_up(call, work)
         self._set_up_ends = fluid.waiting[call.request].end
+        self._asked_store = False
         self.due = now + int(wait + own + spread) + holder.ways_us[self.relay]
 
     def _look_at_set_up(self, now: int) -> None:
@@ -393,6 +397,10 @@
             left = (self._set_up_ends - fluid.reached) / capacity * 1e6 if capacity > 0 else TICK_US
             self.due = now + max(LEAST_US, min(TICK_US, int(left)))
             return
+        if self.holder.store is not None and not self._asked_store:
+            self._asked_store = True
+            self.due = now + self.holder.store.ask(now)
+            return
         del fluid.waiting[call.request]
         self.due = None
         if now > call.deadline:
--- a/tests/glenfold_lab/modelled_machines.py
+++ b/tests/glenfold_lab/modelled_machines.py
@@ -23,10 +23,11 @@
 
     def __init__(self, count: int = 1, kind: dict[str, Any] | None = None, seed: int = 1, relays: int = 1,
                  zones: tuple[str, ...] = ("here",), listed: dict[str, Any] | None = None,
-                 **scenario: Any) -> None:
+                 store: float = 0.0, **scenario: Any) -> None:
         made = dict(
             format=1, name="test", guards_against="-", relays=Relays(count=relays),
-            servers=Servers(count=count, kinds=(ServerKind(**KIND | (kind or {})),), park_s=5.0),
+            servers=Servers(count=count, kinds=(ServerKind(**KIND | (kind or {})),), park_s=5.0,
+                            store_headroom=store),
             classes=(RequestClass(name="watch", set_up_ms=10.0, message_aim_ms=100.0),),
             zones=Zones(**ZONES | {"names": zones}), server_list=ServerList(**LIST | (listed or {})))
         self.kernel, self.seen = Kernel(), Recorder()
--- a/tests/glenfold_lab/modelled_relays.py
+++ b/tests/glenfold_lab/modelled_relays.py
@@ -52,6 +52,9 @@
     def change_load(self, call: Call, load: float) -> None:
         call.load = load
 
+    def way_us(self, call: Call) -> int:
+        return 4 * WAY_US
+
     def answer_us(self, call: Call) -> int | None:
         return self.line_us
 
--- a/tests/glenfold_lab/test_model_population.py
+++ b/tests/glenfold_lab/test_model_population.py
@@ -10,7 +10,7 @@
 from glenfold_lab.streams import Streams
 
 TERMS = Terms(life_us=20e6, mean_load=1000.0, class_load=(1400.0, 400.0, 400.0), capacity=2e7, group_cost=0.0,
-              quotas=(5000.0, 1000.0))
+              group_size=20.0, new_per_us=4e-4, full_per_us=1e-3, quotas=(5000.0, 1000.0))
 CLIENTS = spec.Clients(load=0.4, life_sigma=1.2, swing=0.0, group_size=20, zone_skew=0.4)
 SCENARIO = spec.Scenario(
     format=1, name="many", guards_against="nothing", length_s=60, clients=CLIENTS,
