--- a/glenfold_lab/stands/lateness.py
+++ b/glenfold_lab/stands/lateness.py
@@ -8,15 +8,16 @@
 
 
 class Lateness:
-    """Looks every 10 ms; the figures are of the time since `run` began."""
+    """Looks every `step_s`; the figures are of the time since `run` began."""
 
-    def __init__(self) -> None:
+    def __init__(self, step_s: float = STEP_S) -> None:
         self.ms: list[float] = []
+        self._step_s = step_s
 
     async def run(self) -> None:
         due = trio.current_time()
         while True:
-            due += STEP_S  # also one that is past by now: each that was missed counts
+            due += self._step_s  # also one that is past by now: each that was missed counts
             await trio.sleep_until(due)
             self.ms.append((trio.current_time() - due) * 1000)
 
--- a/glenfold_lab/stands/part.py
+++ b/glenfold_lab/stands/part.py
@@ -25,7 +25,7 @@
 from glenfold_lab.stands.bad_clients import BadClients
 from glenfold_lab.stands.clients import Client, Crowd, clients_of
 from glenfold_lab.stands.front import SocketFront
-from glenfold_lab.stands.lateness import Lateness
+from glenfold_lab.stands.lateness import STEP_S, Lateness
 from glenfold_lab.stands.moments import SECOND_US, MachineClock
 from glenfold_lab.stands.places import AGENTS, SERVERS, Net, Places, Wording
 from glenfold_lab.stands.push_server import PushServer
@@ -87,6 +87,7 @@
     seed: int
     share: Share
     net: Net
+    look_s: float = STEP_S  # between two looks at its own lateness
     script: Script = field(init=False)
     seen: Seen = field(init=False)
     _clock: MachineClock = field(init=False)
@@ -100,7 +101,7 @@
     async def bind(self) -> Places:
         """Within the loop that will play it: draws the script and binds the addresses."""
         self.script, self.seen, self._clock = draw(self.scenario, self.seed), Seen(), MachineClock()
-        self._lateness = Lateness()
+        self._lateness = Lateness(self.look_s)
         relays = range(self.scenario.relays.count)
         make = _ServerMaker(self.script, self.seed, self.seen)
         self._servers = {
--- a/glenfold_lab/stands/run.py
+++ b/glenfold_lab/stands/run.py
@@ -20,7 +20,6 @@
 
 from glenfold_lab.checker import Checker
 from glenfold_lab.measures import Measures
-from glenfold_lab.model.clients import FIRST_ASKS_US
 from glenfold_lab.model.population import Population
 from glenfold_lab.model.world import no_collections
 from glenfold_lab.observe import Record, Watchers, replay
@@ -40,8 +39,8 @@
 from glenfold_lab.stands.told import settings_json
 from glenfold_lab.streams import Streams
 
-BEGIN_US = SECOND_US      # from the relays' being ready to the first client: for the fronts to admit them
-FILL_PER_S = 300          # connections that stood before are opened no faster than this
+BEGIN_US = SECOND_US // 2  # from the relays' being ready to the first client: for the fronts to admit them
+FILL_PER_S = 300           # connections that stood before are opened at this rate
 SPARE_SOCKETS = 200
 ALONE_PER_S = 300.0       # new connections a second that one process plays without running late
 LINES_PER_S = 0.5         # of a standing connection; each takes about a tenth of what a set-up takes
@@ -246,8 +245,7 @@
                     parts.start_soon(part.play, places, begin, self._hear)
                 await keeper.start_all()
                 fill = clock.now_us() + BEGIN_US
-                filling = max(FIRST_ASKS_US, load.standing * SECOND_US // FILL_PER_S)
-                self._times = Times(fill, fill + filling if load.standing else fill)
+                self._times = Times(fill, fill + BEGIN_US + load.standing * SECOND_US // FILL_PER_S)
                 ready.set()
                 nursery.start_soon(keeper.run, self._times.start)
                 nursery.start_soon(self._late.run)
--- a/tests/glenfold_lab/standing.py
+++ b/tests/glenfold_lab/standing.py
@@ -79,7 +79,7 @@
     messages = Messages(Network(Zones(), Streams(0)), [250_000.0])
     messages.add_server(machine)
     return Holder(Server(machine, 30_000.0, 0.0, group_load), Capacity(2.0, 0.2, 10_000_000), messages, seen,
-                  np.random.default_rng(n), {"watch": ClassWork(0, 2000.0)}, (0,), SEAL, **more)
+                  np.random.default_rng(n), {"watch": ClassWork(0, 2000.0)}, (0, 0), SEAL, **more)
 
 
 def entry(n: int, dial: str) -> Entry:
--- /dev/null
+++ b/tests/glenfold_lab/test_stand_in_judge.py
@@ -0,0 +1,58 @@
+"""How connections ended of which no stand-in saw both ends, and what relays count as told."""
+
+from typing import Any
+
+import pytest
+
+from glenfold_lab.observe import End, Record, Told
+from glenfold_lab.stands.judge import Judge
+
+S = 1_000_000
+STOOD: list[Record] = [("relay_up", (0, 0)), ("taken", (1, 7, 0, 2 * S, 0))]
+
+
+def settled(*records: Record, pass_through: bool = True, end: int = 60 * S) -> list[Record]:
+    return Judge(1, [3], pass_through).settle([*STOOD, *records], end)
+
+
+def of(kind: str, records: list[Record]) -> list[tuple[Any, ...]]:
+    return [values for name, values in records if name == kind]
+
+
+@pytest.mark.parametrize(("records", "pass_through", "how"), [
+    ([], True, End.CUT),
+    ([("broke", (9 * S, 7, 3, False))], True, End.BROKEN),
+    ([("broke", (5 * S, 7, 3, True))], True, End.BROKEN),
+    ([("relay_down", (10 * S - 10, 0))], False, End.RELAY_DIED),
+    ([("relay_down", (10 * S + 20_000, 0))], True, End.RELAY_DIED),   # seen late to have exited
+    ([("relay_down", (10 * S + 20_000, 0)), ("stopping", (7 * S, 0))], False, End.CUT),
+    ([("relay_down", (8 * S, 0))], True, End.CUT),
+])
+def test_an_end_without_a_word_is_named(records: list[Record], pass_through: bool, how: End) -> None:
+    out = settled(*records, ("unsaid", (10 * S, 7)), pass_through=pass_through)
+    assert of("ended", out) == [(10 * S, 7, how)]
+
+
+@pytest.mark.parametrize(("silent", "after", "late"), [
+    (False, 900_000, []), (False, 1_500_000, [1_500_000]), (True, 6 * S, []), (True, 9 * S, [3 * S])])
+def test_an_end_that_a_relay_passes_on_late_was_held_back(silent: bool, after: int, late: list[int]) -> None:
+    out = settled(("broke", (10 * S, 7, 3, silent)), ("ended", (10 * S + after, 7, End.MOVED)))
+    assert [us for _, _, us in of("held_back", out)] == late
+    never = settled(("broke", (10 * S, 7, 3, silent)), end=30 * S)
+    assert len(of("held_back", never)) == 1
+
+
+def test_a_process_that_was_stopped_holds_nothing_back() -> None:
+    stalled: Record = ("stalled", (10 * S, 0, 15 * S))
+    assert not of("held_back", settled(stalled, ("held_back", (15 * S + 9, 7, 4 * S))))
+    assert of("held_back", settled(stalled, ("held_back", (18 * S, 7, 2 * S))))
+
+
+def test_a_relay_that_starts_again_counts_as_told_what_its_agent_holds() -> None:
+    out = settled(
+        ("told", (2 * S, 0, 3, Told.DRAINING, 0)), ("due", (3 * S, 0, 3, Told.DRAINING, 0)),
+        ("relay_down", (4 * S, 0)), ("told", (5 * S, 0, 3, Told.GONE, 0)),
+        ("told", (5 * S, 0, 4, Told.READY, 9)), ("relay_up", (6 * S, 0)),
+        ("told", (99 * S, 0, 4, Told.GONE, 9)))
+    assert of("told", out) == [(0, 0, 3, Told.READY, 0), (2 * S, 0, 3, Told.DRAINING, 0),
+                               (6 * S, 0, 4, Told.READY, 9)]
--- a/tests/glenfold_lab/test_stand_in_servers.py
+++ b/tests/glenfold_lab/test_stand_in_servers.py
@@ -5,10 +5,13 @@
 import pytest
 import standing
 import trio
+import trio.testing
 from relaying import read_line
 from standing import World, holder, play
 
 from glenfold_lab.observe import Over
+from glenfold_lab.stands.moments import MachineClock
+from glenfold_lab.stands.push_server import PushServer
 from glenfold_lab.stands.push_states import Fault
 from glenfold_lab.stands.seen import Seen
 
@@ -113,6 +116,58 @@
     assert (state.out, len(state.holder.fluid.waiting)) == (b"BUSY\r\n", 0)
 
 
+def test_a_jammed_server_answers_nothing_until_it_is_free(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        stream, server = await world.open(), world.servers[0]
+        assert (await read_line(stream)).startswith(b"UP ")
+        server.jam(True)
+        waits = await world.open(key=8)
+        await stream.send_all(b"hello\r\n")
+        await world.clock.until(world.clock.now_us() + 700_000)
+        assert server.standing == 1 and len(server.holder.fluid.waiting) == 1
+        server.jam(False)
+        assert await read_line(stream) == b"hello\r\n"
+        assert (await read_line(waits)).startswith(b"UP ")
+
+    play(tmp_path, script, servers=1)
+
+
+async def ask(server: PushServer, relay: int, request: int) -> trio.SocketStream:
+    stream = await trio.open_tcp_stream(*server.addresses[relay])
+    await stream.send_all(standing.SEAL.line(request, request, ["c=watch"], 2000))
+    return stream
+
+
+def test_a_server_cut_off_from_one_relay_serves_the_other() -> None:
+    async def main() -> None:
+        seen = Seen()
+        server = PushServer(holder(0, seen), MachineClock(), ["127.9.3.1", "127.9.3.2"])
+        async with trio.open_nursery() as nursery:
+            await nursery.start(server.serve)
+            server.start(cold=False)
+            streams = [await ask(server, relay, relay) for relay in (0, 1)]
+            for stream in streams:
+                assert (await read_line(stream)).startswith(b"UP ")
+                await stream.send_all(b"hello\r\n")
+                assert await read_line(stream) == b"hello\r\n"
+            server.cut([1], ended=False)
+            await streams[1].send_all(b"hello\r\n")
+            assert (await read_line(await ask(server, 0, 2))).startswith(b"UP ")
+            with trio.move_on_at(trio.current_time() + 2):
+                await ask(server, 1, 3)
+                raise AssertionError("it came up")
+            with trio.move_on_at(trio.current_time() + 2):
+                raise AssertionError(await read_line(streams[1]))
+            server.come_back()
+            with pytest.raises(trio.BrokenResourceError):
+                await read_line(streams[1])
+            assert (await read_line(await ask(server, 1, 4))).startswith(b"UP ")
+            nursery.cancel_scope.cancel()
+        assert [(name, values[1]) for name, values in seen.records if name == "broke"] == [("broke", 1)]
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.01))
+
+
 def test_only_the_server_that_holds_a_connection_goes_on_with_it(tmp_path: Path) -> None:
     async def script(world: World) -> None:
         stream = await world.open(more=("g=5",))
