--- a/glenfold_lab/model/servers/store.py
+++ b/glenfold_lab/model/servers/store.py
@@ -26,4 +26,4 @@
     """None where set-ups ask none. A process that plays some of the push servers has that part of it."""
     headroom = value(scenario.servers.store_headroom, streams.of("servers", "store_headroom"))
     us = value(scenario.servers.store_ms, streams.of("servers", "store")) * 1000
-    return Store(headroom * terms.full_per_us * SECOND_US * part, us) if headroom else None
+    return Store(headroom * terms.full_per_us * SECOND_US * part, us) if headroom and part else None
