--- /dev/null
+++ b/glenfold/daemon/process.py
@@ -0,0 +1,149 @@
+"""One instance: its parts wired together, from its start to its end.
+
+What other installations add to the platform's relay (a control socket, readiness, snapshots, a listener that
+was passed on) comes in as companions and as listeners that are open already; nothing here imports them.
+"""
+
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
+
+import trio
+from loguru import logger
+
+from glenfold.clock import Clock
+from glenfold.config import Config, ConfigError
+from glenfold.counters import Counters
+from glenfold.daemon.life import Life, State
+from glenfold.decisions import Decisions
+from glenfold.destinations import BadList, DestinationSet
+from glenfold.leaving import ANSWERS_S, Leaving
+from glenfold.net.discovery import Discovery
+from glenfold.net.inbound import BACKLOG, Inbound, Relay
+from glenfold.net.passing import Passage
+
+ReadAgain = Callable[[Config], tuple[Config, list[str]]]
+Companion = Callable[["Process"], Awaitable[None]]
+
+
+class Process:
+    """`read_again`: what the configuration says now, and the keys that wait for a restart; raises
+    ConfigError. `listeners`: sockets that listen already; without them it listens at `config.listen`.
+    `companions` run beside it until it has finished, and are cancelled then."""
+
+    def __init__(self, config: Config, read_again: ReadAgain, *, listeners: Sequence[socket.socket] = (),
+                 companions: Sequence[Companion] = ()) -> None:
+        clock, counters = Clock(), Counters()
+        decisions = Decisions(config.settings, config.seed, clock)
+        destinations = DestinationSet(config.names)
+        self.life = Life()
+        self.relay = Relay(config, clock, decisions, destinations, counters)
+        self.inbound = Inbound(self.relay)
+        self.discovery = Discovery(config.discovery, destinations, decisions.tell, counters)
+        self.listeners: list[trio.socket.SocketType] = [trio.socket.from_stdlib_socket(s) for s in listeners]
+        self._read_again = read_again
+        self._companions = companions
+        self._told_to_stop = trio.Event()
+        self.life.watches.append(lambda before, now: logger.debug("{} -> {}", before.value, now.value))
+
+    async def run(self) -> None:
+        """Until it was told to stop and has finished all that it has taken."""
+        config = self.relay.config
+        await self._take_known()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.relay.decisions.run)
+            nursery.start_soon(self.discovery.follow)
+            if not self.listeners:
+                self.listeners.append(await _listen(config.listen))
+            accepting = trio.CancelScope()
+            for listener in self.listeners:
+                nursery.start_soon(self._accept, accepting, listener, nursery)
+            logger.info("{} listens on {}:{}", config.name, *config.listen)
+            self.life.to(State.WAITING)
+            self.life.to(State.READY)
+            for companion in self._companions:
+                nursery.start_soon(companion, self)
+            await self._told_to_stop.wait()
+            leaving = Leaving(trio.current_time(), self.relay.config.settings)
+            self.life.to(State.DRAINING)
+            await last_arrivals(leaving, self.inbound)
+            accepting.cancel()
+            for listener in self.listeners:
+                listener.close()
+            self.life.to(State.FINISHING)
+            await finish_taken(leaving, self.relay)
+            self.life.to(State.STOPPED)
+            nursery.cancel_scope.cancel()
+        logger.info("counters at exit: {}", self.relay.counters.line())
+
+    async def _take_known(self) -> None:
+        """Before the first client: a relay that died starts again from the list it last had."""
+        relay = self.relay
+        if relay.config.known:
+            try:
+                await relay.decisions.tell(relay.destinations.read(relay.config.known, cached=True))
+            except BadList as error:
+                logger.warning("known: {}", error)
+
+    async def _accept(self, scope: trio.CancelScope, listener: trio.socket.SocketType,
+                      nursery: trio.Nursery) -> None:
+        with scope:
+            await self.inbound.serve(listener, nursery)
+
+    def stop(self) -> None:
+        self._told_to_stop.set()
+
+    def reload(self) -> None:
+        """A faulty file changes nothing: the relay goes on as it was told before."""
+        relay, before = self.relay, self.life.state
+        if self.life.ending:
+            return
+        if before is not State.STARTING:
+            self.life.to(State.RELOADING)
+        try:
+            config, waiting = self._read_again(relay.config)
+        except ConfigError as error:
+            relay.counters.reloads_refused += 1
+            logger.error("configuration: {}", error)
+            return
+        finally:
+            self.life.to(before)
+        relay.counters.reloads += 1
+        relay.config = config
+        self.discovery.move_to(config.discovery)
+        logger.info("configuration read again; discovery is at {}:{}", *config.discovery)
+        if waiting:
+            logger.warning("configuration: needs a restart to change: {}", ", ".join(waiting))
+
+
+async def _listen(address: tuple[str, int]) -> trio.socket.SocketType:
+    listener = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    await listener.bind(address)
+    listener.listen(BACKLOG)
+    return listener
+
+
+async def last_arrivals(leaving: Leaving, inbound: Inbound) -> None:
+    while trio.current_time() < (until := leaving.arrivals_until(inbound.last_arrival)):
+        await trio.sleep_until(until)
+
+
+async def finish_taken(leaving: Leaving, relay: Relay) -> None:
+    """Every request taken gets its answer, and every standing connection's client is told to move in time."""
+    told: set[Passage] = set()
+    async with trio.open_nursery() as nursery:
+        nursery.cancel_scope.deadline = leaving.leave_at
+        await trio.sleep_until(leaving.moves_from)
+        while (left := relay.standing - told) or relay.unanswered:
+            gap = ANSWERS_S
+            if left:
+                told.add(passage := left.pop())
+                nursery.start_soon(passage.move)
+                gap = leaving.gap_s(trio.current_time(), len(left))
+            await trio.sleep_until(trio.current_time() + gap)
+
+
+async def heed(signals: AsyncIterator[int], by_signal: Mapping[int, Callable[[], None]]) -> None:
+    """Calls what belongs to each signal, for as long as it is not cancelled."""
+    async for number in signals:
+        by_signal[number]()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -16,11 +16,9 @@
 from relaying import OPEN, entry, read_line, relay, whole
 
 from glenfold import lines
-from glenfold.__main__ import finish_taken, heed, reload
-from glenfold.clock import Clock
-from glenfold.config import Config, ConfigError
+from glenfold.config import Config, ConfigError, read_again
 from glenfold.counters import Counters
-from glenfold.decisions import Decisions
+from glenfold.daemon.process import Process, finish_taken, heed
 from glenfold.destinations import BadList, DestinationSet, server_number
 from glenfold.leaving import Leaving
 from glenfold.net import sockets
@@ -491,20 +489,18 @@
             old, new = ("{}:{}".format(*agent.address) for agent in agents)
             conf = relaying.config(tmp_path, {"LB_DISCOVERY": old})
             environment = {"LB_DISCOVERY": old, "LB_CONFIG": str(tmp_path / "config.json")}
-            decisions, destinations = Decisions(conf.settings, 1, Clock()), DestinationSet(conf.names)
-            shared = Relay(conf, Clock(), decisions, destinations, Counters())
-            discovery = Discovery(conf.discovery, destinations, decisions.tell, shared.counters)
-            nursery.start_soon(discovery.follow)
+            process = Process(conf, lambda current: read_again(environment, current))
+            shared, destinations = process.relay, process.relay.destinations
+            nursery.start_soon(process.discovery.follow)
             await watched[0].wait()
             for fault in ({"discovery": "nowhere"}, {"discovery": new, "settings": {}}):
                 relaying.write(tmp_path, **fault)
-                reload(environment, shared, discovery)
+                process.reload()
             assert shared.config == conf and not watched[1].is_set()
             relaying.write(tmp_path, discovery=new, limits={"sockets": 300}, name="other")
             with trio.open_signal_receiver(signal.SIGHUP) as signals:
                 os.kill(os.getpid(), signal.SIGHUP)  # unheeded, it would end the process
-                os.environ.update(environment)
-                nursery.start_soon(heed, signals, trio.Event(), shared, discovery)
+                nursery.start_soon(heed, signals, {signal.SIGHUP: process.reload})
                 await watched[1].wait()
             # The file's address wins now, though the environment went before it at the start.
             assert (shared.config.room.waiting, shared.config.name) == (35, "relay")
@@ -512,9 +508,7 @@
             assert destinations.address(server_number("s-1")) == ("127.0.0.1", 1)
             nursery.cancel_scope.cancel()
 
-    with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(os, "environ", {**os.environ})
-        trio.run(main)
+    trio.run(main)
 
 
 @pytest.mark.parametrize(("change", "key"), [
