Plan a relay's end from the number of its connections and the pace of their moves

Need: at SIGTERM with 6,000 standing connections thousands were cut off without MOVE: moves began 1.5 s before the end, one task each, and every one looked through all the others anew.

Change: a plan without I/O (also the model's) begins early enough for the number that stand, at a calibrated pace that gives way to the measured one, and takes several a turn where one is too few. At hundreds each move has the moment that it always had. MOVE is written without a task of its own to clients between two lines. Who can't be moved one by one in time is known and logged beforehand, those of least worth come last, and all that are left are told at once at the end. A move that the kernel took part of is completed; a client that is cut within a line sees a reset. Counted: moved_late, not_moved. A process may state another deadline than the platform's.

--- a/glenfold/counters.py
+++ b/glenfold/counters.py
@@ -19,6 +19,8 @@
     answered_failed: int = 0
     left: int = 0            # clients that went before their answer
     moved: int = 0           # clients of standing connections that were told to move
+    moved_late: int = 0      # of these at the end of this relay, all at once, as there was no time for each
+    not_moved: int = 0       # of standing connections that this relay cut off without MOVE
     silent: int = 0          # standing connections ended because their server fell silent
     ended: int = 0           # standing connections that are over
     broken: int = 0          # of these, by their server, with neither BYE nor MOVE
--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -4,7 +4,10 @@
 was passed on) comes in as companions and as listeners that are open already; nothing here imports them.
 """
 
+import gc
 import socket
+import time
+from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 
 import trio
@@ -16,11 +19,13 @@
 from glenfold.daemon.life import Life, State
 from glenfold.decisions import Decisions
 from glenfold.destinations import BadList, DestinationSet
-from glenfold.leaving import ANSWERS_S, Leaving
+from glenfold.leaving import Leaving, in_order
 from glenfold.net.discovery import Discovery
 from glenfold.net.inbound import BACKLOG, Inbound, Relay
 from glenfold.net.passing import Passage
 
+LOOK_S = 0.1  # between two looks at how many connections stand, before their clients move
+
 ReadAgain = Callable[[Config], tuple[Config, list[str]]]
 Companion = Callable[["Process"], Awaitable[None]]
 
@@ -70,6 +75,7 @@
             for listener in self.listeners:
                 listener.close()
             self.life.to(State.FINISHING)
+            gc.freeze()  # looking through all that stands would hold up the moves time and again
             await finish_taken(leaving, self.relay)
             self.life.to(State.STOPPED)
             nursery.cancel_scope.cancel()
@@ -130,17 +136,64 @@
 
 async def finish_taken(leaving: Leaving, relay: Relay) -> None:
     """Every request taken gets its answer, and every standing connection's client is told to move in time."""
-    told: set[Passage] = set()
-    async with trio.open_nursery() as nursery:
-        nursery.cancel_scope.deadline = leaving.leave_at
-        await trio.sleep_until(leaving.moves_from)
-        while (left := relay.standing - told) or relay.unanswered:
-            gap = ANSWERS_S
-            if left:
-                told.add(passage := left.pop())
-                nursery.start_soon(passage.move)
-                gap = leaving.gap_s(trio.current_time(), len(left))
-            await trio.sleep_until(trio.current_time() + gap)
+    with trio.move_on_at(leaving.leave_at):
+        await _until_moves(leaving, relay)
+        async with trio.open_nursery() as nursery:
+            await _move_all(leaving, relay, nursery)
+    for passage in list(relay.standing):
+        if not _tell(passage, relay, late=True):
+            passage.cut()
+    if relay.standing:
+        logger.warning("{} standing connections are cut off without MOVE", len(relay.standing))
+
+
+def _tell(passage: Passage, relay: Relay, late: bool) -> bool:
+    told = passage.move_now()
+    if told:
+        del relay.standing[passage]
+    if told and late:
+        relay.counters.moved_late += passage.moved
+        passage.finish_both()
+    return told
+
+
+async def _until_moves(leaving: Leaving, relay: Relay) -> None:
+    began, worked_s = trio.current_time(), time.process_time()
+    while (now := trio.current_time()) < (begin := leaving.moves_from(len(relay.standing))):
+        await trio.sleep_until(min(begin, now + LOOK_S))
+        leaving.busy((time.process_time() - worked_s) / (trio.current_time() - began))
+
+
+async def _move_all(leaving: Leaving, relay: Relay, nursery: trio.Nursery) -> None:
+    """A connection counts as standing until its client has been told to move, or is gone."""
+    asked: set[Passage] = set()  # they have only part of a line
+    queue: deque[Passage] = deque()
+    while relay.standing or relay.unanswered:
+        while queue and queue[0] not in relay.standing:
+            queue.popleft()
+        left = len(relay.standing) - len(asked & relay.standing.keys())
+        short_before = leaving.short
+        step = leaving.step(trio.current_time(), time.process_time(), left)
+        if leaving.short and not short_before:
+            logger.warning("{} of {} standing connections can't be moved one by one in time, at {:.0f} "
+                           "a second: they move all at once at the end", step.late, left, leaving.pace)
+            queue.clear()  # to be put in another order
+        if len(queue) < step.moves:
+            queue = deque(one for one in in_order(relay.standing, leaving.short) if one not in asked)
+        for _ in range(min(step.moves, len(queue))):
+            passage = queue.popleft()
+            if passage not in relay.standing:
+                continue
+            if not _tell(passage, relay, step.sweep):
+                asked.add(passage)
+                nursery.start_soon(_move, passage, relay)
+        await trio.sleep_until(step.again_at)
+
+
+async def _move(passage: Passage, relay: Relay) -> None:
+    await passage.move()
+    if passage.moved:
+        relay.standing.pop(passage, None)
 
 
 async def heed(signals: AsyncIterator[int], by_signal: Mapping[int, Callable[[], None]]) -> None:
--- a/glenfold/leaving.py
+++ b/glenfold/leaving.py
@@ -3,31 +3,125 @@
 Moments are in seconds, on the clock of `told_at`: that at which the relay was told to stop.
 """
 
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import TypeVar
+
 from linnetspread import interface as i
 
 ARRIVING_S = 0.45      # new connections go on arriving for as long as this
 LEAST_NOTICE_S = 3.0   # SIGKILL comes no earlier than this, or the longest deadline, and 0.7 s
+KILL_S = 0.7
 LEAVE_S = 0.4          # of those 0.7 s
 MOVE_S = 0.3           # that a move may take
+SWEEP_S = 0.05         # before the end all that are left are told at once
+SWEEP_EACH_S = 60e-6   # which takes so long for each
 MOVES_S = 1.5          # over which they are spread where packets pass through
 ANSWERS_S = 0.02       # between two looks at what is unanswered
+PACE = 2500.0          # moves a second with all that follows one, until measured
+MEASURED = 400         # moves that the figure above weighs as much as, and after which a forecast is sound
+LEAST_LATE = 0.1       # of those that are left: no forecast is sounder than that
+TURNS = 500.0          # of the loop in a second, about: what needs more moves goes several at a turn
+LATE_S = 0.002         # that a sleep may take longer than it was asked for
+LEAST_SPARE = 0.1      # of the time, for moves
+MOST_AT_ONCE = 32      # moves in one turn; what passes on other connections waits meanwhile
+
+Standing = TypeVar("Standing")
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """So many moves at once, and when to ask again. late: connections that by now can't be moved one by one
+    in time, at the pace measured; they are told all at once in the end. sweep: that is now."""
+
+    moves: int
+    again_at: float
+    late: int = 0
+    sweep: bool = False
 
 
 class Leaving:
     """Where packets pass through, connections stand as long as the platform allows, as other relays may be
-    restarting too; then their clients move one by one: all at once they would jam the servers."""
+    restarting too; then their clients move one by one: all at once they would jam the servers. Where so many
+    stand that this takes longer than usual, it begins earlier, but never before new connections end: the
+    front would send those that move back here.
+
+    deadline_s: from being told to stop until SIGKILL; None: what the platform promises.
+    """
 
-    def __init__(self, told_at: float, settings: i.Settings) -> None:
-        notice_s = max([LEAST_NOTICE_S, *(kind.deadline_us / 1e6 for kind in settings.classes)])
+    def __init__(self, told_at: float, settings: i.Settings, deadline_s: float | None = None) -> None:
+        if deadline_s is None:
+            longest_s = (kind.deadline_us / 1e6 for kind in settings.classes)
+            deadline_s = max([LEAST_NOTICE_S, *longest_s]) + KILL_S
         self.told_at = told_at
-        self.leave_at = told_at + notice_s + LEAVE_S
+        self.leave_at = told_at + max(0.0, deadline_s - (KILL_S - LEAVE_S))
+        self.moves_end = max(told_at, self.leave_at - MOVE_S)
         self.one_by_one = settings.pass_through
-        self.moves_from = self.leave_at - MOVE_S - MOVES_S if self.one_by_one else told_at
+        self.short = False         # of time: not all can be moved one by one
+        self._cost = MEASURED / PACE, float(MEASURED)  # seconds taken by moves, and their number
+        self._moved = 0
+        self._last: tuple[float, float, Step] | None = None
 
     def arrivals_until(self, last_arrival: float) -> float:
         """Clients go on coming for a while; each that the kernel has accepted counts as taken."""
         return min(max(self.told_at, last_arrival), self.told_at + 2 * ARRIVING_S) + ARRIVING_S
 
-    def gap_s(self, now: float, left: int) -> float:
-        """From one move to the next, with so many left to be moved."""
-        return max(0.0, (self.leave_at - MOVE_S - now) / (1 + left)) if self.one_by_one else 0.0
+    @property
+    def pace(self) -> float:
+        """Moves a second."""
+        seconds, moves = self._cost
+        return moves / seconds
+
+    def busy(self, share: float) -> None:
+        """That part of the time goes into what passes on the connections that stand, before any moves."""
+        if self._last is None:
+            self._cost = MEASURED / PACE / max(LEAST_SPARE, 1.0 - share), float(MEASURED)
+
+    def moves_from(self, standing: int) -> float:
+        """When the first of so many moves; in the past if it is high time."""
+        if not self.one_by_one:
+            return self.told_at
+        return max(self.told_at, self.moves_end - max(MOVES_S, standing / self.pace))
+
+    def step(self, now: float, worked_s: float, left: int) -> Step:
+        """What to do now, with so many left to be moved: to be carried out, and asked again at `again_at`.
+        worked_s: CPU time that the process has used in all."""
+        self._measure(now, worked_s)
+        step = self._next(now, left)
+        self.short = self.short or step.late > 0
+        self._moved += step.moves
+        self._last = now, worked_s, step
+        return step
+
+    def _next(self, now: float, left: int) -> Step:
+        if not left:
+            return Step(0, now + ANSWERS_S)
+        if now >= self.leave_at - SWEEP_S - left * SWEEP_EACH_S:
+            return Step(left, now + ANSWERS_S, left, sweep=True)
+        remaining = self.moves_end - now
+        if remaining <= 0:
+            return Step(min(left, MOST_AT_ONCE), now)
+        needed = (1 + left) / remaining
+        moves = min(left, MOST_AT_ONCE, max(1, round(needed / TURNS)))
+        gap = moves / needed if self.one_by_one else 0.0
+        late = left - int(self.pace * remaining)
+        sound = self._moved >= MEASURED and late > LEAST_LATE * left
+        return Step(moves, now + gap, late if sound else 0)
+
+    def _measure(self, now: float, worked_s: float) -> None:
+        """What a turn has cost: the work in it, or the time by which it came back late, when others had the
+        core meanwhile."""
+        if self._last is None or not self._last[2].moves:
+            return
+        at, worked_before, step = self._last
+        took = max(worked_s - worked_before, now - max(at, step.again_at) - LATE_S)
+        seconds, moves = self._cost
+        kept = MEASURED / (moves + step.moves)  # the last few hundred count
+        self._cost = (seconds + took) * kept, (moves + step.moves) * kept
+
+
+def in_order(standing: Mapping[Standing, float], short: bool) -> list[Standing]:
+    """Whose clients move first. Oldest first, which mixes the classes. When not all can be moved one by one,
+    those of the greatest worth (a driver's feed) come first: the last to be told are those that all return
+    at the same moment, or are cut within a line."""
+    return sorted(standing, key=lambda one: -standing[one]) if short else list(standing)
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -40,7 +40,7 @@
     counters: Counters
     unanswered: int = 0
     ids: Counter[bytes] = field(default_factory=Counter)  # of the requests and connections open here
-    standing: set[Passage] = field(default_factory=set)
+    standing: dict[Passage, float] = field(default_factory=dict)  # oldest first; the worth of each
 
 
 class Inbound:
@@ -352,17 +352,18 @@
     async def _stand(self, server: SocketType, receipt: bytes) -> None:
         relay, state = self._relay, self._state
         passage = Passage(self._sock, server, self._load_heard)
-        relay.standing.add(passage)
+        relay.standing[passage] = relay.config.settings.classes[self._event.request_class].worth
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._move_when_told, passage)
                 await passage.run(self._early, receipt)
                 nursery.cancel_scope.cancel()
         finally:
-            relay.standing.discard(passage)
+            relay.standing.pop(passage, None)  # it is gone already if its client was told to move
             relay.counters.ended += 1
             relay.counters.silent += passage.silent
             relay.counters.moved += passage.moved
+            relay.counters.not_moved += passage.cut_off
         if passage.outcome in (i.Outcome.RESET, i.Outcome.ERROR):
             relay.counters.broken += 1
             logger.info("a connection at server {} broke: {}", state.server, passage.outcome.name.lower())
--- a/glenfold/net/passing.py
+++ b/glenfold/net/passing.py
@@ -5,7 +5,7 @@
 import trio
 
 from glenfold.lines import MOVE, LineTracker, read_load
-from glenfold.net.sockets import SocketType, finish, reset_on_close, send
+from glenfold.net.sockets import SocketType, finish, reset_on_close, send, send_now
 from linnetspread.interface import Outcome
 
 CHUNK = 16 * 1024
@@ -25,16 +25,22 @@
         self.outcome = Outcome.RESET
         self.silent = False
         self.moved = False
+        self.cut_off = False
         self._load_heard = load_heard
         self._lines = LineTracker()
         self._said: bytes | None = None         # the server's last word on this connection
         self._asked_at: float | None = None     # since when a client's line is unanswered
         self._writing = trio.Lock()             # held while the client is sent something
+        self._move_left = MOVE                  # what of it the client has not been sent
         self._client_done = False
         self._client_over = trio.Event()
         self._scope = trio.CancelScope()
         self._between_lines = trio.Event()
 
+    @property
+    def over(self) -> bool:
+        return self._scope.cancel_called
+
     async def run(self, early: bytes, receipt: bytes) -> None:
         """`early` is what the client sent before it was up, `receipt` what the client was sent."""
         with self._scope:
@@ -47,20 +53,51 @@
         self.client.close()
         self.server.close()
 
+    def move_now(self) -> bool:
+        """As `move`, for a client that can be told without waiting; False if it has only part of a line, or
+        no room. A client that has just gone counts as told: its end is seen where it is read from."""
+        if self.over:
+            return True
+        if self._writing.locked() or not self._lines.between_lines:
+            return False
+        try:
+            sent = send_now(self.client, self._move_left)
+        except OSError:
+            self._end(Outcome.CANCELLED)
+            return True
+        self._move_left = self._move_left[sent:]
+        if not self._move_left:
+            self.moved = True
+            self._end(Outcome.CANCELLED)
+        return self.moved
+
+    def cut(self) -> None:
+        """Ends both sides at once. A line that a client has only part of must not look like a whole one."""
+        if not self._lines.between_lines or self._writing.locked() or 0 < len(self._move_left) < len(MOVE):
+            reset_on_close(self.client)
+        self.cut_off = True
+        self._end(Outcome.CANCELLED)
+
+    def finish_both(self) -> None:
+        """Ends both sides for those who look from outside, before the loop comes to close them."""
+        finish(self.client)
+        finish(self.server)
+
     async def move(self) -> None:
         """Tells the client to come again, between two lines, and ends both sides."""
-        until = trio.current_time() + WHOLE_S
-        with trio.move_on_at(until):
+        with trio.move_on_at(trio.current_time() + WHOLE_S):
             # Not beside a chunk that the client has only part of, however that chunk ends.
             while not await self._send_move():
                 self._between_lines = trio.Event()
                 await self._between_lines.wait()
-        self._end(Outcome.CANCELLED)
+        if not self.over:
+            self.cut()
 
     async def _send_move(self) -> bool:
         async with self._writing:
             if self._lines.between_lines:
-                await send(self.client, MOVE)
+                await send(self.client, self._move_left)
+                self._move_left = b""
                 self.moved = True
                 self._end(Outcome.CANCELLED)
                 return True
@@ -105,6 +142,8 @@
             self._asked_at = None
             try:
                 async with self._writing:
+                    if len(self._move_left) < len(MOVE):
+                        return  # nothing may come within it, or after it
                     await send(self.client, data)
                     await self._hear(data)
             except OSError:
--- a/glenfold/net/sockets.py
+++ b/glenfold/net/sockets.py
@@ -1,5 +1,6 @@
 """What trio's sockets lack: gathered writes to the end, and endings of either kind."""
 
+import os
 import socket
 import struct
 from collections.abc import Sequence
@@ -27,6 +28,15 @@
         await send_pieces(sock, [memoryview(data)[sent:]])
 
 
+def send_now(sock: SocketType, data: bytes) -> int:
+    """As much as the kernel takes without waiting, for callers that have no time for a turn of the loop each.
+    trio's sockets do not block, and SIGPIPE is ignored."""
+    try:
+        return os.write(sock.fileno(), data)
+    except BlockingIOError:
+        return 0
+
+
 def finish(sock: SocketType) -> None:
     """FIN: nothing more will be sent."""
     with suppress(OSError):  # the other side has reset it already
--- a/glenfold_lab/model/relays.py
+++ b/glenfold_lab/model/relays.py
@@ -13,7 +13,7 @@
 
 from glenfold import request as r
 from glenfold.dispatch import Dispatch, RequestAction
-from glenfold.leaving import ANSWERS_S, Leaving
+from glenfold.leaving import ANSWERS_S, Leaving, in_order
 from glenfold.net.inbound import BACKLOG
 from glenfold.net.passing import SILENT_S
 from glenfold_lab.model.kernel import SECOND_US, Kernel
@@ -453,7 +453,8 @@
         """SIGTERM: every request taken gets its answer, every standing connection's client is told to move;
         `over` is called when the process exits, which is to be by the moment that is returned."""
         leaving = Leaving(self._kernel.now / SECOND_US, self.settings)
-        self._kernel.at(round(leaving.moves_from * SECOND_US), self._leave, leaving, set(), [], over)
+        begin = leaving.moves_from(len(self.standing))
+        self._kernel.at(round(begin * SECOND_US), self._leave, leaving, set(), [], over)
         return round(leaving.leave_at * SECOND_US)
 
     def _leave(self, leaving: Leaving, told: set[int], left: list[Exchange],
@@ -467,14 +468,19 @@
         while left and left[-1].state.phase is not r.Phase.STANDING:
             left.pop()
         if not left:
-            left = [exchange for exchange in self.standing if exchange.event.request not in told][::-1]
+            worths = {exchange: self.settings.classes[exchange.event.request_class].worth
+                      for exchange in self.standing if exchange.event.request not in told}
+            left = in_order(worths, leaving.short)[::-1]
         arriving = now < leaving.arrivals_until(self._last_arrival / SECOND_US)
         if now >= leaving.leave_at or not (left or arriving or self.exchanges or self._backlog):
             over()
             return
-        gap = ANSWERS_S
-        if left and not arriving:
+        if arriving:
+            self._kernel.after(round(ANSWERS_S * SECOND_US), self._leave, leaving, told, left, over)
+            return
+        step = leaving.step(now, len(told) * self._costs.notice / SECOND_US, len(left))
+        for _ in range(step.moves):
             told.add(left[-1].event.request)
             self._do(self._costs.notice, self._move, left.pop(), CANCELLED)
-            gap = leaving.gap_s(now, len(left))
-        self._kernel.after(round(gap * SECOND_US), self._leave, leaving, told, left, over)
+        self._kernel.at(max(self._kernel.now, round(step.again_at * SECOND_US)),
+                        self._leave, leaving, told, left, over)
