--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -33,10 +33,11 @@
 class Process:
     """`read_again`: what the configuration says now, and the keys that wait for a restart; raises
     ConfigError. `listeners`: sockets that listen already; without them it listens at `config.listen`.
-    `companions` run beside it until it has finished, and are cancelled then."""
+    `companions` run beside it until it has finished, and are cancelled then. `deadline_s`: from being told
+    to stop until it may be killed, where that is not what the platform promises."""
 
     def __init__(self, config: Config, read_again: ReadAgain, *, listeners: Sequence[socket.socket] = (),
-                 companions: Sequence[Companion] = ()) -> None:
+                 companions: Sequence[Companion] = (), deadline_s: float | None = None) -> None:
         clock, counters = Clock(), Counters()
         decisions = Decisions(config.settings, config.seed, clock)
         destinations = DestinationSet(config.names)
@@ -47,6 +48,7 @@
         self.listeners: list[trio.socket.SocketType] = [trio.socket.from_stdlib_socket(s) for s in listeners]
         self._read_again = read_again
         self._companions = companions
+        self._deadline_s = deadline_s
         self._told_to_stop = trio.Event()
         self.life.watches.append(lambda before, now: logger.debug("{} -> {}", before.value, now.value))
 
@@ -68,7 +70,7 @@
             for companion in self._companions:
                 nursery.start_soon(companion, self)
             await self._told_to_stop.wait()
-            leaving = Leaving(trio.current_time(), self.relay.config.settings)
+            leaving = Leaving(trio.current_time(), self.relay.config.settings, self._deadline_s)
             self.life.to(State.DRAINING)
             await last_arrivals(leaving, self.inbound)
             accepting.cancel()
