Move clients before it is too late also where one turn of the loop takes a second

Need: with a line every 2 s from each of 6,000 clients a relay's loop takes up to a second for a turn; moves planned turn by turn came too late.

--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -134,6 +134,7 @@
 async def last_arrivals(leaving: Leaving, inbound: Inbound) -> None:
     while trio.current_time() < (until := leaving.arrivals_until(inbound.last_arrival)):
         await trio.sleep_until(until)
+        leaving.came_back(trio.current_time(), until)
 
 
 async def finish_taken(leaving: Leaving, relay: Relay) -> None:
@@ -162,7 +163,8 @@
 async def _until_moves(leaving: Leaving, relay: Relay) -> None:
     began, worked_s = trio.current_time(), time.process_time()
     while (now := trio.current_time()) < (begin := leaving.moves_from(len(relay.standing))):
-        await trio.sleep_until(min(begin, now + LOOK_S))
+        await trio.sleep_until(look := min(begin, now + LOOK_S))
+        leaving.came_back(trio.current_time(), look)
         leaving.busy((time.process_time() - worked_s) / (trio.current_time() - began))
 
 
@@ -177,8 +179,8 @@
         short_before = leaving.short
         step = leaving.step(trio.current_time(), time.process_time(), left)
         if leaving.short and not short_before:
-            logger.warning("{} of {} standing connections can't be moved one by one in time, at {:.0f} "
-                           "a second: they move all at once at the end", step.late, left, leaving.pace)
+            logger.warning("{} of {} standing connections can't be moved one by one in time, at {:.0f} a "
+                           "second: they move all at once at the end", step.late, left, leaving.pace)
             queue.clear()  # to be put in another order
         if len(queue) < step.moves:
             queue = deque(one for one in in_order(relay.standing, leaving.short) if one not in asked)
--- a/glenfold/leaving.py
+++ b/glenfold/leaving.py
@@ -21,10 +21,12 @@
 PACE = 2500.0          # moves a second with all that follows one, until measured
 MEASURED = 400         # moves that the figure above weighs as much as, and after which a forecast is sound
 LEAST_LATE = 0.1       # of those that are left: no forecast is sounder than that
+SOUND_S = 0.4          # that it holds: lines that pass make moves dear, but fewer pass with each move
 TURNS = 500.0          # of the loop in a second, about: what needs more moves goes several at a turn
 LATE_S = 0.002         # that a sleep may take longer than it was asked for
 LEAST_SPARE = 0.1      # of the time, for moves
-MOST_AT_ONCE = 32      # moves in one turn; what passes on other connections waits meanwhile
+THOUSANDS = 1000       # to be moved: from here on a slow turn is taken to be no accident
+MOST_AT_ONCE = 250     # moves in one turn, 0.1 s; what passes on other connections waits meanwhile
 
 Standing = TypeVar("Standing")
 
@@ -59,6 +61,8 @@
         self.one_by_one = settings.pass_through
         self.short = False         # of time: not all can be moved one by one
         self._cost = MEASURED / PACE, float(MEASURED)  # seconds taken by moves, and their number
+        self._late_s = 0.0, 0.0    # by which the loop came back, the last two times
+        self._late_since = told_at
         self._moved = 0
         self._last: tuple[float, float, Step] | None = None
 
@@ -77,6 +81,11 @@
         if self._last is None:
             self._cost = MEASURED / PACE / max(LEAST_SPARE, 1.0 - share), float(MEASURED)
 
+    def came_back(self, now: float, due: float) -> None:
+        """The loop did, when it was to at `due`: in a relay that has more lines to pass than it can, one turn
+        may take a second. Where hundreds stand, one stall does not make it such a relay."""
+        self._late_s = self._late_s[1], max(0.0, now - due)
+
     def moves_from(self, standing: int) -> float:
         """When the first of so many moves; in the past if it is high time."""
         if not self.one_by_one:
@@ -96,24 +105,30 @@
     def _next(self, now: float, left: int) -> Step:
         if not left:
             return Step(0, now + ANSWERS_S)
-        if now >= self.leave_at - SWEEP_S - left * SWEEP_EACH_S:
-            return Step(left, now + ANSWERS_S, left, sweep=True)
+        turn_s = max(self._late_s) if left >= THOUSANDS else min(self._late_s)
+        # Two turns: it may have been told to stop one before `told_at`, and comes back one after this.
+        if now >= self.leave_at - SWEEP_S - left * SWEEP_EACH_S - 2 * turn_s:
+            return Step(left, now, left, sweep=True)
         remaining = self.moves_end - now
         if remaining <= 0:
             return Step(min(left, MOST_AT_ONCE), now)
         needed = (1 + left) / remaining
-        moves = min(left, MOST_AT_ONCE, max(1, round(needed / TURNS)))
+        moves = min(left, MOST_AT_ONCE, max(1, round(needed * max(1 / TURNS, turn_s))))
         gap = moves / needed if self.one_by_one else 0.0
         late = left - int(self.pace * remaining)
-        sound = self._moved >= MEASURED and late > LEAST_LATE * left
-        return Step(moves, now + gap, late if sound else 0)
+        if self._moved < MEASURED or late <= LEAST_LATE * left:
+            self._late_since = now
+        return Step(moves, now + gap, late if now - self._late_since >= SOUND_S else 0)
 
     def _measure(self, now: float, worked_s: float) -> None:
         """What a turn has cost: the work in it, or the time by which it came back late, when others had the
         core meanwhile."""
-        if self._last is None or not self._last[2].moves:
+        if self._last is None:
             return
         at, worked_before, step = self._last
+        self.came_back(now, max(at, step.again_at))
+        if not step.moves:
+            return
         took = max(worked_s - worked_before, now - max(at, step.again_at) - LATE_S)
         seconds, moves = self._cost
         kept = MEASURED / (moves + step.moves)  # the last few hundred count
