--- a/glenfold_lab/model/servers/messages.py
+++ b/glenfold_lab/model/servers/messages.py
@@ -47,7 +47,8 @@
     def waits(self, used: Floats) -> Floats:
         """Mean wait behind other messages, microseconds: Sakasegawa's approximation of a queue with several
         cores, times the bursts in which messages come."""
-        cores, part = np.array(self._cores), np.minimum(used, FULL)
+        # Sums of loads that came and went may be a hair below 0.
+        cores, part = np.array(self._cores), np.clip(used, 0.0, FULL)
         crowd = part ** (np.sqrt(2 * (cores + 1)) - 1) / (cores * (1 - part))
         waits: Floats = np.array(self._own) * np.array(self._burst) * crowd
         return waits
