--- a/glenfold_lab/stands/agent.py
+++ b/glenfold_lab/stands/agent.py
@@ -209,6 +209,7 @@
             self._open.pop(sock, None)
             self._watches.pop(sock, None)
             sock.close()
+            self._count_as_told()  # it may have been the last that had not carried some change
 
     async def _request(self, connection: h11.Connection, sock: SocketType) -> h11.Request | None:
         """The next one, with its end; None when the relay has closed."""
--- a/glenfold_lab/stands/push_server.py
+++ b/glenfold_lab/stands/push_server.py
@@ -295,7 +295,7 @@
     async def _write(self, held: Held) -> bool:
         """What the state has to say; False once the connection is over."""
         state, sock = held.state, held.sock
-        if state.out:
+        while state.out:  # while this writes, more may be said from outside
             data, state.out = state.out, b""
             await take(sock, data)
         if state.ending is Ending.RESET:
