--- a/glenfold_lab/commands/play.py
+++ b/glenfold_lab/commands/play.py
@@ -1,6 +1,5 @@
 """`glenfold lab play`: one history with real relays and stand-ins on loopback sockets."""
 
-import signal
 from pathlib import Path
 
 import click
@@ -41,7 +40,6 @@
 
     Exit status: 0 every rule kept, 1 one was broken or the run failed, 2 the words or the file are at fault.
     """
-    signal.signal(signal.SIGTERM, signal.default_int_handler)  # what it started is ended then, too
     day, console = scaled(scenarios.load(scenario), scale, relays, servers), Console()
     console.print(columns("second", "relays", "standing", "new", "up", "refused", "p99 ms", "lines"))
     try:
--- a/glenfold_lab/stands/run.py
+++ b/glenfold_lab/stands/run.py
@@ -7,6 +7,7 @@
 
 import math
 import resource
+import signal
 import tempfile
 import time
 from collections.abc import Callable, Sequence
@@ -88,7 +89,8 @@
     the loop that plays.
 
     Raises `TooLarge` where this machine has not the room, `relays.NotReady` where a relay does not come up,
-    `crew.PartFailed` where a process of stand-ins breaks off. Whatever it started has ended when it returns.
+    `crew.PartFailed` where a process of stand-ins breaks off, KeyboardInterrupt at SIGINT and SIGTERM.
+    Whatever it started has ended when it returns.
     """
     if seconds is not None:
         scenario = shortened(scenario, seconds)
@@ -175,6 +177,13 @@
     return first + [Share(half + n, (), (), (n, half), bad_per_s / half) for n in range(half)]
 
 
+async def _break_off_at_sigterm() -> None:
+    """As Ctrl-C does: whatever was started is ended."""
+    with trio.open_signal_receiver(signal.SIGTERM) as signals:
+        async for _ in signals:
+            raise KeyboardInterrupt
+
+
 @dataclass(slots=True)
 class _Run:
     scenario: Scenario
@@ -240,6 +249,7 @@
             return self._times
 
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(_break_off_at_sigterm)
             async with trio.open_nursery() as parts:
                 for part in played:
                     parts.start_soon(part.play, places, begin, self._hear)
