--- a/glenfold_lab/commands/experiment.py
+++ b/glenfold_lab/commands/experiment.py
@@ -11,12 +11,12 @@
 from rich.console import Console
 from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeRemainingColumn
 
+from glenfold.located import BadFile
 from glenfold_lab.experiments import pool
 from glenfold_lab.experiments.compare import differences
 from glenfold_lab.experiments.export import Found, differences_grid, figures_grid, write_json
 from glenfold_lab.experiments.plan import Cell, Plan, load
 from glenfold_lab.experiments.store import Header, Short, Store, go_on
-from glenfold_lab.located import BadFile
 
 WIDE = 240  # columns of tables that go to a file or a pipe
 SHOWN = 10  # failed cells that are told one by one
--- a/glenfold_lab/commands/load.py
+++ b/glenfold_lab/commands/load.py
@@ -21,10 +21,10 @@
 from rich.table import Table
 
 from glenfold.config import Address, read_address
+from glenfold.located import BadFile, Located
 from glenfold_lab.load import crew, echo, plan, terms
 from glenfold_lab.load.offer import Offer
 from glenfold_lab.load.result import ENDED_EARLY, LoadResult, summarize, window_us
-from glenfold_lab.located import BadFile, Located
 from glenfold_lab.results import Distribution
 
 INTERRUPTED = 130  # as shells have it for SIGINT
--- a/glenfold_lab/commands/scenarios.py
+++ b/glenfold_lab/commands/scenarios.py
@@ -4,8 +4,8 @@
 
 import click
 
+from glenfold.located import BadFile
 from glenfold_lab import scenario
-from glenfold_lab.located import BadFile
 
 
 @click.command("scenarios")
--- a/glenfold_lab/experiments/factors.py
+++ b/glenfold_lab/experiments/factors.py
@@ -7,8 +7,8 @@
 from itertools import product
 from typing import Any, NamedTuple
 
+from glenfold.located import BadFile, Key, Located, written
 from glenfold_lab import scenario
-from glenfold_lab.located import BadFile, Key, Located, written
 from glenfold_lab.spec import Scenario
 
 
--- a/glenfold_lab/experiments/plan.py
+++ b/glenfold_lab/experiments/plan.py
@@ -9,11 +9,12 @@
 import msgspec
 from msgspec import Meta
 
-from glenfold_lab import located, scenario
+from glenfold import located
+from glenfold.located import BadFile, Located
+from glenfold_lab import scenario
 from glenfold_lab.experiments import factors, revisions
 from glenfold_lab.experiments.factors import Factor, Variant
 from glenfold_lab.experiments.revisions import BadRevision, Decisions
-from glenfold_lab.located import BadFile, Located
 from glenfold_lab.spec import Count, Name
 
 MOST_CELLS = 1_000_000
--- a/glenfold_lab/load/terms.py
+++ b/glenfold_lab/load/terms.py
@@ -7,9 +7,9 @@
 
 from msgspec import Meta
 
+from glenfold import located
 from glenfold.lines import MOST_WAIT_MS
-from glenfold_lab import located
-from glenfold_lab.located import Key, Located
+from glenfold.located import Key, Located
 from glenfold_lab.spec import Name, Part, Positive, Share
 
 MOST_STARTS = 5_000_000  # of one plan: what the tables of its workers can hold
--- a/glenfold_lab/reports/read.py
+++ b/glenfold_lab/reports/read.py
@@ -11,9 +11,9 @@
 
 import msgspec
 
+from glenfold.located import BadFile
 from glenfold_lab.experiments import store
 from glenfold_lab.experiments.compare import Difference
-from glenfold_lab.located import BadFile
 from glenfold_lab.results import FORMAT, RunResult
 
 T = TypeVar("T")
--- a/glenfold_lab/scenario.py
+++ b/glenfold_lab/scenario.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from glenfold_lab import located
-from glenfold_lab.located import BadFile, Key, Located
+from glenfold import located
+from glenfold.located import BadFile, Key, Located
 from glenfold_lab.spec import Fault, Pair, Part, Range, Scenario
 
 FOLDER = Path(__file__).parent / "scenarios"
--- a/tests/glenfold_lab/test_load_command.py
+++ b/tests/glenfold_lab/test_load_command.py
@@ -15,6 +15,7 @@
 from click.testing import CliRunner, Result
 
 from glenfold.config import Address
+from glenfold.located import parse
 from glenfold_lab.commands.load import command
 from glenfold_lab.load import crew
 from glenfold_lab.load.echo import echo
@@ -22,7 +23,6 @@
 from glenfold_lab.load.plan import draw
 from glenfold_lab.load.result import LoadResult, summarize
 from glenfold_lab.load.terms import Arrivals, LoadClass, LoadPlan, checked
-from glenfold_lab.located import parse
 
 PAGE = (Path(__file__).parents[2] / "docs/operators/lab-load.md").read_text()
 
--- a/tests/glenfold_lab/test_load_plan.py
+++ b/tests/glenfold_lab/test_load_plan.py
@@ -5,10 +5,10 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from glenfold.located import BadFile, parse
 from glenfold_lab.load.offer import planned, wish
 from glenfold_lab.load.plan import CLIENT, Clients, draw, length_us
 from glenfold_lab.load.terms import Arrivals, Groups, LoadClass, LoadPlan, Reconnect, SchemeShare, checked
-from glenfold_lab.located import BadFile, parse
 
 WATCH = LoadClass(name="watch", life_sigma=1.0)
 
--- a/tests/glenfold_lab/test_scenario_files.py
+++ b/tests/glenfold_lab/test_scenario_files.py
@@ -6,9 +6,10 @@
 import pytest
 from click.testing import CliRunner
 
-from glenfold_lab import located, scenario
+from glenfold import located
+from glenfold.located import BadFile
+from glenfold_lab import scenario
 from glenfold_lab.commands.scenarios import command
-from glenfold_lab.located import BadFile
 from glenfold_lab.spec import FaultKind
 
 HEAD = 'format = 1\nname = "x"\nguards_against = "y"\n'
--- a/tests/glenfold_lab/test_scenarios_page.py
+++ b/tests/glenfold_lab/test_scenarios_page.py
@@ -8,7 +8,8 @@
 import msgspec
 import pytest
 
-from glenfold_lab import located, scenario, spec
+from glenfold import located
+from glenfold_lab import scenario, spec
 from glenfold_lab.experiments import plan
 
 PAGE = (Path(__file__).parents[2] / "docs/operators/lab-scenarios.md").read_text()
--- a/tests/glenfold_lab/test_store.py
+++ b/tests/glenfold_lab/test_store.py
@@ -6,8 +6,8 @@
 import msgspec
 import pytest
 
+from glenfold.located import BadFile
 from glenfold_lab.experiments.store import MAGIC, Header, Outcome, Short, go_on, look
-from glenfold_lab.located import BadFile
 
 HEADER = Header("one", "what?", 3, {"scenarios": "abc", "revisions": ["here 1"]})
 RECORDS = [msgspec.json.encode(Outcome(cell, failed="of no use\n" * cell)) for cell in (2, 0, 1)]
--- a/tests/glenfold_lab/test_located.py
+++ b/tests/test_located.py
@@ -7,8 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from glenfold_lab import located
-from glenfold_lab.located import BadFile, Key
+from glenfold import located
+from glenfold.located import BadFile, Key
 
 QUOTED = ['"a.b"', "'x # y'", '"say \\"no\\""', '"[t]"']
 TEXTS = ['"# no comment = [1]"', "'''\n[not.a.table]\nkey = 1 '' \n'''", '"""a\n\\\n  "" b = 2\\""""""',
