Read the operators' file, with all its faults at once, and show what it amounts to

Need: a relay or a fleet outside the platform is described by operators, who make mistakes: each is to be told with file, line, key and what would be right, all of them at once, before anything starts.

`tables.py` takes all values that fit and notes all that do not; `checks.py` then looks at what must hold between the sound ones and on this machine. The platform's start imports none of it.

--- a/glenfold/cli/main.py
+++ b/glenfold/cli/main.py
@@ -5,7 +5,11 @@
 import glenfold
 from glenfold.cli.lazy import LazyGroup
 
-PLACES = {"lab": ("glenfold_lab.cli", "worlds in virtual time, stand-ins, load, experiments and reports")}
+PLACES = {
+    "check": ("glenfold.cli.check", "whether operators' files are sound"),
+    "config": ("glenfold.cli.config", "what an operators' file amounts to"),
+    "lab": ("glenfold_lab.cli", "worlds in virtual time, stand-ins, load, experiments and reports"),
+}
 
 
 @click.group(cls=LazyGroup, places=PLACES, context_settings={"help_option_names": ["-h", "--help"]})
--- /dev/null
+++ b/glenfold/config/operators.py
@@ -0,0 +1,159 @@
+"""The operators' file: read whole, checked whole, and turned into what one instance is told."""
+
+import json
+import os
+from collections.abc import Iterator
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from glenfold.config import places
+from glenfold.config.checks import Checks
+from glenfold.config.places import Place
+from glenfold.config.platform import Config, ConfigError, Room, names_of, read_address, settings_of
+from glenfold.config.settings import as_platform, relays
+from glenfold.config.tables import Faults, Reading, Table
+from glenfold.config.terms import Terms
+from glenfold.located import BadFile, Key, Located, read_text, scan, written
+
+TAKEN_OVER = ("limits", "logging")  # at a reload; the rest, but for list.discovery, waits for a restart
+
+
+@dataclass(frozen=True, slots=True)
+class Value:
+    """`key` as in `settings.classes[0].name`; `value` None: there is none; `origin`: FILE:LINE, `default`, or
+    what it follows from."""
+
+    key: str
+    value: Any
+    origin: str
+
+
+class Operators:
+    """A sound file. `terms` are its tables; paths in them are relative to the file's folder."""
+
+    def __init__(self, located: Located, terms: Terms) -> None:
+        self._located, self.terms = located, terms
+        self.path = Path(located.name)
+        self.base = self.path.parent.absolute()
+
+    @property
+    def numbers(self) -> tuple[int | None, ...]:
+        """Of its instances: 1 and up in a fleet, None for the one of a file without."""
+        return places.numbers(self.terms)
+
+    def place(self, number: int | None) -> Place:
+        """Raises ConfigError for an instance that the file has not."""
+        if number not in self.numbers:
+            raise ConfigError("instance", f"{self._how_many()}, and no {number}" if number is not None
+                              else f"{self._how_many()}: say which")
+        return places.place(self.terms, self.base, number)
+
+    def _how_many(self) -> str:
+        has = f"instances 1 to {self.numbers[-1]}" if self.terms.fleet else "no fleet"
+        return f"{self.path} has {has}"
+
+    def config(self, number: int | None = None) -> Config:
+        """What that instance's relay is told; each call draws a new seed. Raises ConfigError for an instance
+        that the file has not, and if its known list has gone."""
+        place, limits, told = self.place(number), self.terms.limits, as_platform(self.terms)
+        sockets = limits.sockets - (len(place.listeners) - 1)
+        return Config(
+            name=place.name,
+            listen=place.listeners[0],
+            discovery=read_address(self.terms.list.discovery),
+            seed=int.from_bytes(os.urandom(8)),
+            room=Room.within(sockets, float("inf") if limits.memory_mb is None else limits.memory_mb),
+            settings=settings_of(told),
+            names=names_of(told),
+            cores=limits.cores,
+            known=self._known(),
+        )
+
+    def _known(self) -> dict[str, Any]:
+        if self.terms.list.known is None:
+            return {}
+        try:
+            return dict(json.loads((self.base / self.terms.list.known).read_text("utf-8")))
+        except (OSError, ValueError, RecursionError) as error:
+            raise ConfigError("list.known", f"can't be read: {error}") from error
+
+    def effective(self) -> Iterator[Value]:
+        """Every key that holds, with where its value came from."""
+        yield from self._values(self.terms, ())
+
+    def _values(self, value: Any, key: Key) -> Iterator[Value]:
+        if isinstance(value, Table):
+            for name in value.__struct_fields__:
+                if key or getattr(value, name) is not None:
+                    yield from self._values(getattr(value, name), (*key, name))
+        elif isinstance(value, tuple) and value and isinstance(value[0], Table):
+            for n, one in enumerate(value):
+                yield from self._values(one, (*key, n))
+        elif key in self._located.lines:
+            yield Value(written(key), value, f"{self._located.name}:{self._located.lines[key]}")
+        else:
+            yield self._implied(key, value)
+
+    def _implied(self, key: Key, value: Any) -> Value:
+        """What the file does not say; some of it follows from what it does."""
+        found, origin = value, "default"
+        match key:
+            case ("settings", "rules", "relays"):
+                found, origin = relays(self.terms), "from fleet.instances" if self.terms.fleet else "default"
+            case ("fleet", "port_step") if self.terms.fleet and self.terms.fleet.addresses:
+                found, origin = None, "from fleet.addresses"
+            case (("control" | "snapshot"), "on") | ("restart", "take_over") if not self._has_place(key[0]):
+                found, origin = False, "there is no instance.folder"
+            case (("control" | "snapshot"), ("socket" | "folder")) if self._has_place(key[0]):
+                folder = self.terms.instance.folder or ""
+                found = str(Path(folder, "{name}.sock" if key[0] == "control" else "snapshots"))
+                origin = "from instance.folder"
+        return Value(written(key), found, origin)
+
+    def _has_place(self, part: str | int) -> bool:
+        """For what is written; else that part is off."""
+        if part == "control":
+            return places.socket_path(self.terms, self.base, "") is not None
+        if part == "snapshot":
+            return places.snapshots_path(self.terms, self.base) is not None
+        return self.terms.instance.folder is not None
+
+
+def read(path: str | Path) -> Operators:
+    """Raises Faults: all that is amiss with the file, and with this machine for it."""
+    try:
+        located = scan(read_text(path), str(path))
+    except BadFile as error:
+        raise Faults([error]) from error
+    reading = Reading(located)
+    terms = reading.table(located.data, Terms)
+    if located.data.get("format", 1) != 1:  # whatever else it says may mean something else there
+        raise Faults([located.fault(("format",), "this glenfold reads format 1 only")])
+    Checks(terms, reading, Path(path).parent.absolute()).run()
+    if reading.faults:
+        raise Faults(reading.faults.values())
+    return Operators(located, terms)
+
+
+class Again:
+    """Reads the file again for an instance that runs, as `glenfold.config.read_again` does the platform's."""
+
+    def __init__(self, begun: Operators, number: int | None) -> None:
+        self._begun, self._number = begun, number
+        self.operators = begun  # as read last
+
+    def __call__(self, current: Config) -> tuple[Config, list[str]]:
+        """The configuration from now on, and what waits for a restart. Raises ConfigError with all faults."""
+        try:
+            operators = read(self._begun.path)
+        except Faults as error:
+            raise ConfigError(str(self._begun.path), "; ".join(error.message.splitlines())) from error
+        new, waiting = operators.config(self._number), self._waiting(operators)
+        self.operators = operators
+        return replace(current, discovery=new.discovery, room=new.room, cores=new.cores), waiting
+
+    def _waiting(self, new: Operators) -> list[str]:
+        was, now = self._begun, new
+        return [name for name in Terms.__struct_fields__
+                if name not in (*TAKEN_OVER, "list") and getattr(was.terms, name) != getattr(now.terms, name)]
--- a/glenfold/config/platform.py
+++ b/glenfold/config/platform.py
@@ -59,6 +59,7 @@
     room: Room
     settings: i.Settings
     names: Names
+    cores: float = 1.0  # the part of a core that this process may use
     known: dict[str, Any] = field(default_factory=dict)  # in discovery's form; checked where that is read
 
 
@@ -113,7 +114,12 @@
     return places
 
 
-def _names(settings: dict[str, Any]) -> Names:
+def settings_of(settings: dict[str, Any]) -> i.Settings:
+    """Of that JSON object. Whatever it says: no line of the protocol tells what a message takes."""
+    return replace(read_settings("\n".join(_flat(settings, ""))), tells_delay=False)
+
+
+def names_of(settings: dict[str, Any]) -> Names:
     if not settings.get("classes"):
         raise ConfigError("settings.classes", "is missing")
     found = [_places(settings.get(key, []), f"settings.{key}")
@@ -128,7 +134,7 @@
     return value
 
 
-def _limit(limits: Mapping[str, Any], key: str, default: float, least: int) -> float:
+def _limit(limits: Mapping[str, Any], key: str, default: float, least: float) -> float:
     value = limits.get(key)
     if value is None:
         return default
@@ -163,9 +169,9 @@
         discovery=_address(*(reversed(discovery) if again else discovery)),
         seed=seed,
         room=room,
-        # Whatever the settings say: no line of the protocol tells what a message takes at its server.
-        settings=replace(read_settings("\n".join(_flat(settings, ""))), tells_delay=False),
-        names=_names(settings),
+        settings=settings_of(settings),
+        names=names_of(settings),
+        cores=_limit(limits, "cores", 1.0, 0.01),
         known=_object(document, "known", "known", {}),
     )
 
--- a/glenfold/located.py
+++ b/glenfold/located.py
@@ -82,18 +82,31 @@
 
 def read(path: str | Path) -> Located:
     """Raises BadFile for what can't be read, is not UTF-8 or is not TOML."""
+    return parse(read_text(path), str(path))
+
+
+def read_text(path: str | Path) -> str:
     try:
         data = Path(path).read_bytes()
     except OSError as error:
         raise BadFile(str(path), f"can't be read: {error.strerror or error}") from error
     try:
-        return parse(data.decode(), str(path))
+        return data.decode()
     except UnicodeDecodeError as error:
         line = 1 + data.count(b"\n", 0, error.start)
         raise BadFile(str(path), f"byte {error.start} is not UTF-8", line) from error
 
 
 def parse(text: str, name: str) -> Located:
+    located = scan(text, name)
+    for key, value in leaves(located.data):
+        if isinstance(value, float) and not math.isfinite(value):
+            raise located.fault(key, f"{value} is not a finite number")
+    return located
+
+
+def scan(text: str, name: str) -> Located:
+    """As `parse`, but it lets numbers that are not finite through."""
     try:
         data = tomllib.loads(text)
     except RecursionError as error:
@@ -102,11 +115,7 @@
         reason, at = str(error), re.search(r" \(at line (\d+), column \d+\)$", str(error))
         line = int(at[1]) if at else 1 + text.rstrip("\n").count("\n")
         raise BadFile(name, f"not TOML: {reason[:at.start()] if at else reason}", line) from error
-    located = Located(name, data, Scanner(text).lines)
-    for key, value in leaves(data):
-        if isinstance(value, float) and not math.isfinite(value):
-            raise located.fault(key, f"{value} is not a finite number")
-    return located
+    return Located(name, data, Scanner(text).lines)
 
 
 def leaves(value: Any, key: Key = ()) -> Iterator[tuple[Key, Any]]:
@@ -251,11 +260,11 @@
         kind, sign, bound = expected.groups()
         text = f"expected {PLAIN.get(kind, kind)}"
         text += f" {BOUNDS[sign]} {float(bound):g}{LENGTHS.get(kind, '')}" if sign else ""
-        return f"{text}, not {_short(value)}"
-    return f"{message.lower()}: {_short(value)}"
+        return f"{text}, not {short(value)}"
+    return f"{message.lower()}: {short(value)}"
 
 
-def _short(value: Any) -> str:
+def short(value: Any) -> str:
     text = json.dumps(value, default=str)
     return text if len(text) <= 40 else text[:37] + "..."
 
