--- a/glenfold/cli/config.py
+++ b/glenfold/cli/config.py
@@ -50,7 +50,7 @@
             lines += ["", f"[{owner}]" if "[" not in owner else f"[[{owner.partition('[')[0]}]]"]
             table = owner
         lines.append(_line(name, value))
-    return [*lines, "", *(line for number in operators.numbers for line in _comments(operators.place(number)))]
+    return [*lines, "", *(_comment(operators.place(number)) for number in operators.numbers)]
 
 
 def _line(name: str, value: Value) -> str:
@@ -68,7 +68,7 @@
     return json.dumps(value, ensure_ascii=False).replace("\x7f", "\\u007f")
 
 
-def _comments(place: Place) -> list[str]:
+def _comment(place: Place) -> str:
     number = "" if place.number is None else f" {place.number}"
     listeners = ", ".join(f"{host}:{port}" for host, port in place.listeners)
-    return [f"# instance{number}: {place.name} on {listeners}; control socket {place.socket or 'none'}"]
+    return f"# instance{number}: {place.name} on {listeners}; control socket {place.socket or 'none'}"
