--- a/glenfold/__main__.py
+++ b/glenfold/__main__.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable
 
 import trio
-from loguru import logger
 
+from glenfold import events, logs
 from glenfold.config import Config, ConfigError, read_again, read_config
 from glenfold.daemon.process import Process, heed
 
@@ -16,7 +16,7 @@
     process = Process(config, lambda current: read_again(os.environ, current))
     by_signal: dict[int, Callable[[], None]] = {
         signal.SIGHUP: process.reload,
-        signal.SIGUSR1: lambda: logger.info("counters: {}", process.relay.counters.line()),
+        signal.SIGUSR1: lambda: events.relay_counters(counters=process.relay.counters.plain()),
         signal.SIGTERM: process.stop,
         signal.SIGINT: process.stop,
     }
@@ -37,15 +37,15 @@
             sys.stderr.write(f"the command line needs the package {error.name}: pip install glenfold\n")
             return 2
         command_line(prog_name="glenfold")
-    logger.remove()
-    logger.add(sys.stderr, level="INFO", format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False)
+    logs.begin(logs.Terms())
     try:
-        config = read_config(os.environ)
+        trio.run(serve, read_config(os.environ))
+        return 0
     except ConfigError as error:
-        logger.error("configuration: {}", error)
+        events.config_refused(error=error)
         return 2
-    trio.run(serve, config)
-    return 0
+    finally:
+        logs.finish()
 
 
 def run() -> None:
--- a/glenfold/config.py
+++ b/glenfold/config.py
@@ -69,6 +69,12 @@
     return host.strip("[]"), int(port)
 
 
+def written(address: Address) -> str:
+    """As `read_address` reads it."""
+    host, port = address
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
 def _address(*places: tuple[str, Any]) -> Address:
     """From the first of these places that says anything; a fault is put down to that one."""
     key, text = next((place for place in places if place[1]), places[0])
--- a/glenfold/counters.py
+++ b/glenfold/counters.py
@@ -28,5 +28,5 @@
     reloads_refused: int = 0  # times it was faulty
     faults: int = 0          # connections ended by an error of the relay's own
 
-    def line(self) -> str:
-        return " ".join(f"{name}={value}" for name, value in asdict(self).items())
+    def plain(self) -> dict[str, int]:
+        return asdict(self)
--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -8,10 +8,10 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 
 import trio
-from loguru import logger
 
+from glenfold import events
 from glenfold.clock import Clock
-from glenfold.config import Config, ConfigError
+from glenfold.config import Config, ConfigError, written
 from glenfold.counters import Counters
 from glenfold.daemon.life import Life, State
 from glenfold.decisions import Decisions
@@ -43,7 +43,8 @@
         self._read_again = read_again
         self._companions = companions
         self._told_to_stop = trio.Event()
-        self.life.watches.append(lambda before, now: logger.debug("{} -> {}", before.value, now.value))
+        self.life.watches.append(
+            lambda before, now: events.life_changed(before=before.value, state=now.value))
 
     async def run(self) -> None:
         """Until it was told to stop and has finished all that it has taken."""
@@ -57,7 +58,7 @@
             accepting = trio.CancelScope()
             for listener in self.listeners:
                 nursery.start_soon(self._accept, accepting, listener, nursery)
-            logger.info("{} listens on {}:{}", config.name, *config.listen)
+            events.relay_listens(name=config.name, address=written(config.listen))
             self.life.to(State.WAITING)
             self.life.to(State.READY)
             for companion in self._companions:
@@ -73,7 +74,7 @@
             await finish_taken(leaving, self.relay)
             self.life.to(State.STOPPED)
             nursery.cancel_scope.cancel()
-        logger.info("counters at exit: {}", self.relay.counters.line())
+        events.relay_exit(counters=self.relay.counters.plain())
 
     async def _take_known(self) -> None:
         """Before the first client: a relay that died starts again from the list it last had."""
@@ -82,7 +83,7 @@
             try:
                 await relay.decisions.tell(relay.destinations.read(relay.config.known, cached=True))
             except BadList as error:
-                logger.warning("known: {}", error)
+                events.list_known_refused(error=error)
 
     async def _accept(self, scope: trio.CancelScope, listener: trio.socket.SocketType,
                       nursery: trio.Nursery) -> None:
@@ -103,16 +104,16 @@
             config, waiting = self._read_again(relay.config)
         except ConfigError as error:
             relay.counters.reloads_refused += 1
-            logger.error("configuration: {}", error)
+            events.config_refused(error=error)
             return
         finally:
             self.life.to(before)
         relay.counters.reloads += 1
         relay.config = config
         self.discovery.move_to(config.discovery)
-        logger.info("configuration read again; discovery is at {}:{}", *config.discovery)
+        events.config_reloaded(discovery=written(config.discovery))
         if waiting:
-            logger.warning("configuration: needs a restart to change: {}", ", ".join(waiting))
+            events.config_waits(keys=waiting)
 
 
 async def _listen(address: tuple[str, int]) -> trio.socket.SocketType:
--- a/glenfold/decisions.py
+++ b/glenfold/decisions.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 
 import trio
-from loguru import logger
 
+from glenfold import events
 from glenfold.clock import Clock
 from glenfold.dispatch import Dispatch, RequestAction
 from linnetspread import interface as i
@@ -37,7 +37,7 @@
     def __init__(self, settings: i.Settings, seed: int, clock: Clock) -> None:
         self.settings = settings
         self.clock = clock
-        self.dispatch = Dispatch(settings, seed, lambda text: logger.info("{}", text))
+        self.dispatch = Dispatch(settings, seed, lambda text: events.decision_note(note=text))
         self._routes: dict[int, trio.MemorySendChannel[RequestAction]] = {}
         self._send, self._receive = trio.open_memory_channel[Message](QUEUE)
         self._last_request = 0
@@ -83,4 +83,4 @@
         try:
             route.send_nowait(action)
         except (trio.WouldBlock, trio.BrokenResourceError):
-            logger.warning("request {} takes no more actions", action.request)
+            events.request_stuck(request=action.request)
--- a/glenfold/dispatch.py
+++ b/glenfold/dispatch.py
@@ -6,8 +6,7 @@
 import heapq
 from collections.abc import Callable
 
-from loguru import logger
-
+from glenfold import events
 from linnetspread import Balancer
 from linnetspread import interface as i
 
@@ -36,8 +35,8 @@
     def handle(self, now_us: int, event: i.Event) -> list[RequestAction]:
         try:
             actions = self.balancer.handle(now_us, event)
-        except Exception:  # one event's fault must not end every other connection of this relay
-            logger.exception("the decisions failed on {}", event)
+        except Exception as error:  # one event's fault must not end every other connection of this relay
+            events.decision_failed(on=event, error=error)
             # Nor may the request wait for a decision that will not come; if it needs none, this does nothing.
             actions = [i.Fail(event.request)] if isinstance(event, i.Request | i.Answer) else []
         on_requests: list[RequestAction] = []
@@ -52,5 +51,5 @@
                 case i.Subscribe() | i.FetchList():
                     pass  # discovery is watched from the start, and asked for the whole list after a gap
                 case _:
-                    logger.warning("there is no way here to carry out {}", action)
+                    events.decision_unknown(action=action)
         return on_requests
--- /dev/null
+++ b/glenfold/events.py
@@ -0,0 +1,129 @@
+"""All that a relay logs, but for the log's own events: one function each, whose keyword-only parameters are
+the event's fields and whose docstring says when it happens. docs/operators/events.md says what to do then.
+
+Names are `group.what`, and stay what they are: operators' searches and alarms go by them.
+"""
+
+from collections.abc import Mapping, Sequence
+from enum import Enum
+
+from glenfold.logs import event
+
+# ---- the life of an instance ----
+
+
+@event("life.changed", "info", "life: {before} -> {state}")
+def life_changed(*, before: str, state: str) -> None:
+    """It has gone from one state of its life to the next."""
+
+
+@event("relay.listens", "info", "{name} listens on {address}")
+def relay_listens(*, name: str, address: str) -> None:
+    """Clients may connect."""
+
+
+@event("relay.counters", "info", "counters: {counters}")
+def relay_counters(*, counters: Mapping[str, int]) -> None:
+    """It was asked for its counters (SIGUSR1)."""
+
+
+@event("relay.exit", "info", "counters at exit: {counters}")
+def relay_exit(*, counters: Mapping[str, int]) -> None:
+    """It has finished all that it had taken, and ends."""
+
+
+# ---- configuration ----
+
+
+@event("config.refused", "error", "configuration: {error}")
+def config_refused(*, error: Exception) -> None:
+    """The configuration is faulty: a start ends there, at a reload the one before goes on to hold."""
+
+
+@event("config.reloaded", "info", "configuration read again; discovery is at {discovery}")
+def config_reloaded(*, discovery: str) -> None:
+    """The configuration was read again and holds now."""
+
+
+@event("config.waits", "warning", "configuration: needs a restart to change: {keys}")
+def config_waits(*, keys: Sequence[str]) -> None:
+    """Keys have changed that are for a start alone."""
+
+
+# ---- the destination set ----
+
+
+@event("discovery.failed", "warning", "discovery: {error!r}")
+def discovery_failed(*, error: Exception) -> None:
+    """Discovery can't be reached, fell silent or broke off; told once for each kind of fault in a row."""
+
+
+@event("list.refused", "warning", "discovery: {error!r}")
+def list_refused(*, error: Exception) -> None:
+    """Discovery sent what is no list; the last one is kept."""
+
+
+@event("list.entry_left_out", "warning", "discovery: {fault}")
+def list_entry_left_out(*, fault: str) -> None:
+    """One entry of a list can't be read; the others are taken."""
+
+
+@event("list.known_refused", "warning", "known: {error}")
+def list_known_refused(*, error: Exception) -> None:
+    """The list that the configuration gives for the start can't be read; the relay starts without one."""
+
+
+# ---- decisions ----
+
+
+@event("decision.note", "info", "{note}")
+def decision_note(*, note: str) -> None:
+    """The decisions tell what they have found out about a server."""
+
+
+@event("decision.failed", "error", "the decisions failed on {on}", trace=True)
+def decision_failed(*, on: object, error: Exception) -> None:
+    """A fault of the relay's own in the decisions; the request that it happened on fails, others go on."""
+
+
+@event("decision.unknown", "warning", "there is no way here to carry out {action}")
+def decision_unknown(*, action: object) -> None:
+    """The decisions asked for something that no part of this relay does."""
+
+
+@event("request.stuck", "warning", "request {request} takes no more actions")
+def request_stuck(*, request: int) -> None:
+    """A request's own task does not take what was decided on it."""
+
+
+# ---- clients and connections ----
+
+
+@event("client.malformed", "warning", "inbound: {count} bad first lines so far; now {error}", rate=(0.2, 1))
+def client_malformed(*, count: int, error: Exception) -> None:
+    """A client's first line was refused; `count` is of all since the start."""
+
+
+@event("client.broke", "debug", "inbound: {error!r}")
+def client_broke(*, error: Exception) -> None:
+    """A client's connection broke before its request was taken."""
+
+
+@event("client.unanswered", "debug", "inbound: no answer taken: {error!r}")
+def client_unanswered(*, request: int, error: Exception) -> None:
+    """A client had gone when its answer came."""
+
+
+@event("connection.broke", "info", "a connection at server {server} broke: {outcome}")
+def connection_broke(*, request: int, server: int, outcome: Enum) -> None:
+    """A push server ended a standing connection with neither BYE nor MOVE."""
+
+
+@event("connection.failed", "error", "a connection failed", trace=True)
+def connection_failed(*, error: Exception) -> None:
+    """A fault of the relay's own; it ends this one connection."""
+
+
+@event("sockets.exhausted", "warning", "no spare descriptor: {error}")
+def sockets_exhausted(*, error: Exception) -> None:
+    """No descriptor is left, not even the one kept to refuse clients with."""
--- a/glenfold/net/discovery.py
+++ b/glenfold/net/discovery.py
@@ -5,8 +5,8 @@
 
 import h11
 import trio
-from loguru import logger
 
+from glenfold import events
 from glenfold.config import Address
 from glenfold.counters import Counters
 from glenfold.destinations import BadList, DestinationSet
@@ -45,7 +45,8 @@
                     await self._whole_and_watch()
                 except (*FAULTS, BadList) as error:
                     if repr(error) != self._said:  # an agent that is down fails alike four times a second
-                        logger.warning("discovery: {!r}", error)
+                        told = events.list_refused if isinstance(error, BadList) else events.discovery_failed
+                        told(error=error)
                     self._said = repr(error)
                 await trio.sleep_until(trio.current_time() + AGAIN_S)
 
@@ -101,7 +102,7 @@
         for fault in self._destinations.faults:
             self._counters.bad_entries += 1
             if fault != self._said:  # the same entry comes with every list
-                logger.warning("discovery: {}", fault)
+                events.list_entry_left_out(fault=fault)
             self._said = fault
         # A move or a silence that cut in here would leave the addresses and the decisions two lists apart.
         with trio.CancelScope(shield=True):
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -6,9 +6,8 @@
 from dataclasses import dataclass, field
 
 import trio
-from loguru import logger
 
-from glenfold import lines
+from glenfold import events, lines
 from glenfold import request as r
 from glenfold.clock import SECOND_US, Clock
 from glenfold.config import Config, Room
@@ -25,7 +24,6 @@
 FIRST_LINE_S = 2.0     # from the accept to a whole first line, PING included; 3 s are promised
 PARTING_S = 0.3        # for a client to take an answer before its connection closes
 PARTING_BYTES = 1 << 16  # read from it meanwhile: one that floods must not cost more
-LOG_S = 5.0            # bad first lines are counted, and told of no more often than this
 OUT_OF_SOCKETS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -51,7 +49,6 @@
         self._waiting: dict[SocketType, trio.CancelScope] = {}  # without a whole first line, oldest first
         self._taken = 0      # with one: two sides each
         self._refusing = 0
-        self._told_at = float("-inf")
         self._spare = os.open(os.devnull, os.O_RDONLY)
         self.last_arrival = float("-inf")
 
@@ -97,7 +94,7 @@
         try:
             self._spare = os.open(os.devnull, os.O_RDONLY)
         except OSError as error:
-            logger.warning("no spare descriptor: {}", error)
+            events.sockets_exhausted(error=error)
             await trio.sleep_until(trio.current_time() + PARTING_S)
 
     def _busy(self) -> bytes:
@@ -110,10 +107,10 @@
             without_delay(sock)
             await self._talk(sock, scope)
         except OSError as error:
-            logger.debug("inbound: {!r}", error)
-        except Exception:
+            events.client_broke(error=error)
+        except Exception as error:
             self._counters.faults += 1
-            logger.exception("a connection failed")
+            events.connection_failed(error=error)
         finally:
             self._waiting.pop(sock, None)
             sock.close()
@@ -133,7 +130,8 @@
             exchange = self._exchange(sock, buffer, end)
         except lines.Malformed as error:
             self._waiting.pop(sock, None)
-            self._note_malformed(error)
+            self._counters.malformed += 1
+            events.client_malformed(count=self._counters.malformed, error=error)
             more = buffer.filled > (end or 0)
             await self._turn_away(sock, lines.FAILED, more)
             return
@@ -147,13 +145,6 @@
         finally:
             self._taken -= 1
 
-    def _note_malformed(self, error: lines.Malformed) -> None:
-        """A client that comes again and again must not fill the log."""
-        self._counters.malformed += 1
-        if trio.current_time() >= self._told_at + LOG_S:
-            self._told_at = trio.current_time()
-            logger.warning("inbound: {} bad first lines so far; now {}", self._counters.malformed, error)
-
     async def _turn_away(self, sock: SocketType, answer: bytes, more: bool) -> None:
         """Closing on unread bytes resets the connection and may take the answer with it. So where there are
         `more`, some are read, but never a flood to its end."""
@@ -319,7 +310,7 @@
         try:
             await send(self._sock, line)
         except OSError as error:  # the client has just gone: its end is seen where it is read from
-            logger.debug("inbound: no answer taken: {!r}", error)
+            events.client_unanswered(request=self._state.number, error=error)
 
     async def _watch_client(self) -> None:
         """A client that goes before its answer is not worth a call, nor is one that does not wait for it;
@@ -365,7 +356,7 @@
             relay.counters.moved += passage.moved
         if passage.outcome in (i.Outcome.RESET, i.Outcome.ERROR):
             relay.counters.broken += 1
-            logger.info("a connection at server {} broke: {}", state.server, passage.outcome.name.lower())
+            events.connection_broke(request=state.number, server=state.server, outcome=passage.outcome)
         for effect in state.on(r.ConnectionEnded(passage.outcome), relay.clock.now_us()):
             if isinstance(effect, r.Report):
                 await relay.decisions.tell(effect.event)
