--- a/glenfold/logs.py
+++ b/glenfold/logs.py
@@ -291,9 +291,11 @@
 # ---- what others call ----
 
 
-def begin(terms: Terms, instance: str = "") -> None:
-    """From now on the log goes to standard error, on these terms."""
-    _log.begin(terms, instance, 2 if sys.stderr is not None else os.open(os.devnull, os.O_WRONLY))
+def begin(terms: Terms, instance: str = "", descriptor: int | None = None) -> None:
+    """From now on the log goes to that descriptor, or to standard error if there is one."""
+    if descriptor is None:  # where standard error was closed, its number may become a client's socket
+        descriptor = 2 if sys.stderr is not None else os.open(os.devnull, os.O_WRONLY)
+    _log.begin(terms, instance, descriptor)
 
 
 def take_terms(terms: Terms) -> None:
--- a/glenfold/net/discovery.py
+++ b/glenfold/net/discovery.py
@@ -44,12 +44,19 @@
                 try:
                     await self._whole_and_watch()
                 except (*FAULTS, BadList) as error:
-                    if repr(error) != self._said:  # an agent that is down fails alike four times a second
-                        told = events.list_refused if isinstance(error, BadList) else events.discovery_failed
-                        told(error=error)
-                    self._said = repr(error)
+                    self._tell(error)
                 await trio.sleep_until(trio.current_time() + AGAIN_S)
 
+    def _tell(self, error: Exception) -> None:
+        """An agent that is down fails alike four times a second."""
+        said, self._said = self._said, repr(error)
+        if self._said == said:
+            return
+        if isinstance(error, BadList):
+            events.list_refused(error=error)
+        else:
+            events.discovery_failed(error=error)
+
     async def _whole_and_watch(self) -> None:
         with trio.fail_at(trio.current_time() + ANSWER_S) as silence:
             stream = await trio.open_tcp_stream(*self._address)
