--- a/glenfold/counters.py
+++ b/glenfold/counters.py
@@ -26,6 +26,10 @@
     bad_entries: int = 0     # of these, that could not be read
     reloads: int = 0         # times the configuration was read again and taken over
     reloads_refused: int = 0  # times it was faulty
+    snapshots: int = 0       # written
+    snapshots_failed: int = 0   # not written: the next try comes later
+    snapshots_slow: int = 0     # on which the disk let wait for longer than a second
+    snapshots_refused: int = 0  # files that were not taken at the start
     faults: int = 0          # connections ended by an error of the relay's own
 
     def line(self) -> str:
--- a/glenfold/destinations.py
+++ b/glenfold/destinations.py
@@ -2,6 +2,8 @@
 
 import hashlib
 import math
+import sys
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, replace
 from typing import Any
 
@@ -14,6 +16,8 @@
     "terminated": i.ServerState.GONE,
 }
 
+HEALTH = {state: health for health, state in STATES.items()}
+
 REMEMBERED = 1024  # servers that have left
 
 
@@ -31,6 +35,28 @@
     host: str
     address: Address
     line: i.ListedServer
+    site: str | None = None  # as listed: another configuration may give the names other places
+    kind: str | None = None
+
+    def entry(self) -> dict[str, Any]:
+        """In discovery's form; read again it is this destination."""
+        line, (host, port) = self.line, self.address
+        return {"host": self.host, "dial": f"[{host}]:{port}" if ":" in host else f"{host}:{port}",
+                "site": self.site, "class": self.kind, "block": line.cell, "health": HEALTH[line.state],
+                "share": line.weight, "born_ms": line.started_us // 1000}
+
+
+@dataclass(frozen=True, slots=True)
+class State:
+    """All that outlives a process: what holds, and who left, in which version and after which start (in
+    microseconds since 1970). It stays as it is while the set goes on."""
+
+    version: int
+    known: Mapping[int, Destination]
+    left: Mapping[int, tuple[int, int]]
+
+    def entries(self) -> Iterator[dict[str, Any]]:
+        return (destination.entry() for destination in self.known.values())
 
 
 class DestinationSet:
@@ -48,6 +74,7 @@
         self._heard = 0
         self.version = 0
         self.faults: list[str] = []  # of the list read last
+        self.watches: list[Callable[[i.ServerList], None]] = []  # called with each list that was taken in
 
     def address(self, server: int) -> Address | None:
         return self._known[server].address if server in self._known else None
@@ -85,7 +112,31 @@
         self._known, self.version = known, version
         self._heard += 1  # the decisions go by the order in which this relay heard
         kind = i.ListKind.FULL if whole else i.ListKind.DELTA
-        return i.ServerList(i.ListKind.CACHED if cached else kind, self._heard, tuple(lines))
+        told = i.ServerList(i.ListKind.CACHED if cached else kind, self._heard, tuple(lines))
+        for watch in self.watches:
+            watch(told)
+        return told
+
+    def state(self) -> State:
+        """Costs no more than a copy of who left: what is known is replaced with each list, never changed."""
+        return State(self.version, self._known, dict(self._left))
+
+    def restore(self, document: Any, left: Any) -> i.ServerList:
+        """Takes in what another process knew: `document` as `read` does, `left` as rows of server, version
+        and start. Who left here or there does not come back by it. Raises BadList and changes nothing."""
+        try:
+            there = {int(server): (int(version), int(started_us)) for server, version, started_us in left}
+        except (TypeError, ValueError, OverflowError) as error:
+            raise BadList(f"who left can't be read: {error!r}") from error
+        here = dict(self._left)
+        told = self.read(document, cached=True)
+        # Reading puts down who drains to the document's version, which may be lower than that it left in.
+        for server in there | here:
+            known = self._left.pop(server, None), there.get(server), here.get(server)
+            self._left[server] = max(filter(None, known), key=lambda left: (left[1], left[0]))
+        while len(self._left) > REMEMBERED:
+            del self._left[next(iter(self._left))]
+        return told
 
     def _known_before(self, entry: Any) -> Destination | None:
         host = entry.get("host") if isinstance(entry, dict) else None
@@ -107,7 +158,7 @@
             left_in, started_us = self._left[line.server]
             if version < left_in and line.started_us <= started_us:
                 line = replace(line, state=i.ServerState.DRAINING)
-        return Destination(host, address, line)
+        return Destination(host, address, line, _name(entry, "site"), _name(entry, "class"))
 
     def _line(self, host: str, entry: Any) -> i.ListedServer:
         share = float(entry.get("share", 1.0))
@@ -122,3 +173,9 @@
             cell=int(entry.get("block", 0)),
             started_us=int(entry.get("born_ms", 0)) * 1000,
         )
+
+
+def _name(entry: Any, key: str) -> str | None:
+    """Few names stand in many entries: each is held once."""
+    name = entry.get(key)
+    return sys.intern(name) if isinstance(name, str) else None
--- a/glenfold/net/discovery.py
+++ b/glenfold/net/discovery.py
@@ -1,6 +1,7 @@
 """Discovery: the whole list, then a watch on it, again and again."""
 
 import json
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import h11
@@ -30,6 +31,7 @@
         self._counters = counters
         self._scope = trio.CancelScope()
         self._said = ""
+        self.heard_at = -math.inf  # when the agent last said that what is known holds
 
     def move_to(self, address: Address) -> None:
         """From now on discovery is there; what was heard so far holds until it says otherwise."""
@@ -56,6 +58,7 @@
                 connection = h11.Connection(h11.CLIENT)
                 body = b"".join([part async for part in self._get(connection, stream, "/v1/servers")])
                 version = await self._take(body)
+                self.heard_at = trio.current_time()
                 connection.start_next_cycle()
                 line = b""
                 async for part in self._get(connection, stream, f"/v1/servers?watch=1&from={version}"):
@@ -66,6 +69,7 @@
                         raise BadList("a line is too long")
                     for change in filter(bytes.strip, lines):
                         await self._take(change)
+                    self.heard_at = trio.current_time()
 
     async def _get(self, connection: h11.Connection, stream: trio.SocketStream,
                    target: str) -> AsyncIterator[bytes]:
--- /dev/null
+++ b/glenfold/rules/__init__.py
@@ -0,0 +1,1 @@
+"""What the parts around the core decide, without I/O, clock or global state."""
