--- a/glenfold/config/checks.py
+++ b/glenfold/config/checks.py
@@ -123,7 +123,7 @@
                                      f"most {hard}, or raise that (ulimit -Hn)")
         count, machine_mb = len(self.each), _machine_mb()
         if self.sound("limits.memory_mb") and (needed_mb := (told.memory_mb or 0) * count) > machine_mb:
-            yield "limits.memory_mb", (f"lets {count} instances use {needed_mb:.0f} MB, and this machine "
+            yield "limits.memory_mb", (f"lets all instances use {needed_mb:.0f} MB, and this machine "
                                        f"has {machine_mb:.0f}; at most {machine_mb // count:.0f}")
 
     # ---- settings ----
@@ -185,7 +185,9 @@
 
     def control(self) -> Found:
         key, text = "control.socket", self.terms.control.socket
-        if not self.sound("control", "instance.name", "instance.folder") or not self.terms.control.on:
+        if not self.sound("control") or not self.terms.control.on:
+            return
+        if text is None and not self.sound("instance.folder"):
             return
         if text is not None and "{name}" not in text and self.terms.fleet and self.terms.fleet.instances > 1:
             yield key, "all instances would have one socket; put {name} into the path"
--- a/glenfold/config/tables.py
+++ b/glenfold/config/tables.py
@@ -7,7 +7,7 @@
 import math
 from collections.abc import Iterable
 from types import NoneType, UnionType
-from typing import Annotated, Any, TypeVar, get_args, get_origin
+from typing import Annotated, Any, TypeVar, Union, get_args, get_origin
 
 import click
 import msgspec
@@ -41,7 +41,7 @@
     """Without bounds and without None."""
     if get_origin(kind) is Annotated:
         return bare(get_args(kind)[0])
-    if isinstance(kind, UnionType):
+    if get_origin(kind) in (Union, UnionType):
         return bare(next(one for one in get_args(kind) if one is not NoneType))
     return kind
 
@@ -69,8 +69,8 @@
     match here:
         case inspect.Metadata(extra_json_schema={"description": str(words)}):
             return words
-        case inspect.LiteralType(values):
-            return " or ".join(map(str, values))
+        case inspect.LiteralType():
+            return " or ".join(map(str, get_args(bare(kind))))
         case inspect.IntType():
             return "a whole number" + _bounds(here.gt, here.ge, here.le)
         case inspect.FloatType():
--- a/glenfold/config/terms.py
+++ b/glenfold/config/terms.py
@@ -74,9 +74,9 @@
     max_retry_after_ms: Annotated[float, Meta(ge=0, le=MOST_WAIT_MS)] = 1500.0
     over_share_worth: Share = 0.2
     cold_share: Share = 0.12
-    cold_s: Seconds = 23.0
+    cold_s: Length = 23.0
     fall_multiple: Annotated[float, Meta(ge=1, le=1000)] = 3.0
-    fall_s: Seconds = 3.0
+    fall_s: Length = 3.0
 
 
 class Settings(Table, frozen=True):
--- /dev/null
+++ b/tests/config/test_operators.py
@@ -0,0 +1,204 @@
+"""Sound operators' files: what an instance is told, what holds and where it came from, and reading again."""
+
+import json
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+from hypothesis import HealthCheck, assume, given
+from hypothesis import settings as how
+from hypothesis import strategies as st
+from operators_files import FIVE, faults, reading
+
+from glenfold.cli.config import in_toml
+from glenfold.cli.main import main
+from glenfold.config import ConfigError, read_config
+from glenfold.config.operators import Again, read
+from linnetspread import interface as i
+
+ROOT = Path(__file__).parents[2]
+
+
+def test_five_lines_are_enough(tmp_path: Path) -> None:
+    config = reading(tmp_path, FIVE).config()
+    assert (config.name, config.listen) == ("glenfold", ("127.0.0.1", 3000))
+    assert config.discovery == ("127.0.0.1", 8500)
+    assert config.names.classes == {"trip-watch": 0}
+    assert config.settings.classes[0].semantics is i.Semantics.REPEATABLE
+    place = reading(tmp_path, FIVE).place(None)
+    assert (place.folder, place.socket, place.snapshots) == (None, None, None)
+
+
+def test_the_settings_are_those_that_the_platform_would_tell(tmp_path: Path) -> None:
+    told = {"classes": [{"name": "feed", "hard_limit_us": 2_000_500, "semantics": "by_key", "group": "zone",
+                         "window_us": 5_000_000, "worth": 5}],
+            "accounts": [{"name": "valleys", "quota_per_s": 3}], "areas": ["cardiff", "wrexham"], "az": 1,
+            "kinds": ["fast", "slow"], "replicas_of_me": 7, "period_us": 2000, "weights": "none",
+            "over_share_worth": 0.3, "ceilings": {"max_attempts": 4, "connect_timeout_us": 300_000,
+                                                  "max_retry_after_us": 700_000, "retry_after": True},
+            "invariants": {"cold_share": 0.2, "cold_us": 11_000_000,
+                           "fall_multiple": 2.5, "fall_us": 4_000_000, "spare_attempts": 3,
+                           "extra_per_request": 0.25, "look_back_us": 9_000_000},
+            "extra": {"mode": "proxy", "message_aim_us": [60_000], "tenant_quota_connections": [55]}}
+    (tmp_path / "config.json").write_text(json.dumps({
+        "listen": "127.0.0.1:3000", "discovery": "127.0.0.1:8500", "settings": told,
+        "limits": {"sockets": 999, "memory_mb": 64, "cores": 0.5}}))
+    platform = read_config({"LB_CONFIG": str(tmp_path / "config.json")})
+    ours = reading(tmp_path, """
+format = 1
+listeners.addresses = ["127.0.0.1:3000", "127.0.0.1:3001"]
+list.discovery = "127.0.0.1:8500"
+limits = {sockets = 1000, memory_mb = 64, cores = 0.5}
+[[settings.classes]]
+name = "feed"
+deadline_ms = 2000.5
+semantics = "by_key"
+dedup = "zone"
+window_ms = 5000
+worth = 5
+message_aim_ms = 60
+[[settings.tenants]]
+name = "valleys"
+quota_per_s = 3
+quota_connections = 55
+[settings]
+zones = ["cardiff", "wrexham"]
+zone = "wrexham"
+kinds = ["fast", "slow"]
+[settings.rules]
+relays = 7
+pass_through = false
+weighted = false
+tick_ms = 2
+connect_timeout_ms = 300
+max_attempts = 4
+spare_attempts = 3
+extra_per_request = 0.25
+look_back_s = 9
+max_retry_after_ms = 700
+over_share_worth = 0.3
+cold_share = 0.2
+cold_s = 11
+fall_multiple = 2.5
+fall_s = 4
+""").config()
+    assert (ours.settings, ours.names) == (platform.settings, platform.names)
+    assert (ours.room, ours.cores) == (platform.room, platform.cores)
+
+
+def test_the_instances_of_a_fleet_share_nothing_but_the_folder(tmp_path: Path) -> None:
+    text = "fleet.instances = 3\nfleet.port_step = 10\ninstance = {name = 'v', folder = 'glen'}\n" + FIVE
+    operators = reading(tmp_path, text)
+    places = [operators.place(number) for number in operators.numbers]
+    assert [place.name for place in places] == ["v-1", "v-2", "v-3"]
+    assert [place.listeners for place in places] == [(("127.0.0.1", port),) for port in (3000, 3010, 3020)]
+    assert [place.socket for place in places] == [tmp_path / "glen" / f"v-{n}.sock" for n in (1, 2, 3)]
+    assert {place.snapshots for place in places} == {tmp_path / "glen" / "snapshots"}
+    config = operators.config(2)
+    assert (config.name, config.listen, config.settings.gateways) == ("v-2", ("127.0.0.1", 3010), 3)
+    for number in (None, 0, 4):
+        with pytest.raises(ConfigError, match="has instances 1 to 3"):
+            operators.config(number)
+    with pytest.raises(ConfigError, match="has no fleet, and no 1"):
+        reading(tmp_path, FIVE).config(1)
+
+
+def test_instances_with_addresses_of_their_own(tmp_path: Path) -> None:
+    own = "fleet.addresses = [['127.0.0.1:4', '127.0.0.2:4'], ['127.0.0.3:4']]"
+    text = "fleet.instances = 2\ninstance.folder = 'glen'\n" + FIVE.replace(FIVE.splitlines()[1], own)
+    operators = reading(tmp_path, text)
+    assert operators.place(1).listeners == (("127.0.0.1", 4), ("127.0.0.2", 4))
+    assert operators.place(2).listeners == (("127.0.0.3", 4),)
+    assert shown(tmp_path, text).config(2).listen == ("127.0.0.3", 4)
+
+
+def shown(folder: Path, text: str) -> Any:
+    """What `config show` prints, read as a file."""
+    (folder / "glenfold.toml").write_text(text)
+    done = CliRunner().invoke(main, ["config", "show", str(folder / "glenfold.toml")])
+    assert done.exit_code == 0, done.output
+    return reading(folder, done.output)
+
+
+LEVELS = st.sampled_from(["debug", "info", "warning", "error"])
+VALUES: dict[str, st.SearchStrategy[Any]] = {
+    "instance.folder": st.just("glen"), "limits.sockets": st.integers(48, 999),
+    "limits.memory_mb": st.floats(24, 64),
+    "snapshot.on": st.booleans(), "snapshot.every_s": st.floats(0.1, 100), "snapshot.folder": st.just("é"),
+    "control.on": st.booleans(), "control.socket": st.just("{name}.s"), "restart.take_over": st.booleans(),
+    "logging.level": LEVELS,
+    "logging.levels": st.dictionaries(st.text(st.characters(codec="utf-8")), LEVELS),
+    "settings.zones": st.lists(st.sampled_from("abc"), unique=True),
+    "settings.rules.cold_s": st.floats(0.1, 1e4)}
+
+
+@how(suppress_health_check=[HealthCheck.function_scoped_fixture], max_examples=100, deadline=None)
+@given(st.fixed_dictionaries({}, optional=VALUES))
+def test_what_is_shown_is_a_file_that_amounts_to_the_same(tmp_path: Path, values: dict[str, Any]) -> None:
+    text = "\n".join([*(f"{key} = {in_toml(value)}" for key, value in values.items()), FIVE])
+    assume(not faults(tmp_path, text))  # what is switched on may have no place
+    before, after = reading(tmp_path, text), shown(tmp_path, text)
+    assert {value.key: value.value for value in before.effective()} == {
+        value.key: value.value for value in after.effective()}
+    assert before.place(None) == after.place(None)
+    told = {value.key: value.value for value in before.effective() if value.origin != "default"}
+    assert values.items() <= {key: list(value) if isinstance(value, tuple) else value
+                              for key, value in told.items()}.items()
+
+
+def test_each_value_is_shown_with_where_it_came_from(tmp_path: Path) -> None:
+    (tmp_path / "glenfold.toml").write_text("fleet.instances = 2\ninstance.folder = 'glen'\n" + FIVE)
+    path = str(tmp_path / "glenfold.toml")
+    done = json.loads(CliRunner().invoke(main, ["config", "show", path, "--json"]).output)
+    origins = {value["key"]: (value["value"], value["from"]) for value in done["values"]}
+    assert origins["settings.classes[0].name"] == ("trip-watch", f"{path}:7")
+    assert origins["settings.classes[0].deadline_ms"] == (3000.0, "default")
+    assert origins["settings.rules.relays"] == (2, "from fleet.instances")
+    assert origins["control.socket"] == ("glen/{name}.sock", "from instance.folder")
+    assert [one["listeners"] for one in done["instances"]] == [["127.0.0.1:3000"], ["127.0.0.1:3001"]]
+    (tmp_path / "glenfold.toml").write_text(FIVE)
+    text = CliRunner().invoke(main, ["config", "show", path]).output
+    assert tomllib.loads(text)["snapshot"]["on"] is False
+
+
+def test_check_tells_all_files_and_ends_with_status_2_if_one_is_faulty(tmp_path: Path) -> None:
+    (tmp_path / "good.toml").write_text(FIVE)
+    (tmp_path / "bad.toml").write_text(FIVE + "lief_s = 3\n[limits]\nsockets = 3")
+    runner = CliRunner()
+    done = runner.invoke(main, ["check", str(tmp_path / "bad.toml"), str(tmp_path / "good.toml")])
+    assert done.exit_code == 2
+    assert done.stdout == f"{tmp_path}/good.toml: sound, 1 instance\n"
+    assert [line.split(": ")[0] for line in done.stderr.splitlines()] == [
+        f"{tmp_path}/bad.toml:{line}" for line in (6, 8)]
+    for words in (["config", "show", str(tmp_path / "bad.toml")], ["check"], ["config", "show"]):
+        assert runner.invoke(main, words).exit_code == 2
+
+
+def test_the_shipped_file_is_sound_and_writes_nothing_to_disk() -> None:
+    done = CliRunner().invoke(main, ["check", str(ROOT / "deploy/glenfold.toml")])
+    assert (done.exit_code, done.stderr) == (0, "")
+    place = read(ROOT / "deploy/glenfold.toml").place(None)
+    assert (place.folder, place.socket, place.snapshots) == (None, None, None)
+
+
+def test_read_again_it_takes_over_what_can_be_and_names_the_rest(tmp_path: Path) -> None:
+    begun = reading(tmp_path, FIVE)
+    config, again = begun.config(), Again(begun, None)
+    reading(tmp_path, "logging.level = 'debug'\nlimits.cores = 0.5\nlimits.sockets = 100\n"
+            + FIVE.replace("8500", "8501").replace("3000", "3001"))
+    new, waiting = again(config)
+    assert waiting == ["listeners"]
+    assert (new.listen, new.seed, new.settings) == (config.listen, config.seed, config.settings)
+    assert (new.discovery, new.cores, new.room != config.room) == (("127.0.0.1", 8501), 0.5, True)
+    assert again.operators.terms.logging.level == "debug"
+    (tmp_path / "glenfold.toml").write_text(FIVE + "[limits]\nsockets = 3\ncores = 3")
+    with pytest.raises(ConfigError, match=r"limits\.sockets: .*; .*limits\.cores: "):
+        again(new)
+    assert again.operators.terms.logging.level == "debug"
+
+
+def test_a_copy_keeps_the_paths_of_its_original(tmp_path: Path) -> None:
+    (tmp_path / "copy.toml").write_text("instance.folder = 'glen'\n" + FIVE)
+    assert read(tmp_path / "copy.toml", Path("/elsewhere")).place(None).folder == Path("/elsewhere/glen")
--- /dev/null
+++ b/tests/config/test_operators_faults.py
@@ -0,0 +1,159 @@
+"""Faulty operators' files: each fault with its line, its key and what would be right, all of them at once."""
+
+import os
+import resource
+from pathlib import Path
+
+import pytest
+from hypothesis import HealthCheck, given
+from hypothesis import settings as how
+from hypothesis import strategies as st
+from operators_files import FIVE, faults
+
+from glenfold.config.operators import read
+from glenfold.config.tables import Faults
+
+FLEET = 'instance.folder = "glen"\nfleet.instances = 3\n' + FIVE.replace("name", "\nname")
+
+# What is added to the five lines, from line 6 on; what is then told.
+ADDED = [
+    ("[limit]", "6: limit: unknown key; did you mean 'limits'?"),
+    ("[limits]\nsocket = 9", "7: limits.socket: unknown key; did you mean 'sockets'?"),
+    ("[limits]\nsockets = true", "7: limits.sockets: expected a whole number of 48 to 1,048,576, not true"),
+    ("[limits]\nsockets = 47", "7: limits.sockets: expected a whole number of 48 to 1,048,576, not 47"),
+    ("[limits]\nmemory_mb = nan", "7: limits.memory_mb: expected a number of 24 to 1,048,576, not NaN"),
+    ("[limits]\ncores = 1.5", "7: limits.cores: expected a number of 0.01 to 1, not 1.5"),
+    ("[limits]\nmemory_mb = 1048576", "7: limits.memory_mb: lets all instances use 1048576 MB, and this"),
+    ("limits = 3", "6: settings.classes[0].limits: unknown key; known are name, deadline_ms, semantics,"),
+    ("[instance]\nname = 'a b'", "7: instance.name: 'a b' is to name files as well: letters, digits, "),
+    ("[[listeners.more]]", "6: listeners.more: unknown key; known are addresses"),
+    ("[logging]\nform = 'xml'", "7: logging.form: expected text or json, not \"xml\""),
+    ("[logging]\nlevels = {client = 'loud'}", "7: logging.levels.client: expected debug or info or"),
+    ("[snapshot]\nevery_s = 9\nmost_age_s = 8", "8: snapshot.most_age_s: 8 is less than snapshot.every_s;"),
+    ("[snapshot]\non = true", "7: snapshot.on: needs a place: give snapshot.folder or instance.folder"),
+    ("[snapshot]\nfolder = 'glenfold.toml'", "7: snapshot.folder: {}/glenfold.toml is no folder; give one"),
+    ("[control]\non = true", "7: control.on: needs a place: give control.socket or instance.folder"),
+    ("[control]\nsocket = 'glenfold.toml'", "7: control.socket: {}/glenfold.toml is there and is no"),
+    (f"[control]\nsocket = '{'x' * 108}'", "7: control.socket: {}/" + "x" * 108 + " is too long for a"),
+    ("[restart]\ntake_over = true", "7: restart.take_over: needs a place to ask for the sockets: give"),
+    ("[restart]\ndeadline_s = 3.6", "7: restart.deadline_s: expected a number of 3.7 to 3,600, not 3.6"),
+    ("deadline_ms = 9000\n[restart]\ndeadline_s = 9",
+     "8: restart.deadline_s: 9 is too short for the longest deadline of settings.classes; at least 9.7"),
+    ("deadline_ms = 60001", "6: settings.classes[0].deadline_ms: expected a number of 1 to 60,000, not"),
+    ("semantics = 'by_key'", "4: settings.classes[0].window_ms: is 0; by_key needs the time within which"),
+    ("message_aim_ms = 4000", "6: settings.classes[0].message_aim_ms: is above deadline_ms; at most 3000"),
+    ("[[settings.classes]]\nname = 'trip-watch'", "7: settings.classes[1].name: 'trip-watch' comes twice"),
+    ("[[settings.tenants]]\nname = 'a,b'", "7: settings.tenants[0].name: 'a,b' can't stand in a line:"),
+    ("[settings]\nzones = ['cardiff']\nzone = 'cardif'",
+     "8: settings.zone: 'cardif' is not in settings.zones; did you mean 'cardiff'?"),
+    ("[settings.rules]\nspare_attempts = 2", "7: settings.rules.spare_attempts: counts within"),
+    ("[fleet]\ninstances = 2", "1: instance.folder: is missing; a fleet keeps its state and its sockets"),
+]
+
+# Of a fleet of three with a folder: what of it becomes what; what is then told.
+CHANGED = [
+    ('"127.0.0.1:3000"', '"127.0.0.1:3000", "0.0.0.0:3002"',
+     "4: listeners.addresses[0]: instance 3 would listen on 127.0.0.1:3002, where instance 1 has"),
+    ('"127.0.0.1:3000"', '"127.0.0.1:3000", "127.0.0.1:3000"',
+     "4: listeners.addresses[1]: instance 1 would listen on 127.0.0.1:3000, where instance 1 has"),
+    ('"127.0.0.1:3000"', '"127.0.0.1:65534"',
+     "4: listeners.addresses[0]: with fleet.port_step the last port would be 65536; 65535 is the highest"),
+    ('"127.0.0.1:3000"', '"relay.example:3000"',
+     "4: listeners.addresses[0]: 'relay.example' is not an IPv4 address, such as 127.0.0.1 (0.0.0.0: all)"),
+    ('"127.0.0.1:3000"', '"127.0.0.1"', "4: listeners.addresses[0]: '127.0.0.1' is not HOST:PORT"),
+    ("8500", "3001", "5: list.discovery: 127.0.0.1:3001 is a listener; give the agent's address"),
+    ("8500", "none", "5: list.discovery: '127.0.0.1:none' is not HOST:PORT"),
+    ("8500\"", "8500\"\nlist.known = 'none.json'", "6: list.known: can't be read: [Errno 2] No such file"),
+    ("instances = 3", "most_out = 1", "2: fleet.instances: is missing; it must be a whole number of 1 to"),
+    ("instances = 3", "instances = 3\nfleet.most_out = 3",
+     "3: fleet.most_out: 3 of 3 instances would leave none to serve; at most 2"),
+    ("instances = 3", "instances = 3\nfleet.stop_within_s = 30",
+     "3: fleet.stop_within_s: 30 would kill an instance before its restart.deadline_s is over; above 30"),
+    ("instances = 3", "instances = 3\nfleet.backoff_s = 40", "2: fleet.most_backoff_s: 30 is less than"),
+    ("instances = 3", "instances = 3\nsettings.rules.relays = 2",
+     "3: settings.rules.relays: 2 is less than fleet.instances; at least 3"),
+    ("instances = 3", "instances = 3\ncontrol.socket = 'one.sock'",
+     "3: control.socket: all instances would have one socket; put {name} into the path"),
+    ("instances = 3", "instances = 3\ncontrol.on = false",
+     "3: control.on: a fleet asks its instances at their control sockets; it must be true"),
+    ("instances = 3", "instances = 3\nfleet.addresses = [['127.0.0.1:1']]",
+     "3: fleet.addresses: stands beside listeners.addresses; give one of the two"),
+    ('listeners.addresses = ["127.0.0.1:3000"]', "fleet.addresses = [['127.0.0.1:1'], ['127.0.0.1:2']]",
+     "4: fleet.addresses: has 2 entries for 3 instances; give one list of addresses for each"),
+    ('listeners.addresses = ["127.0.0.1:3000"]', "fleet.addresses = [['127.0.0.1:1'], ['127.0.0.1:2'], "
+     "['127.0.0.1:1']]", "4: fleet.addresses[2][0]: instance 3 would listen on 127.0.0.1:1, where"),
+    ('listeners.addresses = ["127.0.0.1:3000"]', "fleet.addresses = [['127.0.0.1:1'], ['127.0.0.1:2'], "
+     "['127.0.0.1:3']]\nfleet.port_step = 2", "5: fleet.port_step: counts from listeners.addresses; it"),
+    ('listeners.addresses = ["127.0.0.1:3000"]\n', "", "1: listeners.addresses: is missing; it must be a"),
+    ("format = 1", "format = 2\nnew = 3", "3: format: this glenfold reads format 1 only"),
+    ("format = 1\n", "", "1: format: is missing; it must be 1"),
+    ("format = 1", "format = 1\nformat = 1", "4: not TOML: Cannot overwrite a value"),
+]
+
+
+@pytest.mark.parametrize("added, told", ADDED)
+def test_what_is_amiss_with_one_relay(tmp_path: Path, added: str, told: str) -> None:
+    found = faults(tmp_path, FIVE + added)
+    assert len(found) == 1
+    assert found[0].startswith(told.format(tmp_path))
+
+
+@pytest.mark.parametrize("was, now, told", CHANGED)
+def test_what_is_amiss_with_a_fleet(tmp_path: Path, was: str, now: str, told: str) -> None:
+    assert faults(tmp_path, FLEET) == []
+    found = faults(tmp_path, FLEET.replace(was, now, 1))
+    assert len(found) == 1
+    assert found[0].startswith(told)
+
+
+def test_a_folder_that_cannot_be_written(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Root may write everywhere: the kernel's answer is played."""
+    (tmp_path / "ro").mkdir()
+    monkeypatch.setattr(os, "access", lambda path, mode: not Path(path).is_relative_to(tmp_path / "ro"))
+    found = faults(tmp_path, FIVE + "[instance]\nfolder = 'ro/glen'\n[control]\nsocket = 'ro/{name}.sock'")
+    told = f"{tmp_path}/ro can't be written by this user ({os.geteuid()}); give a folder that can"
+    assert found == [f"7: instance.folder: {told}", f"9: control.socket: {told}"]
+
+
+def test_more_sockets_than_this_user_may_open(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(resource, "getrlimit", lambda what: (256, 512))
+    assert faults(tmp_path, FIVE + "[limits]\nsockets = 512") == []
+    assert faults(tmp_path, FIVE) == [
+        "1: limits.sockets: 1024 is above the limit of open files for this user; at most 512, or raise that "
+        "(ulimit -Hn)"]
+
+
+@pytest.mark.parametrize("document, told", [
+    ("[]", "can't be read: a list can't be read"),
+    ("{", "can't be read: Expecting property name"),
+    ('{"seq": 1, "whole": true, "hosts": [{"host": "s-1"}]}', "1 faulty entries; the first: an entry is"),
+])
+def test_a_known_list_is_read_as_the_relay_will(tmp_path: Path, document: str, told: str) -> None:
+    (tmp_path / "known.json").write_text(document)
+    found = faults(tmp_path, FIVE.replace("list.", "list.known = 'known.json'\nlist.", 1))
+    assert len(found) == 1 and found[0].startswith(f"3: list.known: {told}")
+
+
+def test_a_file_that_cannot_be_read_is_one_fault(tmp_path: Path) -> None:
+    (tmp_path / "glenfold.toml").mkdir()
+    with pytest.raises(Faults, match=r"glenfold\.toml: can't be read: Is a directory"):
+        read(tmp_path / "glenfold.toml")
+
+
+ALONE = [(added, told) for added, told in ADDED
+         if added.startswith("[") and not added.startswith(("[[", "[fleet]", "[settings]"))]
+
+
+@how(suppress_health_check=[HealthCheck.function_scoped_fixture], max_examples=40, deadline=None)
+@given(chosen=st.lists(st.sampled_from(ALONE), min_size=2, unique_by=lambda one: one[0].split("]")[0]))
+def test_several_faults_are_all_told_each_at_its_line(tmp_path: Path, chosen: list[tuple[str, str]]) -> None:
+    text, told = FIVE, []
+    for added, reason in chosen:
+        line, _, rest = reason.partition(":")
+        shift = text.count("\n") - 5
+        told.append(f"{int(line) + shift}:{rest}".format(tmp_path))
+        text += added + "\n"
+    found = faults(tmp_path, text)
+    assert len(found) == len(told)
+    for fault, reason in zip(found, told, strict=True):
+        assert fault.startswith(reason)
