Name at a reload only what an instance itself waits for

Need: a change to the supervisor's terms is none of an instance's, and was said to need its restart. Change: of `fleet` only another address, or another number of relays for the decisions, is named.

--- a/glenfold/config/operators.py
+++ b/glenfold/config/operators.py
@@ -16,7 +16,7 @@
 from glenfold.config.terms import Terms
 from glenfold.located import BadFile, Key, Located, read_text, scan, written
 
-TAKEN_OVER = ("limits", "logging")  # at a reload; the rest, but for list.discovery, waits for a restart
+AT_ONCE = ("list", "limits", "logging", "fleet")  # not to wait for a restart: `fleet` is its supervisor's
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,11 +150,13 @@
             operators = read(self._begun.path, self._begun.base)
         except Faults as error:
             raise ConfigError(str(self._begun.path), "; ".join(error.message.splitlines())) from error
-        new, waiting = operators.config(self._number), self._waiting(operators)
+        new = operators.config(self._number)
+        waiting = self._waiting(operators, new.settings != current.settings)
         self.operators = operators
         return replace(current, discovery=new.discovery, room=new.room, cores=new.cores), waiting
 
-    def _waiting(self, new: Operators) -> list[str]:
-        was, now = self._begun, new
-        return [name for name in Terms.__struct_fields__
-                if name not in (*TAKEN_OVER, "list") and getattr(was.terms, name) != getattr(now.terms, name)]
+    def _waiting(self, new: Operators, decides_otherwise: bool) -> list[str]:
+        names = [name for name in Terms.__struct_fields__
+                 if name not in AT_ONCE and getattr(self._begun.terms, name) != getattr(new.terms, name)]
+        moved = self._begun.place(self._number) != new.place(self._number)
+        return names or ["fleet"] * (moved or decides_otherwise)  # what this instance has of it
--- a/tests/config/test_operators.py
+++ b/tests/config/test_operators.py
@@ -199,6 +199,19 @@
     assert again.operators.terms.logging.level == "debug"
 
 
+@pytest.mark.parametrize("was, now, waiting", [
+    ("instances = 2", "instances = 2\nfleet.stagger_s = 9", []),
+    ("instances = 2", "instances = 3", ["fleet"]),
+    ("instances = 2", "instances = 2\nfleet.port_step = 5", ["fleet"]),
+])
+def test_of_a_fleet_an_instance_waits_only_for_its_own_part(tmp_path: Path, was: str, now: str,
+                                                            waiting: list[str]) -> None:
+    text = "fleet.instances = 2\ninstance.folder = 'glen'\n" + FIVE
+    begun = reading(tmp_path, text)
+    reading(tmp_path, text.replace(was, now))
+    assert Again(begun, 2)(begun.config(2))[1] == waiting
+
+
 def test_a_copy_keeps_the_paths_of_its_original(tmp_path: Path) -> None:
     (tmp_path / "copy.toml").write_text("instance.folder = 'glen'\n" + FIVE)
     assert read(tmp_path / "copy.toml", Path("/elsewhere")).place(None).folder == Path("/elsewhere/glen")
