--- a/glenfold/daemon/snapshot.py
+++ b/glenfold/daemon/snapshot.py
@@ -12,8 +12,8 @@
 from typing import Any
 
 import trio
-from loguru import logger
 
+from glenfold import events
 from glenfold.daemon.life import State as Life
 from glenfold.daemon.process import Process
 from glenfold.daemon.snapshot_files import Files, HeldElsewhere, Store
@@ -109,13 +109,13 @@
         self._taken, self._generation = snapshot, snapshot.generation
         self._known_at = self._on_disk_at = snapshot.heard_at
         self._saved_left = self._starts()
-        logger.info("snapshot {}: generation {}, last heard of {:.0f} s ago", name, snapshot.generation,
-                    self._wall() - snapshot.heard_at)
+        events.snapshot_taken(name=name, generation=snapshot.generation,
+                              age_s=round(self._wall() - snapshot.heard_at))
 
     def _refuse(self, name: str, refused: Refused) -> None:
         self._process.relay.counters.snapshots_refused += 1
         self._refused.append(refused.reason)
-        logger.warning("snapshot {} refused: {}", name, refused)
+        events.snapshot_refused(name=name, error=refused)
 
     # ---- what there is to write ----
 
@@ -202,7 +202,7 @@
         self._saved_left, self._on_disk_at = starts, heard_at
         if self._fault:
             self._fault = ""
-            logger.info("snapshot: written again, generation {}", self._generation)
+            events.snapshot_written_again(generation=self._generation)
         return True
 
     def _failed(self, error: Exception, before: Pace) -> None:
@@ -219,7 +219,7 @@
     def _say(self, fault: str) -> None:
         """Once, until another fault comes or a snapshot is written."""
         if fault != self._fault:
-            logger.warning("snapshot: {}", fault)
+            events.snapshot_failed(fault=fault)
         self._fault = fault
 
     def status(self) -> dict[str, Any]:
--- a/glenfold/events.py
+++ b/glenfold/events.py
@@ -127,3 +127,26 @@
 @event("sockets.exhausted", "warning", "no spare descriptor: {error}")
 def sockets_exhausted(*, error: Exception) -> None:
     """No descriptor is left, not even the one kept to refuse clients with."""
+
+
+# ---- snapshots of the destination set ----
+
+
+@event("snapshot.taken", "info", "snapshot {name}: generation {generation}, last heard of {age_s} s ago")
+def snapshot_taken(*, name: str, generation: int, age_s: int) -> None:
+    """It starts from a snapshot of the destination set."""
+
+
+@event("snapshot.refused", "warning", "snapshot {name} refused: {error}")
+def snapshot_refused(*, name: str, error: Exception) -> None:
+    """A snapshot file is torn, damaged, too old, or another instance's; the one before it is tried."""
+
+
+@event("snapshot.written_again", "info", "snapshot: written again, generation {generation}")
+def snapshot_written_again(*, generation: int) -> None:
+    """Snapshots reach the disk again after they could not."""
+
+
+@event("snapshot.failed", "warning", "snapshot: {fault}")
+def snapshot_failed(*, fault: str) -> None:
+    """A snapshot can't be written, or waits for the disk; the relay serves on. Told once for each fault."""
