--- a/glenfold/__main__.py
+++ b/glenfold/__main__.py
@@ -30,7 +30,7 @@
 
 def main() -> int:
     """Without words the relay of the platform; all else is the command line's."""
-    if len(sys.argv) > 1:
+    if len(sys.argv) > 1 or "_GLENFOLD_COMPLETE" in os.environ:  # a shell's completion asks without words
         try:
             from glenfold.cli.main import main as command_line  # the platform's relay loads none of it
         except ModuleNotFoundError as error:
--- a/glenfold/cli/check.py
+++ b/glenfold/cli/check.py
@@ -7,7 +7,7 @@
 
 
 @click.command("check")
-@click.argument("files", nargs=-1, required=True, metavar="FILE...")
+@click.argument("files", nargs=-1, required=True, type=click.Path(), metavar="FILE...")
 def command(files: tuple[str, ...]) -> None:
     """Tell all that is amiss with operators' files, by line and key, and with this machine for them.
 
--- a/glenfold/cli/config.py
+++ b/glenfold/cli/config.py
@@ -11,11 +11,14 @@
 
 @click.group("config")
 def command() -> None:
-    """What an operators' file amounts to."""
+    """What an operators' file amounts to.
+
+    Exit status: 0 done, 2 the words or the file are at fault.
+    """
 
 
 @command.command("show")
-@click.argument("file")
+@click.argument("file", type=click.Path())
 @click.option("--json", "as_json", is_flag=True, help="For machines: values with origins, and all instances.")
 def show(file: str, as_json: bool) -> None:
     """Print every value that holds with where it came from, and where each instance is.
--- a/glenfold/cli/lazy.py
+++ b/glenfold/cli/lazy.py
@@ -3,6 +3,7 @@
 from importlib import import_module
 
 import click
+from click.shell_completion import CompletionItem
 
 
 class LazyGroup(click.Group):
@@ -29,6 +30,11 @@
         assert isinstance(found, click.Command)
         return found
 
+    def shell_complete(self, ctx: click.Context, incomplete: str) -> list[CompletionItem]:
+        found = [CompletionItem(name, help=line) for name, (_, line) in self._places.items()
+                 if name.startswith(incomplete)]
+        return found + super(click.Group, self).shell_complete(ctx, incomplete)
+
     def format_commands(self, ctx: click.Context, formatter: click.HelpFormatter) -> None:
         with formatter.section("Commands"):
             formatter.write_dl([(name, line) for name, (_, line) in self._places.items()])
--- a/glenfold/cli/main.py
+++ b/glenfold/cli/main.py
@@ -7,6 +7,7 @@
 
 PLACES = {
     "check": ("glenfold.cli.check", "whether operators' files are sound"),
+    "completion": ("glenfold.cli.completion", "a script for a shell to complete words with"),
     "config": ("glenfold.cli.config", "what an operators' file amounts to"),
     "lab": ("glenfold_lab.cli", "worlds in virtual time, stand-ins, load, experiments and reports"),
 }
@@ -18,4 +19,7 @@
     """A relay for long-lived line connections, and the lab that proves it.
 
     Without any words this starts the relay that LB_CONFIG describes, as the platform does.
+
+    Exit status, of all commands where they do not say more: 0 done, 1 what was asked for failed, 2 the words
+    or a file are at fault, and nothing was begun.
     """
--- a/glenfold_lab/cli.py
+++ b/glenfold_lab/cli.py
@@ -23,4 +23,8 @@
 
 @click.group("lab", cls=LazyGroup, places=PLACES)
 def command() -> None:
-    """Worlds in virtual time, stand-ins on loopback sockets, load, experiments and reports."""
+    """Worlds in virtual time, stand-ins on loopback sockets, load, experiments and reports.
+
+    Exit status: 0 done and every rule was kept, 1 a rule was broken or what was asked for failed, 2 the words
+    or a file are at fault.
+    """
--- a/glenfold_lab/commands/demo.py
+++ b/glenfold_lab/commands/demo.py
@@ -28,7 +28,9 @@
     """Run two relays with stand-ins for push servers and some 200 clients, all on loopback.
 
     A table shows each second, or a plain line where there is no terminal. Half-way a push server drains and
-    a relay restarts. Exit status: 0 every rule was kept, 1 one was broken, or the demo could not run.
+    a relay restarts.
+
+    Exit status: 0 every rule was kept, 1 one was broken or the demo could not run, 2 the words are at fault.
     """
     day, console = shortened(scenario.load(str(DAY)), seconds), Console(highlight=False)
     servers, relays = day.servers.count, day.relays.count
--- a/glenfold_lab/commands/report.py
+++ b/glenfold_lab/commands/report.py
@@ -15,7 +15,8 @@
 def command(results: tuple[Path, ...], out: Path, json_out: Path | None) -> None:
     """Draw RESULTS (files that `run`, `play` or `experiment` wrote) as one HTML file.
 
-    Several results are compared. Exit status 2 if a file can't be read; then nothing is written.
+    Several results are compared. Exit status: 0 done, 1 a file can't be written, 2 one can't be read; then
+    nothing is written.
     """
     given = read(results)
     from glenfold_lab.reports.page import page  # draws, which takes half a second to load
--- a/glenfold_lab/commands/run.py
+++ b/glenfold_lab/commands/run.py
@@ -37,7 +37,10 @@
 @click.option("--trace", type=click.Path(path_type=Path, dir_okay=False, writable=True),
               help="Write every observation there, as lines of JSON.")
 def command(name: str, seed: int, json_file: Path | None, trace: Path | None) -> None:
-    """Play one history of SCENARIO, a shipped name or a file, and judge it."""
+    """Play one history of SCENARIO, a shipped name or a file, and judge it.
+
+    Exit status: 0 every rule was kept, 1 one was broken, 2 the words or the file are at fault.
+    """
     terms = scenario.load(name)
     with ExitStack() as stack:
         watchers = [Trace(stack.enter_context(trace.open("wb")))] if trace else []
--- a/glenfold_lab/commands/scenarios.py
+++ b/glenfold_lab/commands/scenarios.py
@@ -12,7 +12,10 @@
 @click.option("--check", is_flag=True, help="Check FILES instead: each fault with key, line and reason.")
 @click.argument("files", nargs=-1)
 def command(check: bool, files: tuple[str, ...]) -> None:
-    """List the shipped scenarios with what each guards against, or check FILES (names or paths)."""
+    """List the shipped scenarios with what each guards against, or check FILES (names or paths).
+
+    Exit status: 0 done, 2 the words or a file are at fault.
+    """
     if check != bool(files):
         raise click.UsageError("--check and FILES go together")
     if check:
