--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -5,7 +5,7 @@
 """
 
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping, Sequence
 
 import trio
 from loguru import logger
@@ -20,6 +20,7 @@
 from glenfold.net.discovery import Discovery
 from glenfold.net.inbound import BACKLOG, Inbound, Relay
 from glenfold.net.passing import Passage
+from glenfold.net.sockets import SocketType
 
 ReadAgain = Callable[[Config], tuple[Config, list[str]]]
 Companion = Callable[["Process"], Awaitable[None]]
@@ -27,11 +28,12 @@
 
 class Process:
     """`read_again`: what the configuration says now, and the keys that wait for a restart; raises
-    ConfigError. `listeners`: sockets that listen already; without them it listens at `config.listen`.
+    ConfigError. `listeners`: sockets that are bound already; without them it listens at `config.listen`.
+    `held`: it accepts nobody until `accept` is called, as another process still does.
     `companions` run beside it until it has finished, and are cancelled then."""
 
     def __init__(self, config: Config, read_again: ReadAgain, *, listeners: Sequence[socket.socket] = (),
-                 companions: Sequence[Companion] = ()) -> None:
+                 held: bool = False, companions: Sequence[Companion] = ()) -> None:
         clock, counters = Clock(), Counters()
         decisions = Decisions(config.settings, config.seed, clock)
         destinations = DestinationSet(config.names)
@@ -39,7 +41,10 @@
         self.relay = Relay(config, clock, decisions, destinations, counters)
         self.inbound = Inbound(self.relay)
         self.discovery = Discovery(config.discovery, destinations, decisions.tell, counters)
-        self.listeners: list[trio.socket.SocketType] = [trio.socket.from_stdlib_socket(s) for s in listeners]
+        self.listeners: list[SocketType] = [trio.socket.from_stdlib_socket(s) for s in listeners]
+        self._accepting: dict[SocketType, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
+        self._held = held
         self._read_again = read_again
         self._companions = companions
         self._told_to_stop = trio.Event()
@@ -50,13 +55,13 @@
         config = self.relay.config
         await self._take_known()
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             nursery.start_soon(self.relay.decisions.run)
             nursery.start_soon(self.discovery.follow)
             if not self.listeners:
-                self.listeners.append(await _listen(config.listen))
-            accepting = trio.CancelScope()
-            for listener in self.listeners:
-                nursery.start_soon(self._accept, accepting, listener, nursery)
+                self.listeners.append(await _bind(config.listen))
+            if not self._held:
+                self.accept()
             logger.info("{} listens on {}:{}", config.name, *config.listen)
             self.life.to(State.WAITING)
             self.life.to(State.READY)
@@ -65,10 +70,9 @@
             await self._told_to_stop.wait()
             leaving = Leaving(trio.current_time(), self.relay.config.settings)
             self.life.to(State.DRAINING)
-            await last_arrivals(leaving, self.inbound)
-            accepting.cancel()
-            for listener in self.listeners:
-                listener.close()
+            if self._accepting:
+                await last_arrivals(leaving, self.inbound)
+            self.release(self.listeners)
             self.life.to(State.FINISHING)
             await finish_taken(leaving, self.relay)
             self.life.to(State.STOPPED)
@@ -84,10 +88,37 @@
             except BadList as error:
                 logger.warning("known: {}", error)
 
-    async def _accept(self, scope: trio.CancelScope, listener: trio.socket.SocketType,
-                      nursery: trio.Nursery) -> None:
+    def accept(self) -> None:
+        """At all its listeners, from now on; where it does already, nothing changes."""
+        assert self._nursery is not None
+        self._held = False
+        for listener in self.listeners:
+            if listener not in self._accepting:
+                listener.listen(BACKLOG)
+                scope = self._accepting[listener] = trio.CancelScope()
+                self._nursery.start_soon(self._accept, scope, listener, self._nursery)
+
+    def pause(self, listeners: Iterable[SocketType]) -> None:
+        """Accepts no more there. The sockets stay open, and with them the kernel's queue of clients."""
+        for listener in listeners:
+            if (scope := self._accepting.pop(listener, None)) is not None:
+                scope.cancel()
+
+    def release(self, listeners: Iterable[SocketType]) -> None:
+        """Closes its own descriptors, and no more: where another process has one of the same socket, that
+        goes on listening, with all who are queued there."""
+        for listener in list(listeners):
+            self.pause([listener])
+            self.listeners.remove(listener)
+            listener.close()
+
+    async def _accept(self, scope: trio.CancelScope, listener: SocketType, nursery: trio.Nursery) -> None:
         with scope:
-            await self.inbound.serve(listener, nursery)
+            try:
+                await self.inbound.serve(listener, nursery)
+            except (OSError, trio.ClosedResourceError):
+                if not scope.cancel_called:  # closed just as a client arrived
+                    raise
 
     def stop(self) -> None:
         self._told_to_stop.set()
@@ -115,11 +146,10 @@
             logger.warning("configuration: needs a restart to change: {}", ", ".join(waiting))
 
 
-async def _listen(address: tuple[str, int]) -> trio.socket.SocketType:
+async def _bind(address: tuple[str, int]) -> SocketType:
     listener = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     await listener.bind(address)
-    listener.listen(BACKLOG)
     return listener
 
 
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -52,7 +52,7 @@
         self._taken = 0      # with one: two sides each
         self._refusing = 0
         self._told_at = float("-inf")
-        self._spare = os.open(os.devnull, os.O_RDONLY)
+        self._spare: int | None = os.open(os.devnull, os.O_RDONLY)
         self.last_arrival = float("-inf")
 
     @property
@@ -85,14 +85,17 @@
 
     async def _refuse_without_socket(self, listener: SocketType) -> None:
         """With no descriptor left, accept fails over and over: one kept spare lets a client be told."""
-        os.close(self._spare)
-        with trio.move_on_at(trio.current_time() + PARTING_S):
+        if self._spare is not None:
+            os.close(self._spare)
+            self._spare = None  # its number may be another's by the time that there is a spare again
+        # Whoever pauses the accepting does not cut this client off, nor lose the spare.
+        with trio.move_on_at(trio.current_time() + PARTING_S, shield=True):
             try:
                 sock, _ = await listener.accept()
                 self._counters.fail_fast += 1
                 with sock:
                     await send(sock, self._busy())
-            except OSError:
+            except (OSError, trio.ClosedResourceError):
                 pass
         try:
             self._spare = os.open(os.devnull, os.O_RDONLY)
