--- a/glenfold/daemon/handshake.py
+++ b/glenfold/daemon/handshake.py
@@ -22,7 +22,7 @@
 
 FORMAT = 1
 MOST_LISTENERS = 64
-GREET_S = 2.0    # from the connection to a whole Hello, and from Hello to the Offer
+GREET_S = 5.0    # from the connection to a whole Hello, and from Hello to the Offer
 CONFIRM_S = 5.0  # from Retired to Taken; the new one has nothing else to do
 
 Text = Annotated[str, msgspec.Meta(max_length=255)]
@@ -154,7 +154,7 @@
 
 @dataclass(frozen=True, slots=True)
 class GiveUp:
-    """The old one serves on: stop accepting, close what was passed on, finish what was taken, and end."""
+    """The old one serves on: close what was passed on, finish what was taken, and end."""
 
     reason: str
 
@@ -166,6 +166,7 @@
     GREETING = auto()
     OFFERED = auto()
     HANDING = auto()
+    RETIRED = auto()
     OVER = auto()
 
 
@@ -181,7 +182,11 @@
     @property
     def chosen(self) -> bool:
         """It is this connection's new one that takes over: no other may."""
-        return self.state in (Giving.OFFERED, Giving.HANDING)
+        return self.state in (Giving.OFFERED, Giving.HANDING, Giving.RETIRED)
+
+    @property
+    def over(self) -> bool:
+        return self.state in (Giving.RETIRED, Giving.OVER)
 
     def greet(self, hello: Hello, offer: Offer, taken: bool) -> list[Effect]:
         """`offer`: what there is for it; `taken`: another connection is chosen already."""
@@ -197,7 +202,7 @@
         return [Say(offer)]
 
     def on(self, incident: Incident, now: float) -> list[Effect]:
-        if self.state is Giving.OVER:
+        if self.over:
             return []
         match self.state, incident:
             case _, Abort(reason):
@@ -212,7 +217,7 @@
                 self.state, self.due = Giving.HANDING, now + CONFIRM_S
                 return [Pause(), Say(Retired())]
             case Giving.HANDING, Taken():
-                self.state, self.due = Giving.OVER, inf
+                self.state, self.due = Giving.RETIRED, inf
                 return [Retire(), Close()]
         return self._end(f"{type(incident).__name__} is out of turn")
 
@@ -242,11 +247,15 @@
     due: float
     state: Taking = Taking.ASKING
 
+    @property
+    def over(self) -> bool:
+        return self.state in (Taking.OWNER, Taking.OVER)
+
     def begin(self) -> list[Effect]:
         return [Say(self.hello)]
 
     def on(self, incident: Incident) -> list[Effect]:
-        if self.state in (Taking.OWNER, Taking.OVER):
+        if self.over:
             return []
         match self.state, incident:
             case _, Abort(reason):
@@ -268,7 +277,7 @@
                 return [Say(Taken())]
             case Taking.CONFIRMING, Said():
                 return self._end(Taking.OWNER, Own())
-            case _, Said():
+            case _, Said() | Prepared():  # it was ready before, and has read its configuration again
                 return []
             case _, Unsaid(reason):
                 return self._give_up(reason)
