--- /dev/null
+++ b/tests/daemon/test_handshake.py
@@ -0,0 +1,165 @@
+"""Both sides of a take-over, with deaths, lateness and news in every order: somebody always accepts."""
+
+from collections import deque
+from dataclasses import dataclass, field
+from math import inf
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from glenfold.daemon import handshake as h
+
+WANTS = ["127.0.0.1:7000"]
+DEATHS = ("old dies", "new dies")
+LATE = ("old is late", "new is late", "stop")
+STEPS = (*("old hears", "new hears", "ready") * 4, *LATE, *DEATHS)  # most of them lead on
+
+
+@dataclass
+class End:
+    """One process: `inbox` is the kernel's, and outlives whoever wrote there."""
+
+    inbox: deque[h.Message] = field(default_factory=deque)
+    alive: bool = True
+    open: bool = True   # its end of the channel
+    holds: bool = False
+    accepts: bool = False
+    gave_up: bool = False
+
+    def die(self) -> None:
+        self.alive = self.open = self.holds = self.accepts = False
+
+
+class Pair:
+    def __init__(self) -> None:
+        self.old, self.new = End(holds=True, accepts=True), End()
+        self.giver = h.Giver("cardiff-1", until=inf, due=0.0)
+        self.taker = h.Taker(h.Hello(h.FORMAT, "cardiff-1", WANTS), until=0.0, due=0.0)
+        self.do(self.new, self.taker.begin())
+
+    def step(self, name: str) -> None:
+        match name:
+            case "old hears":
+                self.hear(self.old)
+            case "new hears":
+                self.hear(self.new)
+            case "old is late" if self.old.open and not self.old.inbox and self.new.open:
+                self.do(self.old, self.giver.on(h.Due(), 0.0))
+            case "new is late" if self.new.open and not self.new.inbox and self.old.open:
+                self.do(self.new, self.taker.on(h.Due()))
+            case "old dies":
+                self.old.die()
+            case "new dies":
+                self.new.die()
+            case "ready" if self.new.holds:
+                self.do(self.new, self.taker.on(h.Prepared()))
+            case "stop" if self.new.holds:
+                self.do(self.new, self.taker.on(h.Stopping()))
+        assert self.old.holds or self.new.holds or not self.somebody_serves, "the queue of clients is lost"
+
+    @property
+    def somebody_serves(self) -> bool:
+        return self.old.alive and self.giver.state is not h.Giving.RETIRED or (
+            self.new.alive and self.taker.state in (h.Taking.PREPARING, h.Taking.ACCEPTING,
+                                                    h.Taking.CONFIRMING, h.Taking.OWNER))
+
+    def hear(self, end: End) -> bool:
+        other = self.new if end is self.old else self.old
+        if not end.open or not end.inbox and other.open:
+            return False
+        incident: h.Incident = end.inbox.popleft() if end.inbox else h.Gone()
+        if end is self.new:
+            end.holds = end.holds or isinstance(incident, h.Offer)
+            self.do(end, self.taker.on(incident))
+        elif isinstance(incident, h.Hello):
+            self.do(end, self.giver.greet(incident, h.Offer(WANTS, [], True), taken=False))
+        else:
+            self.do(end, self.giver.on(incident, 0.0))
+        return True
+
+    def do(self, end: End, effects: list[h.Effect]) -> None:
+        other = self.new if end is self.old else self.old
+        for effect in effects:
+            match effect:
+                case h.Say(message):
+                    if heard := other.open:
+                        other.inbox.append(message)
+                    incident = h.Said() if heard else h.Unsaid("broken pipe")
+                    if end is self.new:
+                        self.do(end, self.taker.on(incident))
+                    elif not heard:
+                        self.do(end, self.giver.on(incident, 0.0))
+                case h.Pause():
+                    end.accepts = False
+                case h.Resume() | h.Accept():
+                    assert end.holds
+                    end.accepts = True
+                case h.Retire():
+                    end.holds = end.accepts = False
+                case h.GiveUp():
+                    end.holds = end.accepts = False
+                    end.gave_up = True
+                case h.Close():
+                    end.open = False
+
+    def settle(self) -> None:
+        while self.hear(self.old) or self.hear(self.new):
+            pass
+
+
+@settings(max_examples=2000, derandomize=True)
+@given(st.lists(st.sampled_from(STEPS), max_size=14))
+def test_whoever_dies_or_is_late_and_whenever_somebody_accepts_and_one_owns(steps: list[str]) -> None:
+    pair = Pair()
+    for step in steps:
+        pair.step(step)
+    pair.settle()
+    old, new, giver, taker = pair.old, pair.new, pair.giver, pair.taker
+    if old.alive and giver.state is not h.Giving.RETIRED:
+        assert old.accepts and taker.state is not h.Taking.OWNER or new.accepts and not giver.over
+    if not old.alive and new.holds:
+        assert new.accepts and taker.state is h.Taking.OWNER
+    if old.alive and new.alive and not new.open:
+        assert old.holds != new.holds and old.accepts != new.accepts  # never two owners, nothing left behind
+    assert not (new.gave_up and (new.holds or not set(LATE) & set(steps)))
+    if giver.state is h.Giving.RETIRED:
+        assert not old.holds and (not new.alive or taker.state is h.Taking.OWNER)
+
+
+def test_undisturbed_the_new_one_owns_and_the_old_one_has_accepted_until_it_was_ready() -> None:
+    pair = Pair()
+    pair.settle()
+    assert pair.old.accepts and pair.new.holds and not pair.new.accepts
+    pair.step("ready")
+    assert pair.old.accepts and pair.new.accepts
+    pair.settle()
+    assert (pair.giver.state, pair.taker.state) == (h.Giving.RETIRED, h.Taking.OWNER)
+    assert pair.taker.on(h.Stopping()) == [] and pair.new.accepts
+
+
+def test_one_that_never_answers_once_it_is_told_of_readiness_leaves_the_new_one_serving() -> None:
+    pair = Pair()
+    pair.settle()
+    pair.step("ready")
+    pair.step("new is late")
+    pair.do(pair.new, pair.taker.on(h.Prepared()))  # its configuration was read again meanwhile
+    assert pair.new.accepts and pair.taker.due == inf
+    pair.settle()
+    assert pair.giver.state is h.Giving.RETIRED
+
+
+@pytest.mark.parametrize(("hello", "taken", "reason"), [
+    (h.Hello(h.FORMAT + 1, "cardiff-1", []), False, "format 2 is not 1"),
+    (h.Hello(h.FORMAT, "wrexham-1", []), False, "this is cardiff-1, not wrexham-1"),
+    (h.Hello(h.FORMAT, "cardiff-1", []), True, "another process is taking over")])
+def test_who_may_not_take_over_is_told_why(hello: h.Hello, taken: bool, reason: str) -> None:
+    giver = h.Giver("cardiff-1", 30.0, 5.0)
+    assert giver.greet(hello, h.Offer([], [], False), taken) == [h.Say(h.Abort(reason)), h.Close(reason)]
+    assert not giver.chosen and giver.over
+
+
+@pytest.mark.parametrize("message", [h.Ready(), h.Taken(), h.Retired(), h.Offer([], [], False)])
+def test_a_message_out_of_turn_ends_it_and_passes_nothing_on(message: h.Message) -> None:
+    effects = h.Giver("cardiff-1", 30.0, 5.0).on(message, 0.0)
+    assert [type(effect) for effect in effects] == [h.Say, h.Close]
