--- a/glenfold/daemon/listeners.py
+++ b/glenfold/daemon/listeners.py
@@ -5,11 +5,10 @@
 import socket
 from collections.abc import Iterable, MutableMapping, Sequence
 from dataclasses import dataclass
-from typing import Any
 
 import trio
 
-from glenfold.config import Address
+from glenfold.config import Address, written
 
 FIRST_PASSED = 3   # behind the three standard streams
 MOST_PASSED = 64
@@ -20,9 +19,8 @@
     """What was passed on is not what it should be; or an address can't be had. Names the one at fault."""
 
 
-def spelled(address: Any) -> str:
-    """HOST:PORT, of what getsockname gives."""
-    return f"{address[0]}:{address[1]}"
+def where(listeners: Iterable[socket.socket]) -> list[str]:
+    return [written(sock.getsockname()) for sock in listeners]
 
 
 async def resolved(addresses: Iterable[Address]) -> list[str]:
@@ -33,7 +31,7 @@
             infos = await trio.socket.getaddrinfo(host, port, socket.AF_INET, socket.SOCK_STREAM)
         except OSError as error:
             raise BadListener(f"{host}:{port}: {error.strerror or error}") from error
-        found.append(spelled(infos[0][4]))
+        found.append(written((str(infos[0][4][0]), int(infos[0][4][1]))))
     return found
 
 
@@ -62,15 +60,10 @@
     def all(self) -> list[socket.socket]:
         return [*self.kept, *self.opened]
 
-    def words(self) -> str:
-        parts = (("passed on", [spelled(sock.getsockname()) for sock in self.kept]),
-                 ("opened", [spelled(sock.getsockname()) for sock in self.opened]), ("closed", self.closed))
-        return "; ".join(f"{name} {', '.join(which)}" for name, which in parts if which)
-
 
 def sort_out(passed: Sequence[socket.socket], wants: Iterable[str]) -> Sorted:
     """Closes what is not wanted, and binds what is missing. After BadListener all of them are closed."""
-    left = {spelled(sock.getsockname()): sock for sock in reversed(passed)}
+    left = {written(sock.getsockname()): sock for sock in reversed(passed)}
     kept, opened = [], []
     try:
         for address in dict.fromkeys(wants):
--- a/glenfold/daemon/takeover.py
+++ b/glenfold/daemon/takeover.py
@@ -14,11 +14,12 @@
 
 import msgspec
 import trio
-from loguru import logger
 
+from glenfold import events
+from glenfold.config import written
 from glenfold.daemon import handshake as h
 from glenfold.daemon.life import State
-from glenfold.daemon.listeners import BadListener, Sorted, check, sort_out, spelled
+from glenfold.daemon.listeners import BadListener, check, sort_out, where
 from glenfold.daemon.process import Process
 from glenfold.net.sockets import SocketType
 
@@ -213,7 +214,7 @@
             return h.Unsaid(str(error))
         self.listeners = found.all
         self._passed = {sock.fileno() for sock in found.kept}
-        logger.info("taking over: {}", Sorted(found.kept, found.opened, offer.others).words())
+        events.takeover_offered(passed=where(found.kept), opened=where(found.opened), closed=offer.others)
         return offer
 
     async def complete(self, process: Process) -> bool:
@@ -243,7 +244,7 @@
                     assert self._process is not None
                     self._process.accept()
                 case h.Own():
-                    logger.info("took over; the old process accepts no more")
+                    events.takeover_done()
                 case h.GiveUp(reason):
                     self._give_up(reason)
                 case h.Close():
@@ -259,7 +260,7 @@
 
     def _give_up(self, reason: str) -> None:
         self.refused = reason
-        logger.error("not taking over: {}", reason)
+        events.takeover_refused(reason=reason)
         if self._process is not None:
             listeners = self._process.listeners
             self._process.release([one for one in listeners if one.fileno() in self._passed])
@@ -316,7 +317,7 @@
         try:
             listener = open_private(self.place.path)
         except OSError as error:
-            logger.error("no take-over will be possible: {}: {}", self.place.path, error.strerror or error)
+            events.takeover_unheard(error=error)
             return
         with listener:
             async with trio.open_nursery() as nursery:
@@ -327,12 +328,12 @@
             try:
                 sock, _ = await listener.accept()
             except OSError as error:
-                logger.warning("take-over: {}", error)
+                events.takeover_unheard(error=error)
                 await trio.sleep(AGAIN_S)
                 continue
             plain = socket.socket(fileno=sock.detach())
             if self._asking >= MOST_ASKING or not same_user(plain):
-                logger.warning("take-over: a stranger, or one too many, is turned away")
+                events.takeover_stranger()
                 plain.close()
                 continue
             self._asking += 1
@@ -371,7 +372,7 @@
         return incident
 
     def greet(self, hello: h.Hello, taken: bool) -> None:
-        places = {listener: spelled(listener.getsockname()) for listener in self._process.listeners}
+        places = {listener: written(listener.getsockname()) for listener in self._process.listeners}
         passed = [listener for listener, where in places.items() if where in hello.wants]
         offer = h.Offer([places[listener] for listener in passed],
                         [where for listener, where in places.items() if listener not in passed],
@@ -389,11 +390,11 @@
                 case h.Resume():
                     self._process.accept()
                 case h.Retire():
-                    logger.info("taken over: this process ends once it has finished what it has taken")
+                    events.takeover_retired()
                     self._process.release(set(self._passed).intersection(self._process.listeners))
                     self._process.stop()
                 case h.Close(reason) if reason is not None:
-                    logger.warning("no take-over: {}", reason)
+                    events.takeover_failed(reason=reason)
 
     def _say(self, message: h.Message) -> None:
         lock = [] if self._lock is None else [self._lock]
