--- a/glenfold/daemon/listeners.py
+++ b/glenfold/daemon/listeners.py
@@ -1,4 +1,4 @@
-"""Where listening sockets come from, other than from binding at one's own address: from the environment of
+"""Where listening sockets come from, other than from the configuration alone: from the environment of
 whoever started this process (LISTEN_FDS), and sorted by what the configuration asks for."""
 
 import os
@@ -9,6 +9,7 @@
 import trio
 
 from glenfold.config import Address, written
+from glenfold.net.inbound import BACKLOG
 
 FIRST_PASSED = 3   # behind the three standard streams
 MOST_PASSED = 64
@@ -35,13 +36,15 @@
     return found
 
 
-def bind(address: str) -> socket.socket:
-    """Bound and not yet listening: nobody is queued before somebody accepts. Raises BadListener."""
+def listen(address: str) -> socket.socket:
+    """It listens at once: only so is an address that another process listens at refused.
+    Raises BadListener."""
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.bind((host, int(port)))
+        sock.listen(BACKLOG)
     except OSError as error:
         sock.close()
         raise BadListener(f"{address}: {error.strerror or error}") from error
@@ -50,7 +53,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Sorted:
-    """kept: passed on and wanted; opened: wanted only, and bound now; closed: passed on only."""
+    """kept: passed on and wanted; opened: wanted only, and listening now; closed: passed on only."""
 
     kept: list[socket.socket]
     opened: list[socket.socket]
@@ -62,7 +65,7 @@
 
 
 def sort_out(passed: Sequence[socket.socket], wants: Iterable[str]) -> Sorted:
-    """Closes what is not wanted, and binds what is missing. After BadListener all of them are closed."""
+    """Closes what is not wanted, and listens where one is missing. After BadListener all are closed."""
     left = {written(sock.getsockname()): sock for sock in reversed(passed)}
     kept, opened = [], []
     try:
@@ -70,7 +73,7 @@
             if address in left:
                 kept.append(left.pop(address))
             else:
-                opened.append(bind(address))
+                opened.append(listen(address))
     except BadListener:
         for sock in (*passed, *opened):
             sock.close()
--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -28,7 +28,7 @@
 
 class Process:
     """`read_again`: what the configuration says now, and the keys that wait for a restart; raises
-    ConfigError. `listeners`: sockets that are bound already; without them it listens at `config.listen`.
+    ConfigError. `listeners`: sockets that listen already; without them it listens at `config.listen`.
     `held`: it accepts nobody until `accept` is called, as another process still does.
     `companions` run beside it until it has finished, and are cancelled then."""
 
@@ -60,7 +60,7 @@
             nursery.start_soon(self.relay.decisions.run)
             nursery.start_soon(self.discovery.follow)
             if not self.listeners:
-                self.listeners.append(await _bind(config.listen))
+                self.listeners.append(await _listen(config.listen))
             if not self._held:
                 self.accept()
             events.relay_listens(name=config.name, address=written(config.listen))
@@ -95,7 +95,6 @@
         self._held = False
         for listener in self.listeners:
             if listener not in self._accepting:
-                listener.listen(BACKLOG)
                 scope = self._accepting[listener] = trio.CancelScope()
                 self._nursery.start_soon(self._accept, scope, listener, self._nursery)
 
@@ -147,10 +146,11 @@
             events.config_waits(keys=waiting)
 
 
-async def _bind(address: tuple[str, int]) -> SocketType:
+async def _listen(address: tuple[str, int]) -> SocketType:
     listener = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     await listener.bind(address)
+    listener.listen(BACKLOG)
     return listener
 
 
--- a/glenfold/daemon/takeover.py
+++ b/glenfold/daemon/takeover.py
@@ -308,6 +308,7 @@
         self.place = place
         self.lock = lock if taken is None else taken.lock
         self._taken = taken
+        self.serving = False  # whether the name is this process's, and the next one may ask
         self._chosen: h.Giver | None = None
         self._asking = 0
 
@@ -319,6 +320,7 @@
         except OSError as error:
             events.takeover_unheard(error=error)
             return
+        self.serving = True
         with listener:
             async with trio.open_nursery() as nursery:
                 await self._serve(listener, process, nursery)
