--- a/glenfold/daemon/listeners.py
+++ b/glenfold/daemon/listeners.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from glenfold.config import Address, written
+from glenfold.config.platform import Address, written
 from glenfold.net.inbound import BACKLOG
 
 FIRST_PASSED = 3   # behind the three standard streams
--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -11,7 +11,7 @@
 
 from glenfold import events
 from glenfold.clock import Clock
-from glenfold.config import Config, ConfigError, written
+from glenfold.config.platform import Config, ConfigError, written
 from glenfold.counters import Counters
 from glenfold.daemon.life import Life, State
 from glenfold.decisions import Decisions
@@ -63,7 +63,6 @@
                 self.listeners.append(await _listen(config.listen))
             if not self._held:
                 self.accept()
-            events.relay_listens(name=config.name, address=written(config.listen))
             self.life.to(State.WAITING)
             self.life.to(State.READY)
             for companion in self._companions:
@@ -97,6 +96,7 @@
             if listener not in self._accepting:
                 scope = self._accepting[listener] = trio.CancelScope()
                 self._nursery.start_soon(self._accept, scope, listener, self._nursery)
+                events.relay_listens(name=self.relay.config.name, address=written(listener.getsockname()))
 
     def pause(self, listeners: Iterable[SocketType]) -> None:
         """Accepts no more there. The sockets stay open, and with them the kernel's queue of clients."""
--- a/glenfold/daemon/takeover.py
+++ b/glenfold/daemon/takeover.py
@@ -16,10 +16,10 @@
 import trio
 
 from glenfold import events
-from glenfold.config import written
+from glenfold.config.platform import Address, written
 from glenfold.daemon import handshake as h
 from glenfold.daemon.life import State
-from glenfold.daemon.listeners import BadListener, check, sort_out, where
+from glenfold.daemon.listeners import BadListener, check, resolved, sort_out, where
 from glenfold.daemon.process import Process
 from glenfold.net.sockets import SocketType
 
@@ -129,17 +129,27 @@
 # ---- the new process ---------------------------------------------------------------------------
 
 
-async def ask(place: Place, wants: Sequence[str], by: float) -> "TakeOver | None":
+async def begin(place: Place | None, addresses: Sequence[Address], passed: Sequence[socket.socket],
+                by: float) -> "tuple[list[socket.socket], TakeOver | None]":
+    """The listeners of a process that starts: from the old one of its name at `place`, or else those `passed`
+    by its service manager, and opened where both lack one. Raises Refused and BadListener."""
+    wants = await resolved(addresses)
+    taken = None if place is None else await ask(place, wants, by, passed)
+    return (sort_out(passed, wants).all, None) if taken is None else (taken.listeners, taken)
+
+
+async def ask(place: Place, wants: Sequence[str], by: float,
+              passed: Sequence[socket.socket] = ()) -> "TakeOver | None":
     """What the process of that name passes on; None if there is none, or it died before it did. `wants`: the
-    addresses to listen at, as getsockname tells them; `by`: when this process has to be ready. Raises
-    Refused."""
+    addresses to listen at, as getsockname tells them; `by`: when this process has to be ready; `passed`: what
+    it has already. Raises Refused."""
     sock = await _connect(place.path, by)
     if sock is None:
         return None
     if not same_user(sock):
         sock.close()
         raise Refused(f"{place.path} is another user's")
-    asking = TakeOver(Channel(sock, h.MOST_LISTENERS + 1), place, wants, by)
+    asking = TakeOver(Channel(sock, h.MOST_LISTENERS + 1), place, wants, by, passed)
     try:
         return asking if await asking.offered() else None
     except BaseException:
@@ -175,13 +185,15 @@
     are there from the offer on; a Process has to be made with them and `held`, with a `Keeper` beside it.
     `refused`: why the old one serves on."""
 
-    def __init__(self, channel: Channel, place: Place, wants: Sequence[str], by: float) -> None:
+    def __init__(self, channel: Channel, place: Place, wants: Sequence[str], by: float,
+                 had: Sequence[socket.socket] = ()) -> None:
         self.listeners: list[socket.socket] = []
         self.lock: int | None = None
         self.refused: str | None = None
         self._channel = channel
         self._wants = list(wants)
-        self._passed: set[int] = set()  # of `listeners`, the descriptors of those that the old one has too
+        self._had = had
+        self._passed: set[int] = set()  # of `listeners`, the descriptors of those that others have too
         hello = h.Hello(h.FORMAT, place.instance, self._wants)
         self._taker = h.Taker(hello, by, min(by, trio.current_time() + h.GREET_S))
         self._process: Process | None = None
@@ -209,7 +221,7 @@
         try:
             for sock in self.listeners:
                 check(sock)
-            found = sort_out(self.listeners, self._wants)
+            found = sort_out([*self.listeners, *self._had], self._wants)
         except BadListener as error:
             return h.Unsaid(str(error))
         self.listeners = found.all
--- a/tests/daemon/test_takeover.py
+++ b/tests/daemon/test_takeover.py
@@ -16,7 +16,7 @@
 import relaying
 import trio
 
-from glenfold.config import written
+from glenfold.config.platform import written
 from glenfold.daemon import handshake as h
 from glenfold.daemon import listeners, takeover
 from glenfold.daemon.life import State
@@ -295,13 +295,15 @@
 
 def test_addresses_in_common_are_passed_on_others_opened_or_closed(tmp_path: Path) -> None:
     async def script(made: House, life: Life) -> None:
-        other, new = listeners.listen("127.0.0.1:0"), listeners.listen("127.0.0.1:0")
+        other, new, given = (listeners.listen("127.0.0.1:0") for _ in range(3))
         life.process.listeners.append(trio.socket.from_stdlib_socket(other))
         life.process.accept()
         gone, opened = other.getsockname(), new.getsockname()
         new.close()
-        life = await made.next([written(opened), *made.wants])
-        assert {sock.getsockname() for sock in life.process.listeners} == {made.address, opened}
+        addresses = [made.address, opened, given.getsockname()]
+        found, taken = await takeover.begin(made.place, addresses, [given], trio.current_time() + 20.0)
+        assert [sock.getsockname() for sock in found] == [made.address, given.getsockname(), opened]
+        await Life(made, taken).begin()
         await (await trio.open_tcp_stream(*opened)).aclose()
         await trio.sleep(1.0)  # the last that arrive at the address that goes are waited for
         with pytest.raises(OSError):
