--- a/tests/daemon/test_handshake.py
+++ b/tests/daemon/test_handshake.py
@@ -138,17 +138,6 @@
     assert pair.taker.on(h.Stopping()) == [] and pair.new.accepts
 
 
-def test_one_that_never_answers_once_it_is_told_of_readiness_leaves_the_new_one_serving() -> None:
-    pair = Pair()
-    pair.settle()
-    pair.step("ready")
-    pair.step("new is late")
-    pair.do(pair.new, pair.taker.on(h.Prepared()))  # its configuration was read again meanwhile
-    assert pair.new.accepts and pair.taker.due == inf
-    pair.settle()
-    assert pair.giver.state is h.Giving.RETIRED
-
-
 @pytest.mark.parametrize(("hello", "taken", "reason"), [
     (h.Hello(h.FORMAT + 1, "cardiff-1", []), False, "format 2 is not 1"),
     (h.Hello(h.FORMAT, "wrexham-1", []), False, "this is cardiff-1, not wrexham-1"),
--- a/tests/daemon/test_takeover.py
+++ b/tests/daemon/test_takeover.py
@@ -1,7 +1,9 @@
 """Take-overs on loopback, with clients arriving all the while."""
 
+import fcntl
 import json
 import os
+import signal
 import socket
 import stat
 import subprocess
@@ -196,7 +198,7 @@
     play(tmp_path, script)
 
 
-def test_clients_queued_in_the_kernel_stay_queued_while_the_processes_change(tmp_path: Path) -> None:
+def test_when_the_old_one_dies_in_the_middle_clients_in_the_kernels_queue_are_taken_by_the_new(tmp_path: Path) -> None:
     async def script(made: House, life: Life) -> None:
         taken = await made.take_over()
         life.process.pause(life.process.listeners)
@@ -262,16 +264,6 @@
     play(tmp_path, script)
 
 
-def test_when_the_old_one_dies_in_the_middle_the_new_one_serves_alone(tmp_path: Path) -> None:
-    async def script(made: House, life: Life) -> None:
-        taken = await made.take_over()
-        await life.die()
-        await Life(made, taken).begin()
-        await answered(made)
-        made.check()
-    play(tmp_path, script)
-
-
 def test_one_that_dies_before_its_offer_is_as_none(tmp_path: Path) -> None:
     async def script(made: House, life: Life) -> None:
         async with trio.open_nursery() as nursery:
@@ -323,8 +315,6 @@
 
 
 def test_the_locks_descriptor_is_passed_on_and_stays_locked(tmp_path: Path) -> None:
-    import fcntl
-
     async def script(made: House, life: Life) -> None:
         life.keeper.lock = os.open(tmp_path / "lock", os.O_CREAT | os.O_RDWR)
         fcntl.flock(life.keeper.lock, fcntl.LOCK_EX)
@@ -340,6 +330,31 @@
     play(tmp_path, script)
 
 
+@pytest.mark.parametrize("killed", ["old", "new"])
+def test_a_real_process_killed_before_the_new_one_is_ready_leaves_the_other_serving(
+        tmp_path: Path, killed: str) -> None:
+    async def script(made: House, life: Life) -> None:
+        relaying.write(tmp_path, name="cardiff-1", listen=made.wants[0])  # without a list it does not get ready
+        words = [sys.executable, "-m", "benchmarks.takeover", "serve", str(tmp_path)]
+        with subprocess.Popen(words, stderr=subprocess.PIPE, text=True) as process:
+            assert process.stderr is not None
+            try:
+                line = "-"
+                while line and "taking over" not in line:
+                    line = await trio.to_thread.run_sync(process.stderr.readline)
+                if killed == "new":
+                    process.send_signal(signal.SIGKILL)
+                    await answered(made)
+                    made.check()
+                else:
+                    await life.die()
+                    assert await made.client() in (b"BUSY\r\n", b"ERR\r\n")  # it serves as well as it can
+                    assert made.lost == []
+            finally:
+                process.kill()
+    play(tmp_path, script)
+
+
 STARVED = """
 import os, resource, sys, trio
 from pathlib import Path
