--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -8,13 +8,13 @@
 import socket
 import time
 from collections import deque
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping, Sequence
 
 import trio
 
 from glenfold import events
 from glenfold.clock import Clock
-from glenfold.config import Config, ConfigError, written
+from glenfold.config.platform import Config, ConfigError, written
 from glenfold.counters import Counters
 from glenfold.daemon.life import Life, State
 from glenfold.decisions import Decisions
@@ -23,6 +23,7 @@
 from glenfold.net.discovery import Discovery
 from glenfold.net.inbound import BACKLOG, Inbound, Relay
 from glenfold.net.passing import Passage
+from glenfold.net.sockets import SocketType
 
 LOOK_S = 0.1  # between two looks at how many connections stand, before their clients move
 
@@ -33,10 +34,11 @@
 class Process:
     """`read_again`: what the configuration says now, and the keys that wait for a restart; raises
     ConfigError. `listeners`: sockets that listen already; without them it listens at `config.listen`.
+    `held`: it accepts nobody until `accept` is called, as another process still does.
     `companions` run beside it until it has finished, and are cancelled then."""
 
     def __init__(self, config: Config, read_again: ReadAgain, *, listeners: Sequence[socket.socket] = (),
-                 companions: Sequence[Companion] = ()) -> None:
+                 held: bool = False, companions: Sequence[Companion] = ()) -> None:
         clock, counters = Clock(), Counters()
         decisions = Decisions(config.settings, config.seed, clock)
         destinations = DestinationSet(config.names)
@@ -44,7 +46,10 @@
         self.relay = Relay(config, clock, decisions, destinations, counters)
         self.inbound = Inbound(self.relay)
         self.discovery = Discovery(config.discovery, destinations, decisions.tell, counters)
-        self.listeners: list[trio.socket.SocketType] = [trio.socket.from_stdlib_socket(s) for s in listeners]
+        self.listeners: list[SocketType] = [trio.socket.from_stdlib_socket(s) for s in listeners]
+        self._accepting: dict[SocketType, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
+        self._held = held
         self._read_again = read_again
         self._companions = companions
         self._told_to_stop = trio.Event()
@@ -56,14 +61,13 @@
         config = self.relay.config
         await self._take_known()
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             nursery.start_soon(self.relay.decisions.run)
             nursery.start_soon(self.discovery.follow)
             if not self.listeners:
                 self.listeners.append(await _listen(config.listen))
-            accepting = trio.CancelScope()
-            for listener in self.listeners:
-                nursery.start_soon(self._accept, accepting, listener, nursery)
-            events.relay_listens(name=config.name, address=written(config.listen))
+            if not self._held:
+                self.accept()
             self.life.to(State.WAITING)
             self.life.to(State.READY)
             for companion in self._companions:
@@ -71,10 +75,9 @@
             await self._told_to_stop.wait()
             leaving = Leaving(trio.current_time(), self.relay.config.settings)
             self.life.to(State.DRAINING)
-            await last_arrivals(leaving, self.inbound)
-            accepting.cancel()
-            for listener in self.listeners:
-                listener.close()
+            if self._accepting:
+                await last_arrivals(leaving, self.inbound)
+            self.release(self.listeners)
             self.life.to(State.FINISHING)
             gc.freeze()  # looking through all that stands would hold up the moves time and again
             await finish_taken(leaving, self.relay)
@@ -91,10 +94,37 @@
             except BadList as error:
                 events.list_known_refused(error=error)
 
-    async def _accept(self, scope: trio.CancelScope, listener: trio.socket.SocketType,
-                      nursery: trio.Nursery) -> None:
+    def accept(self) -> None:
+        """At all its listeners, from now on; where it does already, nothing changes."""
+        assert self._nursery is not None
+        self._held = False
+        for listener in self.listeners:
+            if listener not in self._accepting:
+                scope = self._accepting[listener] = trio.CancelScope()
+                self._nursery.start_soon(self._accept, scope, listener, self._nursery)
+                events.relay_listens(name=self.relay.config.name, address=written(listener.getsockname()))
+
+    def pause(self, listeners: Iterable[SocketType]) -> None:
+        """Accepts no more there. The sockets stay open, and with them the kernel's queue of clients."""
+        for listener in listeners:
+            if (scope := self._accepting.pop(listener, None)) is not None:
+                scope.cancel()
+
+    def release(self, listeners: Iterable[SocketType]) -> None:
+        """Closes its own descriptors, and no more: where another process has one of the same socket, that
+        goes on listening, with all who are queued there."""
+        for listener in list(listeners):
+            self.pause([listener])
+            self.listeners.remove(listener)
+            listener.close()
+
+    async def _accept(self, scope: trio.CancelScope, listener: SocketType, nursery: trio.Nursery) -> None:
         with scope:
-            await self.inbound.serve(listener, nursery)
+            try:
+                await self.inbound.serve(listener, nursery)
+            except (OSError, trio.ClosedResourceError):
+                if not scope.cancel_called:  # closed just as a client arrived
+                    raise
 
     def stop(self) -> None:
         self._told_to_stop.set()
@@ -122,7 +152,7 @@
             events.config_waits(keys=waiting)
 
 
-async def _listen(address: tuple[str, int]) -> trio.socket.SocketType:
+async def _listen(address: tuple[str, int]) -> SocketType:
     listener = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     await listener.bind(address)
