Be ready only once the start is paid for, and learn nothing from the relay's own stalls

Need: a start burns CPU faster than a part of a core allows; the scheduler holds the relay back afterwards, when most connections are placed and it is learnt what set-ups take.

Change: the life stays waiting until a list is known, the decision path is warmed up on throw-away state, the part of a core (limits.cores) has covered the CPU used, and the loop was on time for 100 ms; 2 s at the most. PING waits for that, clients are taken all the while. What stands then is frozen out of collections. An Established tells the time without the relay's own stall: the kernel knows how long the reply had lain there and how long the connection took to come up.

--- a/glenfold/config.py
+++ b/glenfold/config.py
@@ -59,6 +59,7 @@
     room: Room
     settings: i.Settings
     names: Names
+    cores: float = 1.0  # the part of a core that this process may use
     known: dict[str, Any] = field(default_factory=dict)  # in discovery's form; checked where that is read
 
 
@@ -128,7 +129,7 @@
     return value
 
 
-def _limit(limits: Mapping[str, Any], key: str, default: float, least: int) -> float:
+def _limit(limits: Mapping[str, Any], key: str, default: float, least: float) -> float:
     value = limits.get(key)
     if value is None:
         return default
@@ -166,6 +167,7 @@
         # Whatever the settings say: no line of the protocol tells what a message takes at its server.
         settings=replace(read_settings("\n".join(_flat(settings, ""))), tells_delay=False),
         names=_names(settings),
+        cores=_limit(limits, "cores", 1.0, 0.01),
         known=_object(document, "known", "known", {}),
     )
 
--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -4,7 +4,9 @@
 was passed on) comes in as companions and as listeners that are open already; nothing here imports them.
 """
 
+import gc
 import socket
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 
 import trio
@@ -14,6 +16,8 @@
 from glenfold.config import Config, ConfigError
 from glenfold.counters import Counters
 from glenfold.daemon.life import Life, State
+from glenfold.daemon.readiness import STEP_S, Readiness
+from glenfold.daemon.warming import age_s, warm_up
 from glenfold.decisions import Decisions
 from glenfold.destinations import BadList, DestinationSet
 from glenfold.leaving import ANSWERS_S, Leaving
@@ -59,7 +63,7 @@
                 nursery.start_soon(self._accept, accepting, listener, nursery)
             logger.info("{} listens on {}:{}", config.name, *config.listen)
             self.life.to(State.WAITING)
-            self.life.to(State.READY)
+            nursery.start_soon(self._become_ready)
             for companion in self._companions:
                 nursery.start_soon(companion, self)
             await self._told_to_stop.wait()
@@ -84,6 +88,23 @@
             except BadList as error:
                 logger.warning("known: {}", error)
 
+    async def _become_ready(self) -> None:
+        """Clients that come before are served as well as it goes; only PING waits."""
+        relay = self.relay
+        while not relay.destinations.listed:
+            await trio.sleep_until(trio.current_time() + STEP_S)
+        warm_up(relay.config, relay.destinations.servers(), relay.clock.now_us())
+        # What stands now stays to the end: no collection looks at it again.
+        gc.collect()
+        gc.freeze()
+        gc.enable()
+        readiness = Readiness(trio.current_time(), age_s(), relay.config.cores)
+        while not readiness.look(trio.current_time(), time.process_time()):
+            await trio.sleep_until(readiness.next_look)
+        if not self.life.ending:
+            relay.ready.set()
+            self.life.to(State.READY)
+
     async def _accept(self, scope: trio.CancelScope, listener: trio.socket.SocketType,
                       nursery: trio.Nursery) -> None:
         with scope:
--- a/glenfold/destinations.py
+++ b/glenfold/destinations.py
@@ -49,6 +49,15 @@
         self.version = 0
         self.faults: list[str] = []  # of the list read last
 
+    @property
+    def listed(self) -> bool:
+        """Whether there has been any list at all, be it an empty or an old one."""
+        return self._heard > 0
+
+    def servers(self) -> tuple[i.ListedServer, ...]:
+        """As they were listed last."""
+        return tuple(known.line for known in self._known.values())
+
     def address(self, server: int) -> Address | None:
         return self._known[server].address if server in self._known else None
 
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -41,6 +41,7 @@
     unanswered: int = 0
     ids: Counter[bytes] = field(default_factory=Counter)  # of the requests and connections open here
     standing: set[Passage] = field(default_factory=set)
+    ready: trio.Event = field(default_factory=trio.Event)  # to go at the usual pace: PING waits for it
 
 
 class Inbound:
@@ -184,6 +185,7 @@
                 return end
             buffer.drop(end)
             self._counters.pings += 1
+            await self._relay.ready.wait()
             await send(sock, lines.PONG)
 
     def _exchange(self, sock: SocketType, buffer: lines.LineBuffer, end: int) -> "Exchange":
--- a/glenfold/net/outbound.py
+++ b/glenfold/net/outbound.py
@@ -5,12 +5,22 @@
 
 import trio
 
+from glenfold.clock import SECOND_US
 from glenfold.config import Address
 from glenfold.lines import END, LineBuffer, Malformed, OpenLine
-from glenfold.net.sockets import SocketType, send_pieces, without_delay
+from glenfold.net.sockets import KernelTimes, SocketType, kernel_times, send_pieces, without_delay
 from glenfold.request import CallEnded, CallUp
 from linnetspread.interface import Outcome
 
+LEAST_STALL_S = 0.01  # below it the kernel's figures, in milliseconds and ticks, say nothing
+
+
+def stalled_s(before_write_s: float, kernel: KernelTimes) -> float:
+    """For how long this process, and not the network or the server, kept a call waiting: before its line was
+    written, and once the reply was there. A connection whose first segment was sent again was slow itself."""
+    before = 0.0 if kernel.resent else before_write_s - kernel.round_trip_s
+    return sum(part for part in (before, kernel.came_s) if part > LEAST_STALL_S)
+
 
 class OutboundCall:
     def __init__(self, address: Address, first: OpenLine, connect_by: float, deadline: float) -> None:
@@ -20,6 +30,7 @@
         self.deadline = deadline
         self.sock: SocketType | None = None
         self._scope = trio.CancelScope()
+        self._begun_at = self._written_at = trio.current_time()
 
     def close(self) -> None:
         """Also ends `run`: nothing of this call is out any more once this returns."""
@@ -48,6 +59,7 @@
             with trio.fail_at(self.deadline):
                 left = self.deadline - trio.current_time()
                 await send_pieces(sock, self.first.with_wait(math.ceil(left * 1000)))
+            self._written_at = trio.current_time()
         except (OSError, trio.TooSlowError):
             # Until the line's last byte is written it has not run; from then on it may have.
             return CallEnded(Outcome.CONNECT_FAILED)
@@ -70,7 +82,8 @@
             buffer.wrote(count)
         word, _, rest = bytes(buffer.data[:end - len(END)]).partition(b" ")
         if word == b"UP" and rest:
-            return CallUp(bytes(buffer.data[:buffer.filled]))
+            stalled = stalled_s(self._written_at - self._begun_at, kernel_times(sock))
+            return CallUp(bytes(buffer.data[:buffer.filled]), round(stalled * SECOND_US))
         if word == b"BUSY":
             return CallEnded(Outcome.FULL)
         return CallEnded(Outcome.CANCELLED if word == b"MOVE" else Outcome.ERROR)
--- a/glenfold/net/sockets.py
+++ b/glenfold/net/sockets.py
@@ -4,6 +4,7 @@
 import struct
 from collections.abc import Sequence
 from contextlib import suppress
+from dataclasses import dataclass
 
 import trio
 
@@ -11,6 +12,9 @@
 
 SocketType = trio.socket.SocketType
 
+# Of the kernel's tcp_info, as it has been since Linux 2.6: eight bytes, then words of four.
+_TCP_INFO_BYTES = 104
+_LAST_DATA_RECEIVED_MS, _ROUND_TRIP_US, _RESENT = 52, 68, 100
 _AT_ONCE = struct.pack("ii", 1, 0)  # linger on, for no time: close sends RST
 
 
@@ -41,3 +45,24 @@
 
 def without_delay(sock: SocketType) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+@dataclass(frozen=True, slots=True)
+class KernelTimes:
+    """What the kernel knows of a TCP connection, however late this process looks. came_s: since when the data
+    read last has been there. round_trip_s: to the other side. resent: segments sent again."""
+
+    came_s: float
+    round_trip_s: float
+    resent: int
+
+
+def kernel_times(sock: SocketType) -> KernelTimes:
+    """All zero where the kernel does not tell."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+        came_ms, trip_us, resent = (struct.unpack_from("=I", info, at)[0]
+                                    for at in (_LAST_DATA_RECEIVED_MS, _ROUND_TRIP_US, _RESENT))
+    except (OSError, struct.error):
+        return KernelTimes(0.0, 0.0, 0)
+    return KernelTimes(came_ms / 1e3, trip_us / 1e6, resent)
--- a/glenfold/request.py
+++ b/glenfold/request.py
@@ -23,9 +23,11 @@
 
 @dataclass(frozen=True, slots=True)
 class CallUp:
-    """The server took it; `receipt` is its line, with whatever came right behind it."""
+    """The server took it; `receipt` is its line, with whatever came right behind it. `stalled_us`: how long
+    the relay itself kept the call waiting, which must not look like a slow server."""
 
     receipt: bytes
+    stalled_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -143,8 +145,8 @@
                 return [DropCall(), self._ended(i.Outcome.CANCELLED, now_us, False)]
             case i.Move():
                 return [MoveClient()] if self.phase is Phase.STANDING else []
-            case CallUp(receipt):
-                return self._up(receipt, now_us)
+            case CallUp(receipt, stalled_us):
+                return self._up(receipt, now_us - stalled_us)
             case CallEnded(outcome):
                 return self._call_ended(outcome, now_us)
             case ClientGone():
@@ -176,11 +178,11 @@
         # The answer first: it is due at once, and closing the call takes no time that matters to it.
         return [answer, DropCall(), self._ended(i.Outcome.CANCELLED, now_us, True)] if calling else [answer]
 
-    def _up(self, receipt: bytes, now_us: int) -> list[Effect]:
+    def _up(self, receipt: bytes, came_us: int) -> list[Effect]:
         if self.phase is not Phase.CALLING:  # it raced the final answer: it must not become a second one
             return [DropCall()]
         self.phase = Phase.STANDING
-        elapsed = now_us - self._sent_us
+        elapsed = max(0, came_us - self._sent_us)
         up = i.Established(self.number, self._attempt, self.server, elapsed)
         return [AnswerUp(receipt), Report(up)]
 
--- /dev/null
+++ b/tests/daemon/test_ready.py
@@ -0,0 +1,123 @@
+"""An instance is ready only when it can go at its usual pace, and learns nothing from its own stalls."""
+
+import gc
+import socket
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+import relaying
+import trio
+from relaying import OPEN, entry, whole
+
+from glenfold import request as r
+from glenfold.daemon.life import State
+from glenfold.daemon.process import Process
+from glenfold.daemon.readiness import CALM_S, LATEST_S, STEP_S, Readiness
+from glenfold.daemon.warming import REQUESTS, warm_up
+from glenfold.dispatch import Dispatch, RequestAction
+from glenfold.net.outbound import stalled_s
+from glenfold.net.sockets import KernelTimes, kernel_times
+from linnetspread import interface as i
+
+
+def ready_at(cores: float, cpu_s: float, age_s: float = 0.0,
+             late: Callable[[float], float] = lambda now: 0.0) -> float:
+    """In virtual time; `late`: how late the look comes that is due at that moment."""
+    now, readiness = 0.0, Readiness(0.0, age_s, cores)
+    while not readiness.look(now, cpu_s):
+        now = readiness.next_look + late(readiness.next_look)
+    return now
+
+
+def test_it_waits_until_its_part_of_a_core_has_covered_the_start():
+    assert ready_at(cores=0.25, cpu_s=0.2) == pytest.approx(0.8, abs=STEP_S)
+    assert ready_at(cores=0.25, cpu_s=0.2, age_s=0.5) == pytest.approx(0.3, abs=STEP_S)
+    assert ready_at(cores=1.0, cpu_s=0.2, age_s=0.3) == pytest.approx(CALM_S, abs=STEP_S)
+
+
+def test_it_waits_until_its_loop_has_been_on_time():
+    calm_at = ready_at(1.0, 0.0, late=lambda now: 0.05 if now < 0.5 else 0.0)
+    assert calm_at == pytest.approx(0.5 + CALM_S, abs=0.06)
+
+
+def test_on_a_machine_that_stays_busy_it_is_ready_at_the_latest_moment():
+    assert LATEST_S <= ready_at(1.0, 0.0, late=lambda now: 0.05) <= LATEST_S + 0.1
+    assert LATEST_S <= ready_at(0.01, 5.0) <= LATEST_S + STEP_S
+
+
+def test_a_reply_that_lay_in_the_kernel_while_this_process_stood_still_was_no_slow_set_up():
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        near = socket.create_connection(listener.getsockname())
+        far, _ = listener.accept()
+        with near, far:
+            far.sendall(b"UP x\r\n")
+            time.sleep(0.2)
+
+            async def look() -> KernelTimes:
+                return kernel_times(trio.socket.from_stdlib_socket(near))
+            kernel = trio.run(look)
+    assert kernel.came_s == pytest.approx(0.2, abs=0.1) and kernel.round_trip_s < 0.1
+    assert stalled_s(0.0, kernel) == kernel.came_s
+    # Before its line was written, too; but for a connection that came up late, and what is hardly seen.
+    assert stalled_s(0.15, KernelTimes(0.0, 0.001, 0)) == pytest.approx(0.149)
+    assert stalled_s(0.15, KernelTimes(0.0, 0.001, 1)) == 0
+    assert stalled_s(0.009, KernelTimes(0.009, 0.0, 0)) == 0
+
+
+def test_the_decisions_are_told_of_the_set_up_without_the_stall():
+    state = r.RequestState(1, 3_000_000)
+    state.on(i.Attempt(1, 7, 1_000_000), 0)
+    effects = state.on(r.CallUp(b"UP x\r\n", 140_000), 150_000)
+    assert r.Report(i.Established(1, 0, 7, 10_000)) in effects
+
+
+@pytest.mark.parametrize("ready", [0, 1, 20])
+def test_a_warm_up_takes_requests_to_their_ends(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
+                                                ready: int):
+    seen, handle = Counter[str](), Dispatch.handle
+
+    def spy(self: Dispatch, now_us: int, event: i.Event) -> list[RequestAction]:
+        seen[type(event).__name__] += 1
+        return handle(self, now_us, event)
+    monkeypatch.setattr(Dispatch, "handle", spy)
+    servers = tuple(i.ListedServer(n, i.ServerState.READY) for n in range(ready))
+    warm_up(relaying.config(tmp_path), servers, now_us=10)
+    ended = REQUESTS if ready else 0
+    assert seen == Counter(ServerList=1, Request=REQUESTS, Established=ended, Answer=ended)
+
+
+async def _pong(port: int) -> bytes:
+    async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+        await stream.send_all(b"PING\r\n")
+        return bytes(await stream.receive_some(64))
+
+
+def test_ping_waits_for_a_list_while_clients_are_served_and_then_is_answered(tmp_path: Path):
+    async def main() -> None:
+        process = Process(relaying.config(tmp_path, known=whole()), lambda current: (current, []),
+                          listeners=[socket.create_server(("127.0.0.1", 0))])
+        states: list[State] = []
+        process.life.watches.append(lambda _, now: states.append(now))
+        port = process.listeners[0].getsockname()[1]
+        process.relay.config.known.clear()  # it starts without any list
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(process.run)
+            with trio.move_on_after(0.3) as too_early:
+                await _pong(port)
+            assert too_early.cancelled_caught and states == [State.WAITING]
+            async with await trio.open_tcp_stream("127.0.0.1", port) as stream:
+                await stream.send_all(OPEN)
+                assert (await stream.receive_some(64)).startswith(b"BUSY")
+            await process.relay.decisions.tell(process.relay.destinations.read(whole(entry("s-1"))))
+            assert await _pong(port) == b"PONG\r\n"
+            assert states == [State.WAITING, State.READY]
+            nursery.cancel_scope.cancel()
+        process.listeners[0].close()
+    try:
+        trio.run(main)
+        assert gc.isenabled() and gc.get_freeze_count() > 0
+    finally:
+        gc.unfreeze()
--- a/tests/glenfold_lab/standing.py
+++ b/tests/glenfold_lab/standing.py
@@ -96,6 +96,7 @@
         relay_clock, destinations = Clock(), DestinationSet(conf.names)
         decisions = Decisions(conf.settings, conf.seed, relay_clock)
         shared = Relay(conf, relay_clock, decisions, destinations, Counters())
+        shared.ready.set()
         discovery = Discovery(agent.address, destinations, decisions.tell, shared.counters)
         listener = trio.socket.socket()
         await listener.bind(("127.0.0.1", 0))
--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -51,6 +51,7 @@
         port = listeners[0].socket.getsockname()[1]
         clock, destinations = Clock(), DestinationSet(conf.names)
         shared = Relay(conf, clock, Decisions(conf.settings, conf.seed, clock), destinations, Counters())
+        shared.ready.set()
         hosts_listed = [entry(f"s-{n}", f"127.0.0.1:{port}") for n in range(hosts)]
         await shared.decisions.tell(destinations.read(whole(*hosts_listed), cached=True))
         nursery.start_soon(shared.decisions.run)
