--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -94,9 +94,7 @@
         while not relay.destinations.listed:
             await trio.sleep_until(trio.current_time() + STEP_S)
         warm_up(relay.config, relay.destinations.servers(), relay.clock.now_us())
-        # What stands now stays to the end: no collection looks at it again.
-        gc.collect()
-        gc.freeze()
+        gc.freeze()  # what stands now stays to the end: no collection looks at it again
         gc.enable()
         readiness = Readiness(trio.current_time(), age_s(), relay.config.cores)
         while not readiness.look(trio.current_time(), time.process_time()):
