--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -19,7 +19,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from relaying import write
+from relaying import whole, write
 
 from glenfold import events, logs
 from glenfold.rules.rate import RateLimit
@@ -277,7 +277,7 @@
     relays: list[tuple[subprocess.Popen[bytes], tuple[str, int]]] = []
     gone_reader, gone = os.pipe()
     os.close(gone_reader)
-    write(tmp_path)
+    write(tmp_path, known=whole())
     with full_pipe() as (_, full, _):
         try:
             for log_to in (full, gone, None):
