Check the fleet's decisions against modelled processes, killed at any moment

A roll that was called off left a successor on its way, and a new roll took one more out than allowed; an old process that was gone before its successor was seen to be ready counted as a crash.

--- a/glenfold/rules/fleet.py
+++ b/glenfold/rules/fleet.py
@@ -9,7 +9,7 @@
 supervisor, which begins with `Resumed`, never believes less to have been done than was.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Container, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -365,11 +365,19 @@
             self._halt(f"the successor of {name} ended before it was ready: {how}")
         elif process == one.process and one.phase in (Phase.UNREADY, Phase.READY, Phase.STOPPING):
             one.how = how
-            if one.phase is Phase.STOPPING:
+            if one.replacing and one.successor is not None:
+                self._succeeded(one, now)
+            elif one.phase is Phase.STOPPING:
                 self._ended_as_asked(name, one, now)
             else:
                 self._ended_unasked(name, one, now)
 
+    @staticmethod
+    def _succeeded(one: Instance, now: float) -> None:
+        """The old process is gone, perhaps as it should be, before the new one was seen to be ready."""
+        one.process, one.successor, one.replacing = one.successor, None, False
+        one.phase, one.since = Phase.UNREADY, now
+
     def _ended_as_asked(self, name: str, one: Instance, now: float) -> None:
         one.process = None
         self._tell("instance stopped", instance=name, how=one.how)
@@ -381,8 +389,7 @@
 
     def _ended_unasked(self, name: str, one: Instance, now: float) -> None:
         terms = self.terms
-        if one.replacing:
-            self._give_up_successor(name, one, now)
+        one.replacing = False
         steady = one.phase is Phase.READY and now - one.since >= terms.steady_s
         one.process = None
         one.in_a_row = 1 if steady else one.in_a_row + 1
@@ -448,8 +455,7 @@
             self._resume_missing(name, one, now)
         elif running == one.successor:
             if one.process not in found.alive:
-                one.process, one.successor, one.replacing = running, None, False
-                one.phase, one.since = Phase.UNREADY, now
+                self._succeeded(one, now)
         elif running == one.process and one.phase is Phase.STOPPING:
             one.kill_at = now + self.terms.stop_within_s
             self._effects.append(Stop(name, running))
@@ -552,7 +558,7 @@
 
     def _begin_roll(self, most_out: int, now: float) -> None:
         names = self.terms.instances
-        unready = [name for name in names if self.state.instances[name].phase is not Phase.READY]
+        unready = self._out(())
         reason = None
         if self.state.down:
             reason = "the fleet is going down"
@@ -613,16 +619,18 @@
             self._halt(f"service suffers: {worse}")
             return
         roll.todo = [name for name in roll.todo if name in self.terms.instances]
-        while roll.todo and self._out(roll) < roll.most_out:
+        while roll.todo and len(self._out(roll.out)) < roll.most_out:
             self._begin_step(roll, roll.todo.pop(0), now)
         self._bound_waiting(roll, now)
         if not roll.todo and not roll.out:
             self._tell("roll done", instances=len(roll.done), took_s=round(now - roll.begun_at, 3))
             self.state.roll = None
 
-    def _out(self, roll: Roll) -> int:
-        return sum(name in roll.out or self.state.instances[name].phase is not Phase.READY
-                   for name in self.terms.instances)
+    def _out(self, steps: Container[str]) -> list[str]:
+        """Whatever took them out."""
+        stand = self.state.instances
+        return [name for name in self.terms.instances
+                if name in steps or stand[name].replacing or stand[name].phase is not Phase.READY]
 
     def _bound_waiting(self, roll: Roll, now: float) -> None:
         if not roll.todo or roll.out:
@@ -630,9 +638,7 @@
         elif roll.waits_since is None:
             roll.waits_since = now
         elif now - roll.waits_since > self.terms.ready_within_s:
-            unready = [name for name in self.terms.instances
-                       if self.state.instances[name].phase is not Phase.READY]
-            self._halt(f"waits for instances that it did not take out: {', '.join(unready)}")
+            self._halt(f"waits for instances that it did not take out: {', '.join(self._out(()))}")
 
     def _begin_step(self, roll: Roll, name: str, now: float) -> None:
         one = self.state.instances[name]
--- /dev/null
+++ b/tests/rules/test_fleet_rules.py
@@ -0,0 +1,342 @@
+"""The decisions of the supervisor against a machine of modelled processes: deaths, slow starts, bad service,
+commands, and the supervisor itself killed between any two of its effects."""
+
+from collections import Counter
+
+import msgspec
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from glenfold.rules import fleet as f
+from glenfold.rules.service import Shares, Window
+
+NAMES = ("a", "b", "c", "d")
+WELL, BADLY = Shares(100, 0.01, 0.0), Shares(100, 0.3, 0.0)
+
+
+class Machine:
+    """Processes, and one supervisor at a time; every effect is checked against what is allowed."""
+
+    def __init__(self, terms: f.Terms) -> None:
+        self.terms, self.now = terms, 1000.0
+        self.running: dict[str, str] = {}       # process: instance
+        self.ready: set[str] = set()
+        self.told: set[str] = set()             # to stop
+        self.answering: dict[str, str] = {}     # instance: process
+        self.starts: list[tuple[float, str]] = []
+        self.asked_for: Counter[str] = Counter()  # starts that a command may bring about
+        self.own_out: set[str] = set()
+        self.service = WELL
+        self.events: list[f.Tell] = []
+        self.refused = ""
+        self.fleet = f.Fleet(terms, f.State(), lambda: 0.5)
+        self.made = 0
+        self.killed: list[str] = []             # and not yet seen to have ended
+        self.within = 0
+
+    def on(self, incident: f.Incident, carry_out: int = 1000) -> None:
+        """`carry_out`: the supervisor is killed after so many effects."""
+        held = {name for name, one in self.fleet.state.instances.items() if one.phase is f.Phase.HELD}
+        todo = self.fleet.on(incident, self.now)
+        if isinstance(incident, f.Release):
+            held = {name for name in held if self.fleet.state.instances[name].phase is f.Phase.HELD}
+        self.within += 1
+        for effect in todo[:carry_out]:
+            self.carry_out(effect, held)
+        self.within -= 1
+        if not self.within:
+            while self.killed:
+                self.end(self.killed.pop(), "killed")
+
+    def carry_out(self, effect: f.Effect, held: set[str]) -> None:
+        match effect:
+            case f.Start(name):
+                assert name not in held
+                assert name not in self.running.values(), "two processes of one name"
+                self.starts.append((self.now, name))
+                self.on(f.Spawned(name, self.spawn(name)))
+            case f.Replace(name):
+                self.own_out.add(name)
+                self.on(f.Spawned(name, self.spawn(name)))
+            case f.Stop(name, process):
+                assert self.running[process] == name
+                self.told.add(process)
+                self.ready.discard(process)
+                if not self.fleet.state.down:
+                    self.own_out.add(name)
+            case f.Kill(_, process):
+                self.killed.append(process)
+            case f.Tell():
+                self.events.append(effect)
+            case f.Refuse(reason):
+                self.refused = reason
+        roll = self.fleet.state.roll
+        assert not roll or not roll.running or len(self.own_out) <= roll.most_out
+
+    def spawn(self, name: str) -> str:
+        self.made += 1
+        process = f"{name}{self.made}"
+        self.running[process] = name
+        self.answering.setdefault(name, process)
+        return process
+
+    def end(self, process: str, how: str) -> None:
+        name = self.running.pop(process, None)
+        if name is None:
+            return
+        self.ready.discard(process)
+        self.told.discard(process)
+        if self.answering.get(name) == process:
+            del self.answering[name]
+            for other, of in self.running.items():
+                if of == name:
+                    self.answering[name] = other
+        self.on(f.Ended(name, process, how))
+
+    def be_ready(self, process: str) -> None:
+        name = self.running[process]
+        if process in self.told:
+            return
+        self.ready.add(process)
+        older = [old for old, of in self.running.items() if of == name and int(old[1:]) < int(process[1:])]
+        newest = all(int(other[1:]) <= int(process[1:]) for other, of in self.running.items() if of == name)
+        self.told.update(older)
+        self.ready.difference_update(older)
+        if newest:
+            self.answering[name] = process
+            self.own_out.discard(name)
+
+    def look(self, carry_out: int = 1000) -> None:
+        for name, process in list(self.answering.items()):
+            if process in self.running:
+                self.on(f.Seen(name, process, process in self.ready))
+        self.on(f.Served(self.service), carry_out)
+
+    def supervisor_dies(self) -> None:
+        """All that is left of it is what it saved."""
+        state = msgspec.json.decode(msgspec.json.encode(self.fleet.state), type=f.State)
+        self.fleet = f.Fleet(self.terms, state, lambda: 0.5)
+        self.on(f.Resumed(frozenset(self.running), dict(self.answering)))
+
+    def calm(self, seconds: int, step: float = 1.0) -> None:
+        """Everything that starts gets ready, everything that is told to stop does."""
+        for _ in range(int(seconds / step)):
+            self.now += step
+            for process in list(self.told):
+                self.end(process, "0")
+            for process in list(self.running):
+                self.be_ready(process)
+            self.look()
+
+    def phases(self) -> set[f.Phase]:
+        return {one.phase for one in self.fleet.state.instances.values()}
+
+
+def check_no_storm(machine: Machine) -> None:
+    """Starts of one instance within any window, less those that a command asked for."""
+    terms = machine.terms
+    for name in NAMES:
+        moments = [at for at, of in machine.starts if of == name]
+        for first in moments:
+            inside = sum(first <= at < first + terms.loop_window_s for at in moments)
+            assert inside <= terms.loop_ends + machine.asked_for[name]
+    every = sorted(at for at, _ in machine.starts)
+    assert all(b - a >= terms.stagger_s for a, b in zip(every, every[1:], strict=False))
+
+
+class FleetModel(RuleBasedStateMachine):
+    @initialize(take_over=st.booleans(), stagger_s=st.sampled_from([0.0, 0.4]))
+    def begin(self, take_over: bool, stagger_s: float) -> None:
+        self.machine = Machine(f.Terms(NAMES, stagger_s=stagger_s, loop_ends=4, take_over=take_over))
+        self.machine.calm(10)
+
+    def commanded(self) -> None:
+        self.machine.asked_for.update(NAMES)
+
+    @rule(seconds=st.sampled_from([0.1, 1.0, 6.0, 40.0, 80.0]))
+    def time(self, seconds: float) -> None:
+        self.machine.now += seconds
+        self.machine.look()
+
+    @rule(seconds=st.integers(1, 20))
+    def calm(self, seconds: int) -> None:
+        self.machine.calm(seconds)
+
+    @precondition(lambda self: self.machine.running)
+    @rule(data=st.data(), what=st.sampled_from(["die", "stop", "ready", "sicken"]))
+    def process(self, data: st.DataObject, what: str) -> None:
+        process = data.draw(st.sampled_from(sorted(self.machine.running)))
+        if what == "die":
+            self.machine.end(process, "-9")
+        elif what == "stop" and process in self.machine.told:
+            self.machine.end(process, "0")
+        elif what == "ready":
+            self.machine.be_ready(process)
+        else:
+            self.machine.ready.discard(process)
+
+    @rule(shares=st.sampled_from([WELL, BADLY, Shares()]))
+    def service(self, shares: Shares) -> None:
+        self.machine.service = shares
+
+    @rule(most_out=st.integers(1, 3))
+    def roll(self, most_out: int) -> None:
+        self.commanded()
+        self.machine.on(f.BeginRoll(most_out))
+
+    @rule(command=st.sampled_from([f.ContinueRoll(), f.CallOffRoll(), f.Release(), f.ReloadAll()]))
+    def command(self, command: f.Command) -> None:
+        self.commanded()
+        self.machine.on(command)
+
+    @rule(after=st.integers(0, 3))
+    def supervisor_killed(self, after: int) -> None:
+        self.commanded()
+        self.machine.now += 1.0
+        self.machine.look(after)
+        self.machine.supervisor_dies()
+
+    def teardown(self) -> None:
+        if not hasattr(self, "machine"):
+            return
+        check_no_storm(self.machine)
+        self.machine.service = WELL
+        self.machine.calm(600)
+        assert self.machine.phases() <= {f.Phase.READY, f.Phase.HELD}
+        roll = self.machine.fleet.state.roll
+        assert roll is None or not roll.running
+        self.machine.on(f.Down())
+        self.machine.calm(200)
+        assert not self.machine.running and self.machine.phases() == {f.Phase.DOWN}
+
+
+FleetModel.TestCase.settings = settings(max_examples=120, stateful_step_count=30, deadline=None,
+                                        derandomize=True)
+TestFleetModel = FleetModel.TestCase
+
+
+def ready_machine(**terms: object) -> Machine:
+    machine = Machine(f.Terms(NAMES, **terms))  # type: ignore[arg-type]
+    machine.calm(10)
+    assert machine.phases() == {f.Phase.READY}
+    return machine
+
+
+def test_an_instance_that_keeps_ending_is_held_told_and_started_again_only_when_released() -> None:
+    machine = ready_machine(loop_ends=3)
+    while machine.fleet.state.instances["a"].phase is not f.Phase.HELD:
+        for process in [p for p, name in machine.running.items() if name == "a"]:
+            machine.end(process, "1")
+        machine.now += 0.1
+        machine.on(f.Passed())
+    assert [event.fields["instance"] for event in machine.events if event.event == "instance held"] == ["a"]
+    starts = len(machine.starts)
+    machine.calm(500)
+    assert len(machine.starts) == starts
+    machine.on(f.BeginRoll())
+    assert machine.refused == "not ready: a (held)"
+    machine.on(f.Release("a"))
+    machine.calm(2)
+    assert machine.phases() == {f.Phase.READY}
+
+
+def test_the_wait_before_a_restart_doubles_and_is_the_shortest_again_after_long_service() -> None:
+    machine = ready_machine(loop_ends=100, jitter=0.0, backoff_s=1.0, most_backoff_s=5.0, steady_s=30.0)
+
+    def wait() -> float:
+        machine.end(machine.answering["a"], "1")
+        waited = machine.fleet.next_at() - machine.now
+        machine.now = machine.fleet.next_at()
+        machine.on(f.Passed())
+        return waited
+
+    assert [round(wait(), 6) for _ in range(5)] == [1, 2, 4, 5, 5]
+    machine.calm(40)
+    assert wait() == pytest.approx(1)
+
+
+@pytest.mark.parametrize("take_over", [False, True])
+def test_a_roll_replaces_each_once_and_stops_when_service_suffers_until_it_is_continued(
+        take_over: bool) -> None:
+    machine = ready_machine(take_over=take_over)
+    first = set(machine.running)
+    machine.on(f.BeginRoll())
+    machine.on(f.ReloadAll())
+    assert "a roll is running" in machine.refused
+    machine.calm(8)
+    machine.service = BADLY
+    machine.look()
+    roll = machine.fleet.state.roll
+    assert roll and not roll.running and "30.0% refused, 1.0% before" in roll.reason
+    machine.service = WELL
+    machine.calm(60)
+    assert first & set(machine.running)
+    machine.on(f.BeginRoll())
+    assert "continue it or call it off" in machine.refused
+    machine.on(f.ContinueRoll())
+    machine.calm(60)
+    assert machine.fleet.state.roll is None and not first & set(machine.running)
+    assert [event.fields for event in machine.events if event.event == "roll done"][0]["instances"] == 4
+
+
+def test_a_roll_stops_when_an_instance_does_not_come_back_and_others_go_on() -> None:
+    machine = ready_machine()
+    machine.on(f.BeginRoll())
+    machine.end(next(iter(machine.told)), "0")
+    machine.now += 31
+    machine.look()
+    roll = machine.fleet.state.roll
+    assert roll and not roll.running and roll.todo == list(NAMES)
+    assert roll.reason == "a was not ready within 30 s"
+
+
+def test_a_successor_that_dies_before_it_is_ready_leaves_the_old_one_serving() -> None:
+    machine = ready_machine(take_over=True)
+    old = machine.answering["a"]
+    machine.on(f.BeginRoll())
+    machine.end(next(p for p, name in machine.running.items() if name == "a" and p != old), "1")
+    roll = machine.fleet.state.roll
+    assert roll and not roll.running and "successor of a ended" in roll.reason
+    machine.calm(100)
+    assert machine.answering["a"] == old and old in machine.ready
+
+
+def test_an_instance_that_does_not_stop_is_killed_and_comes_back() -> None:
+    machine = ready_machine(stop_within_s=20.0)
+    machine.on(f.BeginRoll())
+    machine.now += 20
+    machine.look()
+    machine.calm(60)
+    assert machine.fleet.state.roll is None
+    assert [event.fields["instance"] for event in machine.events if event.event == "instance killed"] == ["a"]
+
+
+def test_new_terms_start_what_is_new_and_stop_what_is_gone() -> None:
+    machine = ready_machine()
+    machine.terms = f.Terms(("a", "e"))
+    machine.on(f.NewTerms(machine.terms))
+    machine.calm(5)
+    assert sorted(machine.running.values()) == ["a", "e"] == sorted(machine.fleet.state.instances)
+
+
+def test_on_a_machine_started_anew_a_roll_is_stopped_and_old_moments_mean_nothing() -> None:
+    machine = ready_machine()
+    machine.on(f.BeginRoll())
+    machine.running.clear()
+    machine.now = 5.0
+    machine.fleet.on(f.Resumed(frozenset(), {}, again=False), machine.now)
+    roll = machine.fleet.state.roll
+    assert roll and roll.reason == "the machine was started anew"
+    assert all(one.starts == 2 for one in machine.fleet.state.instances.values())
+
+
+def test_service_counts_each_process_from_its_own_start_and_forgets_what_is_older_than_the_window() -> None:
+    window = Window(5.0)
+    window.read(0, "a", "a1", {"answered_up": 900, "answered_busy": 100}, started_here=False)
+    assert window.shares(0) == Shares()
+    window.read(1, "a", "a1", {"answered_up": 906, "answered_busy": 101, "left": 3}, started_here=False)
+    window.read(2, "a", "a2", {"answered_up": 10}, started_here=True)
+    assert window.shares(2) == Shares(20, 0.05, 0.15)
+    assert window.shares(6.5) == Shares(10, 0.0, 0.0)
