Supervise a fleet of instances: start, watch, restart, roll, and take over from a dead supervisor

A roll skips an instance that is out by itself and comes to it later, where it would have been taken for down.

--- a/glenfold/rules/fleet.py
+++ b/glenfold/rules/fleet.py
@@ -83,6 +83,8 @@
     roll: Roll | None = None
     down: bool = False
     last_start: float = -1e9
+    rolls: int = 0            # ever begun
+    last_roll: str = ""       # how the last of them that is over ended
 
 
 # ---- what comes in ----
@@ -277,7 +279,27 @@
             case _:
                 self._command(incident, now)
 
+    def why_not(self, command: Command) -> str | None:
+        """Why it would be refused now; None if it wouldn't."""
+        roll = self.state.roll
+        match command:
+            case BeginRoll(most_out):
+                return self._why_no_roll(self.terms.most_out if most_out is None else most_out)
+            case ContinueRoll() if roll is None or roll.running:
+                return "no roll is stopped"
+            case CallOffRoll() if roll is None:
+                return "there is no roll"
+            case Release(name) if not self._held(name):
+                return f"{name} is not held" if name else "no instance is held"
+            case ReloadAll() if roll and roll.running:
+                return ("a roll is running, and each instance that it starts goes by the file as it was when"
+                        " the roll began; wait for its end or call it off")
+        return None
+
     def _command(self, command: Command, now: float) -> None:
+        if reason := self.why_not(command):
+            self._effects.append(Refuse(reason))
+            return
         match command:
             case BeginRoll(most_out):
                 self._begin_roll(self.terms.most_out if most_out is None else most_out, now)
@@ -323,7 +345,7 @@
             self._adopt(name, one, process, now)
         if one.phase is not Phase.STOPPING:
             if ready and one.phase is not Phase.READY:
-                self._tell("instance ready", instance=name, process=process,
+                self._tell("fleet.ready", name=name, process=process,
                            after_s=round(now - one.since, 3))
             self._to(one, Phase.READY if ready else Phase.UNREADY, now)
 
@@ -332,7 +354,7 @@
         if one.process is not None:
             one.leaving[one.process] = now + self.terms.stop_within_s
         one.process = process
-        self._tell("instance found", instance=name, process=process)
+        self._tell("fleet.found", name=name, process=process)
         if self._wanted(name):
             one.phase, one.since = Phase.UNREADY, now
         else:
@@ -341,7 +363,7 @@
     def _replaced(self, name: str, one: Instance, now: float) -> None:
         if one.process is not None:
             one.leaving[one.process] = now + self.terms.stop_within_s
-        self._tell("instance replaced", instance=name, process=one.successor, before=one.process)
+        self._tell("fleet.replaced", name=name, process=one.successor, before=one.process)
         one.process, one.successor, one.replacing = one.successor, None, False
         one.phase, one.since = Phase.READY, now
 
@@ -361,7 +383,7 @@
             self._drop_unwanted(name, one)
         elif one.replacing and process == one.successor:
             one.replacing, one.successor = False, None
-            self._tell("successor ended", instance=name, how=how)
+            self._tell("fleet.successor_ended", name=name, how=how)
             self._halt(f"the successor of {name} ended before it was ready: {how}")
         elif process == one.process and one.phase in (Phase.UNREADY, Phase.READY, Phase.STOPPING):
             one.how = how
@@ -380,7 +402,7 @@
 
     def _ended_as_asked(self, name: str, one: Instance, now: float) -> None:
         one.process = None
-        self._tell("instance stopped", instance=name, how=one.how)
+        self._tell("fleet.stopped", name=name, how=one.how)
         if self._wanted(name):
             self._due(one, now, now)
         else:
@@ -401,13 +423,13 @@
             self._drop_unwanted(name, one)
         elif len(one.ends) >= terms.loop_ends:
             self._to(one, Phase.HELD, now)
-            self._tell("instance held", instance=name, how=one.how, ends=len(one.ends),
+            self._tell("fleet.held", name=name, how=one.how, ends=len(one.ends),
                        within_s=terms.loop_window_s)
         else:
             wait = min(terms.most_backoff_s, terms.backoff_s * 2.0 ** min(one.in_a_row - 1, 60))
             wait *= 1 + terms.jitter * self._draw()
             self._due(one, now + wait, now)
-            self._tell("instance ended", instance=name, how=one.how, again_in_s=round(wait, 3))
+            self._tell("fleet.ended", name=name, how=one.how, again_in_s=round(wait, 3))
 
     def _give_up_successor(self, name: str, one: Instance, now: float) -> None:
         if one.successor is not None:
@@ -491,20 +513,16 @@
                 self._stop(name, one, now)
                 self._drop_unwanted(name, one)
 
-    def _release(self, name: str | None, now: float) -> None:
-        held = [one for of, one in self.state.instances.items()
+    def _held(self, name: str | None) -> list[Instance]:
+        return [one for of, one in self.state.instances.items()
                 if one.phase is Phase.HELD and name in (None, of)]
-        if not held:
-            self._effects.append(Refuse(f"{name or 'no instance'} is {'not ' if name else ''}held"))
-        for one in held:
+
+    def _release(self, name: str | None, now: float) -> None:
+        for one in self._held(name):
             one.ends, one.in_a_row = [], 0
             self._due(one, now, now)
 
     def _reload(self) -> None:
-        if self.state.roll and self.state.roll.running:
-            self._effects.append(Refuse("a roll is running, and each instance that it starts reads the file"
-                                        " anyway; wait for its end or call it off"))
-            return
         self._effects.extend(Reload(name, one.process) for name, one in self.state.instances.items()
                              if one.process is not None and one.phase in (Phase.READY, Phase.UNREADY))
 
@@ -551,49 +569,44 @@
                 self._kill(name, process)
 
     def _kill(self, name: str, process: str) -> None:
-        self._tell("instance killed", instance=name, process=process, after_s=self.terms.stop_within_s)
+        self._tell("fleet.killed", name=name, process=process, after_s=self.terms.stop_within_s)
         self._effects.append(Kill(name, process))
 
     # ---- a roll ----
 
+    def _why_no_roll(self, most_out: int) -> str | None:
+        roll, names, stand = self.state.roll, self.terms.instances, self.state.instances
+        if self.state.down:
+            return "the fleet is going down"
+        if roll:
+            return ("a roll is running" if roll.running
+                    else "a roll was stopped; continue it or call it off first")
+        if not 1 <= most_out < max(2, len(names)):
+            return f"{most_out} of {len(names)} instances out at once would leave none, or never begin"
+        if len(unready := self._out(())) >= most_out:
+            return "not ready: " + ", ".join(f"{name} ({stand[name].phase.value})" for name in unready)
+        return None
+
     def _begin_roll(self, most_out: int, now: float) -> None:
         names = self.terms.instances
-        unready = self._out(())
-        reason = None
-        if self.state.down:
-            reason = "the fleet is going down"
-        elif self.state.roll:
-            reason = "a roll is running" if self.state.roll.running else \
-                "a roll was stopped; continue it or call it off first"
-        elif not 1 <= most_out < max(2, len(names)):
-            reason = f"with {most_out} of {len(names)} instances out"
-        elif len(unready) >= most_out:
-            reason = "not ready: " + ", ".join(f"{name} ({self.state.instances[name].phase.value})"
-                                               for name in unready)
-        if reason:
-            self._effects.append(Refuse(reason))
-            return
         before = self.service or Shares()
         if before.asked < self.terms.least_asked:
             before = Shares(before.asked)
         self.state.roll = Roll(list(names), most_out, before, now)
-        self._tell("roll begun", instances=len(names), most_out=most_out, refused=round(before.refused, 4),
-                   unanswered=round(before.unanswered, 4))
+        self.state.rolls += 1
+        self._tell("fleet.roll_begun", instances=len(names), most_out=most_out,
+                   refused=round(before.refused, 4), unanswered=round(before.unanswered, 4))
 
     def _continue_roll(self) -> None:
         roll = self.state.roll
-        if roll is None or roll.running:
-            self._effects.append(Refuse("no roll is stopped"))
-            return
+        assert roll is not None
         roll.running, roll.reason, roll.waits_since = True, "", None
-        self._tell("roll continued", left=len(roll.todo))
+        self._tell("fleet.roll_continued", left=len(roll.todo))
 
     def _call_off(self) -> None:
-        if self.state.roll is None:
-            self._effects.append(Refuse("no roll to call off"))
-            return
-        self._tell("roll called off", done=len(self.state.roll.done))
-        self.state.roll = None
+        assert self.state.roll is not None
+        self._tell("fleet.roll_called_off", done=len(self.state.roll.done))
+        self.state.roll, self.state.last_roll = None, "called off"
 
     def _halt(self, reason: str) -> None:
         """Nothing more is taken out; whoever is out comes back by itself, and has its step again later."""
@@ -602,7 +615,7 @@
             return
         roll.running, roll.reason = False, reason
         roll.todo, roll.out = [*roll.out, *roll.todo], {}
-        self._tell("roll stopped", reason=reason, done=len(roll.done), left=len(roll.todo))
+        self._tell("fleet.roll_stopped", reason=reason, done=len(roll.done), left=len(roll.todo))
 
     def _step_again(self, name: str) -> None:
         roll = self.state.roll
@@ -619,12 +632,16 @@
             self._halt(f"service suffers: {worse}")
             return
         roll.todo = [name for name in roll.todo if name in self.terms.instances]
-        while roll.todo and len(self._out(roll.out)) < roll.most_out:
-            self._begin_step(roll, roll.todo.pop(0), now)
+        while len(out := self._out(roll.out)) < roll.most_out:
+            standing = [name for name in roll.todo if name not in out]
+            if not standing:
+                break
+            roll.todo.remove(standing[0])
+            self._begin_step(roll, standing[0], now)
         self._bound_waiting(roll, now)
         if not roll.todo and not roll.out:
-            self._tell("roll done", instances=len(roll.done), took_s=round(now - roll.begun_at, 3))
-            self.state.roll = None
+            self._tell("fleet.roll_done", instances=len(roll.done), took_s=round(now - roll.begun_at, 3))
+            self.state.roll, self.state.last_roll = None, "done"
 
     def _out(self, steps: Container[str]) -> list[str]:
         """Whatever took them out."""
@@ -643,7 +660,7 @@
     def _begin_step(self, roll: Roll, name: str, now: float) -> None:
         one = self.state.instances[name]
         roll.out[name] = one.process or ""
-        self._tell("roll step", instance=name, done=len(roll.done), left=len(roll.todo))
+        self._tell("fleet.roll_step", name=name, done=len(roll.done), left=len(roll.todo))
         if self.terms.take_over:
             one.replacing, one.since = True, now
             self._effects.append(Replace(name))
--- /dev/null
+++ b/tests/daemon/supervising.py
@@ -0,0 +1,98 @@
+"""A supervisor of fake instances, in this process or, as a script, in one of its own: FOLDER NAMES."""
+
+import json
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+import trio
+
+import glenfold.daemon.supervisor as supervisor_module
+from glenfold.daemon.ask import NoAnswer, ask
+from glenfold.daemon.logfiles import LogFiles
+from glenfold.daemon.supervisor import FileRefused, Order, Orders, Place, Supervisor
+from glenfold.rules.fleet import Terms
+
+supervisor_module.LOOK_S = 0.05
+FAKE = str(Path(__file__).with_name("fake_instance.py"))
+QUICK: dict[str, Any] = dict(backoff_s=0.1, jitter=0.0, ready_within_s=3.0, stop_within_s=3.0, window_s=0.3,
+                             settle_within_s=2.0, loop_ends=3)
+
+
+def read(folder: Path, names: tuple[str, ...], terms: dict[str, Any]) -> Order:
+    """A file `faulty` in the folder is what the operators' file can be."""
+    if (folder / "faulty").exists():
+        raise FileRefused("line 3: instances: 'many' is not a number")
+    return Order(Terms(names, **(QUICK | terms)), lambda: None)
+
+
+def supervisor(folder: Path, names: tuple[str, ...], **terms: Any) -> Supervisor:
+    orders = Orders(lambda: read(folder, names, terms),
+                    lambda name: [sys.executable, "-SE", FAKE, str(folder), name])
+    return Supervisor(Place(folder), orders, LogFiles(folder, 2000))
+
+
+def does(folder: Path, name: str, *words: str) -> None:
+    (folder / f"{name}.does").write_text(" ".join(words))
+
+
+async def command(folder: Path, word: str, **more: Any) -> dict[str, Any]:
+    _, answer = await ask(Place(folder).socket, {"ask": word, **more}, trio.current_time() + 5)
+    return answer
+
+
+async def status_when(folder: Path, what: Callable[[dict[str, Any]], bool]) -> dict[str, Any]:
+    """The first status of which that is true."""
+    status: dict[str, Any] = {}
+    with trio.move_on_after(15):
+        while True:
+            with suppress(NoAnswer):
+                status = await command(folder, "status")
+                if what(status):
+                    return status
+            await trio.sleep(0.02)
+    raise AssertionError(f"it never came to be: {json.dumps(status)}")
+
+
+def phases(status: dict[str, Any]) -> dict[str, str]:
+    return {one["name"]: one["phase"] for one in status["instances"]}
+
+
+def all_ready(status: dict[str, Any]) -> bool:
+    return set(phases(status).values()) == {"ready"}
+
+
+def pids(status: dict[str, Any]) -> dict[str, int]:
+    return {one["name"]: one["pid"] for one in status["instances"]}
+
+
+def log(folder: Path, name: str) -> str:
+    return (folder / f"{name}.log").read_text()
+
+
+@asynccontextmanager
+async def supervised(folder: Path, names: tuple[str, ...], **terms: Any) -> AsyncIterator[trio.CancelScope]:
+    """Whoever cancels the scope has the supervisor die and its instances go on; all are gone in the end."""
+    try:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(supervisor(folder, names, **terms).run)
+            yield nursery.cancel_scope
+            nursery.cancel_scope.cancel()
+    finally:
+        end_all(folder)
+
+
+def end_all(folder: Path) -> None:
+    """Every fake of that folder, told by its own command line."""
+    for entry in Path("/proc").iterdir():
+        with suppress(OSError):
+            if entry.name.isdigit() and f"{FAKE}\0{folder}\0".encode() in (entry / "cmdline").read_bytes():
+                os.kill(int(entry.name), signal.SIGKILL)
+
+
+if __name__ == "__main__":
+    trio.run(supervisor(Path(sys.argv[1]), tuple(sys.argv[2].split(","))).run)
--- a/tests/rules/test_fleet_rules.py
+++ b/tests/rules/test_fleet_rules.py
@@ -231,7 +231,7 @@
             machine.end(process, "1")
         machine.now += 0.1
         machine.on(f.Passed())
-    assert [event.fields["instance"] for event in machine.events if event.event == "instance held"] == ["a"]
+    assert [event.fields["name"] for event in machine.events if event.event == "fleet.held"] == ["a"]
     starts = len(machine.starts)
     machine.calm(500)
     assert len(machine.starts) == starts
@@ -278,7 +278,7 @@
     machine.on(f.ContinueRoll())
     machine.calm(60)
     assert machine.fleet.state.roll is None and not first & set(machine.running)
-    assert [event.fields for event in machine.events if event.event == "roll done"][0]["instances"] == 4
+    assert [event.fields for event in machine.events if event.event == "fleet.roll_done"][0]["instances"] == 4
 
 
 def test_a_roll_stops_when_an_instance_does_not_come_back_and_others_go_on() -> None:
@@ -303,6 +303,15 @@
     assert machine.answering["a"] == old and old in machine.ready
 
 
+def test_a_roll_waits_for_an_instance_that_is_out_by_itself_and_rolls_the_others_meanwhile() -> None:
+    machine = ready_machine(backoff_s=20.0)
+    machine.end(machine.answering["a"], "1")
+    machine.on(f.BeginRoll(2))
+    assert [machine.running[process] for process in machine.told] == ["b"]
+    machine.calm(100)
+    assert machine.fleet.state.roll is None and machine.phases() == {f.Phase.READY}
+
+
 def test_an_instance_that_does_not_stop_is_killed_and_comes_back() -> None:
     machine = ready_machine(stop_within_s=20.0)
     machine.on(f.BeginRoll())
@@ -310,7 +319,7 @@
     machine.look()
     machine.calm(60)
     assert machine.fleet.state.roll is None
-    assert [event.fields["instance"] for event in machine.events if event.event == "instance killed"] == ["a"]
+    assert [event.fields["name"] for event in machine.events if event.event == "fleet.killed"] == ["a"]
 
 
 def test_new_terms_start_what_is_new_and_stop_what_is_gone() -> None:
