--- a/glenfold/rules/__init__.py
+++ b/glenfold/rules/__init__.py
@@ -1,1 +1,1 @@
-"""What subsystems decide, without I/O, clock or randomness of their own."""
+"""What is decided without I/O, clock or global state: time and random numbers come in."""
