--- a/glenfold/config/__init__.py
+++ b/glenfold/config/__init__.py
@@ -9,6 +9,8 @@
     read_address,
     read_again,
     read_config,
+    written,
 )
 
-__all__ = ["Address", "Config", "ConfigError", "Names", "Room", "read_address", "read_again", "read_config"]
+__all__ = ["Address", "Config", "ConfigError", "Names", "Room", "read_address", "read_again", "read_config",
+           "written"]
--- a/glenfold/daemon/supervisor.py
+++ b/glenfold/daemon/supervisor.py
@@ -16,12 +16,13 @@
 from typing import Any
 
 import trio
-from loguru import logger
 
+from glenfold.daemon import fleet_events as log
 from glenfold.daemon.ask import NoAnswer, answer_all, ask, open_private
 from glenfold.daemon.keep import Keep
 from glenfold.daemon.logfiles import LogFiles
 from glenfold.daemon.owned import Owned, name_of
+from glenfold.logs import EVENTS
 from glenfold.rules import fleet as f
 from glenfold.rules.service import Shares, Window
 
@@ -119,9 +120,10 @@
             order.accept()
             state, again, fault = self._keep.load()
             if fault:
-                logger.error("what the last supervisor kept can't be read: {}", fault)
+                log.state_unread(fault=fault)
             self._fleet = f.Fleet(order.terms, state, random.random)
             self._window = Window(order.terms.window_s)
+            log.supervises(instances=len(order.terms.instances), folder=self.place.folder)
             async with trio.open_nursery() as nursery:
                 self._nursery = nursery
                 listener = open_private(self.place.socket)
@@ -152,7 +154,7 @@
             self._keep.save(self._fleet.state)
         except OSError as error:
             if not self._save_failed:
-                logger.error("the fleet's state can't be saved: {}", error)
+                log.state_unsaved(error=error)
             self._save_failed = True
             return str(error)
         self._save_failed = False
@@ -169,7 +171,7 @@
             case f.Reload(_, process):
                 self._signal(process, signal.SIGHUP)
             case f.Tell(event, fields):
-                logger.info("{} {}", event, " ".join(f"{key}={value}" for key, value in fields.items()))
+                EVENTS[event](**fields)
             case f.AllDown():
                 self._nursery.cancel_scope.cancel()
 
@@ -216,7 +218,7 @@
             await trio.sleep(CUT_S)
             for name in list(self._fleet.state.instances):
                 if fault := self.logs.cut(name):
-                    logger.warning("the log of {} can't be cut as it should: {}", name, fault)
+                    log.log_uncut(name=name, fault=fault)
 
     # ---- who is there ----
 
@@ -251,7 +253,7 @@
         try:
             return self._identified(name, pid, status)
         except OSError as error:
-            logger.error("who answers for {} can't be told: {}", name, error)
+            log.unidentified(name=name, error=error)
             return None
 
     def _identified(self, name: str, pid: int, status: dict[str, Any]) -> str | None:
@@ -292,7 +294,7 @@
     def _silent(self, name: str) -> None:
         one = self._fleet.state.instances.get(name)
         if one is not None and one.process is not None and one.phase is f.Phase.READY:
-            logger.warning("{} does not answer on its control socket", name)
+            log.silent(name=name)
             self.on(f.Seen(name, one.process, False))
 
     # ---- commands ----
@@ -321,7 +323,7 @@
     def _done(self, command: f.Command) -> dict[str, Any]:
         self.on(f.Served(self._window.shares(time.monotonic())))  # a roll is judged by what is true now
         refused = self.on(command)
-        logger.info("command {}: {}", type(command).__name__, refused or "done")
+        log.commanded(command=type(command).__name__, outcome=refused or "done")
         return {"refused": refused} if refused else {"done": True, "rolls": self._fleet.state.rolls}
 
     def _with_file(self, command: f.Command) -> dict[str, Any]:
@@ -332,7 +334,7 @@
             order = self.orders.read()
             order.accept()
         except (FileRefused, OSError) as error:
-            logger.error("command {}: {}", type(command).__name__, error)
+            log.commanded(command=type(command).__name__, outcome=str(error))
             return {"refused": str(error), "file": True}
         self._window.length_s = order.terms.window_s
         self.on(f.NewTerms(order.terms))
--- a/tests/rules/test_fleet_rules.py
+++ b/tests/rules/test_fleet_rules.py
@@ -9,6 +9,8 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
 
+from glenfold.daemon import fleet_events  # noqa: F401  # registers what is told
+from glenfold.logs import EVENTS
 from glenfold.rules import fleet as f
 from glenfold.rules.service import Shares, Window
 
@@ -69,6 +71,7 @@
             case f.Kill(_, process):
                 self.killed.append(process)
             case f.Tell():
+                assert set(effect.fields) == set(EVENTS[effect.event].fields)
                 self.events.append(effect)
             case f.Refuse(reason):
                 self.refused = reason
