--- /dev/null
+++ b/glenfold/cli/fleet/release.py
@@ -0,0 +1,16 @@
+"""`glenfold fleet release FILE [NAME]`."""
+
+from pathlib import Path
+
+import click
+
+from glenfold.cli.fleet.talk import file_argument, json_option, place_of, talk, tell
+
+
+@click.command("release")
+@file_argument
+@click.argument("name", required=False)
+@json_option
+def command(file: Path, name: str | None, as_json: bool) -> None:
+    """Start the instance NAME again, or all, that are held because they ended too often."""
+    tell(talk(place_of(file), "release", name=name), as_json, lambda _: "released")
--- /dev/null
+++ b/glenfold/cli/fleet/roll.py
@@ -0,0 +1,56 @@
+"""`glenfold fleet roll FILE`."""
+
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+
+from glenfold.cli.fleet.talk import FAILED, Fault, file_argument, json_option, place_of, talk, tell
+
+LOOK_S = 0.2
+
+
+@click.command("roll")
+@file_argument
+@click.option("--most-out", type=click.IntRange(1), help="Instead of `fleet.most_out`.")
+@click.option("--continue", "go_on", is_flag=True, help="Go on with a roll that was stopped.")
+@click.option("--call-off", is_flag=True, help="Take nobody more out, now and later.")
+@click.option("--no-wait", is_flag=True, help="Do not wait for the end of the roll.")
+@json_option
+def command(file: Path, most_out: int | None, go_on: bool, call_off: bool, no_wait: bool,
+            as_json: bool) -> None:
+    """Check FILE, then restart one instance after the other by it.
+
+    Each is to be ready, and service as it was before the roll, before the next is taken out. The roll goes on
+    whether this command waits or not. Status 1: it was refused, stopped or called off.
+    """
+    if go_on + call_off + (most_out is not None) > 1:
+        raise click.UsageError("--most-out, --continue and --call-off exclude each other")
+    place = place_of(file)
+    if call_off:
+        tell(talk(place, "call-off"), as_json, lambda _: "called off")
+        return
+    answer = talk(place, "continue") if go_on else talk(place, "roll", most_out=most_out)
+    if no_wait:
+        tell(answer, as_json, lambda _: "the roll has begun")
+        return
+    while (status := talk(place, "status"))["rolls"] == answer["rolls"] and _runs(status):
+        time.sleep(LOOK_S)
+    _conclude(status, status["rolls"] == answer["rolls"], as_json)
+
+
+def _runs(status: dict[str, Any]) -> bool:
+    return status["roll"] is not None and status["roll"]["running"]
+
+
+def _conclude(status: dict[str, Any], same: bool, as_json: bool) -> None:
+    roll = status["roll"] if same else None
+    if roll is not None:
+        if as_json:
+            tell(status, True, str)
+        raise Fault(f"the roll was stopped: {roll['reason']}; done: {', '.join(roll['done']) or 'none'}. "
+                    "Continue it (--continue) or call it off (--call-off)", FAILED)
+    tell(status, as_json, lambda told: f"the roll is {told['last_roll']}")
+    if status["last_roll"] != "done":
+        raise SystemExit(FAILED)
--- /dev/null
+++ b/glenfold/cli/fleet/up.py
@@ -0,0 +1,50 @@
+"""`glenfold fleet up FILE`."""
+
+import signal
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import click
+import trio
+
+from glenfold.cli.fleet.talk import FAILED, FAULTY, Fault, file_argument
+from glenfold.daemon.fleet_orders import fleet_of
+from glenfold.daemon.supervisor import AlreadyRuns, FileRefused, Supervisor
+
+
+@click.command("up")
+@file_argument
+def command(file: Path) -> None:
+    """Supervise the instances of FILE: start them, or take over those that run, until `fleet down`.
+
+    SIGTERM and SIGINT end the supervisor alone, and the relays serve on; SIGHUP is `fleet reload`.
+    """
+    try:
+        trio.run(_supervise, fleet_of(file))
+    except* FileRefused as group:
+        raise Fault(_words(group), FAULTY) from None
+    except* (AlreadyRuns, OSError) as group:
+        raise Fault(_words(group), FAILED) from None
+
+
+def _words(group: BaseExceptionGroup[BaseException]) -> str:
+    leaves: list[str] = []
+    for inner in group.exceptions:
+        leaves.append(_words(inner) if isinstance(inner, BaseExceptionGroup) else str(inner))
+    return "; ".join(leaves)
+
+
+async def _supervise(supervisor: Supervisor) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_heed, signals, supervisor, nursery.cancel_scope)
+            await supervisor.run()
+            nursery.cancel_scope.cancel()
+
+
+async def _heed(signals: AsyncIterator[int], supervisor: Supervisor, scope: trio.CancelScope) -> None:
+    async for number in signals:
+        if number == signal.SIGHUP:
+            supervisor.reload()
+        else:
+            scope.cancel()
--- /dev/null
+++ b/glenfold/daemon/fleet_orders.py
@@ -0,0 +1,102 @@
+"""What the operators' file says of a fleet, as its supervisor takes it.
+
+What was accepted is kept as a copy, and instances run by that: a file that is being edited, or is faulty, can't
+keep an instance that ends at night from coming back.
+"""
+
+import os
+import sys
+from pathlib import Path
+
+import msgspec
+
+from glenfold.config import operators
+from glenfold.config.places import Place as InstancePlace
+from glenfold.config.tables import Faults
+from glenfold.config.terms import Fleet
+from glenfold.daemon.keep import write_whole
+from glenfold.daemon.logfiles import LogFiles
+from glenfold.daemon.supervisor import FileRefused, Order, Orders, Place, Supervisor
+from glenfold.rules.fleet import Terms
+
+LOG_BYTES = 16 << 20  # of one instance, twice: the file and the one before
+
+
+def _read(file: Path) -> operators.Operators:
+    try:
+        return operators.read(file)
+    except Faults as error:
+        raise FileRefused(error.message) from error
+
+
+def folder_of(file: Path) -> Path:
+    """Where the supervisor of that file has its own files. Raises FileRefused."""
+    return _folder(_read(file))
+
+
+def _folder(read: operators.Operators) -> Path:
+    folder = read.place(read.numbers[0]).folder
+    if folder is None:
+        raise FileRefused(f"{read.path}: instance.folder: is missing; a supervisor keeps its files there")
+    return folder / "supervisor"
+
+
+def _terms(read: operators.Operators, names: tuple[str, ...]) -> Terms:
+    fleet = msgspec.structs.asdict(read.terms.fleet or Fleet(instances=1))
+    told = {name: value for name, value in fleet.items() if name in Terms.__struct_fields__}
+    return Terms(**(told | {"instances": names, "take_over": read.terms.restart.take_over}))
+
+
+class FleetFile:
+    """`read` and `command` are a supervisor's orders."""
+
+    def __init__(self, file: Path) -> None:
+        self.file = file
+        self.place = Place(folder_of(file))
+        self._numbers: dict[str, int | None] = {}
+
+    def read(self) -> Order:
+        """Raises FileRefused."""
+        text, read = _stable(self.file)
+        places = [read.place(number) for number in read.numbers]
+        if _folder(read) != self.place.folder:
+            raise FileRefused(f"{self.file}: instance.folder: is another one than this supervisor's; "
+                              "`glenfold fleet down` and `up` change it")
+        controls = {place.name: place.socket for place in places if place.socket is not None}
+        if len(controls) < len(places):
+            raise FileRefused(f"{self.file}: control.on: must be true for a supervisor, which looks there")
+        return Order(_terms(read, tuple(controls)), controls, lambda: self._accept(text, places))
+
+    def _accept(self, text: bytes, places: list[InstancePlace]) -> None:
+        self._accepted.parent.mkdir(mode=0o700, parents=True, exist_ok=True)
+        write_whole(self._accepted, text)
+        self._numbers = {place.name: place.number for place in places}
+
+    @property
+    def _accepted(self) -> Path:
+        return self.place.folder / "accepted.toml"
+
+    def command(self, name: str) -> list[str]:
+        number = self._numbers[name]
+        which = [] if number is None else ["--instance", str(number)]
+        return [sys.executable, "-m", "glenfold", "run", os.fspath(self._accepted), *which,
+                "--base", os.fspath(self.file.parent.absolute())]
+
+
+def _stable(file: Path) -> tuple[bytes, operators.Operators]:
+    """The text that was checked, and not one that was written meanwhile."""
+    while True:
+        try:
+            before = file.read_bytes()
+            read = _read(file)
+            if file.read_bytes() == before:
+                return before, read
+        except OSError as error:
+            raise FileRefused(f"{file}: {error.strerror or error}") from error
+
+
+def fleet_of(file: Path) -> Supervisor:
+    """Raises FileRefused."""
+    fleet = FleetFile(file)
+    return Supervisor(fleet.place, Orders(fleet.read, fleet.command),
+                      LogFiles(fleet.place.folder / "logs", LOG_BYTES))
--- a/glenfold/daemon/supervisor.py
+++ b/glenfold/daemon/supervisor.py
@@ -9,7 +9,7 @@
 import random
 import signal
 import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -44,26 +44,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Place:
-    """Where a fleet lives on disk: a folder of mode 0700 that is this user's."""
+    """What is the supervisor's own on disk: a folder of mode 0700."""
 
     folder: Path
 
     @property
     def socket(self) -> Path:
-        return self.folder / "fleet.control"
+        return self.folder / "control.sock"
 
     @property
     def state(self) -> Path:
-        return self.folder / "fleet.json"
-
-    def control(self, name: str) -> Path:
-        return self.folder / f"{name}.control"
+        return self.folder / "state.json"
 
     @contextmanager
     def locked(self) -> Iterator[None]:
         """Against another supervisor; the lock dies with this process. Raises AlreadyRuns, OSError."""
         self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
-        descriptor = os.open(self.folder / "fleet.lock", os.O_RDWR | os.O_CREAT, 0o600)
+        descriptor = os.open(self.folder / "lock", os.O_RDWR | os.O_CREAT, 0o600)
         try:
             try:
                 fcntl.flock(descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
@@ -86,7 +83,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Order:
+    """`controls`: the control socket of each instance."""
+
     terms: f.Terms
+    controls: Mapping[str, Path]
     accept: Callable[[], None]
 
 
@@ -118,6 +118,7 @@
         with self.place.locked():
             order = self.orders.read()
             order.accept()
+            self._controls = dict(order.controls)
             state, again, fault = self._keep.load()
             if fault:
                 log.state_unread(fault=fault)
@@ -245,9 +246,10 @@
     async def _heard(self, name: str) -> str | None:
         """The process that answers for that name, if it is watched: one that is met for the first time is
         watched from then on, and believed when it answers again, as it then was that one all the while."""
+        if name not in self._controls:  # no longer in the file when this supervisor began
+            return None
         try:
-            pid, status = await ask(self.place.control(name), {"ask": "status"},
-                                    trio.current_time() + ANSWER_S)
+            pid, status = await ask(self._controls[name], {"ask": "status"}, trio.current_time() + ANSWER_S)
         except NoAnswer:
             return None
         try:
@@ -337,6 +339,7 @@
             log.commanded(command=type(command).__name__, outcome=str(error))
             return {"refused": str(error), "file": True}
         self._window.length_s = order.terms.window_s
+        self._controls.update(order.controls)  # those that are gone still have to be seen to stop
         self.on(f.NewTerms(order.terms))
         return self._done(command)
 
--- a/tests/daemon/supervising.py
+++ b/tests/daemon/supervising.py
@@ -27,7 +27,8 @@
     """A file `faulty` in the folder is what the operators' file can be."""
     if (folder / "faulty").exists():
         raise FileRefused("line 3: instances: 'many' is not a number")
-    return Order(Terms(names, **(QUICK | terms)), lambda: None)
+    return Order(Terms(names, **(QUICK | terms)), {name: folder / f"{name}.control" for name in names},
+                 lambda: None)
 
 
 def supervisor(folder: Path, names: tuple[str, ...], **terms: Any) -> Supervisor:
--- a/tests/daemon/test_supervisor.py
+++ b/tests/daemon/test_supervisor.py
@@ -149,11 +149,11 @@
             with pytest.raises(AlreadyRuns):
                 await supervisor(folder, NAMES).run()
             nursery.cancel_scope.cancel()
-        (folder / "fleet.json").write_bytes((folder / "fleet.json").read_bytes()[:-9])
+        (folder / "state.json").write_bytes((folder / "state.json").read_bytes()[:-9])
         async with supervised(folder, NAMES):
             status = await status_when(folder, all_ready)
             assert pids(status) == before and sum(one["starts"] for one in status["instances"]) == 0
-        assert (folder / "fleet.json.bad").exists()
+        assert (folder / "state.json.bad").exists()
 
     trio.run(main)
 
@@ -169,7 +169,7 @@
             assert owned.Owned.find(stale) is None
             one = f.Instance(phase=f.Phase.STOPPING, since=0.0, process=stale, kill_at=0.0)
             kept = keep.Kept(keep.FORMAT, owned.boot(), f.State({"s-1": one}))
-            (folder / "fleet.json").write_bytes(msgspec.json.encode(kept))
+            (folder / "state.json").write_bytes(msgspec.json.encode(kept))
 
             async def main() -> None:
                 async with supervised(folder, ("s-1",)):
@@ -245,7 +245,7 @@
 
 
 def test_state_is_whole_whenever_writing_breaks_off(folder: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    kept = keep.Keep(folder / "fleet.json")
+    kept = keep.Keep(folder / "state.json")
     kept.save(f.State(rolls=1))
 
     def killed(*_: object) -> None:
@@ -254,5 +254,5 @@
     monkeypatch.setattr("os.fsync", killed)
     with pytest.raises(OSError):
         kept.save(f.State(rolls=2))
-    state, again, fault = keep.Keep(folder / "fleet.json").load()
+    state, again, fault = keep.Keep(folder / "state.json").load()
     assert state.rolls == 1 and again and fault is None and time.monotonic() > state.last_start
