--- a/glenfold/config/operators.py
+++ b/glenfold/config/operators.py
@@ -30,12 +30,12 @@
 
 
 class Operators:
-    """A sound file. `terms` are its tables; paths in them are relative to the file's folder."""
+    """A sound file. `terms` are its tables; paths in them are relative to `base`."""
 
-    def __init__(self, located: Located, terms: Terms) -> None:
+    def __init__(self, located: Located, terms: Terms, base: Path) -> None:
         self._located, self.terms = located, terms
         self.path = Path(located.name)
-        self.base = self.path.parent.absolute()
+        self.base = base
 
     @property
     def numbers(self) -> tuple[int | None, ...]:
@@ -120,8 +120,9 @@
         return self.terms.instance.folder is not None
 
 
-def read(path: str | Path) -> Operators:
-    """Raises Faults: all that is amiss with the file, and with this machine for it."""
+def read(path: str | Path, base: Path | None = None) -> Operators:
+    """`base`: what paths in it are relative to; None: the file's folder. Raises Faults: all that is amiss with
+    the file, and with this machine for it."""
     try:
         located = scan(read_text(path), str(path))
     except BadFile as error:
@@ -130,10 +131,11 @@
     terms = reading.table(located.data, Terms)
     if located.data.get("format", 1) != 1:  # whatever else it says may mean something else there
         raise Faults([located.fault(("format",), "this glenfold reads format 1 only")])
-    Checks(terms, reading, Path(path).parent.absolute()).run()
+    base = Path(path).parent.absolute() if base is None else base
+    Checks(terms, reading, base).run()
     if reading.faults:
         raise Faults(reading.faults.values())
-    return Operators(located, terms)
+    return Operators(located, terms, base)
 
 
 class Again:
@@ -146,7 +148,7 @@
     def __call__(self, current: Config) -> tuple[Config, list[str]]:
         """The configuration from now on, and what waits for a restart. Raises ConfigError with all faults."""
         try:
-            operators = read(self._begun.path)
+            operators = read(self._begun.path, self._begun.base)
         except Faults as error:
             raise ConfigError(str(self._begun.path), "; ".join(error.message.splitlines())) from error
         new, waiting = operators.config(self._number), self._waiting(operators)
