--- a/glenfold/cli/fleet/down.py
+++ b/glenfold/cli/fleet/down.py
@@ -5,7 +5,7 @@
 
 import click
 
-from glenfold.cli.fleet.talk import NOBODY, Fault, file_argument, json_option, place_of, talk, tell
+from glenfold.cli.fleet.talk import Nobody, file_argument, json_option, place_of, talk, tell
 from glenfold.daemon.supervisor import Place
 
 LOOK_S = 0.1
@@ -30,8 +30,6 @@
 def _stands(place: Place) -> bool:
     try:
         talk(place, "status")
-    except Fault as fault:
-        if fault.exit_code != NOBODY:
-            raise
+    except Nobody:
         return False
     return True
--- a/glenfold/cli/fleet/roll.py
+++ b/glenfold/cli/fleet/roll.py
@@ -6,7 +6,7 @@
 
 import click
 
-from glenfold.cli.fleet.talk import FAILED, Fault, file_argument, json_option, place_of, talk, tell
+from glenfold.cli.fleet.talk import Failed, file_argument, json_option, place_of, talk, tell
 
 LOOK_S = 0.2
 
@@ -49,8 +49,8 @@
     if roll is not None:
         if as_json:
             tell(status, True, str)
-        raise Fault(f"the roll was stopped: {roll['reason']}; done: {', '.join(roll['done']) or 'none'}. "
-                    "Continue it (--continue) or call it off (--call-off)", FAILED)
+        raise Failed(f"the roll was stopped: {roll['reason']}; done: {', '.join(roll['done']) or 'none'}. "
+                     "Continue it (--continue) or call it off (--call-off)")
     tell(status, as_json, lambda told: f"the roll is {told['last_roll']}")
     if status["last_roll"] != "done":
-        raise SystemExit(FAILED)
+        raise SystemExit(Failed.exit_code)
--- a/glenfold/cli/fleet/status.py
+++ b/glenfold/cli/fleet/status.py
@@ -7,7 +7,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from glenfold.cli.fleet.talk import FAILED, file_argument, json_option, place_of, talk, tell
+from glenfold.cli.fleet.talk import Failed, file_argument, json_option, place_of, talk, tell
 
 COUNTED = ("taken", "answered_up", "answered_busy", "answered_failed")
 
@@ -27,7 +27,7 @@
         _show(status)
     well = all(one["phase"] == "ready" for one in status["instances"])
     if not well or (status["roll"] and not status["roll"]["running"]):
-        raise SystemExit(FAILED)
+        raise SystemExit(Failed.exit_code)
 
 
 def _show(status: dict[str, Any]) -> None:
--- a/glenfold/cli/fleet/talk.py
+++ b/glenfold/cli/fleet/talk.py
@@ -12,30 +12,39 @@
 from glenfold.daemon.fleet_orders import folder_of
 from glenfold.daemon.supervisor import FileRefused, Place
 
-FAILED, FAULTY, NOBODY = 1, 2, 3
 ANSWER_S = 10.0  # a roll's file is checked meanwhile
 
 file_argument = click.argument("file", type=click.Path(dir_okay=False, path_type=Path))
 json_option = click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
 
 
-class Fault(click.ClickException):
-    """Ends a command with that status."""
+class Failed(click.ClickException):
+    """Refused, or it did not come to the end that was asked for."""
 
-    def __init__(self, message: str, status: int) -> None:
-        super().__init__(message)
-        self.exit_code = status
+    exit_code = 1
+
+
+class Faulty(click.ClickException):
+    """The file is; nothing was changed."""
+
+    exit_code = 2
+
+
+class Nobody(click.ClickException):
+    """No supervisor answers."""
+
+    exit_code = 3
 
 
 def place_of(file: Path) -> Place:
     try:
         return Place(folder_of(file))
     except FileRefused as error:
-        raise Fault(str(error), FAULTY) from error
+        raise Faulty(str(error)) from error
 
 
 def talk(place: Place, word: str, **more: Any) -> dict[str, Any]:
-    """Raises Fault if nobody answers, or what was asked for is refused."""
+    """Raises Nobody if none answers, Failed or Faulty if what was asked for is refused."""
     async def main() -> dict[str, Any]:
         _, answer = await ask(place.socket, {"ask": word, **more}, trio.current_time() + ANSWER_S)
         return answer
@@ -43,10 +52,10 @@
     try:
         answer = trio.run(main)
     except NoAnswer as error:
-        raise Fault(f"no supervisor answers ({error}); relays serve on without one, and `glenfold fleet up`"
-                    " takes them over", NOBODY) from error
+        raise Nobody(f"no supervisor answers ({error}); relays serve on without one, and `glenfold fleet up`"
+                     " takes them over") from error
     if refused := answer.get("refused"):
-        raise Fault(str(refused), FAULTY if answer.get("file") else FAILED)
+        raise Faulty(str(refused)) if answer.get("file") else Failed(str(refused))
     return answer
 
 
--- a/glenfold/cli/fleet/up.py
+++ b/glenfold/cli/fleet/up.py
@@ -7,7 +7,7 @@
 import click
 import trio
 
-from glenfold.cli.fleet.talk import FAILED, FAULTY, Fault, file_argument
+from glenfold.cli.fleet.talk import Failed, Faulty, file_argument
 from glenfold.daemon.fleet_orders import fleet_of
 from glenfold.daemon.supervisor import AlreadyRuns, FileRefused, Supervisor
 
@@ -22,9 +22,9 @@
     try:
         trio.run(_supervise, fleet_of(file))
     except* FileRefused as group:
-        raise Fault(_words(group), FAULTY) from None
+        raise Faulty(_words(group)) from None
     except* (AlreadyRuns, OSError) as group:
-        raise Fault(_words(group), FAILED) from None
+        raise Failed(_words(group)) from None
 
 
 def _words(group: BaseExceptionGroup[BaseException]) -> str:
--- a/glenfold/cli/main.py
+++ b/glenfold/cli/main.py
@@ -8,6 +8,7 @@
 PLACES = {
     "check": ("glenfold.cli.check", "whether operators' files are sound"),
     "config": ("glenfold.cli.config", "what an operators' file amounts to"),
+    "fleet": ("glenfold.cli.fleet", "the instances of one operators' file, and their supervisor"),
     "lab": ("glenfold_lab.cli", "worlds in virtual time, stand-ins, load, experiments and reports"),
 }
 
--- a/glenfold/config/operators.py
+++ b/glenfold/config/operators.py
@@ -121,8 +121,8 @@
 
 
 def read(path: str | Path, base: Path | None = None) -> Operators:
-    """`base`: what paths in it are relative to; None: the file's folder. Raises Faults: all that is amiss with
-    the file, and with this machine for it."""
+    """`base`: what paths in it are relative to; None: the file's folder. Raises Faults: all that is amiss
+    with the file, and with this machine for it."""
     try:
         located = scan(read_text(path), str(path))
     except BadFile as error:
--- a/glenfold/daemon/fleet_orders.py
+++ b/glenfold/daemon/fleet_orders.py
@@ -1,7 +1,7 @@
 """What the operators' file says of a fleet, as its supervisor takes it.
 
-What was accepted is kept as a copy, and instances run by that: a file that is being edited, or is faulty, can't
-keep an instance that ends at night from coming back.
+What was accepted is kept as a copy, and instances run by that: a file that is being edited, or is faulty,
+can't keep an instance that ends at night from coming back.
 """
 
 import os
@@ -17,6 +17,7 @@
 from glenfold.daemon.keep import write_whole
 from glenfold.daemon.logfiles import LogFiles
 from glenfold.daemon.supervisor import FileRefused, Order, Orders, Place, Supervisor
+from glenfold.located import BadFile, parse, read_text
 from glenfold.rules.fleet import Terms
 
 LOG_BYTES = 16 << 20  # of one instance, twice: the file and the one before
@@ -30,15 +31,16 @@
 
 
 def folder_of(file: Path) -> Path:
-    """Where the supervisor of that file has its own files. Raises FileRefused."""
-    return _folder(_read(file))
-
-
-def _folder(read: operators.Operators) -> Path:
-    folder = read.place(read.numbers[0]).folder
-    if folder is None:
-        raise FileRefused(f"{read.path}: instance.folder: is missing; a supervisor keeps its files there")
-    return folder / "supervisor"
+    """Where the supervisor of that file has its own files, whatever else is faulty in it: a fleet has to be
+    looked at and stopped then, too. Raises FileRefused."""
+    try:
+        instance = parse(read_text(file), str(file)).data.get("instance")
+    except BadFile as error:
+        raise FileRefused(error.message) from error
+    folder = instance.get("folder") if isinstance(instance, dict) else None
+    if not isinstance(folder, str) or not folder:
+        raise FileRefused(f"{file}: instance.folder: is missing; a supervisor keeps its files there")
+    return file.parent.absolute() / folder / "supervisor"
 
 
 def _terms(read: operators.Operators, names: tuple[str, ...]) -> Terms:
@@ -59,7 +61,7 @@
         """Raises FileRefused."""
         text, read = _stable(self.file)
         places = [read.place(number) for number in read.numbers]
-        if _folder(read) != self.place.folder:
+        if folder_of(self.file) != self.place.folder:
             raise FileRefused(f"{self.file}: instance.folder: is another one than this supervisor's; "
                               "`glenfold fleet down` and `up` change it")
         controls = {place.name: place.socket for place in places if place.socket is not None}
--- a/glenfold/rules/fleet.py
+++ b/glenfold/rules/fleet.py
@@ -584,7 +584,9 @@
         if not 1 <= most_out < max(2, len(names)):
             return f"{most_out} of {len(names)} instances out at once would leave none, or never begin"
         if len(unready := self._out(())) >= most_out:
-            return "not ready: " + ", ".join(f"{name} ({stand[name].phase.value})" for name in unready)
+            return "not ready: " + ", ".join(
+                f"{name} ({stand[name].phase.value}{', being replaced' * stand[name].replacing})"
+                for name in unready)
         return None
 
     def _begin_roll(self, most_out: int, now: float) -> None:
--- a/tests/rules/test_fleet_rules.py
+++ b/tests/rules/test_fleet_rules.py
@@ -229,10 +229,9 @@
 
 def test_an_instance_that_keeps_ending_is_held_told_and_started_again_only_when_released() -> None:
     machine = ready_machine(loop_ends=3)
-    while machine.fleet.state.instances["a"].phase is not f.Phase.HELD:
-        for process in [p for p, name in machine.running.items() if name == "a"]:
-            machine.end(process, "1")
-        machine.now += 0.1
+    for _ in range(3):
+        machine.end(machine.answering["a"], "1")
+        machine.now += 2
         machine.on(f.Passed())
     assert [event.fields["name"] for event in machine.events if event.event == "fleet.held"] == ["a"]
     starts = len(machine.starts)
@@ -315,6 +314,14 @@
     assert machine.fleet.state.roll is None and machine.phases() == {f.Phase.READY}
 
 
+def test_a_successor_on_its_way_counts_as_out_after_its_roll_was_called_off() -> None:
+    machine = ready_machine(take_over=True)
+    machine.on(f.BeginRoll(1))
+    machine.on(f.CallOffRoll())
+    machine.on(f.BeginRoll(1))
+    assert machine.refused == "not ready: a (ready, being replaced)"
+
+
 def test_an_instance_that_does_not_stop_is_killed_and_comes_back() -> None:
     machine = ready_machine(stop_within_s=20.0)
     machine.on(f.BeginRoll())
