--- a/tests/daemon/test_fleet_commands.py
+++ b/tests/daemon/test_fleet_commands.py
@@ -5,6 +5,7 @@
 import signal
 import subprocess
 import sys
+import time
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -68,6 +69,7 @@
         if result.exit_code == 0:
             return dict(json.loads(result.stdout))
         assert result.exit_code in (1, 3)
+        time.sleep(0.05)
     raise AssertionError(result.output)
 
 
@@ -110,7 +112,7 @@
             file.write_text(FILE.replace("instances = 2", "instances = 3"))
             os.kill(supervisor.pid, signal.SIGHUP)
             while len(until_ready(file)["instances"]) == 2:  # type: ignore[arg-type]
-                pass
+                time.sleep(0.05)
             assert "instances = 3" in (file.parent / "state/supervisor/accepted.toml").read_text()
             supervisor.terminate()
             assert supervisor.wait(10) == 0
