Prove each bound of a roll by a test that fails without it

Deleting these conditions one by one left the tests green before: a step that was kept but not taken, service that comes back too little or tells nothing, an instance that stays out, a successor that never gets ready.

--- a/glenfold/daemon/supervisor.py
+++ b/glenfold/daemon/supervisor.py
@@ -375,6 +375,6 @@
 def _status_of_roll(roll: f.Roll | None, now: float) -> dict[str, Any] | None:
     if roll is None:
         return None
-    return {"running": roll.running, "reason": roll.reason, "out": list(roll.out), "todo": roll.todo,
+    return {"running": roll.running, "reason": roll.reason, "out": roll.out, "todo": roll.todo,
             "done": roll.done, "most_out": roll.most_out, "for_s": round(now - roll.begun_at, 1),
             "before": _shares(roll.before)}
--- a/glenfold/rules/fleet.py
+++ b/glenfold/rules/fleet.py
@@ -71,7 +71,7 @@
     most_out: int
     before: Shares
     begun_at: float
-    out: dict[str, str] = {}         # the process that each had when its step began
+    out: list[str] = []              # whose step has begun
     done: list[str] = []
     running: bool = True
     reason: str = ""                 # why it was stopped
@@ -616,16 +616,17 @@
         if roll is None or not roll.running:
             return
         roll.running, roll.reason = False, reason
-        roll.todo, roll.out = [*roll.out, *roll.todo], {}
+        roll.todo, roll.out = [*roll.out, *roll.todo], []
         self._tell("fleet.roll_stopped", reason=reason, done=len(roll.done), left=len(roll.todo))
 
     def _step_again(self, name: str) -> None:
         roll = self.state.roll
-        if roll and roll.out.pop(name, None) is not None:
+        if roll and name in roll.out:
+            roll.out.remove(name)
             roll.todo.insert(0, name)
 
     def _advance_roll(self, now: float) -> None:
-        for name in list(self.state.roll.out) if self.state.roll else ():
+        for name in tuple(self.state.roll.out) if self.state.roll else ():
             self._advance_step(name, now)
         roll = self.state.roll
         if roll is None or not roll.running:
@@ -661,7 +662,7 @@
 
     def _begin_step(self, roll: Roll, name: str, now: float) -> None:
         one = self.state.instances[name]
-        roll.out[name] = one.process or ""
+        roll.out.append(name)
         self._tell("fleet.roll_step", name=name, done=len(roll.done), left=len(roll.todo))
         if self.terms.take_over:
             one.replacing, one.since = True, now
@@ -675,15 +676,15 @@
         if roll is None or name not in roll.out:
             return
         if one is None:  # the file no longer names it
-            del roll.out[name]
+            roll.out.remove(name)
             return
         for_s = now - one.since
         if one.phase is Phase.UNREADY and for_s > terms.ready_within_s:
             self._halt(f"{name} was not ready within {terms.ready_within_s:g} s")
-        elif one.phase is Phase.READY and one.process != roll.out[name] and for_s >= terms.window_s:
+        elif one.phase is Phase.READY and not one.replacing and for_s >= terms.window_s:
             worse = self._worse_by(terms.as_before)
             if self.service is not None and not worse:
-                del roll.out[name]
+                roll.out.remove(name)
                 roll.done.append(name)
             elif for_s > terms.settle_within_s:
                 self._halt(f"service is not as before after {name}: {worse or 'no figures'}")
--- a/tests/rules/test_fleet_rules.py
+++ b/tests/rules/test_fleet_rules.py
@@ -294,6 +294,56 @@
     assert roll.reason == "a was not ready within 30 s"
 
 
+@pytest.mark.parametrize("take_over", [False, True])
+def test_a_step_that_was_kept_but_not_taken_when_the_supervisor_died_is_taken_by_the_next(
+        take_over: bool) -> None:
+    machine = ready_machine(take_over=take_over)
+    first = set(machine.running)
+    machine.on(f.BeginRoll(), carry_out=0)
+    machine.supervisor_dies()
+    machine.calm(100)
+    assert machine.fleet.state.last_roll == "done" and not first & set(machine.running)
+
+
+@pytest.mark.parametrize("before, then, stopped", [
+    (WELL, Shares(100, 0.04, 0.0), "service is not as before after a: 4.0% refused, 1.0% before"),
+    (Shares(1, 1.0, 0.0), BADLY, "service suffers: 30.0% refused, 0.0% before"),
+    (WELL, Shares(100, 0.0, 0.07), "service suffers: 7.0% unanswered, 0.0% before"),
+    (WELL, Shares(3, 1.0, 0.0), None),
+])
+def test_a_roll_goes_on_only_while_service_is_as_it_was(
+        before: Shares, then: Shares, stopped: str | None) -> None:
+    machine = ready_machine()
+    machine.service = before
+    machine.look()
+    machine.on(f.BeginRoll())
+    machine.service = then
+    machine.calm(100)
+    roll = machine.fleet.state.roll
+    assert (roll.reason if roll else None) == stopped
+
+
+def test_a_roll_does_not_wait_for_ever_for_an_instance_that_it_did_not_take_out() -> None:
+    machine = ready_machine(backoff_s=500.0, most_backoff_s=500.0)
+    machine.end(machine.answering["a"], "1")
+    machine.on(f.BeginRoll(2))
+    machine.calm(100)
+    roll = machine.fleet.state.roll
+    assert roll and roll.done == ["b", "c", "d"]
+    assert roll.reason == "waits for instances that it did not take out: a"
+
+
+def test_a_successor_that_does_not_get_ready_is_killed_and_the_roll_stopped() -> None:
+    machine = ready_machine(take_over=True)
+    first = set(machine.running)
+    machine.on(f.BeginRoll())
+    machine.now += 31
+    machine.look()
+    roll = machine.fleet.state.roll
+    assert roll and roll.reason == "the successor of a was not ready within 30 s"
+    assert set(machine.running) == first == machine.ready
+
+
 def test_a_successor_that_dies_before_it_is_ready_leaves_the_old_one_serving() -> None:
     machine = ready_machine(take_over=True)
     old = machine.answering["a"]
