--- a/glenfold/cli/fleet/up.py
+++ b/glenfold/cli/fleet/up.py
@@ -7,6 +7,7 @@
 import click
 import trio
 
+from glenfold import logs
 from glenfold.cli.fleet.talk import Failed, Faulty, file_argument
 from glenfold.daemon.fleet_orders import fleet_of
 from glenfold.daemon.supervisor import AlreadyRuns, FileRefused, Supervisor
@@ -19,12 +20,15 @@
 
     SIGTERM and SIGINT end the supervisor alone, and the relays serve on; SIGHUP is `fleet reload`.
     """
+    logs.begin(logs.Terms(), "supervisor")
     try:
         trio.run(_supervise, fleet_of(file))
     except* FileRefused as group:
         raise Faulty(_words(group)) from None
     except* (AlreadyRuns, OSError) as group:
         raise Failed(_words(group)) from None
+    finally:
+        logs.finish()
 
 
 def _words(group: BaseExceptionGroup[BaseException]) -> str:
--- a/glenfold/daemon/ask.py
+++ b/glenfold/daemon/ask.py
@@ -61,13 +61,11 @@
 
 def open_private(path: Path) -> trio.SocketListener:
     """Takes the place of whatever was there; nobody gets in before its mode is 0600. Raises OSError."""
-    sock = trio.socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+    sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
     own = path.with_name(f"{path.name}.{os.getpid()}")
     try:
         own.unlink(missing_ok=True)
-        plain = socket.fromfd(sock.fileno(), socket.AF_UNIX, socket.SOCK_STREAM)
-        with plain:
-            plain.bind(str(own))
+        sock.bind(str(own))
         own.chmod(0o600)
         sock.listen(MOST_ASKING)
         own.rename(path)
@@ -75,7 +73,7 @@
         sock.close()
         own.unlink(missing_ok=True)
         raise
-    return trio.SocketListener(sock)
+    return trio.SocketListener(trio.socket.from_stdlib_socket(sock))
 
 
 async def answer_all(listener: trio.SocketListener, answering: Answering) -> None:
--- a/glenfold/daemon/fleet_events.py
+++ b/glenfold/daemon/fleet_events.py
@@ -37,12 +37,12 @@
 
 @event("fleet.killed", "error", "{name}, process {process}, did not stop within {after_s} s and is killed")
 def killed(*, name: str, process: str, after_s: float) -> None:
-    """What it had taken and not answered by then is lost."""
+    """It did not stop in `fleet.stop_within_s`; what it had taken and not answered by then is lost."""
 
 
 @event("fleet.silent", "warning", "{name} does not answer on its control socket")
 def silent(*, name: str) -> None:
-    """It counts as not ready; it is left to run, as it may well serve."""
+    """One that was ready does not answer. It counts as not ready, and is left to run: it may serve."""
 
 
 @event("fleet.unidentified", "error", "who answers for {name} can't be told: {error}")
@@ -61,27 +61,27 @@
 @event("fleet.roll_begun", "info", "roll of {instances} with at most {most_out} out; {refused} of requests "
        "refused and {unanswered} unanswered before it")
 def roll_begun(*, instances: int, most_out: int, refused: float, unanswered: float) -> None:
-    """These shares are what service has to come back to after each step."""
+    """A roll begins; these shares are what service has to come back to after each step."""
 
 
 @event("fleet.roll_step", "info", "roll: {name} is next; {done} done, {left} left")
 def roll_step(*, name: str, done: int, left: int) -> None:
-    """It is told to stop, or a successor is started that takes over from it."""
+    """An instance is told to stop, or a successor is started that takes over from it."""
 
 
 @event("fleet.replaced", "info", "{name}: process {process} has taken over from {before}")
 def replaced(*, name: str, process: str, before: str) -> None:
-    """The old process finishes what it has taken."""
+    """A successor has taken over; the old process finishes what it has taken."""
 
 
 @event("fleet.successor_ended", "error", "{name}: the process that was to take over ended: {how}")
 def successor_ended(*, name: str, how: str) -> None:
-    """The old one serves on."""
+    """The process that was to take over ended before it was ready; the old one serves on."""
 
 
 @event("fleet.roll_stopped", "error", "roll stopped: {reason}; {done} done, {left} left")
 def roll_stopped(*, reason: str, done: int, left: int) -> None:
-    """Nobody more is taken out until it is continued or called off; whoever is out comes back."""
+    """A roll takes nobody more out until it is continued or called off; who is out comes back."""
 
 
 @event("fleet.roll_continued", "info", "roll continued, {left} left")
@@ -109,12 +109,12 @@
 
 @event("fleet.state_unread", "error", "what the last supervisor kept can't be read: {fault}")
 def state_unread(*, fault: str) -> None:
-    """Instances are found by their control sockets; a roll and what was held are forgotten."""
+    """The last supervisor's file is put aside; a roll and what was held are forgotten."""
 
 
 @event("fleet.state_unsaved", "error", "the fleet's state can't be saved: {error}")
 def state_unsaved(*, error: Exception) -> None:
-    """Instances are looked after all the same, but no roll goes on. Told once until it can be saved again."""
+    """Instances are looked after all the same, but no roll goes on. Told once, until it can be again."""
 
 
 @event("fleet.supervises", "info", "supervises {instances} instances in {folder}")
--- a/glenfold/daemon/fleet_orders.py
+++ b/glenfold/daemon/fleet_orders.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from glenfold import logs
 from glenfold.config import operators
 from glenfold.config.places import Place as InstancePlace
 from glenfold.config.tables import Faults
@@ -67,12 +68,14 @@
         controls = {place.name: place.socket for place in places if place.socket is not None}
         if len(controls) < len(places):
             raise FileRefused(f"{self.file}: control.on: must be true for a supervisor, which looks there")
-        return Order(_terms(read, tuple(controls)), controls, lambda: self._accept(text, places))
+        return Order(_terms(read, tuple(controls)), controls, lambda: self._accept(text, read, places))
 
-    def _accept(self, text: bytes, places: list[InstancePlace]) -> None:
+    def _accept(self, text: bytes, read: operators.Operators, places: list[InstancePlace]) -> None:
         self._accepted.parent.mkdir(mode=0o700, parents=True, exist_ok=True)
         write_whole(self._accepted, text)
         self._numbers = {place.name: place.number for place in places}
+        told = read.terms.logging
+        logs.take_terms(logs.Terms(told.form, told.level, told.levels, told.events_per_s, told.burst))
 
     @property
     def _accepted(self) -> Path:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -22,6 +22,7 @@
 from relaying import whole, write
 
 from glenfold import events, logs
+from glenfold.daemon import fleet_events  # noqa: F401  # the page lists them, too
 from glenfold.rules.rate import RateLimit
 from linnetspread.interface import Outcome
 
