--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -17,6 +17,8 @@
 from glenfold.config.platform import Config, ConfigError, written
 from glenfold.counters import Counters
 from glenfold.daemon.life import Life, State
+from glenfold.daemon.readiness import STEP_S, Readiness
+from glenfold.daemon.warming import age_s, warm_up
 from glenfold.decisions import Decisions
 from glenfold.destinations import BadList, DestinationSet
 from glenfold.leaving import Leaving, in_order
@@ -69,7 +71,7 @@
             if not self._held:
                 self.accept()
             self.life.to(State.WAITING)
-            self.life.to(State.READY)
+            nursery.start_soon(self._become_ready)
             for companion in self._companions:
                 nursery.start_soon(companion, self)
             await self._told_to_stop.wait()
@@ -118,6 +120,21 @@
             self.listeners.remove(listener)
             listener.close()
 
+    async def _become_ready(self) -> None:
+        """Clients that come before are served as well as it goes; only PING waits."""
+        relay = self.relay
+        while not relay.destinations.listed:
+            await trio.sleep_until(trio.current_time() + STEP_S)
+        warm_up(relay.config, relay.destinations.servers(), relay.clock.now_us())
+        gc.freeze()  # what stands now stays to the end: no collection looks at it again
+        gc.enable()
+        readiness = Readiness(trio.current_time(), age_s(), relay.config.cores)
+        while not readiness.look(trio.current_time(), time.process_time()):
+            await trio.sleep_until(readiness.next_look)
+        if not self.life.ending:
+            relay.ready.set()
+            self.life.to(State.READY)
+
     async def _accept(self, scope: trio.CancelScope, listener: SocketType, nursery: trio.Nursery) -> None:
         with scope:
             try:
@@ -175,7 +192,7 @@
         if not _tell(passage, relay, late=True):
             passage.cut()
     if relay.standing:
-        logger.warning("{} standing connections are cut off without MOVE", len(relay.standing))
+        events.leave_cut(connections=len(relay.standing))
 
 
 def _tell(passage: Passage, relay: Relay, late: bool) -> bool:
@@ -206,8 +223,7 @@
         short_before = leaving.short
         step = leaving.step(trio.current_time(), time.process_time(), left)
         if leaving.short and not short_before:
-            logger.warning("{} of {} standing connections can't be moved one by one in time, at {:.0f} "
-                           "a second: they move all at once at the end", step.late, left, leaving.pace)
+            events.leave_short(late=step.late, connections=left, per_s=round(leaving.pace))
             queue.clear()  # to be put in another order
         if len(queue) < step.moves:
             queue = deque(one for one in in_order(relay.standing, leaving.short) if one not in asked)
--- a/tests/daemon/test_takeover.py
+++ b/tests/daemon/test_takeover.py
@@ -198,7 +198,8 @@
     play(tmp_path, script)
 
 
-def test_when_the_old_one_dies_in_the_middle_clients_in_the_kernels_queue_are_taken_by_the_new(tmp_path: Path) -> None:
+def test_when_the_old_one_dies_in_the_middle_clients_in_the_kernels_queue_are_taken_by_the_new(
+        tmp_path: Path) -> None:
     async def script(made: House, life: Life) -> None:
         taken = await made.take_over()
         life.process.pause(life.process.listeners)
@@ -334,7 +335,8 @@
 def test_a_real_process_killed_before_the_new_one_is_ready_leaves_the_other_serving(
         tmp_path: Path, killed: str) -> None:
     async def script(made: House, life: Life) -> None:
-        relaying.write(tmp_path, name="cardiff-1", listen=made.wants[0])  # without a list it does not get ready
+        # Without a list it does not get ready.
+        relaying.write(tmp_path, name="cardiff-1", listen=made.wants[0])
         words = [sys.executable, "-m", "benchmarks.takeover", "serve", str(tmp_path)]
         with subprocess.Popen(words, stderr=subprocess.PIPE, text=True) as process:
             assert process.stderr is not None
