--- a/glenfold/cli/main.py
+++ b/glenfold/cli/main.py
@@ -9,6 +9,7 @@
     "check": ("glenfold.cli.check", "whether operators' files are sound"),
     "completion": ("glenfold.cli.completion", "a script for a shell to complete words with"),
     "config": ("glenfold.cli.config", "what an operators' file amounts to"),
+    "fleet": ("glenfold.cli.fleet", "the instances of one operators' file, and their supervisor"),
     "lab": ("glenfold_lab.cli", "worlds in virtual time, stand-ins, load, experiments and reports"),
 }
 
--- a/glenfold/events.py
+++ b/glenfold/events.py
@@ -73,6 +73,29 @@
     """The list that the configuration gives for the start can't be read; the relay starts without one."""
 
 
+# ---- snapshots of the destination set ----
+
+
+@event("snapshot.taken", "info", "snapshot {file}: generation {generation}, last heard of {age_s:.0f} s ago")
+def snapshot_taken(*, file: str, generation: int, age_s: float) -> None:
+    """The relay starts with the list in this file, until discovery says otherwise."""
+
+
+@event("snapshot.refused", "warning", "snapshot {file} refused: {error}")
+def snapshot_refused(*, file: str, error: Exception) -> None:
+    """A file is torn, damaged, too old or not this relay's; the one before it is used, if it is sound."""
+
+
+@event("snapshot.waits", "warning", "snapshot: {fault}")
+def snapshot_waits(*, fault: str) -> None:
+    """The newest list is not on the disk, which is slow, full or can't be written; the relay serves on."""
+
+
+@event("snapshot.written_again", "info", "snapshot: written again, generation {generation}")
+def snapshot_written_again(*, generation: int) -> None:
+    """After a fault the newest list is on the disk."""
+
+
 # ---- decisions ----
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from datetime import UTC, datetime
+from importlib import import_module
 from pathlib import Path
 from string import Formatter
 from typing import Any
@@ -19,7 +20,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from relaying import write
+from relaying import whole, write
 
 from glenfold import events, logs
 from glenfold.rules.rate import RateLimit
@@ -277,7 +278,7 @@
     relays: list[tuple[subprocess.Popen[bytes], tuple[str, int]]] = []
     gone_reader, gone = os.pipe()
     os.close(gone_reader)
-    write(tmp_path)
+    write(tmp_path, known=whole())
     with full_pipe() as (_, full, _):
         try:
             for log_to in (full, gone, None):
@@ -303,21 +304,37 @@
 # ---- the registry ----
 
 
-def calls() -> Iterator[tuple[str, ast.Call]]:
-    for path in SOURCES:
-        for node in ast.walk(ast.parse(path.read_text())):
-            if isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute) \
-                    and isinstance(node.func.value, ast.Name) and node.func.value.id == "events":
-                yield node.func.attr, node
+# Where events are made: each module's, by its full name. Importing them fills the registry.
+MADE = {name: import_module(name) for name in (
+    ".".join(path.relative_to(ROOT).with_suffix("").parts) for path in SOURCES
+    if re.fullmatch(r"(\w+_)?events.py", path.name))}
+
+
+def uses(path: Path) -> Iterator[tuple[logs.Event[...], ast.Call | None]]:
+    """Events that a file calls, names by their stable names, or passes on."""
+    tree = ast.parse(path.read_text())
+    called = {id(node.func): node for node in ast.walk(tree) if isinstance(node, ast.Call)}
+    known = {name.asname or name.name: MADE[f"{node.module}.{name.name}"]
+             for node in ast.walk(tree) if isinstance(node, ast.ImportFrom)
+             for name in node.names if f"{node.module}.{name.name}" in MADE}
+    for node in ast.walk(tree):
+        if isinstance(node, ast.Attribute) and isinstance(node.value, ast.Name) and node.value.id in known:
+            yield getattr(known[node.value.id], node.attr), called.get(id(node))
+        elif isinstance(node, ast.Constant) and node.value in logs.EVENTS:
+            yield logs.EVENTS[node.value], None
 
 
 def test_every_event_is_used_and_every_use_gives_the_fields_of_an_event():
-    found = {name: event for name, event in vars(events).items() if isinstance(event, logs.Event)}
-    uses = list(calls())
-    assert {name for name, _ in uses} == set(found)
-    for name, call in uses:
-        assert sorted(str(keyword.arg) for keyword in call.keywords) == sorted(found[name].fields), name
-        assert not call.args, name
+    used = {logs.lines_lost.name, logs.events_left_out.name}
+    for path in SOURCES:
+        if path.name == "logs.py" or path.stem.endswith("events"):
+            continue
+        for event, call in uses(path):
+            used.add(event.name)
+            if call is not None:
+                assert not call.args, event.name
+                assert sorted(str(given.arg) for given in call.keywords) == sorted(event.fields), event.name
+    assert used == set(logs.EVENTS)
 
 
 def test_events_have_the_fields_that_their_texts_show_and_none_of_the_logs_own():
