--- a/glenfold/cli/fleet/down.py
+++ b/glenfold/cli/fleet/down.py
@@ -19,6 +19,9 @@
     """Stop all instances, each once it has finished what it has taken, and then the supervisor.
 
     A roll is called off. Who has not stopped within `fleet.stop_within_s` is killed.
+
+    Exit status: 0 done (with --no-wait: begun), 1 refused, 2 the words or the file are at fault, 3 no
+    supervisor answers.
     """
     place = place_of(file)
     answer = talk(place, "down")
