--- a/glenfold/daemon/snapshot.py
+++ b/glenfold/daemon/snapshot.py
@@ -56,12 +56,12 @@
         self._list_at = -math.inf             # the last list in this life, on trio's clock
         self._known_at = -math.inf            # when discovery last told another life, in Unix seconds
         self._saved_left: dict[int, int] = {}  # the starts after which servers left, as on the disk
-        self._generation = 0
+        self.generation = 0
         self._on_disk_at = -math.inf          # when what is on the disk was last heard of
         self._writing_from = math.inf
         self._fault = ""
         self._refused: list[str] = []
-        self._taken: Snapshot | None = None
+        self.taken: Snapshot | None = None
 
     # ---- the start ----
 
@@ -106,7 +106,7 @@
         return None
 
     def _took(self, snapshot: Snapshot, name: str) -> None:
-        self._taken, self._generation = snapshot, snapshot.generation
+        self.taken, self.generation = snapshot, snapshot.generation
         self._known_at = self._on_disk_at = snapshot.heard_at
         self._saved_left = self._starts()
         logger.info("snapshot {}: generation {}, last heard of {:.0f} s ago", name, snapshot.generation,
@@ -188,7 +188,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._say_if_slow, began + SLOW_S)
             try:
-                self._generation = await trio.to_thread.run_sync(self._store.save, heard_at, state, history,
+                self.generation = await trio.to_thread.run_sync(self._store.save, heard_at, state, history,
                                                                  abandon_on_cancel=True)
             except (OSError, TooLarge, HeldElsewhere, ValueError) as caught:
                 error = caught
@@ -202,7 +202,7 @@
         self._saved_left, self._on_disk_at = starts, heard_at
         if self._fault:
             self._fault = ""
-            logger.info("snapshot: written again, generation {}", self._generation)
+            logger.info("snapshot: written again, generation {}", self.generation)
         return True
 
     def _failed(self, error: Exception, before: Pace) -> None:
@@ -228,11 +228,11 @@
         now = trio.current_time()
         return {
             "folder": str(self.terms.folder),
-            "generation": self._generation,
+            "generation": self.generation,
             "age_s": self._wall() - self._on_disk_at if self._on_disk_at > -math.inf else None,
             "waits": self._pace.copies > 0,
             "writing_s": now - self._writing_from if self._writing_from < math.inf else None,
             "fault": self._fault or None,
-            "taken": self._taken.generation if self._taken else None,
+            "taken": self.taken.generation if self.taken else None,
             "refused": list(self._refused),
         }
--- a/glenfold/rules/snapshots.py
+++ b/glenfold/rules/snapshots.py
@@ -17,6 +17,7 @@
 
 FORMAT = 1
 MAGIC = b"glenfold-snapshot"
+FIRST_LINE = 80  # bytes at the most
 ENCODER = json.JSONEncoder(separators=(",", ":"), allow_nan=False)
 SKEW_S = 5.0  # that a clock may have been set back by
 
@@ -101,7 +102,7 @@
 def encode(content: Content, most: int) -> Iterator[bytes]:
     """The file's first line and body, and before them an empty piece for each row: whoever writes it can let
     others have the processor in between. Raises TooLarge over `most` bytes."""
-    pieces, size = [], 0
+    pieces, size = [], FIRST_LINE
     for piece in content.pieces():
         pieces.append(piece)
         size += len(piece)
--- /dev/null
+++ b/tests/rules/test_snapshot_form.py
@@ -0,0 +1,128 @@
+"""Files that are not whole, not this relay's or not of this form are refused."""
+
+import random
+from pathlib import Path
+
+import pytest
+import relaying
+from relaying import entry, whole
+
+from glenfold.destinations import DestinationSet
+from glenfold.rules.history import History
+from glenfold.rules.snapshots import FIRST_LINE, Content, Owner, Refused, Snapshot, TooLarge, decode, encode
+from linnetspread import Balancer
+from linnetspread import interface as i
+from linnetspread.choice import SEEDS, Anchor
+
+OWNER = Owner("valleys", "relay-1")
+
+
+def snapshot_file(destinations: DestinationSet, owner: Owner = OWNER, most: int = 1 << 20) -> bytes:
+    return b"".join(encode(Content(owner, 7, 1000.0, destinations.state(), History().section()), most))
+
+
+@pytest.fixture
+def heard(tmp_path: Path) -> DestinationSet:
+    destinations = DestinationSet(relaying.config(tmp_path).names)
+    destinations.read(whole(entry("s-1", "[::1]:3000", born_ms=5), entry("s-2", site="newport"), entry("s-3"),
+                            seq=9))
+    destinations.read({"seq": 12, "whole": False, "hosts": [
+        entry("s-2", site="newport", health="terminating"), entry("s-3", health="terminated")]})
+    return destinations
+
+
+def test_what_was_known_comes_back_as_it_was(heard: DestinationSet, tmp_path: Path) -> None:
+    snapshot = decode(snapshot_file(heard), OWNER)
+    again = DestinationSet(relaying.config(tmp_path).names)
+    told = again.restore(snapshot.document, snapshot.left)
+    assert again.state() == heard.state() and again.faults == []
+    assert (snapshot.generation, snapshot.heard_at, told.kind) == (7, 1000.0, i.ListKind.CACHED)
+    settings = relaying.SETTINGS | {"areas": ["newport", "cardiff", "wrexham"]}
+    moved = DestinationSet(relaying.config(tmp_path, settings=settings).names)
+    assert [line.zone for line in moved.restore(snapshot.document, snapshot.left).servers] == [2, 0]
+
+
+def test_a_file_cut_anywhere_is_refused_as_torn(heard: DestinationSet) -> None:
+    data = snapshot_file(heard)
+    for length in range(len(data)):
+        with pytest.raises(Refused) as refused:
+            decode(data[:length], OWNER)
+        assert refused.value.reason == "torn"
+
+
+def test_any_flipped_bit_is_seen(heard: DestinationSet) -> None:
+    data = snapshot_file(heard)
+    for place in range(8 * len(data)):
+        hurt = bytearray(data)
+        hurt[place // 8] ^= 1 << place % 8
+        with pytest.raises(Refused):
+            decode(bytes(hurt), OWNER)
+
+
+def test_what_is_another_relays_or_of_another_form_is_refused_with_its_reason(heard: DestinationSet) -> None:
+    data = snapshot_file(heard)
+    others = [snapshot_file(heard, Owner(*owner)) for owner in (("taff", "relay-1"), ("valleys", "relay-2"))]
+    reasons = []
+    for other in [*others, b"{}\n", data.replace(b" 1 ", b" 2 ", 1)]:
+        with pytest.raises(Refused) as refused:
+            decode(other, OWNER)
+        reasons.append(refused.value.reason)
+    assert reasons == ["foreign"] * 3 + ["format"]
+    with pytest.raises(TooLarge):
+        snapshot_file(heard, most=len(data) - 1)
+    assert len(snapshot_file(heard, most=len(data) + FIRST_LINE)) == len(data)
+
+
+def test_the_age_is_bounded_both_ways() -> None:
+    snapshot = Snapshot(OWNER, 1, 1000.0, None, None)
+    snapshot.check_age(1060.0, 60.0)
+    for now, reason in ((1060.5, "too_old"), (990.0, "from_the_future")):
+        with pytest.raises(Refused) as refused:
+            snapshot.check_age(now, 60.0)
+        assert refused.value.reason == reason
+
+
+def test_who_drained_here_is_not_brought_back_by_an_older_snapshot(heard: DestinationSet) -> None:
+    snapshot = decode(snapshot_file(heard), OWNER)
+    heard.read({"seq": 13, "whole": False, "hosts": [entry("s-1", health="terminating", born_ms=5)]})
+    told = heard.restore(snapshot.document, snapshot.left)
+    assert {line.state for line in told.servers} == {i.ServerState.DRAINING}
+    late = heard.read(whole(*(entry(f"s-{n}", born_ms=5 if n == 1 else 0) for n in (1, 2, 3)), seq=11))
+    assert {line.state for line in late.servers} == {i.ServerState.DRAINING}
+
+
+def test_a_list_with_a_lower_number_hides_not_in_which_version_a_server_left(
+        heard: DestinationSet, tmp_path: Path) -> None:
+    heard.read(whole(entry("s-2"), seq=3))  # from an agent that lags
+    snapshot = decode(snapshot_file(heard), OWNER)
+    for destinations in (heard, again := DestinationSet(relaying.config(tmp_path).names)):
+        if destinations is again:
+            again.restore(snapshot.document, snapshot.left)
+        told = destinations.read(whole(entry("s-2"), seq=8))
+        assert told.servers[0].state is i.ServerState.DRAINING
+
+
+def test_the_history_makes_the_same_map_again(tmp_path: Path) -> None:
+    conf, draws = relaying.config(tmp_path), random.Random(5)
+    destinations, history, balancer = DestinationSet(conf.names), History(), Balancer(conf.settings, 1)
+    for seq in range(1, 30):
+        hosts = [entry(f"s-{n}", health=draws.choice(["in_service", "in_service", "terminating"]))
+                 for n in draws.sample(range(20), 12)]
+        told = destinations.read({"seq": seq, "whole": draws.random() < 0.3, "hosts": hosts})
+        history.heard(told)
+        balancer.handle(seq, told)
+    section = history.section()
+    assert section is not None and balancer.anchor is not None
+    built, changes = section.rows[:section.built], section.rows[section.built:]
+    buckets = len(next(iter(balancer.anchor.buckets_of.values())))
+    anchor = Anchor([(server, buckets) for server, _ in built])
+    for row in changes:
+        if len(row) == 1:
+            anchor.remove(row[0])
+        else:
+            anchor.add(row[0], buckets)
+    assert all(anchor.lookup(key, SEEDS[0]) == balancer.anchor.lookup(key, SEEDS[0]) for key in range(2000))
+    short = History(most=3)
+    for n in range(6):
+        short.heard(i.ServerList(i.ListKind.FULL, n, (i.ListedServer(n, i.ServerState.READY),)))
+    assert short.section() is None
