--- a/glenfold/rules/__init__.py
+++ b/glenfold/rules/__init__.py
@@ -1,1 +1,1 @@
-"""What is decided without I/O, clock or global state: time and random numbers come in."""
+"""What subsystems decide beside `linnetspread`: no I/O, no clock, no state of the program's own."""
