--- a/glenfold/events.py
+++ b/glenfold/events.py
@@ -32,6 +32,45 @@
     """It has finished all that it had taken, and ends."""
 
 
+# ---- taking over from another process of the same name ----
+
+
+@event("takeover.offered", "info", "taking over: passed on [{passed}], opened [{opened}], closed [{closed}]")
+def takeover_offered(*, passed: Sequence[str], opened: Sequence[str], closed: Sequence[str]) -> None:
+    """The old process passes its listening sockets on; `opened` are addresses that it has not listened at,
+    `closed` those that it stops listening at, as the new one does not want them."""
+
+
+@event("takeover.done", "info", "took over: the old process accepts no more")
+def takeover_done() -> None:
+    """This process alone listens now, and the name is its own."""
+
+
+@event("takeover.refused", "error", "not taking over, the old process serves on: {reason}")
+def takeover_refused(*, reason: str) -> None:
+    """This process ends: it was not ready in time, was told to stop, or the old one would not."""
+
+
+@event("takeover.retired", "info", "taken over: this process ends once it has finished what it has taken")
+def takeover_retired() -> None:
+    """Another process has the listening sockets and the name."""
+
+
+@event("takeover.failed", "warning", "no take-over, this process serves on: {reason}")
+def takeover_failed(*, reason: str) -> None:
+    """A new process began to take over, and died, gave up, was late, or had no right to."""
+
+
+@event("takeover.stranger", "warning", "take-over: a stranger, or one too many, turned away", rate=(0.2, 1))
+def takeover_stranger() -> None:
+    """Somebody connected to the take-over socket who runs as another user, or beside too many others."""
+
+
+@event("takeover.unheard", "warning", "take-over: {error}", rate=(0.2, 1))
+def takeover_unheard(*, error: Exception) -> None:
+    """Nobody can ask for a take-over: the private socket can't be made, or not accepted on."""
+
+
 # ---- configuration ----
 
 
