--- a/glenfold/events.py
+++ b/glenfold/events.py
@@ -71,6 +71,18 @@
     """Nobody can ask for a take-over: the private socket can't be made, or not accepted on."""
 
 
+@event("leave.short", "warning",
+       "{late} of {connections} standing connections can't be moved one by one in time, at {per_s} a second: "
+       "they move all at once at the end")
+def leave_short(*, late: int, connections: int, per_s: int) -> None:
+    """It ends with more connections than it can move in time, and knows it beforehand."""
+
+
+@event("leave.cut", "warning", "{connections} standing connections are cut off without MOVE")
+def leave_cut(*, connections: int) -> None:
+    """Its time is over while connections stand whose clients had only part of a line."""
+
+
 # ---- configuration ----
 
 
@@ -166,3 +178,26 @@
 @event("sockets.exhausted", "warning", "no spare descriptor: {error}")
 def sockets_exhausted(*, error: Exception) -> None:
     """No descriptor is left, not even the one kept to refuse clients with."""
+
+
+# ---- snapshots of the destination set ----
+
+
+@event("snapshot.taken", "info", "snapshot {name}: generation {generation}, last heard of {age_s} s ago")
+def snapshot_taken(*, name: str, generation: int, age_s: int) -> None:
+    """It starts from a snapshot of the destination set."""
+
+
+@event("snapshot.refused", "warning", "snapshot {name} refused: {error}")
+def snapshot_refused(*, name: str, error: Exception) -> None:
+    """A snapshot file is torn, damaged, too old, or another instance's; the one before it is tried."""
+
+
+@event("snapshot.written_again", "info", "snapshot: written again, generation {generation}")
+def snapshot_written_again(*, generation: int) -> None:
+    """Snapshots reach the disk again after they could not."""
+
+
+@event("snapshot.failed", "warning", "snapshot: {fault}")
+def snapshot_failed(*, fault: str) -> None:
+    """A snapshot can't be written, or waits for the disk; the relay serves on. Told once for each fault."""
