--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -126,11 +126,11 @@
     async def _become_ready(self) -> None:
         """Clients that come before are served as well as it goes; only PING waits."""
         relay = self.relay
+        gc.freeze()  # what stands now stays to the end: no collection looks at it again
+        gc.enable()
         while not relay.destinations.listed:
             await trio.sleep_until(trio.current_time() + STEP_S)
         warm_up(relay.config, relay.destinations.servers(), relay.clock.now_us())
-        gc.freeze()  # what stands now stays to the end: no collection looks at it again
-        gc.enable()
         readiness = Readiness(trio.current_time(), age_s(), relay.config.cores)
         while not readiness.look(trio.current_time(), time.process_time()):
             await trio.sleep_until(readiness.next_look)
