--- a/tests/glenfold_lab/test_stand_in_agent.py
+++ b/tests/glenfold_lab/test_stand_in_agent.py
@@ -4,10 +4,13 @@
 from pathlib import Path
 
 import standing
+import trio
+import trio.testing
 from standing import World, play
 
 from glenfold_lab.observe import Told
 from glenfold_lab.stands.agent import Change, Holding
+from glenfold_lab.stands.sockets import end_now
 
 
 def gone(world: World, n: int) -> tuple[int, int]:
@@ -72,6 +75,23 @@
     play(tmp_path, script)
 
 
+def test_watches_whose_relay_has_gone_hold_nothing_back(tmp_path: Path) -> None:
+    async def script(world: World) -> None:
+        gone_away = [await trio.open_tcp_stream(*world.agent.address) for _ in range(8)]
+        for stream in gone_away:
+            await stream.send_all(b"GET /v1/servers?watch=1&from=1 HTTP/1.1\r\nHost: a\r\n\r\n")
+            assert b'"seq":1' in await stream.receive_some()
+        for stream in gone_away:
+            end_now(stream.socket)
+            await stream.aclose()
+        world.change(2, replace(world.entries[0], state=Told.GONE))
+        await world.heard(lambda known: known.version == 2)
+        await trio.testing.wait_all_tasks_blocked()
+        assert gone(world, 0)[1] == 1
+
+    play(tmp_path, script)
+
+
 def test_a_watch_begins_with_what_its_relay_lacks() -> None:
     held = Holding(4, [])
     one, two = (standing.entry(n, "127.0.0.1:1") for n in range(2))
--- a/tests/glenfold_lab/test_stand_in_servers.py
+++ b/tests/glenfold_lab/test_stand_in_servers.py
@@ -10,10 +10,12 @@
 from standing import World, holder, play
 
 from glenfold_lab.observe import Over
+from glenfold_lab.stands import push_server
 from glenfold_lab.stands.moments import MachineClock
 from glenfold_lab.stands.push_server import PushServer
 from glenfold_lab.stands.push_states import Fault
 from glenfold_lab.stands.seen import Seen
+from glenfold_lab.stands.sockets import SocketType, take
 
 
 @pytest.mark.parametrize(("fault", "over"), [
@@ -94,6 +96,23 @@
     play(tmp_path, script, servers=1)
 
 
+def test_what_is_said_while_an_answer_is_written_still_goes_out(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    async def script(world: World) -> None:
+        stream, state = await world.open(), world.servers[0].holder.by_key
+        assert (await read_line(stream)).startswith(b"UP ")
+
+        async def take_and_move(sock: SocketType, data: bytes) -> None:
+            await take(sock, data)
+            state[7].move(world.clock.now_us()) if 7 in state else None
+
+        monkeypatch.setattr(push_server, "take", take_and_move)
+        await stream.send_all(b"hello\r\n")
+        assert [await read_line(stream) for _ in range(2)] == [b"hello\r\n", b"MOVE\r\n"]
+
+    play(tmp_path, script, servers=1)
+
+
 def test_a_full_server_is_busy_and_a_client_that_quits_is_served_to_its_end(tmp_path: Path) -> None:
     async def script(world: World) -> None:
         stream = await world.open()
