--- a/glenfold/net/discovery.py
+++ b/glenfold/net/discovery.py
@@ -1,12 +1,13 @@
 """Discovery: the whole list, then a watch on it, again and again."""
 
 import json
+import math
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import h11
 import trio
-from loguru import logger
 
+from glenfold import events
 from glenfold.config import Address
 from glenfold.counters import Counters
 from glenfold.destinations import BadList, DestinationSet
@@ -30,6 +31,7 @@
         self._counters = counters
         self._scope = trio.CancelScope()
         self._said = ""
+        self.heard_at = -math.inf  # when the agent last said that what is known holds
 
     def move_to(self, address: Address) -> None:
         """From now on discovery is there; what was heard so far holds until it says otherwise."""
@@ -44,11 +46,19 @@
                 try:
                     await self._whole_and_watch()
                 except (*FAULTS, BadList) as error:
-                    if repr(error) != self._said:  # an agent that is down fails alike four times a second
-                        logger.warning("discovery: {!r}", error)
-                    self._said = repr(error)
+                    self._tell(error)
                 await trio.sleep_until(trio.current_time() + AGAIN_S)
 
+    def _tell(self, error: Exception) -> None:
+        """An agent that is down fails alike four times a second."""
+        said, self._said = self._said, repr(error)
+        if self._said == said:
+            return
+        if isinstance(error, BadList):
+            events.list_refused(error=error)
+        else:
+            events.discovery_failed(error=error)
+
     async def _whole_and_watch(self) -> None:
         with trio.fail_at(trio.current_time() + ANSWER_S) as silence:
             stream = await trio.open_tcp_stream(*self._address)
@@ -56,6 +66,7 @@
                 connection = h11.Connection(h11.CLIENT)
                 body = b"".join([part async for part in self._get(connection, stream, "/v1/servers")])
                 version = await self._take(body)
+                self.heard_at = trio.current_time()
                 connection.start_next_cycle()
                 line = b""
                 async for part in self._get(connection, stream, f"/v1/servers?watch=1&from={version}"):
@@ -66,6 +77,7 @@
                         raise BadList("a line is too long")
                     for change in filter(bytes.strip, lines):
                         await self._take(change)
+                    self.heard_at = trio.current_time()
 
     async def _get(self, connection: h11.Connection, stream: trio.SocketStream,
                    target: str) -> AsyncIterator[bytes]:
@@ -101,7 +113,7 @@
         for fault in self._destinations.faults:
             self._counters.bad_entries += 1
             if fault != self._said:  # the same entry comes with every list
-                logger.warning("discovery: {}", fault)
+                events.list_entry_left_out(fault=fault)
             self._said = fault
         # A move or a silence that cut in here would leave the addresses and the decisions two lists apart.
         with trio.CancelScope(shield=True):
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -6,9 +6,8 @@
 from dataclasses import dataclass, field
 
 import trio
-from loguru import logger
 
-from glenfold import lines
+from glenfold import events, lines
 from glenfold import request as r
 from glenfold.clock import SECOND_US, Clock
 from glenfold.config import Config, Room
@@ -25,7 +24,6 @@
 FIRST_LINE_S = 2.0     # from the accept to a whole first line, PING included; 3 s are promised
 PARTING_S = 0.3        # for a client to take an answer before its connection closes
 PARTING_BYTES = 1 << 16  # read from it meanwhile: one that floods must not cost more
-LOG_S = 5.0            # bad first lines are counted, and told of no more often than this
 OUT_OF_SOCKETS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -41,6 +39,7 @@
     unanswered: int = 0
     ids: Counter[bytes] = field(default_factory=Counter)  # of the requests and connections open here
     standing: dict[Passage, float] = field(default_factory=dict)  # oldest first; the worth of each
+    ready: trio.Event = field(default_factory=trio.Event)  # to go at the usual pace: PING waits for it
 
 
 class Inbound:
@@ -51,8 +50,7 @@
         self._waiting: dict[SocketType, trio.CancelScope] = {}  # without a whole first line, oldest first
         self._taken = 0      # with one: two sides each
         self._refusing = 0
-        self._told_at = float("-inf")
-        self._spare = os.open(os.devnull, os.O_RDONLY)
+        self._spare: int | None = os.open(os.devnull, os.O_RDONLY)
         self.last_arrival = float("-inf")
 
     @property
@@ -85,19 +83,22 @@
 
     async def _refuse_without_socket(self, listener: SocketType) -> None:
         """With no descriptor left, accept fails over and over: one kept spare lets a client be told."""
-        os.close(self._spare)
-        with trio.move_on_at(trio.current_time() + PARTING_S):
+        if self._spare is not None:
+            os.close(self._spare)
+            self._spare = None  # its number may be another's by the time that there is a spare again
+        # Whoever pauses the accepting does not cut this client off, nor lose the spare.
+        with trio.move_on_at(trio.current_time() + PARTING_S, shield=True):
             try:
                 sock, _ = await listener.accept()
                 self._counters.fail_fast += 1
                 with sock:
                     await send(sock, self._busy())
-            except OSError:
+            except (OSError, trio.ClosedResourceError):
                 pass
         try:
             self._spare = os.open(os.devnull, os.O_RDONLY)
         except OSError as error:
-            logger.warning("no spare descriptor: {}", error)
+            events.sockets_exhausted(error=error)
             await trio.sleep_until(trio.current_time() + PARTING_S)
 
     def _busy(self) -> bytes:
@@ -110,10 +111,10 @@
             without_delay(sock)
             await self._talk(sock, scope)
         except OSError as error:
-            logger.debug("inbound: {!r}", error)
-        except Exception:
+            events.client_broke(error=error)
+        except Exception as error:
             self._counters.faults += 1
-            logger.exception("a connection failed")
+            events.connection_failed(error=error)
         finally:
             self._waiting.pop(sock, None)
             sock.close()
@@ -133,7 +134,8 @@
             exchange = self._exchange(sock, buffer, end)
         except lines.Malformed as error:
             self._waiting.pop(sock, None)
-            self._note_malformed(error)
+            self._counters.malformed += 1
+            events.client_malformed(count=self._counters.malformed, error=error)
             more = buffer.filled > (end or 0)
             await self._turn_away(sock, lines.FAILED, more)
             return
@@ -147,13 +149,6 @@
         finally:
             self._taken -= 1
 
-    def _note_malformed(self, error: lines.Malformed) -> None:
-        """A client that comes again and again must not fill the log."""
-        self._counters.malformed += 1
-        if trio.current_time() >= self._told_at + LOG_S:
-            self._told_at = trio.current_time()
-            logger.warning("inbound: {} bad first lines so far; now {}", self._counters.malformed, error)
-
     async def _turn_away(self, sock: SocketType, answer: bytes, more: bool) -> None:
         """Closing on unread bytes resets the connection and may take the answer with it. So where there are
         `more`, some are read, but never a flood to its end."""
@@ -184,6 +179,7 @@
                 return end
             buffer.drop(end)
             self._counters.pings += 1
+            await self._relay.ready.wait()
             await send(sock, lines.PONG)
 
     def _exchange(self, sock: SocketType, buffer: lines.LineBuffer, end: int) -> "Exchange":
@@ -319,7 +315,7 @@
         try:
             await send(self._sock, line)
         except OSError as error:  # the client has just gone: its end is seen where it is read from
-            logger.debug("inbound: no answer taken: {!r}", error)
+            events.client_unanswered(request=self._state.number, error=error)
 
     async def _watch_client(self) -> None:
         """A client that goes before its answer is not worth a call, nor is one that does not wait for it;
@@ -366,7 +362,7 @@
             relay.counters.not_moved += passage.cut_off
         if passage.outcome in (i.Outcome.RESET, i.Outcome.ERROR):
             relay.counters.broken += 1
-            logger.info("a connection at server {} broke: {}", state.server, passage.outcome.name.lower())
+            events.connection_broke(request=state.number, server=state.server, outcome=passage.outcome)
         for effect in state.on(r.ConnectionEnded(passage.outcome), relay.clock.now_us()):
             if isinstance(effect, r.Report):
                 await relay.decisions.tell(effect.event)
--- /dev/null
+++ b/glenfold/rules/__init__.py
@@ -0,0 +1,1 @@
+"""What subsystems decide beside `linnetspread`: no I/O, no clock, no state of the program's own."""
