Count a relay's end from the signal, not from when its loop came to it

Need: a loop that has a second's work in a turn heeds SIGTERM that much later, and was killed before its plan was over.

--- a/glenfold/daemon/platform.py
+++ b/glenfold/daemon/platform.py
@@ -21,6 +21,7 @@
     }
     # To the very end: SIGHUP would end a relay that has stopped listening to it.
     with trio.open_signal_receiver(*by_signal) as signals:
+        process.note_moment(signal.SIGTERM, signal.SIGINT)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(heed, signals, by_signal)
             await process.run()
--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -5,10 +5,12 @@
 """
 
 import gc
+import signal
 import socket
 import time
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping, Sequence
+from typing import Any
 
 import trio
 
@@ -58,6 +60,7 @@
         self._companions = companions
         self._deadline_s = deadline_s
         self._told_to_stop = trio.Event()
+        self._signalled_at: float | None = None  # by the monotonic clock
         self.life.watches.append(
             lambda before, now: events.life_changed(before=before.value, state=now.value))
 
@@ -78,7 +81,7 @@
             for companion in self._companions:
                 nursery.start_soon(companion, self)
             await self._told_to_stop.wait()
-            leaving = Leaving(trio.current_time(), self.relay.config.settings, self._deadline_s)
+            leaving = Leaving(self._told_at(), self.relay.config.settings, self._deadline_s)
             self.life.to(State.DRAINING)
             if self._accepting:
                 await last_arrivals(leaving, self.inbound)
@@ -146,6 +149,24 @@
                 if not scope.cancel_called:  # closed just as a client arrived
                     raise
 
+    def note_moment(self, *numbers: int) -> None:
+        """Of these signals, which trio receives already: a loop with many lines to pass comes to heed one
+        up to a second later, but the kill comes by the signal's own moment."""
+        for number in numbers:
+            signal.signal(number, self._noting(signal.getsignal(number)))
+
+    def _noting(self, before: Any) -> Callable[[int, Any], None]:
+        def note(number: int, frame: Any) -> None:
+            if self._signalled_at is None:
+                self._signalled_at = time.monotonic()
+            before(number, frame)
+
+        return note
+
+    def _told_at(self) -> float:
+        ago_s = 0.0 if self._signalled_at is None else time.monotonic() - self._signalled_at
+        return trio.current_time() - ago_s
+
     def stop(self) -> None:
         self._told_to_stop.set()
 
--- a/glenfold/leaving.py
+++ b/glenfold/leaving.py
@@ -26,6 +26,7 @@
 LATE_S = 0.002         # that a sleep may take longer than it was asked for
 LEAST_SPARE = 0.1      # of the time, for moves
 THOUSANDS = 1000       # to be moved: from here on a slow turn is taken to be no accident
+TURNS_LEFT = 3         # of the loop, before the end, when all that are left are told at once
 MOST_AT_ONCE = 250     # moves in one turn, 0.1 s; what passes on other connections waits meanwhile
 
 Standing = TypeVar("Standing")
@@ -63,6 +64,7 @@
         self._cost = MEASURED / PACE, float(MEASURED)  # seconds taken by moves, and their number
         self._late_s = 0.0, 0.0    # by which the loop came back, the last two times
         self._late_since = told_at
+        self._most = 0
         self._moved = 0
         self._last: tuple[float, float, Step] | None = None
 
@@ -105,9 +107,10 @@
     def _next(self, now: float, left: int) -> Step:
         if not left:
             return Step(0, now + ANSWERS_S)
-        turn_s = max(self._late_s) if left >= THOUSANDS else min(self._late_s)
-        # Two turns: it may have been told to stop one before `told_at`, and comes back one after this.
-        if now >= self.leave_at - SWEEP_S - left * SWEEP_EACH_S - 2 * turn_s:
+        self._most = max(self._most, left)
+        turn_s = max(self._late_s) if self._most >= THOUSANDS else min(self._late_s)
+        # The next turn may be longer than those before.
+        if now >= self.leave_at - SWEEP_S - left * SWEEP_EACH_S - TURNS_LEFT * turn_s:
             return Step(left, now, left, sweep=True)
         remaining = self.moves_end - now
         if remaining <= 0:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -3,6 +3,9 @@
 The full size, 6,000 connections to a real process, is in `benchmarks/leave.py`.
 """
 
+import os
+import signal
+import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
 from pathlib import Path
@@ -14,7 +17,7 @@
 from hypothesis import strategies as st
 from relaying import OPEN, read_line, relay
 
-from glenfold.daemon.process import finish_taken
+from glenfold.daemon.process import Process, finish_taken
 from glenfold.leaving import Leaving, in_order
 from glenfold.lines import MOVE
 from glenfold.net import passing
@@ -99,6 +102,20 @@
     assert in_order(standing, True) == ["feed 1", "feed 2", "watch 1", "watch 2"]
 
 
+def test_an_end_counts_from_the_signal_and_not_from_when_the_loop_came_to_it(tmp_path: Path) -> None:
+    async def main() -> float:
+        told = Process(relaying.config(tmp_path), lambda current: (current, []))
+        with trio.open_signal_receiver(signal.SIGTERM) as signals:
+            told.note_moment(signal.SIGTERM)
+            os.kill(os.getpid(), signal.SIGTERM)
+            sent = trio.current_time()
+            time.sleep(0.2)  # a long turn
+            await anext(signals)
+            return told._told_at() - sent
+
+    assert trio.run(main) < 0.1
+
+
 # ---- on sockets ----
 
 
