Pass a line down without a turn of the loop in which its client can't be told to move

Need: of the clients of an overloaded relay many could not be told at the end: their lines were with the kernel, but the lock was held until the next turn, and a move was given up after 0.3 s, less than a turn. Change: what the kernel takes at once needs no lock, and a move at the end is given up only with the relay.

--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -259,12 +259,13 @@
                 continue
             if not _tell(passage, relay, step.sweep):
                 asked.add(passage)
-                nursery.start_soon(_move, passage, relay)
+                nursery.start_soon(_move, passage, relay, leaving.leave_at)
         await trio.sleep_until(step.again_at)
 
 
-async def _move(passage: Passage, relay: Relay) -> None:
-    await passage.move()
+async def _move(passage: Passage, relay: Relay, until: float) -> None:
+    """Not given up sooner: a turn of the loop may take as long as a move usually may."""
+    await passage.move(until)
     if passage.moved:
         relay.standing.pop(passage, None)
 
--- a/glenfold/net/passing.py
+++ b/glenfold/net/passing.py
@@ -83,14 +83,15 @@
         finish(self.client)
         finish(self.server)
 
-    async def move(self) -> None:
-        """Tells the client to come again, between two lines, and ends both sides."""
-        with trio.move_on_at(trio.current_time() + WHOLE_S):
+    async def move(self, until: float | None = None) -> None:
+        """Tells the client to come again, between two lines, and ends both sides; without telling it `until`
+        then, or after `WHOLE_S`."""
+        with trio.move_on_at(trio.current_time() + WHOLE_S if until is None else until):
             # Not beside a chunk that the client has only part of, however that chunk ends.
             while not await self._send_move():
                 self._between_lines = trio.Event()
                 await self._between_lines.wait()
-        if not self.over:
+        if not self.over and not self.move_now():
             self.cut()
 
     async def _send_move(self) -> bool:
@@ -141,11 +142,8 @@
                 break
             self._asked_at = None
             try:
-                async with self._writing:
-                    if len(self._move_left) < len(MOVE):
-                        return  # nothing may come within it, or after it
-                    await send(self.client, data)
-                    await self._hear(data)
+                if not await self._pass_down(data):
+                    return
             except OSError:
                 reset_on_close(self.server)
                 return self._end(Outcome.CANCELLED)
@@ -161,6 +159,21 @@
         silent = Outcome.CANCELLED if ended_by_client else Outcome.RESET
         self._end(ends.get(self._said or b"", silent))
 
+    async def _pass_down(self, data: bytes) -> bool:
+        """False if the client is being told to move: nothing may come within that, or after it. Most often
+        the kernel takes all without a turn of the loop, in which the client could not be told."""
+        free = not self._writing.locked() and len(self._move_left) == len(MOVE)
+        sent = send_now(self.client, data) if free else 0
+        if sent == len(data):
+            await self._hear(data)
+            return True
+        async with self._writing:
+            if len(self._move_left) < len(MOVE):
+                return False
+            await send(self.client, data[sent:])
+            await self._hear(data)
+        return True
+
     async def _hear(self, data: bytes) -> None:
         for line in self._lines.feed(data):
             word, _, rest = line.partition(b" ")
