--- a/glenfold/leaving.py
+++ b/glenfold/leaving.py
@@ -27,7 +27,8 @@
 LEAST_SPARE = 0.1      # of the time, for moves
 THOUSANDS = 1000       # to be moved: from here on a slow turn is taken to be no accident
 TURNS_LEFT = 3         # of the loop, before the end, when all that are left are told at once
-MOST_AT_ONCE = 250     # moves in one turn, 0.1 s; what passes on other connections waits meanwhile
+MOST_AT_ONCE = 32, 250  # moves in one turn: between these what takes so long, at the pace measured, as
+AT_ONCE_S = 0.1        # what passes on other connections waits meanwhile
 
 Standing = TypeVar("Standing")
 
@@ -112,11 +113,13 @@
         # The next turn may be longer than those before.
         if now >= self.leave_at - SWEEP_S - left * SWEEP_EACH_S - TURNS_LEFT * turn_s:
             return Step(left, now, left, sweep=True)
+        least, most = MOST_AT_ONCE
+        most = max(least, min(most, int(self.pace * AT_ONCE_S)))
         remaining = self.moves_end - now
         if remaining <= 0:
-            return Step(min(left, MOST_AT_ONCE), now)
+            return Step(min(left, most), now)
         needed = (1 + left) / remaining
-        moves = min(left, MOST_AT_ONCE, max(1, round(needed * max(1 / TURNS, turn_s))))
+        moves = min(left, most, max(1, round(needed * max(1 / TURNS, turn_s))))
         gap = moves / needed if self.one_by_one else 0.0
         late = left - int(self.pace * remaining)
         if self._moved < MEASURED or late <= LEAST_LATE * left:
