Measure the work that cold push servers are sent against their budget, for few relays and many

A fleet's relays share nothing, and each alone sends little to a push server that has just started. A watcher tells, for every cold start, the span that used most of its budget: of all spans, and of those that the rule judges. Histories on sockets take watchers as the model's do. benchmarks/cold_fleet.py plays four cases under any number of relays.

--- /dev/null
+++ b/benchmarks/cold_fleet.py
@@ -0,0 +1,79 @@
+"""Work that cold push servers are sent, against their budget, under few relays and many.
+
+    python -m benchmarks.cold_fleet sockets|model [--relays 2] [--seed 1] [--repeats 1] [--case NAME]
+
+`sockets`: real relay processes, each without knowledge of the others, and stand-in push servers on loopback;
+`model`: the lab's model, for fleets that one machine can't hold. The cases are the scenarios in
+benchmarks/fleet/; all of one case have the same push servers and clients, whatever the number of relays.
+Prints a JSON line for each history; `--out` keeps the results for `glenfold lab report`. Half a minute each
+on sockets.
+"""
+
+import json
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+import numpy as np
+
+from glenfold_lab import scenario as scenarios
+from glenfold_lab.cold_work import ColdLife, ColdWork, Span
+from glenfold_lab.model import world
+from glenfold_lab.results import RunResult
+from glenfold_lab.spec import Scenario
+from glenfold_lab.stands.run import play_on_sockets, scaled
+
+FILES = Path(__file__).parent / "fleet"
+CASES = ("one-joins", "all-restart-marked", "all-restart-unmarked", "all-restart-late-list")
+KEPT = ("requests", "refused", "service", "rules_broken", "late_p99_ms")
+
+
+def measure(where: str, day: Scenario, seed: int) -> tuple[RunResult, tuple[ColdLife, ...]]:
+    work = ColdWork(day.rules)
+    if where == "model":
+        return world.play(day, seed, watchers=[work]), work.lives()
+    return play_on_sockets(day, seed, bad_per_s=0.0, watchers=[work]), work.lives()
+
+
+def told(result: RunResult, lives: tuple[ColdLife, ...]) -> dict[str, Any]:
+    """What is reported of one history; spans as in `ColdLife`."""
+    cold = [verdict for verdict in result.verdicts if verdict.rule == "cold"]
+    return {"cold_starts": len(lives), "worst": spans([life.worst for life in lives]),
+            "known": spans([life.known for life in lives]), "cold_verdicts": len(cold)} | {
+        name: round(result.figures[name], 4) for name in KEPT if name in result.figures}
+
+
+def spans(found: Sequence[Span]) -> dict[str, Any]:
+    """used: of the budget, by the median of all cold starts and by the worst one, which is given too."""
+    worst = max(found, key=lambda span: span.used)
+    return {"used_median": round(float(np.median([span.used for span in found])), 2),
+            "used_worst": round(worst.used, 2), "sent": worst.sent, "budget": round(worst.budget, 2),
+            "starts_over": sum(span.over for span in found)}
+
+
+@click.command()
+@click.argument("where", type=click.Choice(["sockets", "model"]))
+@click.option("--relays", type=click.IntRange(1, 1000), default=2, show_default=True)
+@click.option("--servers", type=click.IntRange(2, 1000), help="So many instead of the scenario's.")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--repeats", type=click.IntRange(1, 20), default=1, show_default=True)
+@click.option("--case", "cases", multiple=True, type=click.Choice(CASES), default=CASES)
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path))
+def main(where: str, relays: int, servers: int | None, seed: int, repeats: int, cases: tuple[str, ...],
+         out: Path | None) -> None:
+    for case in cases:
+        day = scaled(scenarios.load(str(FILES / f"{case}.toml")), 1, relays, servers)
+        for one in range(seed, seed + repeats):
+            result, lives = measure(where, day, one)
+            click.echo(json.dumps({"case": case, "where": where, "relays": relays, "seed": one}
+                                  | told(result, lives)))
+            if out is not None:
+                out.mkdir(parents=True, exist_ok=True)
+                name = f"{case}-{where}-{relays}-{one}.json"
+                (out / name).write_bytes(msgspec.json.encode(result))
+
+
+if __name__ == "__main__":
+    main()
--- a/glenfold_lab/stands/run.py
+++ b/glenfold_lab/stands/run.py
@@ -23,7 +23,7 @@
 from glenfold_lab.measures import Measures
 from glenfold_lab.model.population import Population
 from glenfold_lab.model.world import no_collections
-from glenfold_lab.observe import Record, Watchers, replay
+from glenfold_lab.observe import Record, Watcher, Watchers, replay
 from glenfold_lab.results import Happened, RunResult, Series, Verdict
 from glenfold_lab.spec import Range, Scenario
 from glenfold_lab.stands.crew import PartFailed, RemotePart, remote
@@ -80,13 +80,14 @@
 
 def play_on_sockets(scenario: Scenario, seed: int, seconds: float | None = None, *,
                     processes: int | None = None, bad_per_s: float = 0.5, logs: Path | None = None,
-                    on_second: OnSecond | None = None, revision: str = "work tree") -> RunResult:
+                    on_second: OnSecond | None = None, watchers: Sequence[Watcher] = (),
+                    revision: str = "work tree") -> RunResult:
     """Plays one history with real relay processes.
 
     seconds: plays so much of it instead of `length_s`; faults come in proportion. processes: for the
     stand-ins, beside this one; 0: none, None: as many as the load asks for. bad_per_s: clients that no relay
     should suffer from. logs: a folder that keeps each relay's log. on_second: is called after each second, in
-    the loop that plays.
+    the loop that plays. watchers: see all observations once it is over, as the checker does.
 
     Raises `TooLarge` where this machine has not the room, `relays.NotReady` where a relay does not come up,
     `crew.PartFailed` where a process of stand-ins breaks off, KeyboardInterrupt at SIGINT and SIGTERM.
@@ -104,7 +105,7 @@
         finally:
             if logs is not None:
                 run.keep_logs(logs)
-    return run.result(revision)
+    return run.result(revision, watchers)
 
 
 def _why(several: BaseExceptionGroup[BaseException]) -> BaseException:
@@ -302,12 +303,12 @@
         seen = [*self._seen.records, *(record for report in self._reports for record in report.records)]
         return judge.settle(seen, self._end)
 
-    def result(self, revision: str) -> RunResult:
+    def result(self, revision: str, watchers: Sequence[Watcher] = ()) -> RunResult:
         start = self._times.start
         checker = Checker(self.scenario.rules, SLACK_US, MOST_KEPT, start)
         measures = Measures([kind.name for kind in self.scenario.classes], start,
                             start + round(self.scenario.warm_up_s * SECOND_US))
-        watcher = Watchers(checker, measures)
+        watcher = Watchers(checker, measures, *watchers)
         records = self._records()
         replay(records, watcher)
         watcher.finish(self._end)
--- /dev/null
+++ b/tests/glenfold_lab/test_cold_work.py
@@ -0,0 +1,46 @@
+"""What cold push servers are sent, against their budget."""
+
+from glenfold_lab.cold_work import ColdWork, Span
+from glenfold_lab.observe import Capacity, Told, Watcher
+from glenfold_lab.spec import Rules
+
+SECOND_US = 1_000_000
+RULES = Rules(cold_share=0.1, cold_s=20.0, fall_multiple=3.0, fall_s=3.0)
+CAPACITY = Capacity(10.0, 0.1, 20 * SECOND_US)
+
+
+def cold_at(watcher: Watcher, at: int) -> None:
+    watcher.server_started(at, 7, CAPACITY, True)
+
+
+def test_work_counts_against_the_budget_of_the_span_that_used_most() -> None:
+    work = ColdWork(RULES)
+    cold_at(work, SECOND_US)
+    work.told(SECOND_US, 0, 7, Told.READY, SECOND_US)
+    for n in range(6):   # at the start three seconds are worth 3 s * 3 * 1 a second
+        work.sent(SECOND_US, n, n % 2, 7, SECOND_US)
+    for n in range(20):  # nearly warm: 3 s * 3 * 9.5 a second
+        work.sent(20 * SECOND_US, 10 + n, 0, 7, 20 * SECOND_US)
+    work.sent(22 * SECOND_US, 99, 0, 7, 22 * SECOND_US)  # warm
+    [life] = work.lives()
+    assert (life.server, life.at_us, life.sent) == (7, SECOND_US, 26)
+    assert life.worst.sent == 6 and abs(life.worst.budget - 9.0) < 1e-6 and not life.worst.over
+    assert life.known.sent == 3  # relay 1 had not been told: of the first three, two thirds came from relay 0
+
+
+def test_more_than_chance_explains_is_over_whoever_knew() -> None:
+    work = ColdWork(RULES)
+    cold_at(work, SECOND_US)
+    for n in range(18):  # 9 + 2 + 2 * 3 are explained
+        work.sent(SECOND_US, n, 0, 7, SECOND_US)
+    assert work.lives()[0].worst.over and work.lives()[0].known == Span()
+
+
+def test_what_goes_on_is_no_work_and_each_start_counts_by_itself() -> None:
+    work = ColdWork(RULES)
+    cold_at(work, 0)
+    work.sent(1, 1, 0, 7, 1, True)
+    work.server_ended(2, 7)
+    cold_at(work, 3)
+    work.sent(4, 2, 0, 7, 4)
+    assert [life.sent for life in work.lives()] == [0, 1]
