--- a/glenfold/events.py
+++ b/glenfold/events.py
@@ -32,6 +32,57 @@
     """It has finished all that it had taken, and ends."""
 
 
+# ---- taking over from another process of the same name ----
+
+
+@event("takeover.offered", "info", "taking over: passed on [{passed}], opened [{opened}], closed [{closed}]")
+def takeover_offered(*, passed: Sequence[str], opened: Sequence[str], closed: Sequence[str]) -> None:
+    """The old process passes its listening sockets on; `opened` are addresses that it has not listened at,
+    `closed` those that it stops listening at, as the new one does not want them."""
+
+
+@event("takeover.done", "info", "took over: the old process accepts no more")
+def takeover_done() -> None:
+    """This process alone listens now, and the name is its own."""
+
+
+@event("takeover.refused", "error", "not taking over, the old process serves on: {reason}")
+def takeover_refused(*, reason: str) -> None:
+    """This process ends: it was not ready in time, was told to stop, or the old one would not."""
+
+
+@event("takeover.retired", "info", "taken over: this process ends once it has finished what it has taken")
+def takeover_retired() -> None:
+    """Another process has the listening sockets and the name."""
+
+
+@event("takeover.failed", "warning", "no take-over, this process serves on: {reason}")
+def takeover_failed(*, reason: str) -> None:
+    """A new process began to take over, and died, gave up, was late, or had no right to."""
+
+
+@event("takeover.stranger", "warning", "take-over: a stranger, or one too many, turned away", rate=(0.2, 1))
+def takeover_stranger() -> None:
+    """Somebody connected to the take-over socket who runs as another user, or beside too many others."""
+
+
+@event("takeover.unheard", "warning", "take-over: {error}", rate=(0.2, 1))
+def takeover_unheard(*, error: Exception) -> None:
+    """Nobody can ask for a take-over: the private socket can't be made, or not accepted on."""
+
+
+@event("leave.short", "warning",
+       "{late} of {connections} standing connections can't be moved one by one in time, at {per_s} a second: "
+       "they move all at once at the end")
+def leave_short(*, late: int, connections: int, per_s: int) -> None:
+    """It ends with more connections than it can move in time, and knows it beforehand."""
+
+
+@event("leave.cut", "warning", "{connections} standing connections are cut off without MOVE")
+def leave_cut(*, connections: int) -> None:
+    """Its time is over while connections stand whose clients had only part of a line."""
+
+
 # ---- configuration ----
 
 
@@ -127,3 +178,26 @@
 @event("sockets.exhausted", "warning", "no spare descriptor: {error}")
 def sockets_exhausted(*, error: Exception) -> None:
     """No descriptor is left, not even the one kept to refuse clients with."""
+
+
+# ---- snapshots of the destination set ----
+
+
+@event("snapshot.taken", "info", "snapshot {file}: generation {generation}, last heard of {age_s:.0f} s ago")
+def snapshot_taken(*, file: str, generation: int, age_s: float) -> None:
+    """The relay starts with the list in this file, until discovery says otherwise."""
+
+
+@event("snapshot.refused", "warning", "snapshot {file} refused: {error}")
+def snapshot_refused(*, file: str, error: Exception) -> None:
+    """A file is torn, damaged, too old or not this relay's; the one before it is used, if it is sound."""
+
+
+@event("snapshot.waits", "warning", "snapshot: {fault}")
+def snapshot_waits(*, fault: str) -> None:
+    """The newest list is not on the disk, which is slow, full or can't be written; the relay serves on."""
+
+
+@event("snapshot.written_again", "info", "snapshot: written again, generation {generation}")
+def snapshot_written_again(*, generation: int) -> None:
+    """After a fault the newest list is on the disk."""
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -38,7 +38,8 @@
     counters: Counters
     unanswered: int = 0
     ids: Counter[bytes] = field(default_factory=Counter)  # of the requests and connections open here
-    standing: set[Passage] = field(default_factory=set)
+    standing: dict[Passage, float] = field(default_factory=dict)  # oldest first; the worth of each
+    ready: trio.Event = field(default_factory=trio.Event)  # to go at the usual pace: PING waits for it
 
 
 class Inbound:
@@ -49,7 +50,7 @@
         self._waiting: dict[SocketType, trio.CancelScope] = {}  # without a whole first line, oldest first
         self._taken = 0      # with one: two sides each
         self._refusing = 0
-        self._spare = os.open(os.devnull, os.O_RDONLY)
+        self._spare: int | None = os.open(os.devnull, os.O_RDONLY)
         self.last_arrival = float("-inf")
 
     @property
@@ -82,14 +83,17 @@
 
     async def _refuse_without_socket(self, listener: SocketType) -> None:
         """With no descriptor left, accept fails over and over: one kept spare lets a client be told."""
-        os.close(self._spare)
-        with trio.move_on_at(trio.current_time() + PARTING_S):
+        if self._spare is not None:
+            os.close(self._spare)
+            self._spare = None  # its number may be another's by the time that there is a spare again
+        # Whoever pauses the accepting does not cut this client off, nor lose the spare.
+        with trio.move_on_at(trio.current_time() + PARTING_S, shield=True):
             try:
                 sock, _ = await listener.accept()
                 self._counters.fail_fast += 1
                 with sock:
                     await send(sock, self._busy())
-            except OSError:
+            except (OSError, trio.ClosedResourceError):
                 pass
         try:
             self._spare = os.open(os.devnull, os.O_RDONLY)
@@ -175,6 +179,7 @@
                 return end
             buffer.drop(end)
             self._counters.pings += 1
+            await self._relay.ready.wait()
             await send(sock, lines.PONG)
 
     def _exchange(self, sock: SocketType, buffer: lines.LineBuffer, end: int) -> "Exchange":
@@ -343,17 +348,18 @@
     async def _stand(self, server: SocketType, receipt: bytes) -> None:
         relay, state = self._relay, self._state
         passage = Passage(self._sock, server, self._load_heard)
-        relay.standing.add(passage)
+        relay.standing[passage] = relay.config.settings.classes[self._event.request_class].worth
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._move_when_told, passage)
                 await passage.run(self._early, receipt)
                 nursery.cancel_scope.cancel()
         finally:
-            relay.standing.discard(passage)
+            relay.standing.pop(passage, None)  # it is gone already if its client was told to move
             relay.counters.ended += 1
             relay.counters.silent += passage.silent
             relay.counters.moved += passage.moved
+            relay.counters.not_moved += passage.cut_off
         if passage.outcome in (i.Outcome.RESET, i.Outcome.ERROR):
             relay.counters.broken += 1
             events.connection_broke(request=state.number, server=state.server, outcome=passage.outcome)
