--- a/glenfold_lab/stands/run.py
+++ b/glenfold_lab/stands/run.py
@@ -16,27 +16,25 @@
 from pathlib import Path
 
 import msgspec
-import numpy as np
 import trio
 
-from glenfold_lab.checker import Checker
-from glenfold_lab.measures import Measures
 from glenfold_lab.model.population import Population
 from glenfold_lab.model.world import no_collections
-from glenfold_lab.observe import Record, Watcher, Watchers, replay
-from glenfold_lab.results import Happened, RunResult, Series, Verdict
+from glenfold_lab.observe import Watcher
+from glenfold_lab.results import Happened, RunResult
 from glenfold_lab.spec import Range, Scenario
 from glenfold_lab.stands.crew import PartFailed, RemotePart, remote
-from glenfold_lab.stands.judge import SLACK_US, Judge
+from glenfold_lab.stands.judge import Judge
 from glenfold_lab.stands.keeper import Keeper
-from glenfold_lab.stands.lateness import MOST_MS, Lateness, percentile
+from glenfold_lab.stands.lateness import Lateness, percentile
 from glenfold_lab.stands.moments import SECOND_US, MachineClock
+from glenfold_lab.stands.outcome import Outcome
 from glenfold_lab.stands.part import Part, Report, Share, Times, end_of
 from glenfold_lab.stands.places import RELAYS, Net, Places, TooLarge
 from glenfold_lab.stands.relays import Limits, NotReady, RelayProcess, ended_in_the_end, free_address
 from glenfold_lab.stands.script import Script, draw
 from glenfold_lab.stands.seen import Seen
-from glenfold_lab.stands.service import Second, figures
+from glenfold_lab.stands.service import Second
 from glenfold_lab.stands.told import settings_json
 from glenfold_lab.streams import Streams
 
@@ -46,7 +44,6 @@
 ALONE_PER_S = 300.0       # new connections a second that one process plays without running late
 LINES_PER_S = 0.5         # of a standing connection; each takes about a tenth of what a set-up takes
 LINE_COST = 0.1
-MOST_KEPT = 100           # verdicts
 
 
 class RelayNow(msgspec.Struct, frozen=True):
@@ -297,67 +294,12 @@
             if relay.log.exists():
                 (folder / f"{relay.name}.log").write_bytes(relay.log.read_bytes())
 
-    def _records(self) -> list[Record]:
+    def result(self, revision: str, watchers: Sequence[Watcher] = ()) -> RunResult:
         first = [machine.number for machine in self._script.first]
         judge = Judge(len(self._relays), first, self.scenario.relays.pass_through)
-        seen = [*self._seen.records, *(record for report in self._reports for record in report.records)]
-        return judge.settle(seen, self._end)
-
-    def result(self, revision: str, watchers: Sequence[Watcher] = ()) -> RunResult:
-        start = self._times.start
-        checker = Checker(self.scenario.rules, SLACK_US, MOST_KEPT, start)
-        measures = Measures([kind.name for kind in self.scenario.classes], start,
-                            start + round(self.scenario.warm_up_s * SECOND_US))
-        watcher = Watchers(checker, measures, *watchers)
-        records = self._records()
-        replay(records, watcher)
-        watcher.finish(self._end)
-        verdicts = tuple(sorted((*checker.verdicts(), *self._faults()), key=lambda one: one.at_us))
-        happened = [*self._script.happened, *self._happened]
-        return RunResult(
-            scenario=self.scenario.name, seed=self.seed, revision=revision, length_us=self._script.length,
-            figures=self._figures(measures, records, len(verdicts) + checker.left_out),
-            answers=measures.answers(), set_up=measures.set_up(),
-            series=self._series() | measures.series(),
-            server_load={host: Series(SECOND_US, tuple(loads), host) for report in self._reports
-                         for host, loads in sorted(report.loads.items())},
-            verdicts=verdicts, verdicts_left_out=checker.left_out,
-            happened=tuple(sorted(happened, key=lambda one: one.at_us)), cost=self._cost(),
-            guards_against=" ".join(self.scenario.guards_against.split()))
-
-    def _faults(self) -> list[Verdict]:
-        """What relays did that no rule of the platform words."""
-        seen = [*self._seen.faults, *(fault for report in self._reports for fault in report.faults)]
-        return [Verdict("protocol", at - self._times.start, None, None, relay, (words,))
-                for at, relay, words in seen if at <= self._end]
-
-    def _figures(self, measures: Measures, records: list[Record], broken: int) -> dict[str, float]:
-        wanted, served = self._clients_seconds()
-        kinds = [kind.name for kind in self.scenario.classes]
-        late = [ms for report in self._reports for ms in report.late_ms]
-        worst = max(percentile(report.late_ms, 99) for report in self._reports)
-        taken = sum(name == "taken" for name, _ in records)
-        sent = sum(name == "sent" for name, _ in records)
-        return figures(wanted, served, kinds, round(self.scenario.warm_up_s)) | measures.figures() | {
-            "clients": float(sum(report.clients for report in self._reports)),
-            "requests": float(taken), "attempts_per_request": sent / max(1, taken),
-            "refused": float(measures.answers()["busy"]), "rules_broken": float(broken),
-            "late_p99_ms": round(worst, 3), "late_most_ms": round(max(late, default=0.0), 3),
-            "late": float(worst > MOST_MS)}
-
-    def _clients_seconds(self) -> tuple[np.ndarray[tuple[int, ...], np.dtype[np.float64]],
-                                        np.ndarray[tuple[int, ...], np.dtype[np.float64]]]:
-        wanted = [report.wanted for report in self._reports if report.wanted is not None]
-        served = [report.served for report in self._reports if report.served is not None]
-        return np.sum(wanted, axis=0), np.sum(served, axis=0)
-
-    def _series(self) -> dict[str, Series]:
-        """service: by second, of what was wanted; wanted: how many clients wanted a connection."""
-        wanted, served = (table.sum(axis=0) for table in self._clients_seconds())
-        share = np.divide(served, wanted, out=np.ones_like(wanted), where=wanted > 0)
-        return {"service": Series(SECOND_US, tuple(np.minimum(share, 1).round(6).tolist()), "service"),
-                "wanted": Series(SECOND_US, tuple(wanted.round(3).tolist()), "connections wanted"),
-                "connections": Series(SECOND_US, tuple(served.round(3).tolist()), "connections served")}
+        outcome = Outcome(self._script, self.seed, self._times.start, self._end, self._reports, self._seen)
+        records = judge.settle(outcome.seen_by_all(), self._end)
+        return outcome.result(records, revision, self._happened, self._cost(), watchers)
 
     def _cost(self) -> dict[str, float]:
         """Seconds that it took; CPU seconds and peak memory of each relay, through its restarts."""
