Play a fleet of real daemons with the lab's stand-ins, judged from outside

Instances of one operators' file, under their supervisor or without, on loopback: one agent for all, clients as the scenario draws them and a crowd, a course of events that its writer gives. benchmarks/fleet.py takes twenty of them through a start in the same second, a crowd, a roll with reloads and the supervisor's death, a faulty file and three kills.

--- /dev/null
+++ b/benchmarks/fleet.py
@@ -0,0 +1,286 @@
+"""Twenty real instances under one supervisor, through all that a day may bring them; judged from outside.
+
+    python -m benchmarks.fleet day|starts [--instances 20] [--seed 1] [--repeats 3] [--out FOLDER]
+
+`day`: start of all in the same second with discovery answering one at a time, a crowd that comes within two
+seconds, a roll of all by take-over with a reload of all in its middle, the supervisor killed in the middle of
+it and another one going on, a reload with a faulty file, a relay killed, one killed in the middle of its
+shutdown, and a new process killed before it was ready. Clients come all the while, at moments drawn ahead.
+Some 75 s. `starts`: from a process's start to its being ready, of one and of all at once.
+
+Prints JSON lines; `--out` keeps the result for `glenfold lab report`. Exit status 1 if a rule was broken, or
+a connect was refused or a connection lost in the roll.
+"""
+
+import json
+import os
+import re
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+import numpy as np
+import trio
+
+from glenfold_lab import spec
+from glenfold_lab.observe import End, Final
+from glenfold_lab.stands.daemons import NAME, Daemons
+from glenfold_lab.stands.fleet import Course, Crowds, Played, play_fleet
+from glenfold_lab.stands.moments import SECOND_US
+
+LENGTH_S = 62.0
+MASS_S = 2.0           # when the crowd comes
+ROLL_S = 6.0
+CROWD = 400
+ONE_S = 0.05           # that discovery takes for one whole list
+DEADLINE_S = 10.0      # that an old process has to end
+STAND_INS = 4          # processes
+MOST_SHOWN = 5         # verdicts
+FLEET = {"stagger_s": 0.0, "window_s": 1.0, "settle_within_s": 20.0, "backoff_s": 0.5}
+
+Figures = dict[str, Any]
+
+
+def scenario(instances: int, length_s: float) -> spec.Scenario:
+    """Push servers with room for some 3,000 connections; 700 stand, some 25 a second come and go."""
+    kind = spec.ServerKind(name="large", cores=12, speed=1.0, speed_cv=0.0, per_core=33, message_ms=1.5)
+    return spec.Scenario(
+        format=1, name="fleet-day", guards_against="requests lost by the fleet's own doing",
+        classes=(spec.RequestClass(name="watch", load_sigma=0.5, set_up_ms=3.0),),
+        length_s=length_s, zones=spec.Zones(names=("one",), same_ms=0.2),
+        servers=spec.Servers(count=8, kinds=(kind,), group_cost=0.0),
+        relays=spec.Relays(count=instances, sockets=4096),
+        front=spec.Front(reshuffle=0.0),  # else connections end by the front's doing, not by the roll's
+        clients=spec.Clients(load=0.22, life_s=30.0, groups=False))
+
+
+# ---- the day ----
+
+
+@dataclass
+class Day:
+    """The course. Spans are microseconds from the history's start."""
+
+    most_out: int
+    roll: tuple[int, int] = (0, 0)
+    said: dict[str, tuple[int, str]] = field(default_factory=dict)
+    starts: list[float] = field(default_factory=list)
+    down: list[tuple[int, int, int]] = field(default_factory=list)  # killed relays: since, until
+
+    async def begin(self, daemons: Daemons) -> None:
+        daemons.up()
+        await daemons.all_ready()
+        logs = [path.read_text() for path in daemons.folder.glob("supervisor/logs/*.log")]
+        self.starts = start_times(daemons, "\n".join(logs))
+        await daemons.all_answer()
+
+    async def goes(self, course: Course) -> None:
+        course.note("crowd")
+        await course.until_s(ROLL_S)
+        await self._rolls(course)
+        await self._reads_a_faulty_file(course)
+        await self._kills(course, 0, draining=False)
+        await self._kills(course, 1, draining=True)
+        await self._kills_a_successor(course, 2)
+
+    async def _say(self, course: Course, what: str, *words: str) -> None:
+        said = await course.daemons.say(*words)
+        self.said[what] = said.status, said.out.strip()[-300:]
+        course.note(f"{what}: status {said.status}")
+
+    async def _rolls(self, course: Course) -> None:
+        daemons, begun = course.daemons, course.now_us()
+        await self._say(course, "roll", "fleet", "roll", "--most-out", str(self.most_out), "--no-wait")
+        await daemons.when(daemons.fleet, lambda one: _done(one) >= len(daemons.relays) // 4)
+        await self._say(course, "fleet reload in the roll", "fleet", "reload")
+        await self._say(course, "reload of all in the roll", "reload")
+        await daemons.when(daemons.fleet, lambda one: _done(one) >= len(daemons.relays) // 2)
+        course.note("supervisor killed")
+        daemons.kill_supervisor()
+        daemons.up()
+        await daemons.when(daemons.fleet, lambda one: one["roll"] is None or not one["roll"]["running"])
+        last = await daemons.fleet()
+        if last["roll"] is not None:
+            self.said["roll stopped"] = 1, str(last["roll"]["reason"])
+            await self._say(course, "roll continued", "fleet", "roll", "--continue")
+        await daemons.all_ready()
+        course.note("roll", begun)
+        self.roll = begun, course.now_us()
+
+    async def _reads_a_faulty_file(self, course: Course) -> None:
+        file = course.daemons.file
+        sound = file.read_text()
+        file.write_text(sound.replace("max_attempts = 5", 'max_attempts = "many"'))
+        await self._say(course, "fleet reload of a faulty file", "fleet", "reload")
+        await self._say(course, "reload of a faulty file", "reload")
+        file.write_text(sound)
+
+    async def _kills(self, course: Course, relay: int, draining: bool) -> None:
+        daemons, since = course.daemons, course.now_us()
+        if draining:
+            await self._say(course, "drain", "drain", "--instance", str(relay + 1))
+            daemons.seen.stopping(course.clock.now_us(), relay)
+            await daemons.in_state(relay, "finishing")
+        killed = daemons.kill(relay)
+        course.note("killed in its shutdown" if draining else "killed", relays=(relay,))
+        await daemons.comes_back(relay, killed)
+        self.down.append((relay, since, course.now_us()))
+
+    async def _kills_a_successor(self, course: Course, relay: int) -> None:
+        """The old process goes on serving, and nobody notices."""
+        daemons = course.daemons
+        process = daemons.run(relay)
+        while len(daemons.processes().get(relay, ())) < 2 and process.poll() is None:
+            await trio.sleep(0.005)
+        process.kill()
+        course.note("new process killed before it was ready", relays=(relay,))
+        status = await daemons.instance(relay)
+        self.said["old process after that"] = 0, str(status.get("state"))
+
+
+def _done(status: dict[str, Any]) -> int:
+    roll = status["roll"]
+    return 1 << 30 if roll is None else len(roll["done"])
+
+
+def measure_day(instances: int, seed: int, most_out: int, processes: int) -> tuple[Played, Figures]:
+    day = Day(most_out)
+    played = play_fleet(
+        scenario(instances, LENGTH_S), seed, day.begin, day.goes, processes=processes,
+        crowds=Crowds(MASS_S, CROWD, ONE_S),
+        tables={"fleet": {**FLEET, "most_out": most_out}, "restart": {"deadline_s": DEADLINE_S}})
+    return played, told(played, day)
+
+
+def told(played: Played, day: Day) -> Figures:
+    result = played.result
+    rules: dict[str, int] = {}
+    for verdict in result.verdicts:
+        rules[verdict.rule] = rules.get(verdict.rule, 0) + 1
+    begun, ended = (played.start + at for at in day.roll)
+    in_roll = [one for one in played.unreached if begun <= one[0] <= ended]
+    lost = [values for name, values in played.records if name == "ended" and begun <= values[0] <= ended
+            and values[2] in (End.CUT, End.RELAY_DIED)]
+    cut = [values for name, values in played.records
+           if name == "answered" and values[2] == Final.CLOSED and begun <= values[0] <= ended]
+    elsewhere = [one for one in played.unreached
+                 if not begun <= one[0] <= ended and not _down(day, one[1], one[0] - played.start)]
+    return {
+        "requests": result.figures["requests"], "answers": result.answers,
+        "verdicts": rules, "verdicts_left_out": result.verdicts_left_out,
+        "roll_s": round((day.roll[1] - day.roll[0]) / SECOND_US, 1), "most_out": day.most_out,
+        "refused_connects_in_roll": len(in_roll), "reset_before_answer_in_roll": len(cut),
+        "lost_in_roll": len(lost), "moved": result.figures["moves"],
+        "refused_connects_of_killed": len(played.unreached) - len(in_roll) - len(elsewhere),
+        "refused_connects_else": len(elsewhere), "down_s": [
+            round((until - since) / SECOND_US, 2) for _, since, until in day.down],
+        "said": day.said, "start_s": spread(day.starts),
+        "set_up_ms": {at: us / 1000 for at, us in result.set_up["watch"].quantiles.items()},
+        "service": round(result.figures["service"], 4),
+        "worst_window": round(result.figures["worst_window"], 4),
+        "late_p99_ms": result.figures["late_p99_ms"],
+        "peak_mb": spread([one.peak_mb for one in played.usage.values()]),
+        "old_and_new_mb": spread([one.two_mb for one in played.usage.values()]),
+        "cpu_s": spread([one.cpu_s for one in played.usage.values()])}
+
+
+def _down(day: Day, relay: int, at: int) -> bool:
+    return any(killed == relay and since <= at <= until for killed, since, until in day.down)
+
+
+# ---- starts ----
+
+
+READY = re.compile(r'\{"time":"([^"]+)".*"instance":"([^"]+)".*"before":"waiting".*"state":"ready"')
+
+
+def started_at(pid: int) -> float:
+    """Unix seconds, to 10 ms: when the kernel began that process."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    age_s = time.clock_gettime(time.CLOCK_BOOTTIME) - int(fields[19]) / os.sysconf("SC_CLK_TCK")
+    return time.time() - age_s
+
+
+def ready_at(log: str) -> dict[str, float]:
+    """Unix seconds, by instance: when it last became ready after its start."""
+    return {match[2]: datetime.fromisoformat(match[1]).timestamp()
+            for line in log.splitlines() if (match := READY.match(line))}
+
+
+def start_times(daemons: Daemons, log: str) -> list[float]:
+    """Seconds from each process's start to its being ready."""
+    ready = ready_at(log)
+    return [ready[f"{NAME}-{relay + 1}"] - started_at(processes[-1].pid)
+            for relay, processes in daemons.processes().items()]
+
+
+@dataclass
+class Starts:
+    """So many starts of all instances at once, without a supervisor; the last ones serve for a moment."""
+
+    repeats: int
+    found: list[float] = field(default_factory=list)
+
+    async def begin(self, daemons: Daemons) -> None:
+        for n in range(self.repeats):
+            if n:
+                daemons.end_all()
+            for relay in daemons.relays:
+                daemons.run(relay)
+            async with trio.open_nursery() as nursery:
+                for relay in daemons.relays:
+                    nursery.start_soon(daemons.in_state, relay, "ready")
+            self.found += start_times(daemons, (daemons.file.parent / "log").read_text())
+        await daemons.all_answer()
+
+    async def goes(self, course: Course) -> None:
+        """Nothing more."""
+
+
+def measure_starts(instances: int, seed: int, one_s: float, repeats: int) -> Figures:
+    course = Starts(repeats)
+    play_fleet(scenario(instances, 0.5), seed, course.begin, course.goes, crowds=Crowds(one_s=one_s))
+    return {"instances": instances, "discovery_one_s": one_s, "seed": seed, "ready_s": spread(course.found)}
+
+
+def spread(values: Sequence[float]) -> Figures:
+    p50, p99, most = np.percentile(values, (50, 99, 100))
+    return {"n": len(values), "p50": round(float(p50), 3), "p99": round(float(p99), 3),
+            "most": round(float(most), 3)}
+
+
+@click.command()
+@click.argument("what", type=click.Choice(["day", "starts"]))
+@click.option("--instances", type=click.IntRange(3, 100), default=20, show_default=True)
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--most-out", type=click.IntRange(1, 100), default=2, show_default=True)
+@click.option("--repeats", type=click.IntRange(1, 20), default=3, show_default=True, help="Of starts.")
+@click.option("--processes", type=click.IntRange(0, 16), default=STAND_INS, show_default=True,
+              help="Of stand-ins.")
+@click.option("--out", type=click.Path(file_okay=False, path_type=Path))
+def main(what: str, instances: int, seed: int, most_out: int, repeats: int, processes: int,
+         out: Path | None) -> None:
+    if what == "starts":
+        for count, one_s, times in (
+                (1, 0.0, 5 * repeats), (instances, 0.0, repeats), (instances, ONE_S, repeats)):
+            click.echo(json.dumps(measure_starts(count, seed, one_s, times)))
+        return
+    played, figures = measure_day(instances, seed, most_out, processes)
+    click.echo(json.dumps({"instances": instances, "seed": seed} | figures))
+    for verdict in played.result.verdicts[:MOST_SHOWN]:
+        click.echo(f"{verdict.rule} at {verdict.at_us / SECOND_US:.3f} s: " + "; ".join(verdict.evidence))
+    if out is not None:
+        out.mkdir(parents=True, exist_ok=True)
+        (out / f"fleet-day-{seed}.json").write_bytes(msgspec.json.encode(played.result))
+        for name, log in played.logs.items():
+            (out / f"{seed}-{name}").write_text(log)
+    raise SystemExit(any(figures[name] for name in ("verdicts", "refused_connects_in_roll", "lost_in_roll")))
+
+
+if __name__ == "__main__":
+    main()
--- a/glenfold_lab/stands/clients.py
+++ b/glenfold_lab/stands/clients.py
@@ -297,7 +297,9 @@
             try:
                 await sock.connect(self._crowd.front.address(self.relay))
                 return True
-            except OSError:
+            except OSError as error:
+                crowd = self._crowd
+                crowd.seen.unreached.append((crowd.clock.now_us(), self.relay, error.errno or 0))
                 return False
         self._over = Over.UNREACHED
         return False
--- /dev/null
+++ b/glenfold_lab/stands/daemons.py
@@ -0,0 +1,221 @@
+"""Real daemons on loopback: instances of one operators' file, with or without their supervisor.
+
+Whatever was started is ended again, by its id; relays outlive their supervisor, so they are found by their
+command lines, which name a file of this run alone.
+"""
+
+import os
+import re
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import psutil  # type: ignore[import-untyped]
+import tomlkit
+import trio
+
+from glenfold.daemon.ask import NoAnswer, ask
+from glenfold_lab.spec import Scenario
+from glenfold_lab.stands.moments import MachineClock
+from glenfold_lab.stands.ping import Ping, ping
+from glenfold_lab.stands.relays import ROOT
+from glenfold_lab.stands.seen import Seen
+from glenfold_lab.stands.sockets import Address, written
+
+NAME = "fleet"
+LOOK_S = 0.02
+ANSWER_S = 2.0
+PATIENCE_S = 60.0  # for what is waited for to come true
+COMMAND = [sys.executable, "-m", "glenfold"]
+STARTED_BY = re.compile(rb"\0--instance\0(\d+)\0")
+
+Answer = dict[str, Any]
+
+
+class NeverCame(Exception):
+    """What was waited for."""
+
+
+def operators_file(day: Scenario, kinds: Sequence[str], discovery: Address, listen: Sequence[Address],
+                   **tables: Mapping[str, Any]) -> str:
+    """For an instance at each address; `tables` are merged into those of the file."""
+    classes = [{"name": kind.name, "deadline_ms": kind.deadline_ms, "message_aim_ms": kind.message_aim_ms,
+                "worth": kind.worth} for kind in day.classes]
+    rules = day.rules
+    document: dict[str, Any] = {
+        "format": 1,
+        "instance": {"name": NAME, "folder": "state"},
+        "limits": {"sockets": day.relays.sockets or 4096},
+        "list": {"discovery": written(discovery)},
+        "logging": {"form": "json"},
+        "settings": {
+            "classes": classes, "zones": list(day.zones.names), "zone": day.zones.names[0],
+            "kinds": list(kinds),
+            "rules": {"pass_through": day.relays.pass_through, "max_attempts": rules.max_attempts,
+                      "cold_share": rules.cold_share, "cold_s": rules.cold_s,
+                      "fall_multiple": rules.fall_multiple, "fall_s": rules.fall_s}},
+        "fleet": {"instances": len(listen), "addresses": [[written(address)] for address in listen]},
+    }
+    for name, more in tables.items():
+        document[name] = {**document.get(name, {}), **more}
+    return tomlkit.dumps(document)
+
+
+@dataclass(slots=True)
+class Said:
+    """What a command came to."""
+
+    status: int
+    out: str
+
+
+@dataclass(slots=True)
+class Daemons:
+    """`file`: of the operators, in a folder of its own. listen: by number of the relay; the instance of relay
+    n has the number n + 1."""
+
+    file: Path
+    listen: Sequence[Address]
+    seen: Seen
+    clock: MachineClock
+    _own: list[subprocess.Popen[bytes]] = field(default_factory=list)
+    supervisor: subprocess.Popen[bytes] | None = None
+
+    @property
+    def folder(self) -> Path:
+        return self.file.parent / "state"
+
+    @property
+    def relays(self) -> range:
+        return range(len(self.listen))
+
+    # ---- starting and ending ----
+
+    def up(self) -> None:
+        """A supervisor begins, in a process of its own."""
+        self.supervisor = self._start("fleet", "up", os.fspath(self.file))
+
+    def run(self, relay: int) -> subprocess.Popen[bytes]:
+        """One more process of that instance, without a supervisor."""
+        return self._start("run", os.fspath(self.file), "--instance", str(relay + 1))
+
+    def _start(self, *words: str) -> subprocess.Popen[bytes]:
+        with (self.file.parent / "log").open("ab") as log:
+            process = subprocess.Popen([*COMMAND, *words], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log,
+                                       stderr=log, start_new_session=True)
+        self._own.append(process)
+        return process
+
+    async def say(self, *words: str) -> Said:
+        """A command about this file: its words before the file, options after it."""
+        place = next((n for n, word in enumerate(words) if word.startswith("-")), len(words))
+        done = await trio.run_process([*COMMAND, *words[:place], os.fspath(self.file), *words[place:]],
+                                      cwd=ROOT, capture_stdout=True, stderr=subprocess.STDOUT, check=False)
+        return Said(done.returncode, done.stdout.decode())
+
+    def processes(self) -> dict[int, list[psutil.Process]]:
+        """Of each relay, from the oldest on: two while one takes over."""
+        found: dict[int, list[psutil.Process]] = {}
+        for entry in Path("/proc").iterdir():
+            with suppress(OSError, psutil.Error):
+                words = entry.name.isdigit() and (entry / "cmdline").read_bytes()
+                number = words and os.fsencode(self.file.parent) in words and STARTED_BY.search(words)
+                if number:
+                    found.setdefault(int(number[1]) - 1, []).append(psutil.Process(int(entry.name)))
+        return {relay: sorted(found[relay], key=lambda one: (one.create_time(), one.pid))
+                for relay in sorted(found)}
+
+    def kill(self, relay: int) -> list[psutil.Process]:
+        """All its processes, by SIGKILL: those."""
+        processes = self.processes().get(relay, [])
+        self.seen.relay_down(self.clock.now_us(), relay)
+        for process in processes:
+            with suppress(psutil.Error):
+                process.kill()
+        return processes
+
+    def kill_supervisor(self) -> None:
+        if self.supervisor is not None:
+            self.supervisor.kill()
+            self.supervisor.wait()
+
+    def end_all(self) -> None:
+        """Supervisors first, as they would start others."""
+        for process in self._own:
+            process.kill()
+            process.wait()
+        for processes in self.processes().values():
+            for one in processes:
+                with suppress(psutil.Error):
+                    one.kill()
+
+    # ---- how they stand ----
+
+    async def fleet(self) -> Answer:
+        """The supervisor's status; empty if it does not answer."""
+        return await self._ask(self.folder / "supervisor" / "control.sock")
+
+    async def instance(self, relay: int) -> Answer:
+        return await self._ask(self.folder / f"{NAME}-{relay + 1}.sock")
+
+    async def _ask(self, path: Path) -> Answer:
+        with suppress(NoAnswer):
+            return (await ask(path, {"ask": "status"}, trio.current_time() + ANSWER_S))[1]
+        return {}
+
+    async def when(self, who: Callable[[], Any], what: Callable[[Answer], bool]) -> Answer:
+        """The first answer of which that is true. Raises NeverCame."""
+        answer: Answer = {}
+        with trio.move_on_after(PATIENCE_S):
+            while True:
+                answer = await who()
+                if answer and what(answer):
+                    return answer
+                await trio.sleep(LOOK_S)
+        raise NeverCame(f"the last answer was {answer}")
+
+    async def all_ready(self) -> Answer:
+        """By the supervisor's status."""
+        return await self.when(
+            self.fleet, lambda one: {each["phase"] for each in one["instances"]} == {"ready"})
+
+    async def in_state(self, relay: int, *states: str) -> Answer:
+        return await self.when(lambda: self.instance(relay), lambda one: one["state"] in states)
+
+    async def comes_back(self, relay: int, killed: Sequence[psutil.Process]) -> None:
+        """Returns once one that was killed has answered PING. It counts as up as soon as a new process is
+        there, since that takes clients before it says that it is ready."""
+        while not set(self.processes().get(relay, ())) - set(killed):
+            await trio.sleep(LOOK_S)
+        self.seen.relay_up(self.clock.now_us(), relay)
+        await self._pongs(relay)
+
+    async def all_answer(self) -> None:
+        """Returns once all have answered their first PING."""
+        async with trio.open_nursery() as nursery:
+            for relay in self.relays:
+                nursery.start_soon(self._pongs, relay)
+        for relay in self.relays:
+            self.seen.relay_up(self.clock.now_us(), relay)
+
+    async def _pongs(self, relay: int) -> None:
+        with trio.move_on_after(PATIENCE_S):
+            while await ping(self.listen[relay]) is not Ping.ANSWERED:
+                await trio.sleep(LOOK_S)
+            return
+        raise NeverCame(f"relay {relay} is not ready")
+
+
+@asynccontextmanager
+async def ended_in_the_end(daemons: Daemons) -> AsyncIterator[None]:
+    """Whatever happens inside, none of their processes is left."""
+    try:
+        yield
+    finally:
+        daemons.end_all()
+
+
--- a/glenfold_lab/stands/part.py
+++ b/glenfold_lab/stands/part.py
@@ -69,7 +69,7 @@
 @dataclass(slots=True)
 class Report:
     """What a part saw. wanted, served: seconds of its clients, by class and second. loads: by host, the load
-    over the limit at the end of each second."""
+    over the limit at the end of each second. unreached: as in `Seen`."""
 
     records: list[Record]
     faults: list[tuple[int, int, str]]
@@ -78,6 +78,7 @@
     served: Floats | None = None
     clients: int = 0
     loads: dict[str, list[float]] = field(default_factory=dict)
+    unreached: list[tuple[int, int, int]] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -144,7 +145,7 @@
     def report(self) -> Report:
         seen, crowd = self.seen, self._crowd
         report = Report(seen.records, seen.faults, self._lateness.ms, clients=self._clients,
-                        loads=self._loads)
+                        loads=self._loads, unreached=seen.unreached)
         if crowd is not None:
             report.wanted, report.served = crowd.served.wanted, crowd.served.served
         return report
--- a/glenfold_lab/stands/seen.py
+++ b/glenfold_lab/stands/seen.py
@@ -9,11 +9,13 @@
 
 class Seen(Recorder):
     """Observations as records, the moment first. faults: what no relay may do, beyond the platform's rules:
-    the moment, the relay, and words."""
+    the moment, the relay, and words. unreached: connects of clients that a relay's machine refused or reset:
+    the moment, the relay and the error's number."""
 
     def __init__(self) -> None:
         super().__init__()
         self.faults: list[tuple[int, int, str]] = []
+        self.unreached: list[tuple[int, int, int]] = []
 
     def broke(self, at: int, request: int, server: int, silent: bool) -> None:
         """The push server ended this standing connection without a word, or is silent on it from now on."""
