Run an instance of an operators' file, with its lock, control socket and service manager

Need: on other installations an instance has to start, report readiness, reload and stop as a proper daemon, once a name, and to say how it stands.

Change: glenfold run with exit statuses for what went wrong; status, reload and drain ask at the control socket (Unix, mode 0600, one JSON line each way, bounded). A lock in the instance's folder dies with its process and goes along in a take-over; who holds a name is told by the kernel at the socket, never by a file.

--- a/glenfold/cli/main.py
+++ b/glenfold/cli/main.py
@@ -9,7 +9,11 @@
     "check": ("glenfold.cli.check", "whether operators' files are sound"),
     "completion": ("glenfold.cli.completion", "a script for a shell to complete words with"),
     "config": ("glenfold.cli.config", "what an operators' file amounts to"),
+    "drain": ("glenfold.cli.drain", "have an instance finish what it has taken, and end"),
     "fleet": ("glenfold.cli.fleet", "the instances of one operators' file, and their supervisor"),
+    "reload": ("glenfold.cli.reload", "have instances read their file again"),
+    "run": ("glenfold.cli.run", "one instance, until it is told to stop"),
+    "status": ("glenfold.cli.status", "how instances stand"),
     "lab": ("glenfold_lab.cli", "worlds in virtual time, stand-ins, load, experiments and reports"),
 }
 
--- a/glenfold/daemon/ask.py
+++ b/glenfold/daemon/ask.py
@@ -14,7 +14,8 @@
 import trio
 
 MOST_BYTES = 1 << 20
-MOST_ASKING = 16      # at once; more are closed unheard
+MOST_QUESTION = 1 << 14
+MOST_ASKING = 16      # at once; of more the oldest gives way, as it has had its time
 ASKING_S = 5.0        # for a question to come and its answer to be taken
 AGAIN_S = 0.1         # when there is no descriptor for another connection
 Answering = Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]
@@ -41,7 +42,8 @@
                 if user != os.getuid():
                     raise NoAnswer(f"{path} is another user's")
                 await stream.send_all(msgspec.json.encode(question) + b"\n")
-                answer: dict[str, Any] = msgspec.json.decode(await _line(stream), type=dict[str, Any])
+                line = await _line(stream, MOST_BYTES)
+                answer: dict[str, Any] = msgspec.json.decode(line, type=dict[str, Any])
                 return pid, answer
     except trio.TooSlowError:
         raise NoAnswer(f"{path}: no answer in time") from None
@@ -49,12 +51,12 @@
         raise NoAnswer(f"{path}: {error}") from error
 
 
-async def _line(stream: trio.SocketStream) -> bytes:
+async def _line(stream: trio.SocketStream, most: int) -> bytes:
     data = bytearray()
     while not data.endswith(b"\n"):
         part = await stream.receive_some(1 << 16)
-        if not part or len(data) + len(part) > MOST_BYTES:
-            raise msgspec.DecodeError("too long a line" if part else "no whole line")
+        if not part or len(data) + len(part) > most:
+            raise msgspec.DecodeError(f"a line is longer than {most} bytes" if part else "no whole line")
         data += part
     return bytes(data)
 
@@ -76,21 +78,30 @@
     return trio.SocketListener(trio.socket.from_stdlib_socket(sock))
 
 
+async def _answer(stream: trio.SocketStream, answering: Answering) -> dict[str, Any]:
+    try:
+        line = await _line(stream, MOST_QUESTION)
+        question: dict[str, Any] = msgspec.json.decode(line, type=dict[str, Any])
+    except (msgspec.DecodeError, RecursionError) as error:
+        return {"refused": f"no question: {error}"}
+    return await answering(question)
+
+
 async def answer_all(listener: trio.SocketListener, answering: Answering) -> None:
-    """Until it is cancelled; one question a connection, and a fault ends only that one."""
-    asking = 0
+    """Until it is cancelled; one question a connection, and a fault ends only that one, with a line to tell.
+    Whoever says nothing has ASKING_S, and gives way when many others come."""
+    asking: dict[trio.SocketStream, trio.CancelScope] = {}
 
-    async def one(stream: trio.SocketStream) -> None:
-        nonlocal asking
+    async def one(stream: trio.SocketStream, scope: trio.CancelScope) -> None:
         try:
-            with trio.move_on_after(ASKING_S):
+            with scope:
                 async with stream:
-                    question: dict[str, Any] = msgspec.json.decode(await _line(stream), type=dict[str, Any])
-                    await stream.send_all(msgspec.json.encode(await answering(question)) + b"\n")
-        except (OSError, trio.BrokenResourceError, msgspec.DecodeError, RecursionError):
+                    answer = await _answer(stream, answering)
+                    await stream.send_all(msgspec.json.encode(answer) + b"\n")
+        except (OSError, trio.BrokenResourceError):
             return
         finally:
-            asking -= 1
+            del asking[stream]
 
     async with trio.open_nursery() as nursery:
         while True:
@@ -99,8 +110,11 @@
             except OSError:
                 await trio.sleep(AGAIN_S)
                 continue
-            if asking >= MOST_ASKING or peer(stream.socket)[1] != os.getuid():
+            if peer(stream.socket)[1] != os.getuid():
                 await trio.aclose_forcefully(stream)
                 continue
-            asking += 1
-            nursery.start_soon(one, stream)
+            if len(asking) >= MOST_ASKING:
+                next(iter(asking.values())).cancel()
+                await trio.lowlevel.checkpoint()
+            scope = asking[stream] = trio.CancelScope(deadline=trio.current_time() + ASKING_S)
+            nursery.start_soon(one, stream, scope)
--- a/glenfold/daemon/platform.py
+++ b/glenfold/daemon/platform.py
@@ -1,30 +1,16 @@
 """The platform's relay: told by LB_CONFIG and by signals."""
 
 import os
-import signal
-from collections.abc import Callable
 
 import trio
 
 from glenfold import events, logs
 from glenfold.config import Config, ConfigError, read_again, read_config
-from glenfold.daemon.process import Process, heed
+from glenfold.daemon.process import Process, run_by_signals
 
 
 async def serve(config: Config) -> None:
-    process = Process(config, lambda current: read_again(os.environ, current))
-    by_signal: dict[int, Callable[[], None]] = {
-        signal.SIGHUP: process.reload,
-        signal.SIGUSR1: lambda: events.relay_counters(counters=process.relay.counters.plain()),
-        signal.SIGTERM: process.stop,
-        signal.SIGINT: process.stop,
-    }
-    # To the very end: SIGHUP would end a relay that has stopped listening to it.
-    with trio.open_signal_receiver(*by_signal) as signals:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(heed, signals, by_signal)
-            await process.run()
-            nursery.cancel_scope.cancel()
+    await run_by_signals(Process(config, lambda current: read_again(os.environ, current)))
 
 
 def main() -> int:
--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -5,10 +5,12 @@
 """
 
 import gc
+import signal
 import socket
 import time
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
 
 import trio
 
@@ -33,14 +35,28 @@
 Companion = Callable[["Process"], Awaitable[None]]
 
 
+@dataclass(frozen=True, slots=True)
+class Reloaded:
+    """`refused`: why nothing was taken over; `file`: because the file is at fault. `waits`: keys that have
+    changed and need a restart."""
+
+    refused: str | None = None
+    file: bool = False
+    waits: tuple[str, ...] = ()
+
+
 class Process:
     """`read_again`: what the configuration says now, and the keys that wait for a restart; raises
     ConfigError. `listeners`: sockets that listen already; without them it listens at `config.listen`.
     `held`: it accepts nobody until `accept` is called, as another process still does.
-    `companions` run beside it until it has finished, and are cancelled then."""
+    `companions` run beside it until it has finished, and are cancelled then. `deadline_s`: from being told to
+    stop to its end, where the platform's does not hold.
+
+    `accepts` is set once it takes clients. `handed_on`: another process serves under its name by now."""
 
     def __init__(self, config: Config, read_again: ReadAgain, *, listeners: Sequence[socket.socket] = (),
-                 held: bool = False, companions: Sequence[Companion] = ()) -> None:
+                 held: bool = False, companions: Sequence[Companion] = (),
+                 deadline_s: float | None = None) -> None:
         clock, counters = Clock(), Counters()
         decisions = Decisions(config.settings, config.seed, clock)
         destinations = DestinationSet(config.names)
@@ -52,6 +68,9 @@
         self._accepting: dict[SocketType, trio.CancelScope] = {}
         self._nursery: trio.Nursery | None = None
         self._held = held
+        self.accepts = trio.Event()
+        self.handed_on = False
+        self._deadline_s = deadline_s
         self._read_again = read_again
         self._companions = companions
         self._told_to_stop = trio.Event()
@@ -75,7 +94,7 @@
             for companion in self._companions:
                 nursery.start_soon(companion, self)
             await self._told_to_stop.wait()
-            leaving = Leaving(trio.current_time(), self.relay.config.settings)
+            leaving = Leaving(trio.current_time(), self.relay.config.settings, self._deadline_s)
             self.life.to(State.DRAINING)
             if self._accepting:
                 await last_arrivals(leaving, self.inbound)
@@ -100,6 +119,7 @@
         """At all its listeners, from now on; where it does already, nothing changes."""
         assert self._nursery is not None
         self._held = False
+        self.accepts.set()
         for listener in self.listeners:
             if listener not in self._accepting:
                 scope = self._accepting[listener] = trio.CancelScope()
@@ -146,11 +166,11 @@
     def stop(self) -> None:
         self._told_to_stop.set()
 
-    def reload(self) -> None:
+    def reload(self) -> Reloaded:
         """A faulty file changes nothing: the relay goes on as it was told before."""
         relay, before = self.relay, self.life.state
         if self.life.ending:
-            return
+            return Reloaded("it is ending")
         if before is not State.STARTING:
             self.life.to(State.RELOADING)
         try:
@@ -158,7 +178,7 @@
         except ConfigError as error:
             relay.counters.reloads_refused += 1
             events.config_refused(error=error)
-            return
+            return Reloaded(str(error), file=True)
         finally:
             self.life.to(before)
         relay.counters.reloads += 1
@@ -167,6 +187,7 @@
         events.config_reloaded(discovery=written(config.discovery))
         if waiting:
             events.config_waits(keys=waiting)
+        return Reloaded(waits=tuple(waiting))
 
 
 async def _listen(address: tuple[str, int]) -> SocketType:
@@ -243,7 +264,23 @@
         relay.standing.pop(passage, None)
 
 
-async def heed(signals: AsyncIterator[int], by_signal: Mapping[int, Callable[[], None]]) -> None:
+async def run_by_signals(process: Process) -> None:
+    """Until it has finished; SIGTERM and SIGINT tell it to stop, SIGHUP to read its configuration again."""
+    by_signal: dict[int, Callable[[], object]] = {
+        signal.SIGHUP: process.reload,
+        signal.SIGUSR1: lambda: events.relay_counters(counters=process.relay.counters.plain()),
+        signal.SIGTERM: process.stop,
+        signal.SIGINT: process.stop,
+    }
+    # To the very end: SIGHUP would end a relay that has stopped listening to it.
+    with trio.open_signal_receiver(*by_signal) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(heed, signals, by_signal)
+            await process.run()
+            nursery.cancel_scope.cancel()
+
+
+async def heed(signals: AsyncIterator[int], by_signal: Mapping[int, Callable[[], object]]) -> None:
     """Calls what belongs to each signal, for as long as it is not cancelled."""
     async for number in signals:
         by_signal[number]()
--- a/glenfold/daemon/takeover.py
+++ b/glenfold/daemon/takeover.py
@@ -405,6 +405,7 @@
                     self._process.accept()
                 case h.Retire():
                     events.takeover_retired()
+                    self._process.handed_on = True
                     self._process.release(set(self._passed).intersection(self._process.listeners))
                     self._process.stop()
                 case h.Close(reason) if reason is not None:
--- a/glenfold/events.py
+++ b/glenfold/events.py
@@ -201,3 +201,26 @@
 @event("snapshot.failed", "warning", "snapshot: {fault}")
 def snapshot_failed(*, fault: str) -> None:
     """A snapshot can't be written, or waits for the disk; the relay serves on. Told once for each fault."""
+
+
+# ---- who is told, and who asks ----
+
+
+@event("notify.failed", "warning", "the service manager can't be told: {error}")
+def notify_failed(*, error: Exception) -> None:
+    """NOTIFY_SOCKET is missing or takes nothing; told once, until it works again. The relay serves on."""
+
+
+@event("control.unheard", "warning", "nobody can ask at the control socket: {error}")
+def control_unheard(*, error: Exception) -> None:
+    """The control socket can't be made. The relay serves on."""
+
+
+@event("control.told", "info", "asked on the control socket: {ask}, {outcome}")
+def control_told(*, ask: str, outcome: str) -> None:
+    """Somebody asked the instance to drain or to reload; the outcome is `done`, or why it was refused."""
+
+
+@event("run.refused", "error", "not started: {error}")
+def run_refused(*, error: Exception) -> None:
+    """Another process has the name, or the start can't listen; the exit status tells which."""
--- /dev/null
+++ b/tests/daemon/test_run.py
@@ -0,0 +1,151 @@
+"""`glenfold run` and those who ask it, with real processes on loopback."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import suppress
+from pathlib import Path
+
+import pytest
+
+from glenfold.daemon.run import Exit
+
+ROOT = Path(__file__).parents[2]
+FILE = """format = 1
+[instance]
+name = "a"
+folder = "state"
+[listeners]
+addresses = ["127.0.0.1:{port}"]
+[list]
+discovery = "127.0.0.1:9"
+known = "known.json"
+[restart]
+deadline_s = 3.7
+take_over = {take_over}
+[[settings.classes]]
+name = "watch"
+"""
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        port: int = sock.getsockname()[1]
+        return port
+
+
+class House:
+    """One operators' file, and the processes that were started with it."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.started: list[subprocess.Popen[bytes]] = []
+        self.port = free_port()
+        (folder / "known.json").write_text('{"seq": 1, "whole": true, "hosts": []}')
+        self.write()
+
+    @property
+    def file(self) -> Path:
+        return self.folder / "glenfold.toml"
+
+    def write(self, take_over: str = "true", more: str = "") -> None:
+        self.file.write_text(FILE.format(port=self.port, take_over=take_over) + more)
+
+    def start(self) -> subprocess.Popen[bytes]:
+        environment = {name: value for name, value in os.environ.items() if not name.startswith("LB_")}
+        self.started.append(subprocess.Popen(
+            [sys.executable, "-m", "glenfold", "run", self.file], cwd=ROOT, env=environment,
+            stderr=(self.folder / "log").open("ab")))
+        return self.started[-1]
+
+    def say(self, *words: str) -> tuple[int, dict[str, object]]:
+        done = subprocess.run([sys.executable, "-m", "glenfold", *words, self.file, "--json"], cwd=ROOT,
+                              capture_output=True, text=True, timeout=30)
+        told = json.loads(done.stdout)["instances"][0] if done.stdout else {"said": done.stderr}
+        return done.returncode, told
+
+    def until(self, pid: int, state: str = "ready") -> None:
+        """That process answers, in that state."""
+        by = time.monotonic() + 20
+        told: object = None
+        while time.monotonic() < by:
+            _, told = self.say("status")
+            if told.get("pid") == pid and told.get("state") == state:
+                return
+        raise AssertionError(f"{told}\n{(self.folder / 'log').read_text()}")
+
+
+@pytest.fixture
+def house(tmp_path: Path) -> Iterator[House]:
+    made = House(tmp_path)
+    yield made
+    for process in made.started:
+        with suppress(ProcessLookupError):
+            process.kill()
+        process.wait()
+
+
+def test_an_instance_from_its_start_to_its_drain(house: House) -> None:
+    assert house.say("status")[0] == 3
+    process = house.start()
+    house.until(process.pid)
+    assert house.say("status")[0] == 0
+    assert house.say("reload") == (0, {"instance": "a", "pid": process.pid, "waits": []})
+    house.write(take_over="false")
+    assert house.say("reload")[1]["waits"] == ["restart"]
+    house.file.write_text("format = 1\nnonsense")
+    assert house.say("reload")[0] == 2
+    house.write()
+    assert house.say("drain", "--wait")[0] == 0
+    assert process.wait(1) == Exit.FINISHED
+    assert house.say("drain")[0] == 3
+
+
+def test_a_second_one_takes_over_and_the_first_ends(house: House) -> None:
+    first = house.start()
+    house.until(first.pid)
+    second = house.start()
+    assert first.wait(20) == Exit.FINISHED
+    house.until(second.pid)
+
+
+def test_where_names_are_not_handed_on_the_second_one_is_refused(house: House) -> None:
+    house.write(take_over="false")
+    first = house.start()
+    house.until(first.pid)
+    assert house.start().wait(20) == Exit.RUNS
+    first.send_signal(signal.SIGKILL)
+    first.wait()
+    house.until(house.start().pid)  # the lock has died with its process
+
+
+def test_it_says_by_its_status_what_was_wrong(house: House) -> None:
+    with socket.create_server(("127.0.0.1", house.port)):
+        assert house.start().wait(20) == Exit.NO_LISTENER
+    house.file.write_text("format = 1\n")
+    assert house.start().wait(20) == Exit.FILE
+
+
+def test_a_reload_by_signal_and_the_managers_word(house: House) -> None:
+    name = str(house.folder / "notify")
+    with socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as manager:
+        manager.bind(name)
+        manager.settimeout(20)
+        os.environ["NOTIFY_SOCKET"] = name
+        try:
+            process = house.start()
+        finally:
+            del os.environ["NOTIFY_SOCKET"]
+        words = ["READY=1", "RELOADING=1", "READY=1", "STOPPING=1"]
+        heard: list[str] = []
+        while "STOPPING=1" not in heard:
+            heard.append(manager.recv(4096).decode().split("\n")[0])
+            if heard[-1] == "READY=1":
+                process.send_signal(signal.SIGTERM if "RELOADING=1" in heard else signal.SIGHUP)
+        assert [word for word in heard if word in words] == words
+    assert process.wait(20) == Exit.FINISHED
