--- a/glenfold/__main__.py
+++ b/glenfold/__main__.py
@@ -1,12 +1,13 @@
 """The platform's relay, which has no words; with words, the command line."""
 
 import gc
+import os
 import sys
 
 
 def main() -> int:
     """Without words the relay of the platform; all else is the command line's. Each loads only its own."""
-    if len(sys.argv) > 1:
+    if len(sys.argv) > 1 or "_GLENFOLD_COMPLETE" in os.environ:  # a shell's completion asks without words
         try:
             from glenfold.cli.main import main as command_line
         except ModuleNotFoundError as error:
--- a/glenfold/cli/fleet/down.py
+++ b/glenfold/cli/fleet/down.py
@@ -19,6 +19,9 @@
     """Stop all instances, each once it has finished what it has taken, and then the supervisor.
 
     A roll is called off. Who has not stopped within `fleet.stop_within_s` is killed.
+
+    Exit status: 0 all have stopped, 1 it was refused, 2 the file does not tell where the fleet is, 3 no
+    supervisor answers.
     """
     place = place_of(file)
     answer = talk(place, "down")
--- a/glenfold/cli/fleet/release.py
+++ b/glenfold/cli/fleet/release.py
@@ -12,5 +12,9 @@
 @click.argument("name", required=False)
 @json_option
 def command(file: Path, name: str | None, as_json: bool) -> None:
-    """Start the instance NAME again, or all, that are held because they ended too often."""
+    """Start the instance NAME again, or all, that are held because they ended too often.
+
+    Exit status: 0 released, 1 it was not held, 2 the file does not tell where the fleet is, 3 no
+    supervisor answers.
+    """
     tell(talk(place_of(file), "release", name=name), as_json, lambda _: "released")
--- a/glenfold/cli/fleet/up.py
+++ b/glenfold/cli/fleet/up.py
@@ -19,6 +19,9 @@
     """Supervise the instances of FILE: start them, or take over those that run, until `fleet down`.
 
     SIGTERM and SIGINT end the supervisor alone, and the relays serve on; SIGHUP is `fleet reload`.
+
+    Exit status: 0 the fleet went down, or a signal ended the supervisor alone, 1 another one runs or
+    its folder can't be used, 2 the file is at fault.
     """
     logs.begin(logs.Terms(), "supervisor")
     try:
--- a/glenfold/config/operators.py
+++ b/glenfold/config/operators.py
@@ -16,7 +16,7 @@
 from glenfold.config.terms import Terms
 from glenfold.located import BadFile, Key, Located, read_text, scan, written
 
-TAKEN_OVER = ("limits", "logging")  # at a reload; the rest, but for list.discovery, waits for a restart
+AT_ONCE = ("list", "limits", "logging", "fleet")  # not to wait for a restart: `fleet` is its supervisor's
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,9 +33,8 @@
     """A sound file. `terms` are its tables; paths in them are relative to `base`."""
 
     def __init__(self, located: Located, terms: Terms, base: Path) -> None:
-        self._located, self.terms = located, terms
+        self._located, self.terms, self.base = located, terms, base
         self.path = Path(located.name)
-        self.base = base
 
     @property
     def numbers(self) -> tuple[int | None, ...]:
@@ -121,8 +120,9 @@
 
 
 def read(path: str | Path, base: Path | None = None) -> Operators:
-    """`base`: what paths in it are relative to; None: the file's folder. Raises Faults: all that is amiss
-    with the file, and with this machine for it."""
+    """Raises Faults: all that is amiss with the file, and with this machine for it. `base`: what its paths
+    are relative to, where it is a copy; else that is the file's folder."""
+    base = Path(path).parent.absolute() if base is None else base
     try:
         located = scan(read_text(path), str(path))
     except BadFile as error:
@@ -131,7 +131,6 @@
     terms = reading.table(located.data, Terms)
     if located.data.get("format", 1) != 1:  # whatever else it says may mean something else there
         raise Faults([located.fault(("format",), "this glenfold reads format 1 only")])
-    base = Path(path).parent.absolute() if base is None else base
     Checks(terms, reading, base).run()
     if reading.faults:
         raise Faults(reading.faults.values())
@@ -151,11 +150,13 @@
             operators = read(self._begun.path, self._begun.base)
         except Faults as error:
             raise ConfigError(str(self._begun.path), "; ".join(error.message.splitlines())) from error
-        new, waiting = operators.config(self._number), self._waiting(operators)
+        new = operators.config(self._number)
+        waiting = self._waiting(operators, new.settings != current.settings)
         self.operators = operators
         return replace(current, discovery=new.discovery, room=new.room, cores=new.cores), waiting
 
-    def _waiting(self, new: Operators) -> list[str]:
-        was, now = self._begun, new
-        return [name for name in Terms.__struct_fields__
-                if name not in (*TAKEN_OVER, "list") and getattr(was.terms, name) != getattr(now.terms, name)]
+    def _waiting(self, new: Operators, decides_otherwise: bool) -> list[str]:
+        names = [name for name in Terms.__struct_fields__
+                 if name not in AT_ONCE and getattr(self._begun.terms, name) != getattr(new.terms, name)]
+        moved = self._begun.place(self._number) != new.place(self._number)
+        return names or ["fleet"] * (moved or decides_otherwise)  # what this instance has of it
