--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -96,21 +96,6 @@
             except BadList as error:
                 events.list_known_refused(error=error)
 
-    async def _become_ready(self) -> None:
-        """Clients that come before are served as well as it goes; only PING waits."""
-        relay = self.relay
-        gc.freeze()  # what stands now stays to the end: no collection looks at it again
-        gc.enable()
-        while not relay.destinations.listed:
-            await trio.sleep_until(trio.current_time() + STEP_S)
-        warm_up(relay.config, relay.destinations.servers(), relay.clock.now_us())
-        readiness = Readiness(trio.current_time(), age_s(), relay.config.cores)
-        while not readiness.look(trio.current_time(), time.process_time()):
-            await trio.sleep_until(readiness.next_look)
-        if not self.life.ending:
-            relay.ready.set()
-            self.life.to(State.READY)
-
     def accept(self) -> None:
         """At all its listeners, from now on; where it does already, nothing changes."""
         assert self._nursery is not None
@@ -135,6 +120,21 @@
             self.listeners.remove(listener)
             listener.close()
 
+    async def _become_ready(self) -> None:
+        """Clients that come before are served as well as it goes; only PING waits."""
+        relay = self.relay
+        gc.freeze()  # what stands now stays to the end: no collection looks at it again
+        gc.enable()
+        while not relay.destinations.listed:
+            await trio.sleep_until(trio.current_time() + STEP_S)
+        warm_up(relay.config, relay.destinations.servers(), relay.clock.now_us())
+        readiness = Readiness(trio.current_time(), age_s(), relay.config.cores)
+        while not readiness.look(trio.current_time(), time.process_time()):
+            await trio.sleep_until(readiness.next_look)
+        if not self.life.ending:
+            relay.ready.set()
+            self.life.to(State.READY)
+
     async def _accept(self, scope: trio.CancelScope, listener: SocketType, nursery: trio.Nursery) -> None:
         with scope:
             try:
