--- a/tests/daemon/supervising.py
+++ b/tests/daemon/supervising.py
@@ -88,10 +88,10 @@
 
 
 def end_all(folder: Path) -> None:
-    """Every fake of that folder, told by its own command line."""
+    """Every process of that folder, which no other test has, told by its own command line."""
     for entry in Path("/proc").iterdir():
         with suppress(OSError):
-            if entry.name.isdigit() and f"{FAKE}\0{folder}\0".encode() in (entry / "cmdline").read_bytes():
+            if entry.name.isdigit() and f"{folder}".encode() in (entry / "cmdline").read_bytes():
                 os.kill(int(entry.name), signal.SIGKILL)
 
 
