--- a/glenfold/cli/fleet/__init__.py
+++ b/glenfold/cli/fleet/__init__.py
@@ -24,5 +24,6 @@
 def command() -> None:
     """The instances of one operators' file on this machine, and their supervisor.
 
-    Exit status: 0 done, 1 refused or failed, 2 the words or the file are at fault, 3 no supervisor answers.
+    Exit status: 0 done; 1 refused or failed, with the reason; 2 the words or the file are at fault; 3 no
+    supervisor answers.
     """
--- a/glenfold/cli/fleet/down.py
+++ b/glenfold/cli/fleet/down.py
@@ -20,7 +20,7 @@
 
     A roll is called off. Who has not stopped within `fleet.stop_within_s` is killed.
 
-    Exit status: 0 all have stopped, 1 it was refused, 2 the file does not tell where the fleet is, 3 no
+    Exit status: 0 done (with --no-wait: begun), 1 refused, 2 the words or the file are at fault, 3 no
     supervisor answers.
     """
     place = place_of(file)
--- a/glenfold/cli/fleet/release.py
+++ b/glenfold/cli/fleet/release.py
@@ -14,7 +14,6 @@
 def command(file: Path, name: str | None, as_json: bool) -> None:
     """Start the instance NAME again, or all, that are held because they ended too often.
 
-    Exit status: 0 released, 1 it was not held, 2 the file does not tell where the fleet is, 3 no
-    supervisor answers.
+    Exit status: 0 done, 1 refused, 2 the words or the file are at fault, 3 no supervisor answers.
     """
     tell(talk(place_of(file), "release", name=name), as_json, lambda _: "released")
--- a/glenfold/cli/fleet/roll.py
+++ b/glenfold/cli/fleet/roll.py
@@ -25,8 +25,8 @@
     Each is to be ready, and service as it was before the roll, before the next is taken out. The roll goes on
     whether this command waits or not.
 
-    Exit status: 0 done, 1 it was refused, stopped or called off, 2 the file is at fault and nothing was
-    restarted, 3 no supervisor answers.
+    Exit status: 0 done (with --no-wait: begun), 1 it was refused, stopped or called off, 2 the words or the
+    file are at fault, 3 no supervisor answers.
     """
     if go_on + call_off + (most_out is not None) > 1:
         raise click.UsageError("--most-out, --continue and --call-off exclude each other")
--- a/glenfold/cli/fleet/up.py
+++ b/glenfold/cli/fleet/up.py
@@ -20,8 +20,8 @@
 
     SIGTERM and SIGINT end the supervisor alone, and the relays serve on; SIGHUP is `fleet reload`.
 
-    Exit status: 0 the fleet went down, or a signal ended the supervisor alone, 1 another one runs or
-    its folder can't be used, 2 the file is at fault.
+    Exit status: 0 the fleet went down or the supervisor was told to end, 1 another supervisor runs or the
+    machine refused something, 2 the words or the file are at fault.
     """
     logs.begin(logs.Terms(), "supervisor")
     try:
