--- a/glenfold/cli/fleet/status.py
+++ b/glenfold/cli/fleet/status.py
@@ -18,8 +18,8 @@
 def command(file: Path, as_json: bool) -> None:
     """Tell how each instance and a roll stand.
 
-    Exit status: 0 all are ready, 1 one is not or a roll was stopped, 2 the words or the file are at fault,
-    3 no supervisor answers.
+    Exit status: 0 all are ready, 1 one is not or a roll was stopped, 2 the words or the file are at fault, 3
+    no supervisor answers.
     """
     status = talk(place_of(file), "status")
     if as_json:
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -35,7 +35,7 @@
 
 def statuses(text: str) -> set[str]:
     told = re.search(r"Exit status.*?: (.+?)(\n\n|$)", text, re.S)
-    return set(re.findall(r"(?:^|[,;]\s+)(\d+) ", told[1])) if told else set()
+    return set(re.findall(r"(?:^|[,;]\s+)(\d+)\s", told[1])) if told else set()
 
 
 @pytest.mark.parametrize("words", COMMANDS)
