--- a/glenfold/events.py
+++ b/glenfold/events.py
@@ -183,24 +183,24 @@
 # ---- snapshots of the destination set ----
 
 
-@event("snapshot.taken", "info", "snapshot {name}: generation {generation}, last heard of {age_s} s ago")
-def snapshot_taken(*, name: str, generation: int, age_s: int) -> None:
-    """It starts from a snapshot of the destination set."""
+@event("snapshot.taken", "info", "snapshot {file}: generation {generation}, last heard of {age_s:.0f} s ago")
+def snapshot_taken(*, file: str, generation: int, age_s: float) -> None:
+    """The relay starts with the list in this file, until discovery says otherwise."""
 
 
-@event("snapshot.refused", "warning", "snapshot {name} refused: {error}")
-def snapshot_refused(*, name: str, error: Exception) -> None:
-    """A snapshot file is torn, damaged, too old, or another instance's; the one before it is tried."""
+@event("snapshot.refused", "warning", "snapshot {file} refused: {error}")
+def snapshot_refused(*, file: str, error: Exception) -> None:
+    """A file is torn, damaged, too old or not this relay's; the one before it is used, if it is sound."""
 
 
-@event("snapshot.written_again", "info", "snapshot: written again, generation {generation}")
-def snapshot_written_again(*, generation: int) -> None:
-    """Snapshots reach the disk again after they could not."""
+@event("snapshot.waits", "warning", "snapshot: {fault}")
+def snapshot_waits(*, fault: str) -> None:
+    """The newest list is not on the disk, which is slow, full or can't be written; the relay serves on."""
 
 
-@event("snapshot.failed", "warning", "snapshot: {fault}")
-def snapshot_failed(*, fault: str) -> None:
-    """A snapshot can't be written, or waits for the disk; the relay serves on. Told once for each fault."""
+@event("snapshot.written_again", "info", "snapshot: written again, generation {generation}")
+def snapshot_written_again(*, generation: int) -> None:
+    """After a fault the newest list is on the disk."""
 
 
 # ---- who is told, and who asks ----
