End at once what holds nothing, whatever time it may take

Two idle instances with a deadline of 30 s took 28 s to go down: they waited for the moment from which clients move. Fails without the change: a relay without connections ends within a second.

--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -228,7 +228,8 @@
 
 async def _until_moves(leaving: Leaving, relay: Relay) -> None:
     began, worked_s = trio.current_time(), time.process_time()
-    while (now := trio.current_time()) < (begin := leaving.moves_from(len(relay.standing))):
+    while (relay.standing or relay.unanswered) and (
+            (now := trio.current_time()) < (begin := leaving.moves_from(len(relay.standing)))):
         await trio.sleep_until(min(begin, now + LOOK_S))
         leaving.busy((time.process_time() - worked_s) / (trio.current_time() - began))
 
--- a/tests/daemon/test_lock.py
+++ b/tests/daemon/test_lock.py
@@ -14,8 +14,9 @@
 
 
 def test_it_dies_with_its_process_however_that_ends(tmp_path: Path) -> None:
+    root = Path(lock.__file__).parents[2]
     with subprocess.Popen([sys.executable, "-c", HOLD, tmp_path],
-                          stdin=subprocess.PIPE, stdout=subprocess.PIPE, cwd=Path(lock.__file__).parents[2]) as other:
+                          stdin=subprocess.PIPE, stdout=subprocess.PIPE, cwd=root) as other:
         assert other.stdout is not None and other.stdout.readline()
         with pytest.raises(lock.Held, match="a runs already"):
             lock.take(tmp_path, "a")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -344,6 +344,15 @@
     play(conf, server, client, clock)
 
 
+def test_a_relay_that_holds_nothing_ends_at_once(conf: Config) -> None:
+    async def client(shared: Relay, port: int) -> None:
+        began = trio.current_time()
+        await finish_taken(Leaving(began, conf.settings, 30.0), shared)
+        assert trio.current_time() - began < 1.0
+
+    play(conf, up_and_echo, client, trio.testing.MockClock(autojump_threshold=0.05))
+
+
 def test_partial_gathered_writes_go_on_where_they_stopped() -> None:
     data = bytearray(OPEN)
     pieces = lines.parse_open(data, len(data)).with_wait(7)
