--- a/glenfold/rules/fleet.py
+++ b/glenfold/rules/fleet.py
@@ -666,6 +666,7 @@
         self._tell("fleet.roll_step", name=name, done=len(roll.done), left=len(roll.todo))
         if self.terms.take_over:
             one.replacing, one.since = True, now
+            one.starts += 1
             self._effects.append(Replace(name))
         else:
             self._stop(name, one, now)
