--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -46,7 +46,7 @@
 Figures = dict[str, Any]
 
 
-def scenario(instances: int, length_s: float) -> spec.Scenario:
+def scenario(instances: int, length_s: float, load: float = 0.22) -> spec.Scenario:
     """Push servers with room for some 3,000 connections; 700 stand, some 25 a second come and go."""
     kind = spec.ServerKind(name="large", cores=12, speed=1.0, speed_cv=0.0, per_core=33, message_ms=1.5)
     return spec.Scenario(
@@ -56,7 +56,7 @@
         servers=spec.Servers(count=8, kinds=(kind,), group_cost=0.0),
         relays=spec.Relays(count=instances, sockets=4096),
         front=spec.Front(reshuffle=0.0),  # else connections end by the front's doing, not by the roll's
-        clients=spec.Clients(load=0.22, life_s=30.0, groups=False))
+        clients=spec.Clients(load=load, life_s=30.0, groups=False))
 
 
 # ---- the day ----
@@ -148,10 +148,11 @@
     return 1 << 30 if roll is None else len(roll["done"])
 
 
-def measure_day(instances: int, seed: int, most_out: int, processes: int) -> tuple[Played, Figures]:
+def measure_day(world: spec.Scenario, seed: int, most_out: int, processes: int) -> tuple[Played, Figures]:
+    """`world`: as `scenario` gives it."""
     day = Day(most_out)
     played = play_fleet(
-        scenario(instances, LENGTH_S), seed, day.begin, day.goes, processes=processes,
+        world, seed, day.begin, day.goes, processes=processes,
         crowds=Crowds(MASS_S, CROWD, ONE_S),
         tables={"fleet": {**FLEET, "most_out": most_out}, "restart": {"deadline_s": DEADLINE_S}})
     return played, told(played, day)
@@ -270,7 +271,7 @@
                 (1, 0.0, 5 * repeats), (instances, 0.0, repeats), (instances, ONE_S, repeats)):
             click.echo(json.dumps(measure_starts(count, seed, one_s, times)))
         return
-    played, figures = measure_day(instances, seed, most_out, processes)
+    played, figures = measure_day(scenario(instances, LENGTH_S), seed, most_out, processes)
     click.echo(json.dumps({"instances": instances, "seed": seed} | figures))
     for verdict in played.result.verdicts[:MOST_SHOWN]:
         click.echo(f"{verdict.rule} at {verdict.at_us / SECOND_US:.3f} s: " + "; ".join(verdict.evidence))
--- a/glenfold_lab/stands/daemons.py
+++ b/glenfold_lab/stands/daemons.py
@@ -8,6 +8,7 @@
 import re
 import subprocess
 import sys
+import time
 from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
@@ -29,7 +30,8 @@
 NAME = "fleet"
 LOOK_S = 0.02
 ANSWER_S = 2.0
-PATIENCE_S = 60.0  # for what is waited for to come true
+GONE_S = 2.0       # that the kernel may take to end them
+PATIENCE_S = 30.0  # for what is waited for to come true
 COMMAND = [sys.executable, "-m", "glenfold"]
 STARTED_BY = re.compile(rb"\0--instance\0(\d+)\0")
 
@@ -148,10 +150,12 @@
         for process in self._own:
             process.kill()
             process.wait()
-        for processes in self.processes().values():
-            for one in processes:
+        end = time.monotonic() + GONE_S
+        while (left := self.processes()) and time.monotonic() < end:
+            for one in (one for processes in left.values() for one in processes):
                 with suppress(psutil.Error):
                     one.kill()
+            time.sleep(LOOK_S)
 
     # ---- how they stand ----
 
--- a/glenfold_lab/stands/fleet.py
+++ b/glenfold_lab/stands/fleet.py
@@ -214,7 +214,7 @@
         self._took_s = time.monotonic() - began
 
     def _shares(self, processes: int, half: int) -> list[Share]:
-        servers, relays = range(self.day.servers.count), tuple(range(self.day.relays.count))
+        servers, relays = range(len(self._script.fleet.machines)), tuple(range(self.day.relays.count))
         if not processes:
             return [Share(0, tuple(servers), relays, (0, 1))]
         stands = [Share(n, tuple(servers[n::half]), () if n else relays, None) for n in range(half)]
