--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -4,22 +4,30 @@
 was passed on) comes in as companions and as listeners that are open already; nothing here imports them.
 """
 
+import gc
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
+import time
+from collections import deque
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping, Sequence
 
 import trio
-from loguru import logger
 
+from glenfold import events
 from glenfold.clock import Clock
-from glenfold.config import Config, ConfigError
+from glenfold.config.platform import Config, ConfigError, written
 from glenfold.counters import Counters
 from glenfold.daemon.life import Life, State
+from glenfold.daemon.readiness import STEP_S, Readiness
+from glenfold.daemon.warming import age_s, warm_up
 from glenfold.decisions import Decisions
 from glenfold.destinations import BadList, DestinationSet
-from glenfold.leaving import ANSWERS_S, Leaving
+from glenfold.leaving import Leaving, in_order
 from glenfold.net.discovery import Discovery
 from glenfold.net.inbound import BACKLOG, Inbound, Relay
 from glenfold.net.passing import Passage
+from glenfold.net.sockets import SocketType
+
+LOOK_S = 0.1  # between two looks at how many connections stand, before their clients move
 
 ReadAgain = Callable[[Config], tuple[Config, list[str]]]
 Companion = Callable[["Process"], Awaitable[None]]
@@ -28,10 +36,11 @@
 class Process:
     """`read_again`: what the configuration says now, and the keys that wait for a restart; raises
     ConfigError. `listeners`: sockets that listen already; without them it listens at `config.listen`.
+    `held`: it accepts nobody until `accept` is called, as another process still does.
     `companions` run beside it until it has finished, and are cancelled then."""
 
     def __init__(self, config: Config, read_again: ReadAgain, *, listeners: Sequence[socket.socket] = (),
-                 companions: Sequence[Companion] = ()) -> None:
+                 held: bool = False, companions: Sequence[Companion] = ()) -> None:
         clock, counters = Clock(), Counters()
         decisions = Decisions(config.settings, config.seed, clock)
         destinations = DestinationSet(config.names)
@@ -39,41 +48,44 @@
         self.relay = Relay(config, clock, decisions, destinations, counters)
         self.inbound = Inbound(self.relay)
         self.discovery = Discovery(config.discovery, destinations, decisions.tell, counters)
-        self.listeners: list[trio.socket.SocketType] = [trio.socket.from_stdlib_socket(s) for s in listeners]
+        self.listeners: list[SocketType] = [trio.socket.from_stdlib_socket(s) for s in listeners]
+        self._accepting: dict[SocketType, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
+        self._held = held
         self._read_again = read_again
         self._companions = companions
         self._told_to_stop = trio.Event()
-        self.life.watches.append(lambda before, now: logger.debug("{} -> {}", before.value, now.value))
+        self.life.watches.append(
+            lambda before, now: events.life_changed(before=before.value, state=now.value))
 
     async def run(self) -> None:
         """Until it was told to stop and has finished all that it has taken."""
         config = self.relay.config
         await self._take_known()
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             nursery.start_soon(self.relay.decisions.run)
             nursery.start_soon(self.discovery.follow)
             if not self.listeners:
                 self.listeners.append(await _listen(config.listen))
-            accepting = trio.CancelScope()
-            for listener in self.listeners:
-                nursery.start_soon(self._accept, accepting, listener, nursery)
-            logger.info("{} listens on {}:{}", config.name, *config.listen)
+            if not self._held:
+                self.accept()
             self.life.to(State.WAITING)
-            self.life.to(State.READY)
+            nursery.start_soon(self._become_ready)
             for companion in self._companions:
                 nursery.start_soon(companion, self)
             await self._told_to_stop.wait()
             leaving = Leaving(trio.current_time(), self.relay.config.settings)
             self.life.to(State.DRAINING)
-            await last_arrivals(leaving, self.inbound)
-            accepting.cancel()
-            for listener in self.listeners:
-                listener.close()
+            if self._accepting:
+                await last_arrivals(leaving, self.inbound)
+            self.release(self.listeners)
             self.life.to(State.FINISHING)
+            gc.freeze()  # looking through all that stands would hold up the moves time and again
             await finish_taken(leaving, self.relay)
             self.life.to(State.STOPPED)
             nursery.cancel_scope.cancel()
-        logger.info("counters at exit: {}", self.relay.counters.line())
+        events.relay_exit(counters=self.relay.counters.plain())
 
     async def _take_known(self) -> None:
         """Before the first client: a relay that died starts again from the list it last had."""
@@ -82,12 +94,54 @@
             try:
                 await relay.decisions.tell(relay.destinations.read(relay.config.known, cached=True))
             except BadList as error:
-                logger.warning("known: {}", error)
+                events.list_known_refused(error=error)
+
+    def accept(self) -> None:
+        """At all its listeners, from now on; where it does already, nothing changes."""
+        assert self._nursery is not None
+        self._held = False
+        for listener in self.listeners:
+            if listener not in self._accepting:
+                scope = self._accepting[listener] = trio.CancelScope()
+                self._nursery.start_soon(self._accept, scope, listener, self._nursery)
+                events.relay_listens(name=self.relay.config.name, address=written(listener.getsockname()))
+
+    def pause(self, listeners: Iterable[SocketType]) -> None:
+        """Accepts no more there. The sockets stay open, and with them the kernel's queue of clients."""
+        for listener in listeners:
+            if (scope := self._accepting.pop(listener, None)) is not None:
+                scope.cancel()
+
+    def release(self, listeners: Iterable[SocketType]) -> None:
+        """Closes its own descriptors, and no more: where another process has one of the same socket, that
+        goes on listening, with all who are queued there."""
+        for listener in list(listeners):
+            self.pause([listener])
+            self.listeners.remove(listener)
+            listener.close()
+
+    async def _become_ready(self) -> None:
+        """Clients that come before are served as well as it goes; only PING waits."""
+        relay = self.relay
+        while not relay.destinations.listed:
+            await trio.sleep_until(trio.current_time() + STEP_S)
+        warm_up(relay.config, relay.destinations.servers(), relay.clock.now_us())
+        gc.freeze()  # what stands now stays to the end: no collection looks at it again
+        gc.enable()
+        readiness = Readiness(trio.current_time(), age_s(), relay.config.cores)
+        while not readiness.look(trio.current_time(), time.process_time()):
+            await trio.sleep_until(readiness.next_look)
+        if not self.life.ending:
+            relay.ready.set()
+            self.life.to(State.READY)
 
-    async def _accept(self, scope: trio.CancelScope, listener: trio.socket.SocketType,
-                      nursery: trio.Nursery) -> None:
+    async def _accept(self, scope: trio.CancelScope, listener: SocketType, nursery: trio.Nursery) -> None:
         with scope:
-            await self.inbound.serve(listener, nursery)
+            try:
+                await self.inbound.serve(listener, nursery)
+            except (OSError, trio.ClosedResourceError):
+                if not scope.cancel_called:  # closed just as a client arrived
+                    raise
 
     def stop(self) -> None:
         self._told_to_stop.set()
@@ -103,19 +157,19 @@
             config, waiting = self._read_again(relay.config)
         except ConfigError as error:
             relay.counters.reloads_refused += 1
-            logger.error("configuration: {}", error)
+            events.config_refused(error=error)
             return
         finally:
             self.life.to(before)
         relay.counters.reloads += 1
         relay.config = config
         self.discovery.move_to(config.discovery)
-        logger.info("configuration read again; discovery is at {}:{}", *config.discovery)
+        events.config_reloaded(discovery=written(config.discovery))
         if waiting:
-            logger.warning("configuration: needs a restart to change: {}", ", ".join(waiting))
+            events.config_waits(keys=waiting)
 
 
-async def _listen(address: tuple[str, int]) -> trio.socket.SocketType:
+async def _listen(address: tuple[str, int]) -> SocketType:
     listener = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     await listener.bind(address)
@@ -130,17 +184,63 @@
 
 async def finish_taken(leaving: Leaving, relay: Relay) -> None:
     """Every request taken gets its answer, and every standing connection's client is told to move in time."""
-    told: set[Passage] = set()
-    async with trio.open_nursery() as nursery:
-        nursery.cancel_scope.deadline = leaving.leave_at
-        await trio.sleep_until(leaving.moves_from)
-        while (left := relay.standing - told) or relay.unanswered:
-            gap = ANSWERS_S
-            if left:
-                told.add(passage := left.pop())
-                nursery.start_soon(passage.move)
-                gap = leaving.gap_s(trio.current_time(), len(left))
-            await trio.sleep_until(trio.current_time() + gap)
+    with trio.move_on_at(leaving.leave_at):
+        await _until_moves(leaving, relay)
+        async with trio.open_nursery() as nursery:
+            await _move_all(leaving, relay, nursery)
+    for passage in list(relay.standing):
+        if not _tell(passage, relay, late=True):
+            passage.cut()
+    if relay.standing:
+        events.leave_cut(connections=len(relay.standing))
+
+
+def _tell(passage: Passage, relay: Relay, late: bool) -> bool:
+    told = passage.move_now()
+    if told:
+        del relay.standing[passage]
+    if told and late:
+        relay.counters.moved_late += passage.moved
+        passage.finish_both()
+    return told
+
+
+async def _until_moves(leaving: Leaving, relay: Relay) -> None:
+    began, worked_s = trio.current_time(), time.process_time()
+    while (now := trio.current_time()) < (begin := leaving.moves_from(len(relay.standing))):
+        await trio.sleep_until(min(begin, now + LOOK_S))
+        leaving.busy((time.process_time() - worked_s) / (trio.current_time() - began))
+
+
+async def _move_all(leaving: Leaving, relay: Relay, nursery: trio.Nursery) -> None:
+    """A connection counts as standing until its client has been told to move, or is gone."""
+    asked: set[Passage] = set()  # they have only part of a line
+    queue: deque[Passage] = deque()
+    while relay.standing or relay.unanswered:
+        while queue and queue[0] not in relay.standing:
+            queue.popleft()
+        left = len(relay.standing) - len(asked & relay.standing.keys())
+        short_before = leaving.short
+        step = leaving.step(trio.current_time(), time.process_time(), left)
+        if leaving.short and not short_before:
+            events.leave_short(late=step.late, connections=left, per_s=round(leaving.pace))
+            queue.clear()  # to be put in another order
+        if len(queue) < step.moves:
+            queue = deque(one for one in in_order(relay.standing, leaving.short) if one not in asked)
+        for _ in range(min(step.moves, len(queue))):
+            passage = queue.popleft()
+            if passage not in relay.standing:
+                continue
+            if not _tell(passage, relay, step.sweep):
+                asked.add(passage)
+                nursery.start_soon(_move, passage, relay)
+        await trio.sleep_until(step.again_at)
+
+
+async def _move(passage: Passage, relay: Relay) -> None:
+    await passage.move()
+    if passage.moved:
+        relay.standing.pop(passage, None)
 
 
 async def heed(signals: AsyncIterator[int], by_signal: Mapping[int, Callable[[], None]]) -> None:
--- a/glenfold/net/discovery.py
+++ b/glenfold/net/discovery.py
@@ -6,8 +6,8 @@
 
 import h11
 import trio
-from loguru import logger
 
+from glenfold import events
 from glenfold.config import Address
 from glenfold.counters import Counters
 from glenfold.destinations import BadList, DestinationSet
@@ -46,11 +46,19 @@
                 try:
                     await self._whole_and_watch()
                 except (*FAULTS, BadList) as error:
-                    if repr(error) != self._said:  # an agent that is down fails alike four times a second
-                        logger.warning("discovery: {!r}", error)
-                    self._said = repr(error)
+                    self._tell(error)
                 await trio.sleep_until(trio.current_time() + AGAIN_S)
 
+    def _tell(self, error: Exception) -> None:
+        """An agent that is down fails alike four times a second."""
+        said, self._said = self._said, repr(error)
+        if self._said == said:
+            return
+        if isinstance(error, BadList):
+            events.list_refused(error=error)
+        else:
+            events.discovery_failed(error=error)
+
     async def _whole_and_watch(self) -> None:
         with trio.fail_at(trio.current_time() + ANSWER_S) as silence:
             stream = await trio.open_tcp_stream(*self._address)
@@ -105,7 +113,7 @@
         for fault in self._destinations.faults:
             self._counters.bad_entries += 1
             if fault != self._said:  # the same entry comes with every list
-                logger.warning("discovery: {}", fault)
+                events.list_entry_left_out(fault=fault)
             self._said = fault
         # A move or a silence that cut in here would leave the addresses and the decisions two lists apart.
         with trio.CancelScope(shield=True):
--- a/glenfold/rules/__init__.py
+++ b/glenfold/rules/__init__.py
@@ -1,1 +1,1 @@
-"""What the parts around the core decide, without I/O, clock or global state."""
+"""What subsystems decide beside `linnetspread`: no I/O, no clock, no state of the program's own."""
