--- a/tests/daemon/test_takeover.py
+++ b/tests/daemon/test_takeover.py
@@ -228,6 +228,7 @@
         taken.close()
         await answered(made)
         assert not life.process.life.ending and copies(life.process.listeners[0]) == 1
+        life.keeper.place = made.place
         await (await made.next()).die()  # and the next one may take over
         await life.over.wait()
     play(tmp_path, script)
