--- a/glenfold/cli/fleet/roll.py
+++ b/glenfold/cli/fleet/roll.py
@@ -23,7 +23,10 @@
     """Check FILE, then restart one instance after the other by it.
 
     Each is to be ready, and service as it was before the roll, before the next is taken out. The roll goes on
-    whether this command waits or not. Status 1: it was refused, stopped or called off.
+    whether this command waits or not.
+
+    Exit status: 0 done (with --no-wait: begun), 1 it was refused, stopped or called off, 2 the words or the
+    file are at fault, 3 no supervisor answers.
     """
     if go_on + call_off + (most_out is not None) > 1:
         raise click.UsageError("--most-out, --continue and --call-off exclude each other")
--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -49,8 +49,8 @@
     """`read_again`: what the configuration says now, and the keys that wait for a restart; raises
     ConfigError. `listeners`: sockets that listen already; without them it listens at `config.listen`.
     `held`: it accepts nobody until `accept` is called, as another process still does.
-    `companions` run beside it until it has finished, and are cancelled then. `deadline_s`: from being told to
-    stop to its end, where the platform's does not hold.
+    `companions` run beside it until it has finished, and are cancelled then. `deadline_s`: from being told
+    to stop until it may be killed, where that is not what the platform promises.
 
     `accepts` is set once it takes clients. `handed_on`: another process serves under its name by now."""
 
--- a/glenfold/daemon/snapshot.py
+++ b/glenfold/daemon/snapshot.py
@@ -109,13 +109,13 @@
         self.taken, self.generation = snapshot, snapshot.generation
         self._known_at = self._on_disk_at = snapshot.heard_at
         self._saved_left = self._starts()
-        events.snapshot_taken(name=name, generation=snapshot.generation,
-                              age_s=round(self._wall() - snapshot.heard_at))
+        events.snapshot_taken(file=name, generation=snapshot.generation,
+                              age_s=self._wall() - snapshot.heard_at)
 
     def _refuse(self, name: str, refused: Refused) -> None:
         self._process.relay.counters.snapshots_refused += 1
         self._refused.append(refused.reason)
-        events.snapshot_refused(name=name, error=refused)
+        events.snapshot_refused(file=name, error=refused)
 
     # ---- what there is to write ----
 
@@ -219,7 +219,7 @@
     def _say(self, fault: str) -> None:
         """Once, until another fault comes or a snapshot is written."""
         if fault != self._fault:
-            events.snapshot_failed(fault=fault)
+            events.snapshot_waits(fault=fault)
         self._fault = fault
 
     def status(self) -> dict[str, Any]:
--- a/tests/daemon/test_takeover.py
+++ b/tests/daemon/test_takeover.py
@@ -198,8 +198,7 @@
     play(tmp_path, script)
 
 
-def test_when_the_old_one_dies_in_the_middle_clients_in_the_kernels_queue_are_taken_by_the_new(
-        tmp_path: Path) -> None:
+def test_clients_in_the_kernels_queue_are_taken_though_the_old_one_dies(tmp_path: Path) -> None:
     async def script(made: House, life: Life) -> None:
         taken = await made.take_over()
         life.process.pause(life.process.listeners)
@@ -336,8 +335,7 @@
 def test_a_real_process_killed_before_the_new_one_is_ready_leaves_the_other_serving(
         tmp_path: Path, killed: str) -> None:
     async def script(made: House, life: Life) -> None:
-        # Without a list it does not get ready.
-        relaying.write(tmp_path, name="cardiff-1", listen=made.wants[0])
+        relaying.write(tmp_path, name="cardiff-1", listen=made.wants[0])  # no list: it does not get ready
         words = [sys.executable, "-m", "benchmarks.takeover", "serve", str(tmp_path)]
         with subprocess.Popen(words, stderr=subprocess.PIPE, text=True) as process:
             assert process.stderr is not None
@@ -351,7 +349,7 @@
                     made.check()
                 else:
                     await life.die()
-                    assert await made.client() in (b"BUSY\r\n", b"ERR\r\n")  # it serves as well as it can
+                    assert (await made.client()).startswith(b"BUSY")  # it serves as well as it can
                     assert made.lost == []
             finally:
                 process.kill()
