--- a/tests/daemon/test_snapshot_model.py
+++ b/tests/daemon/test_snapshot_model.py
@@ -14,7 +14,7 @@
 import relaying
 import trio
 import trio.testing
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 from relaying import entry, whole
 from snapshot_disk import Died, Disk
@@ -98,6 +98,8 @@
             assert self.wall() - kept.taken.heard_at <= MOST_S
             assert min(abs(kept.taken.heard_at - at) for at in self.told_at) < 1e-3  # not made younger
         self.check(process)
+        if kept.taken is None:  # it knows nothing, so of nobody that it left
+            self.gone, self.said = {}, {}
         async with trio.open_nursery() as nursery:
             nursery.start_soon(kept.keep, process)
             for word, n in [("hear", 0), *steps] if steps else []:
@@ -146,6 +148,10 @@
 
 @settings(max_examples=250, deadline=None, derandomize=True,
           suppress_health_check=[HealthCheck.function_scoped_fixture])
+@example(lives=[
+    {"steps": [("leave out", 0)], "dies_at": 10, "hurt": 0, "pause_s": 0.0},  # before the second copy
+    {"steps": [], "dies_at": -1, "hurt": 2, "pause_s": 0.0},                  # which a start makes up for
+    {"steps": [], "dies_at": -1, "hurt": 0, "pause_s": 0.0}], seed=0)
 @given(lives=LIVES, seed=st.integers(0, 1 << 16))
 def test_no_server_known_to_have_left_comes_back(inline: None, conf: Any, lives: list[Any],
                                                  seed: int) -> None:
