--- a/glenfold/daemon/snapshot.py
+++ b/glenfold/daemon/snapshot.py
@@ -100,7 +100,7 @@
                 self._refuse(name, error if isinstance(error, Refused) else Refused("damaged", str(error)))
                 continue
             self._took(snapshot, name)
-            if len(whole) < 2 or whole[0][0].left != whole[1][0].left:
+            if len(whole) < 2 or not whole[0][0].says_as(whole[1][0]):
                 self._pace.changed(urgent=False)  # one damaged file must not bring back who left
             return told
         return None
