--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -3,10 +3,11 @@
     python -m benchmarks.fleet day|starts [--instances 20] [--seed 1] [--repeats 3] [--out FOLDER]
 
 `day`: start of all in the same second with discovery answering one at a time, a crowd that comes within two
-seconds, a roll of all by take-over with a reload of all in its middle, the supervisor killed in the middle of
-it and another one going on, a reload with a faulty file, a relay killed, one killed in the middle of its
-shutdown, and a new process killed before it was ready. Clients come all the while, at moments drawn ahead.
-Some 75 s. `starts`: from a process's start to its being ready, of one and of all at once.
+seconds and a relay killed in its middle, a roll of all by take-over with a reload of all in its middle, the
+supervisor killed in the middle of it and another one going on, a reload with a faulty file, a relay killed in
+the middle of its shutdown, and a new process killed before it was ready. Clients come all the while, at
+moments drawn ahead. Some 75 s.
+`starts`: from a process's start to its being ready, of one and of all at once.
 
 Prints JSON lines; `--out` keeps the result for `glenfold lab report`. Exit status 1 if a rule was broken, or
 a connect was refused or a connection lost in the roll.
@@ -28,7 +29,7 @@
 import trio
 
 from glenfold_lab import spec
-from glenfold_lab.observe import End, Final
+from glenfold_lab.observe import End, Final, Record
 from glenfold_lab.stands.daemons import NAME, Daemons
 from glenfold_lab.stands.fleet import Course, Crowds, Played, play_fleet
 from glenfold_lab.stands.moments import SECOND_US
@@ -36,7 +37,7 @@
 LENGTH_S = 62.0
 MASS_S = 2.0           # when the crowd comes
 ROLL_S = 6.0
-CROWD = 400
+CROWD = 1000
 ONE_S = 0.05           # that discovery takes for one whole list
 DEADLINE_S = 10.0      # that an old process has to end
 STAND_INS = 4          # processes
@@ -80,11 +81,12 @@
         await daemons.all_answer()
 
     async def goes(self, course: Course) -> None:
-        course.note("crowd")
+        await course.until_s(MASS_S + 1.0)
+        await self._kills(course, 0, draining=False)
+        await course.daemons.all_ready()
         await course.until_s(ROLL_S)
         await self._rolls(course)
         await self._reads_a_faulty_file(course)
-        await self._kills(course, 0, draining=False)
         await self._kills(course, 1, draining=True)
         await self._kills_a_successor(course, 2)
 
@@ -148,13 +150,15 @@
     return 1 << 30 if roll is None else len(roll["done"])
 
 
-def measure_day(world: spec.Scenario, seed: int, most_out: int, processes: int) -> tuple[Played, Figures]:
+def measure_day(world: spec.Scenario, seed: int, most_out: int, processes: int,
+                take_over: bool = True) -> tuple[Played, Figures]:
     """`world`: as `scenario` gives it."""
     day = Day(most_out)
+    restart = {"deadline_s": DEADLINE_S, "take_over": take_over}
     played = play_fleet(
         world, seed, day.begin, day.goes, processes=processes,
         crowds=Crowds(MASS_S, CROWD, ONE_S),
-        tables={"fleet": {**FLEET, "most_out": most_out}, "restart": {"deadline_s": DEADLINE_S}})
+        tables={"fleet": {**FLEET, "most_out": most_out}, "restart": restart})
     return played, told(played, day)
 
 
@@ -173,6 +177,7 @@
                  if not begun <= one[0] <= ended and not _down(day, one[1], one[0] - played.start)]
     return {
         "requests": result.figures["requests"], "answers": result.answers,
+        "unanswered_as_their_relay_was_killed": unanswered(played.records),
         "verdicts": rules, "verdicts_left_out": result.verdicts_left_out,
         "roll_s": round((day.roll[1] - day.roll[0]) / SECOND_US, 1), "most_out": day.most_out,
         "refused_connects_in_roll": len(in_roll), "reset_before_answer_in_roll": len(cut),
@@ -190,6 +195,13 @@
         "cpu_s": spread([one.cpu_s for one in played.usage.values()])}
 
 
+def unanswered(records: Sequence[Record]) -> int:
+    """Requests taken that had no final answer and whose clients did not leave. The checker excuses those of a
+    relay that died, and no others."""
+    over = {values[1] for name, values in records if name in ("answered", "left")}
+    return sum(name == "taken" and values[1] not in over for name, values in records)
+
+
 def _down(day: Day, relay: int, at: int) -> bool:
     return any(killed == relay and since <= at <= until for killed, since, until in day.down)
 
@@ -263,15 +275,17 @@
 @click.option("--repeats", type=click.IntRange(1, 20), default=3, show_default=True, help="Of starts.")
 @click.option("--processes", type=click.IntRange(0, 16), default=STAND_INS, show_default=True,
               help="Of stand-ins.")
+@click.option("--take-over/--no-take-over", default=True, show_default=True,
+              help="Without, a roll stops an instance before it starts the next: what that costs.")
 @click.option("--out", type=click.Path(file_okay=False, path_type=Path))
 def main(what: str, instances: int, seed: int, most_out: int, repeats: int, processes: int,
-         out: Path | None) -> None:
+         take_over: bool, out: Path | None) -> None:
     if what == "starts":
         for count, one_s, times in (
                 (1, 0.0, 5 * repeats), (instances, 0.0, repeats), (instances, ONE_S, repeats)):
             click.echo(json.dumps(measure_starts(count, seed, one_s, times)))
         return
-    played, figures = measure_day(scenario(instances, LENGTH_S), seed, most_out, processes)
+    played, figures = measure_day(scenario(instances, LENGTH_S), seed, most_out, processes, take_over)
     click.echo(json.dumps({"instances": instances, "seed": seed} | figures))
     for verdict in played.result.verdicts[:MOST_SHOWN]:
         click.echo(f"{verdict.rule} at {verdict.at_us / SECOND_US:.3f} s: " + "; ".join(verdict.evidence))
