Judge cold starts on sockets that follow an end at once

There the list tells of the planned start, and the end before it is seen a moment later. So no relay seemed to have been told, and rule cold judged nothing. Within the slack of sockets it counts as told now.

--- a/benchmarks/cold_fleet.py
+++ b/benchmarks/cold_fleet.py
@@ -23,6 +23,7 @@
 from glenfold_lab.model import world
 from glenfold_lab.results import RunResult
 from glenfold_lab.spec import Scenario
+from glenfold_lab.stands.judge import SLACK_US
 from glenfold_lab.stands.run import play_on_sockets, scaled
 
 FILES = Path(__file__).parent / "fleet"
@@ -31,7 +32,7 @@
 
 
 def measure(where: str, day: Scenario, seed: int) -> tuple[RunResult, tuple[ColdLife, ...]]:
-    work = ColdWork(day.rules)
+    work = ColdWork(day.rules, 0 if where == "model" else SLACK_US)
     if where == "model":
         return world.play(day, seed, watchers=[work]), work.lives()
     return play_on_sockets(day, seed, bad_per_s=0.0, watchers=[work]), work.lives()
--- a/glenfold_lab/checker/cold.py
+++ b/glenfold_lab/checker/cold.py
@@ -59,10 +59,18 @@
         return share * climbed + (1 - share) * climbed * climbed / length / 2 + age - climbed
 
 
+def told_after(ended: int, slack_us: int) -> int:
+    """A relay that was told of a start after this was told of one after the server's end. On sockets a start
+    that follows at once is told by its planned moment, which may be before that at which the end was seen."""
+    return max(0, ended - slack_us)
+
+
 class Cold(Watcher):
     """told_start: when a server last started, as a relay was told (`Drain.told_start`)."""
 
-    def __init__(self, rules: Rules, told_start: Callable[[int, int], int], found: Verdicts) -> None:
+    def __init__(self, rules: Rules, slack_us: int, told_start: Callable[[int, int], int],
+                 found: Verdicts) -> None:
+        self._slack = slack_us
         self._cold_us = round(rules.cold_s * 1e6)
         self._span_us = round(rules.fall_s * 1e6)
         self._multiple = rules.fall_multiple
@@ -73,7 +81,8 @@
 
     def server_started(self, at: int, server: int, capacity: Capacity, cold: bool) -> None:
         if cold:
-            self._cold[server] = ColdServer(at, self._ended.get(server, 0), capacity)
+            before = told_after(self._ended.get(server, 0), self._slack)
+            self._cold[server] = ColdServer(at, before, capacity)
 
     def server_ended(self, at: int, server: int) -> None:
         self._ended[server] = at  # if only its network was cut it comes back as cold as it went
--- a/glenfold_lab/cold_work.py
+++ b/glenfold_lab/cold_work.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from glenfold_lab.checker.cold import ColdServer, beyond_chance
+from glenfold_lab.checker.cold import ColdServer, beyond_chance, told_after
 from glenfold_lab.observe import Capacity, Told, Watcher
 from glenfold_lab.spec import Rules
 
@@ -43,9 +43,10 @@
 
 
 class ColdWork(Watcher):
-    """Every cold start of a history, in their order."""
+    """Every cold start of a history, in their order. slack_us: as the checker's."""
 
-    def __init__(self, rules: Rules) -> None:
+    def __init__(self, rules: Rules, slack_us: int = 0) -> None:
+        self._slack = slack_us
         self._cold_us = round(rules.cold_s * 1e6)
         self._span_us = round(rules.fall_s * 1e6)
         self._multiple = rules.fall_multiple
@@ -56,7 +57,8 @@
 
     def server_started(self, at: int, server: int, capacity: Capacity, cold: bool) -> None:
         if cold:
-            life = self._now[server] = _Life(ColdServer(at, self._ended.get(server, 0), capacity))
+            before = told_after(self._ended.get(server, 0), self._slack)
+            life = self._now[server] = _Life(ColdServer(at, before, capacity))
             self._lives.append((server, life))
 
     def server_ended(self, at: int, server: int) -> None:
--- a/tests/glenfold_lab/test_checker.py
+++ b/tests/glenfold_lab/test_checker.py
@@ -219,6 +219,15 @@
     assert judge([*world(), *start, *early, *late], 0) == {"cold": 1}
 
 
+@pytest.mark.parametrize(("slack", "broken"), [(0, {}), (50_000, {"cold": 1})])
+def test_on_sockets_a_start_counts_as_told_though_the_end_before_it_was_seen_late(slack, broken):
+    """The planned start is told; the end just before it is seen 1 ms after that, as the process woke late."""
+    start = [("server_ended", (10 * S + 1000, OLD)), ("server_started", (10 * S + 1500, OLD, CAPACITY, True)),
+             *(("told", (10 * S + 2000, relay, OLD, Told.READY, 10 * S)) for relay in (0, 1))]
+    crowd = [record for n in range(40) for record in request(7000 + n, 11 * S, 0, OLD)]
+    assert judge([*world(), *start, *crowd], slack) == broken
+
+
 NUMBERS = st.integers(0, 4) | st.integers(0, 2**32)
 NAMED = {"capacity": st.just(CAPACITY), "cold": st.booleans(), "state": st.sampled_from(Told),
          "how": st.integers(0, 5).map(Over), "final": st.sampled_from(Final), "server": NUMBERS,
