--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -196,9 +196,10 @@
 
 
 def unanswered(records: Sequence[Record]) -> int:
-    """Requests taken that had no final answer and whose clients did not leave. The checker excuses those of a
-    relay that died, and no others."""
-    over = {values[1] for name, values in records if name in ("answered", "left")}
+    """Requests taken whose connections ended without an answer, and whose clients did not leave before. The
+    checker excuses those of a relay that died, and no others."""
+    over = {values[1] for name, values in records
+            if name == "left" or name == "answered" and values[2] != Final.CLOSED}
     return sum(name == "taken" and values[1] not in over for name, values in records)
 
 
