--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,6 +1,6 @@
 """Whole fleets of real processes on loopback under clients, judged by the lab's checker.
 
-The day of `benchmarks.fleet` with its twenty instances is played here with three of them and a tenth of the
+The day of `benchmarks.fleet` with its twenty instances is played here with three of them and fewer
 clients. Nothing here waits for a moment: what comes next begins when an instance or the supervisor says that
 it is so far.
 """
