--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -69,6 +69,14 @@
         listener.close()
 
 
+async def up(stream: trio.SocketStream, more: bytes = b"") -> None:
+    """A push server that accepts, and sends one line back."""
+    await read_line(stream)
+    await stream.send_all(b"UP r1\r\n" + more)
+    await stream.send_all(await read_line(stream))
+    await stream.receive_some()
+
+
 @asynccontextmanager
 async def instance(folder: Path) -> AsyncIterator[Process]:
     """It does not run; it can't read its configuration again where there is a file `faulty`."""
