--- a/glenfold/cli/fleet/up.py
+++ b/glenfold/cli/fleet/up.py
@@ -19,6 +19,9 @@
     """Supervise the instances of FILE: start them, or take over those that run, until `fleet down`.
 
     SIGTERM and SIGINT end the supervisor alone, and the relays serve on; SIGHUP is `fleet reload`.
+
+    Exit status: 0 the fleet went down or the supervisor was told to end, 1 another supervisor runs or the
+    machine refused something, 2 the words or the file are at fault.
     """
     logs.begin(logs.Terms(), "supervisor")
     try:
--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -49,8 +49,8 @@
     """`read_again`: what the configuration says now, and the keys that wait for a restart; raises
     ConfigError. `listeners`: sockets that listen already; without them it listens at `config.listen`.
     `held`: it accepts nobody until `accept` is called, as another process still does.
-    `companions` run beside it until it has finished, and are cancelled then. `deadline_s`: from being told to
-    stop to its end, where the platform's does not hold.
+    `companions` run beside it until it has finished, and are cancelled then. `deadline_s`: from being told
+    to stop until it may be killed, where that is not what the platform promises.
 
     `accepts` is set once it takes clients. `handed_on`: another process serves under its name by now."""
 
@@ -70,9 +70,9 @@
         self._held = held
         self.accepts = trio.Event()
         self.handed_on = False
-        self._deadline_s = deadline_s
         self._read_again = read_again
         self._companions = companions
+        self._deadline_s = deadline_s
         self._told_to_stop = trio.Event()
         self.life.watches.append(
             lambda before, now: events.life_changed(before=before.value, state=now.value))
