--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -70,9 +70,9 @@
         self._held = held
         self.accepts = trio.Event()
         self.handed_on = False
+        self._deadline_s = deadline_s
         self._read_again = read_again
         self._companions = companions
-        self._deadline_s = deadline_s
         self._told_to_stop = trio.Event()
         self.life.watches.append(
             lambda before, now: events.life_changed(before=before.value, state=now.value))
@@ -228,7 +228,8 @@
 
 async def _until_moves(leaving: Leaving, relay: Relay) -> None:
     began, worked_s = trio.current_time(), time.process_time()
-    while (now := trio.current_time()) < (begin := leaving.moves_from(len(relay.standing))):
+    while (relay.standing or relay.unanswered) and (
+            (now := trio.current_time()) < (begin := leaving.moves_from(len(relay.standing)))):
         await trio.sleep_until(min(begin, now + LOOK_S))
         leaving.busy((time.process_time() - worked_s) / (trio.current_time() - began))
 
