--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from typing import Any
 
 import trio
 
@@ -74,6 +75,7 @@
         self._read_again = read_again
         self._companions = companions
         self._told_to_stop = trio.Event()
+        self._signalled_at: float | None = None  # by the monotonic clock
         self.life.watches.append(
             lambda before, now: events.life_changed(before=before.value, state=now.value))
 
@@ -94,7 +96,7 @@
             for companion in self._companions:
                 nursery.start_soon(companion, self)
             await self._told_to_stop.wait()
-            leaving = Leaving(trio.current_time(), self.relay.config.settings, self._deadline_s)
+            leaving = Leaving(self._told_at(), self.relay.config.settings, self._deadline_s)
             self.life.to(State.DRAINING)
             if self._accepting:
                 await last_arrivals(leaving, self.inbound)
@@ -163,6 +165,24 @@
                 if not scope.cancel_called:  # closed just as a client arrived
                     raise
 
+    def note_moment(self, *numbers: int) -> None:
+        """Of these signals, which trio receives already: a loop with many lines to pass comes to heed one
+        up to a second later, but the kill comes by the signal's own moment."""
+        for number in numbers:
+            signal.signal(number, self._noting(signal.getsignal(number)))
+
+    def _noting(self, before: Any) -> Callable[[int, Any], None]:
+        def note(number: int, frame: Any) -> None:
+            if self._signalled_at is None:
+                self._signalled_at = time.monotonic()
+            before(number, frame)
+
+        return note
+
+    def _told_at(self) -> float:
+        ago_s = 0.0 if self._signalled_at is None else time.monotonic() - self._signalled_at
+        return trio.current_time() - ago_s
+
     def stop(self) -> None:
         self._told_to_stop.set()
 
@@ -201,6 +221,7 @@
 async def last_arrivals(leaving: Leaving, inbound: Inbound) -> None:
     while trio.current_time() < (until := leaving.arrivals_until(inbound.last_arrival)):
         await trio.sleep_until(until)
+        leaving.came_back(trio.current_time(), until)
 
 
 async def finish_taken(leaving: Leaving, relay: Relay) -> None:
@@ -230,7 +251,8 @@
     began, worked_s = trio.current_time(), time.process_time()
     while (relay.standing or relay.unanswered) and (
             (now := trio.current_time()) < (begin := leaving.moves_from(len(relay.standing)))):
-        await trio.sleep_until(min(begin, now + LOOK_S))
+        await trio.sleep_until(look := min(begin, now + LOOK_S))
+        leaving.came_back(trio.current_time(), look)
         leaving.busy((time.process_time() - worked_s) / (trio.current_time() - began))
 
 
@@ -255,12 +277,13 @@
                 continue
             if not _tell(passage, relay, step.sweep):
                 asked.add(passage)
-                nursery.start_soon(_move, passage, relay)
+                nursery.start_soon(_move, passage, relay, leaving.leave_at)
         await trio.sleep_until(step.again_at)
 
 
-async def _move(passage: Passage, relay: Relay) -> None:
-    await passage.move()
+async def _move(passage: Passage, relay: Relay, until: float) -> None:
+    """Not given up sooner: a turn of the loop may take as long as a move usually may."""
+    await passage.move(until)
     if passage.moved:
         relay.standing.pop(passage, None)
 
@@ -275,6 +298,7 @@
     }
     # To the very end: SIGHUP would end a relay that has stopped listening to it.
     with trio.open_signal_receiver(*by_signal) as signals:
+        process.note_moment(signal.SIGTERM, signal.SIGINT)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(heed, signals, by_signal)
             await process.run()
--- a/glenfold/rules/snapshots.py
+++ b/glenfold/rules/snapshots.py
@@ -90,6 +90,10 @@
     document: Any
     left: Any
 
+    def says_as(self, other: "Snapshot") -> bool:
+        """Of the servers, and of who left."""
+        return bool(self.document == other.document and self.left == other.left)
+
     def check_age(self, now: float, most_s: float) -> None:
         """Raises Refused."""
         age_s = now - self.heard_at
