--- a/tests/daemon/supervising.py
+++ b/tests/daemon/supervising.py
@@ -1,10 +1,11 @@
 """A supervisor of fake instances, in this process or, as a script, in one of its own: FOLDER NAMES."""
 
+import functools
 import json
 import os
 import signal
 import sys
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import Any
@@ -59,6 +60,20 @@
     raise AssertionError(f"it never came to be: {json.dumps(status)}")
 
 
+async def until(what: Callable[[], bool]) -> None:
+    with trio.fail_after(10):
+        while not what():
+            await trio.sleep(0.02)
+
+
+def in_trio(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
+    @functools.wraps(test)
+    def run(**fixtures: Any) -> None:
+        trio.run(functools.partial(test, **fixtures))
+
+    return run
+
+
 def phases(status: dict[str, Any]) -> dict[str, str]:
     return {one["name"]: one["phase"] for one in status["instances"]}
 
