--- /dev/null
+++ b/tests/daemon/test_run.py
@@ -0,0 +1,142 @@
+"""`glenfold run` and those who ask it, with real processes on loopback."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+import relaying
+
+from glenfold.daemon.run import Exit
+
+ROOT = Path(__file__).parents[2]
+FILE = """format = 1
+[instance]
+name = "a"
+folder = "state"
+[listeners]
+addresses = ["127.0.0.1:{port}"]
+[list]
+discovery = "127.0.0.1:9"
+known = "known.json"
+[restart]
+deadline_s = 3.7
+take_over = {take_over}
+[[settings.classes]]
+name = "watch"
+"""
+
+
+class House:
+    """One operators' file, and the processes that were started with it."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.started: list[subprocess.Popen[bytes]] = []
+        self.file = folder / "glenfold.toml"
+        with socket.create_server(("127.0.0.1", 0)) as sock:
+            self.port = sock.getsockname()[1]
+        (folder / "known.json").write_text('{"seq": 1, "whole": true, "hosts": []}')
+        self.write()
+
+    def write(self, take_over: str = "true") -> None:
+        self.file.write_text(FILE.format(port=self.port, take_over=take_over))
+
+    def start(self, **how: Any) -> subprocess.Popen[bytes]:
+        environment = {name: value for name, value in os.environ.items() if not name.startswith("LB_")}
+        self.started.append(subprocess.Popen(
+            [sys.executable, "-m", "glenfold", "run", self.file], cwd=ROOT, env=environment,
+            **{"stderr": (self.folder / "log").open("ab"), **how}))
+        return self.started[-1]
+
+    def say(self, *words: str) -> tuple[int, dict[str, object]]:
+        done = subprocess.run([sys.executable, "-m", "glenfold", *words, self.file, "--json"], cwd=ROOT,
+                              capture_output=True, text=True, timeout=30)
+        told = json.loads(done.stdout)["instances"][0] if done.stdout else {"said": done.stderr}
+        return done.returncode, told
+
+    def until_ready(self, process: subprocess.Popen[bytes]) -> subprocess.Popen[bytes]:
+        by, told = time.monotonic() + 20, {}
+        while told.get("pid") != process.pid or told.get("state") != "ready":
+            assert time.monotonic() < by, f"{told}\n{(self.folder / 'log').read_text()}"
+            _, told = self.say("status")
+        return process
+
+
+@pytest.fixture
+def house(tmp_path: Path) -> Iterator[House]:
+    made = House(tmp_path)
+    yield made
+    for process in made.started:
+        process.kill()
+        process.wait()
+
+
+def test_an_instance_from_its_start_by_take_over_to_its_drain(house: House) -> None:
+    assert house.say("status")[0] == 3
+    first = house.until_ready(house.start())
+    process = house.start()
+    assert first.wait(20) == Exit.FINISHED
+    house.until_ready(process)
+    assert house.say("status")[0] == 0
+    assert house.say("reload") == (0, {"instance": "a", "pid": process.pid, "waits": []})
+    house.write(take_over="false")
+    assert house.say("reload")[1]["waits"] == ["restart"]
+    house.file.write_text("format = 1\nnonsense")
+    assert house.say("reload")[0] == 2
+    house.write()
+    assert house.say("drain", "--wait")[0] == 0
+    assert process.wait(1) == Exit.FINISHED
+    assert house.say("drain")[0] == 3
+
+
+def test_it_says_by_its_status_what_was_wrong(house: House) -> None:
+    house.write(take_over="false")
+    first = house.until_ready(house.start())
+    assert house.start().wait(20) == Exit.RUNS
+    first.kill()
+    first.wait()
+    with socket.create_server(("127.0.0.1", house.port)):
+        assert house.start().wait(20) == Exit.NO_LISTENER  # but the lock has died with its process
+    house.file.write_text("format = 1\n")
+    assert house.start().wait(20) == Exit.FILE
+
+
+def test_a_reload_by_signal_and_the_managers_word(house: House, monkeypatch: pytest.MonkeyPatch) -> None:
+    name = str(house.folder / "notify")
+    with socket.socket(socket.AF_UNIX, socket.SOCK_DGRAM) as manager:
+        manager.bind(name)
+        manager.settimeout(20)
+        monkeypatch.setenv("NOTIFY_SOCKET", name)
+        process = house.start()
+        words = ["READY=1", "RELOADING=1", "READY=1", "STOPPING=1"]
+        heard: list[str] = []
+        while "STOPPING=1" not in heard:
+            heard.append(manager.recv(4096).decode().split("\n")[0])
+            if heard[-1] == "READY=1":
+                process.send_signal(signal.SIGTERM if "RELOADING=1" in heard else signal.SIGHUP)
+        assert [word for word in heard if word in words] == words
+    assert process.wait(20) == Exit.FINISHED
+
+
+@pytest.mark.parametrize("log", ["is read by nobody", "has lost its reader", "is closed"])
+def test_it_serves_and_ends_whatever_becomes_of_its_log(house: House, log: str) -> None:
+    close = (lambda: os.close(2)) if log == "is closed" else None
+    with relaying.full_pipe() as (reader, writer, _):
+        if log == "has lost its reader":
+            reader.close()
+        process = house.until_ready(house.start(stderr=writer, preexec_fn=close))
+        for _ in range(200):
+            process.send_signal(signal.SIGUSR1)  # a line to log
+            with socket.create_connection(("127.0.0.1", house.port), 5) as sock:
+                sock.sendall(b"PING\r\n")
+                assert sock.recv(100).startswith(b"PONG")
+        process.send_signal(signal.SIGTERM)
+        assert process.wait(20) == Exit.FINISHED
