Spread the fleet's calls of discovery and resume watches, so that an overbooked one answers

Relays go on sending to servers that left: about 600 attempts end without a connection.

Checked: 16 of the 40 watches opened within 30 ms at the start were served, 24 broke off after 2.0 s: the service takes about 0.125 s for each call and works on those that nobody waits for any more. Two calls for each relay (whole list, then watch), again 0.25 s after each fault, are four times what it can do, for good. Ruled out: the agent itself (it answers 503 at once), the length of the list, our 2 s limit alone (with 6 s and backoff but without a spread nobody is told either: 0 of 24).

At fault: Discovery.follow and _whole_and_watch, with a fixed wait, no jitter and a whole list after each fault.

Change: a watch goes on from the version known, also after a restart; the whole list only where that will not do. Waits come from Backoff (rules/), which spreads the calls of a fleet over a tenth of a second a relay where the list must be asked for. A 5xx is a busy service, not a bad list. Each event with what the decisions did can be traced (LB_LOG_LEVELS), and benchmarks/vast/count.py counts over a fleet.

--- /dev/null
+++ b/benchmarks/vast/count.py
@@ -0,0 +1,132 @@
+"""Counts over a whole fleet, from the logs of all its relays together: what came in and what became of it.
+
+    LB_LOG_LEVELS=decision.traced=debug ...            in the environment of each relay
+    python benchmarks/vast/count.py LOGS [--step 1] [--servers]
+
+LOGS is a folder with one file a relay. A line begins with the seconds of the day, or with the time of day;
+what stands between that and the event's own text does not matter.
+"""
+
+import argparse
+import re
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+EVENT = re.compile(r"DEBUG (\w+)\((.*?)\) -> (.*)$")
+FIELD = re.compile(r"(\w+)=(?:<\w+\.(\w+): \d+>|([^,()]+))")
+ATTEMPT = re.compile(r"Attempt\(request=(\d+), server=(\d+)")
+FINAL = re.compile(r"(Refuse|Fail|Move)\(request=(\d+)")
+NOTE = re.compile(r"INFO server (\d+) (suspect|jams)")
+COLUMNS = ("new", "back", "mid", "try", "up", "full", "no conn", "time-out", "reset", "refused", "gone",
+           "dropped", "mid lost", "moved", "suspect", "jams", "lists", "no list")
+OUTCOMES = {"FULL": "full", "CONNECT_FAILED": "no conn", "TIMEOUT": "time-out", "RESET": "reset",
+            "ERROR": "reset", "CANCELLED": "gone"}
+
+
+@dataclass
+class Tally:
+    """By second of the day, and by server."""
+
+    by_time: defaultdict[int, Counter[str]] = field(default_factory=lambda: defaultdict(Counter))
+    by_server: defaultdict[int, Counter[str]] = field(default_factory=lambda: defaultdict(Counter))
+
+    def add(self, at: float, what: str, server: int | None = None) -> None:
+        self.by_time[int(at)][what] += 1
+        if server is not None:
+            self.by_server[server][what] += 1
+
+
+def seconds(word: str) -> float:
+    parts = [float(part) for part in word.split(":")]
+    return sum(part * 60 ** power for power, part in enumerate(reversed(parts)))
+
+
+class Relay:
+    """One relay's log; a process that starts anew counts its requests anew."""
+
+    def __init__(self, tally: Tally) -> None:
+        self._tally = tally
+        self._begin()
+
+    def _begin(self) -> None:
+        self._mid: set[str] = set()
+        self._up: set[str] = set()
+
+    def take(self, line: str) -> None:
+        word, _, text = line.partition(" ")
+        if not word[:1].isdigit():
+            return
+        at = seconds(word)
+        if "life: starting" in text:
+            self._begin()
+        elif found := NOTE.search(text):
+            self._tally.add(at, found[2], int(found[1]))
+        elif "discovery: " in text:
+            self._tally.add(at, "no list")
+        elif found := EVENT.search(text):
+            fields = {name: enum or plain for name, enum, plain in FIELD.findall(found[2])}
+            self._event(at, found[1], fields)
+            self._actions(at, found[3])
+
+    def _event(self, at: float, name: str, fields: dict[str, str]) -> None:
+        request, server = fields.get("request", ""), int(fields.get("server", 0))
+        if name == "Request":
+            mid, back = fields["mid_flow"] == "True", fields["returning"] == "True"
+            self._mid |= {request} if mid else set()
+            self._tally.add(at, "mid" if mid else "back" if back else "new")
+        elif name == "ServerList":
+            self._tally.add(at, "lists")
+        elif name == "Established":
+            self._up.add(request)
+            self._tally.add(at, "up", server)
+        elif name == "Answer":
+            outcome = fields["outcome"]
+            if request in self._up:
+                self._up.discard(request)
+                if outcome in ("RESET", "ERROR", "TIMEOUT"):
+                    self._tally.add(at, "dropped", server)
+            elif outcome in OUTCOMES:
+                lost = outcome == "RESET" and request in self._mid and fields["attempt"] == "0"
+                self._tally.add(at, "mid lost" if lost else OUTCOMES[outcome], server)
+
+    def _actions(self, at: float, text: str) -> None:
+        for _, server in ATTEMPT.findall(text):
+            self._tally.add(at, "try", int(server))
+        for what, _ in FINAL.findall(text):
+            self._tally.add(at, "moved" if what == "Move" else "refused")
+
+
+def count(logs: Iterable[Iterable[str]]) -> Tally:
+    tally = Tally()
+    for log in logs:
+        relay = Relay(tally)
+        for line in log:
+            relay.take(line)
+    return tally
+
+
+def table(head: str, rows: Iterable[tuple[int, Counter[str]]]) -> Iterator[str]:
+    yield f"{head:>12}" + "".join(f"{name:>9}" for name in COLUMNS)
+    for key, counts in rows:
+        yield f"{key:12}" + "".join(f"{counts[name] or '.':>9}" for name in COLUMNS)
+
+
+def main() -> None:
+    arguments = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
+    arguments.add_argument("logs", type=Path)
+    arguments.add_argument("--step", type=int, default=1, help="seconds to a row")
+    arguments.add_argument("--servers", action="store_true", help="a row for each server, too")
+    told = arguments.parse_args()
+    tally = count(path.read_text(errors="replace").splitlines() for path in sorted(told.logs.iterdir()))
+    by_step: defaultdict[int, Counter[str]] = defaultdict(Counter)
+    for at, counts in tally.by_time.items():
+        by_step[at // told.step * told.step] += counts
+    print(*table("second", sorted(by_step.items())), sep="\n")
+    if told.servers:
+        print(*table("server", sorted(tally.by_server.items(), key=lambda row: -row[1]["try"])), sep="\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/glenfold/daemon/platform.py
+++ b/glenfold/daemon/platform.py
@@ -1,6 +1,7 @@
-"""The platform's relay: told by LB_CONFIG and by signals."""
+"""The platform's relay: told by LB_CONFIG and by signals; LB_LOG_LEVELS says what else it logs."""
 
 import os
+from collections.abc import Mapping
 
 import trio
 
@@ -13,9 +14,21 @@
     await run_by_signals(Process(config, lambda current: read_again(os.environ, current)))
 
 
+def log_levels(environment: Mapping[str, str]) -> dict[str, str]:
+    """From `name=level` pairs, with commas between. Raises ConfigError."""
+    pairs = [pair for pair in environment.get("LB_LOG_LEVELS", "").split(",") if pair]
+    levels = {name.strip(): level.strip() for name, _, level in (pair.partition("=") for pair in pairs)}
+    try:
+        logs.Terms(levels=levels)
+    except ValueError as error:
+        raise ConfigError("LB_LOG_LEVELS", str(error)) from error
+    return levels
+
+
 def main() -> int:
     logs.begin(logs.Terms())
     try:
+        logs.take_terms(logs.Terms(levels=log_levels(os.environ)))
         trio.run(serve, read_config(os.environ))
         return 0
     except ConfigError as error:
--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -29,7 +29,9 @@
 from glenfold.net.inbound import BACKLOG, Inbound, Relay
 from glenfold.net.passing import Passage
 from glenfold.net.sockets import SocketType
+from linnetspread import interface as i
 
+CALLS_PER_S = 10.0  # that all relays together may ask of one discovery, where each call costs it time
 LOOK_S = 0.1  # between two looks at how many connections stand, before their clients move
 
 ReadAgain = Callable[[Config], tuple[Config, list[str]]]
@@ -64,7 +66,8 @@
         self.life = Life()
         self.relay = Relay(config, clock, decisions, destinations, counters)
         self.inbound = Inbound(self.relay)
-        self.discovery = Discovery(config.discovery, destinations, decisions.tell, counters)
+        self.discovery = Discovery(config.discovery, destinations, decisions.tell, counters,
+                                   calls_spread_s(config.settings), config.seed)
         self.listeners: list[SocketType] = [trio.socket.from_stdlib_socket(s) for s in listeners]
         self._accepting: dict[SocketType, trio.CancelScope] = {}
         self._nursery: trio.Nursery | None = None
@@ -210,6 +213,12 @@
         return Reloaded(waits=tuple(waiting))
 
 
+def calls_spread_s(settings: i.Settings) -> float:
+    """Where the list must be asked for, one service answers all relays in turn: those who wait too long there
+    have asked in vain, yet cost it as much, so a fleet that asks at once may be told nothing for good."""
+    return settings.gateways / CALLS_PER_S if settings.ask_for_list else 0.0
+
+
 async def _listen(address: tuple[str, int]) -> SocketType:
     listener = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/glenfold/dispatch.py
+++ b/glenfold/dispatch.py
@@ -11,14 +11,22 @@
 from linnetspread import interface as i
 
 RequestAction = i.Attempt | i.Refuse | i.Fail | i.Cancel | i.Move
+Trace = Callable[[i.Event, list[i.Action]], object]
+
+
+def _untraced(event: i.Event, actions: list[i.Action]) -> None:
+    pass
 
 
 class Dispatch:
-    """`log` takes what the decisions want to have logged. All moments are in microseconds, on one clock."""
+    """`log` takes what the decisions want to have logged, `trace` each event with what they did on it. All
+    moments are in microseconds, on one clock."""
 
-    def __init__(self, settings: i.Settings, seed: int, log: Callable[[str], object]) -> None:
+    def __init__(self, settings: i.Settings, seed: int, log: Callable[[str], object],
+                 trace: Trace = _untraced) -> None:
         self.balancer = Balancer(settings, seed)
         self._log = log
+        self._trace = trace
         self._timers: list[tuple[int, int]] = []  # when, token
 
     @property
@@ -39,6 +47,7 @@
             events.decision_failed(on=event, error=error)
             # Nor may the request wait for a decision that will not come; if it needs none, this does nothing.
             actions = [i.Fail(event.request)] if isinstance(event, i.Request | i.Answer) else []
+        self._trace(event, actions)
         on_requests: list[RequestAction] = []
         for action in actions:
             match action:
--- a/glenfold/events.py
+++ b/glenfold/events.py
@@ -132,6 +132,11 @@
     """The decisions tell what they have found out about a server."""
 
 
+@event("decision.traced", "debug", "{on} -> {did}", rate=(1000.0, 10_000))
+def decision_traced(*, on: object, did: Sequence[object]) -> None:
+    """Every event that the decisions take in, and the actions that they answer it with."""
+
+
 @event("decision.failed", "error", "the decisions failed on {on}", trace=True)
 def decision_failed(*, on: object, error: Exception) -> None:
     """A fault of the relay's own in the decisions; the request that it happened on fails, others go on."""
--- a/glenfold/net/discovery.py
+++ b/glenfold/net/discovery.py
@@ -1,7 +1,8 @@
-"""Discovery: the whole list, then a watch on it, again and again."""
+"""Discovery: a watch that goes on from the version known, and the whole list where that will not do."""
 
 import json
 import math
+import random
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import h11
@@ -11,46 +12,68 @@
 from glenfold.config import Address
 from glenfold.counters import Counters
 from glenfold.destinations import BadList, DestinationSet
+from glenfold.rules.backoff import Backoff
 from linnetspread import interface as i
 
 LONGEST_SILENCE_S = 4.0  # a watch sends a line at least every 2 s
-ANSWER_S = 2.0           # the agent answers at once, or is down
-AGAIN_S = 0.25
+ANSWER_S = 6.0           # an agent that has to ask for all relays in turn answers after some seconds
+AGAIN_S = 0.25           # before a call after a fault
+MOST_TIMES = 4.0         # of that and of the spread, after several faults in a row
 LONGEST_LINE = 4 << 20
-FAULTS = (OSError, trio.TooSlowError, trio.BrokenResourceError, h11.ProtocolError)
+
+
+class Unavailable(Exception):
+    """Discovery can't answer just now."""
+
+
+FAULTS = (OSError, trio.TooSlowError, trio.BrokenResourceError, h11.ProtocolError, Unavailable)
 
 ListHeard = Callable[[i.ServerList], Awaitable[None]]
 
 
 class Discovery:
+    """`spread_s`: the span over which all relays together spread their calls, at their start and after
+    faults; 0 where a call costs nobody else anything. `seed`: of the moments in it, another at each relay."""
+
     def __init__(self, address: Address, destinations: DestinationSet, heard: ListHeard,
-                 counters: Counters) -> None:
+                 counters: Counters, spread_s: float = 0.0, seed: int = 0) -> None:
         self._address = address
         self._destinations = destinations
         self._heard = heard
         self._counters = counters
+        self._backoff = Backoff(AGAIN_S, spread_s, MOST_TIMES, random.Random(seed))
         self._scope = trio.CancelScope()
         self._said = ""
+        self._resumes = False  # a watch may go on from the version known
         self.heard_at = -math.inf  # when the agent last said that what is known holds
 
     def move_to(self, address: Address) -> None:
         """From now on discovery is there; what was heard so far holds until it says otherwise."""
         if address != self._address:
             self._address = address
+            self._resumes = False  # it may count its versions otherwise
             self._scope.cancel()
 
     async def follow(self) -> None:
-        """Whatever ends a watch, the next one starts from a whole list: a change may have been missed."""
+        """Each call costs discovery, and after a fault of its own all relays make one: a watch that broke off
+        goes on from the version known. Only an agent that has not spoken yet, or that sent what is no list,
+        is asked for the whole list first."""
+        self._resumes = self._destinations.listed
+        if self._resumes:  # with a list to go by it can wait for its turn
+            await trio.sleep_until(trio.current_time() + self._backoff.first_s())
         while True:
             with trio.CancelScope() as self._scope:
                 try:
-                    await self._whole_and_watch()
-                except (*FAULTS, BadList) as error:
+                    await self._watch()
+                except BadList as error:
+                    self._resumes = False
+                    self._tell(error)
+                except FAULTS as error:
                     self._tell(error)
-                await trio.sleep_until(trio.current_time() + AGAIN_S)
+                await trio.sleep_until(trio.current_time() + self._backoff.again_s())
 
     def _tell(self, error: Exception) -> None:
-        """An agent that is down fails alike four times a second."""
+        """An agent that is down fails alike each time."""
         said, self._said = self._said, repr(error)
         if self._said == said:
             return
@@ -59,17 +82,19 @@
         else:
             events.discovery_failed(error=error)
 
-    async def _whole_and_watch(self) -> None:
+    async def _watch(self) -> None:
         with trio.fail_at(trio.current_time() + ANSWER_S) as silence:
             stream = await trio.open_tcp_stream(*self._address)
             async with stream:
                 connection = h11.Connection(h11.CLIENT)
-                body = b"".join([part async for part in self._get(connection, stream, "/v1/servers")])
-                version = await self._take(body)
-                self.heard_at = trio.current_time()
-                connection.start_next_cycle()
+                if not self._resumes:
+                    body = b"".join([part async for part in self._get(connection, stream, "/v1/servers")])
+                    await self._take(body)
+                    self.heard_at = trio.current_time()
+                    connection.start_next_cycle()
                 line = b""
-                async for part in self._get(connection, stream, f"/v1/servers?watch=1&from={version}"):
+                target = f"/v1/servers?watch=1&from={self._destinations.version}"
+                async for part in self._get(connection, stream, target):
                     # A watch that says nothing, not even that nothing changed, is dead though TCP is not.
                     silence.deadline = trio.current_time() + LONGEST_SILENCE_S
                     *lines, line = (line + part).split(b"\n")
@@ -78,6 +103,8 @@
                     for change in filter(bytes.strip, lines):
                         await self._take(change)
                     self.heard_at = trio.current_time()
+                    self._resumes = True
+                    self._backoff.worked()
 
     async def _get(self, connection: h11.Connection, stream: trio.SocketStream,
                    target: str) -> AsyncIterator[bytes]:
@@ -91,6 +118,8 @@
             if event is h11.NEED_DATA:
                 connection.receive_data(await stream.receive_some())
             elif isinstance(event, h11.Response):
+                if event.status_code >= 500:
+                    raise Unavailable(f"{target} answers {event.status_code}")
                 if event.status_code != 200:
                     raise BadList(f"{target} answers {event.status_code}")
             elif isinstance(event, h11.Data):
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -15,7 +15,9 @@
 from relaying import full_pipe
 
 from glenfold import events, logs
+from glenfold.config import ConfigError
 from glenfold.daemon import fleet_events  # noqa: F401  # the page lists them, too
+from glenfold.daemon.platform import log_levels
 from glenfold.rules.rate import RateLimit
 from linnetspread.interface import Outcome
 
@@ -214,3 +216,12 @@
         name: (event.level, ", ".join(f"`{field}`" for field in event.fields),
                "" if event.own_rate is None else f"1 in {1 / event.own_rate[0]:g} s")
         for name, event in logs.EVENTS.items()}
+
+
+def test_the_environment_sets_levels_on_the_platform():
+    assert log_levels({"LB_LOG_LEVELS": "decision.traced=debug,client=warning"}) == {
+        "decision.traced": "debug", "client": "warning"}
+    assert log_levels({}) == {}
+    for bad in ("decision.traced", "client=loud"):
+        with pytest.raises(ConfigError, match="LB_LOG_LEVELS.*none of debug"):
+            log_levels({"LB_LOG_LEVELS": bad})
