Place by servers' power, and spill by the number of connections a relay holds, not their load

Checked: one relay of forty holds some 12 connections, about one a server, and loads differ tenfold: by load, one heavy client makes its server a crowd to this relay, so that the next of its group goes elsewhere.

At fault: Balancer._buckets, by listed cores though the kinds' speed is known; _well, by load.

--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -25,7 +25,7 @@
 MOST_BUCKETS = 256     # for one server
 FURTHER = 3            # seeds after the first
 CORE_SPEED = {"small-fast": 2.0, "mid-steady": 1.2, "mid-slow": 0.8}  # as the operators state it; else 1
-SPILL = 1.25           # a server over this multiple of its part of the load here, and one more, is crowded
+SPILL = 1.25           # a server over this multiple of its part of what is held here, and one, is crowded
 REGROWTH = 0.02        # of its slice that a jammed server gets back in a second
 CROWD = 3              # set-ups under way here beside one that tells of its server's delay
 PART_MOVED = 8         # of a server's connections, at a time, where no notes tell that it is jammed
@@ -120,7 +120,6 @@
     weight: float             # as listed, in cores
     power: float              # of these at their kind's speed
     holds: "dict[int, Held]" = field(default_factory=dict)  # attempts out and connections, by request
-    load: float = 0.0         # of these
     strikes: int = 0          # failures since the last success
     shun_until: int = 0
     rest_until: int = 0       # nothing new: it refused as full, or its messages take long
@@ -162,7 +161,7 @@
         self.anchor: Anchor | None = None
         self.version = 0
         self.servers: dict[int, Server] = {}
-        self.ready_power = self.ready_load = 0.0
+        self.ready_power = 0.0
         self.busy = 0             # servers at which this gateway holds anything
         self.fleet = Slice()      # mean over those: the best guess for a server it knows nothing of
         self.held: dict[int, Held] = {}
@@ -237,7 +236,6 @@
             if number not in self.anchor.buckets_of:
                 self.anchor.add(number, self._buckets(number))
         self.ready_power = sum(self.servers[number].power for number in ready)
-        self.ready_load = sum(self.servers[number].load for number in ready)
 
     def _weight(self, line: i.ListedServer) -> float:
         return max(line.weight, 0.0) or 1.0 if self.s.weighted else 1.0
@@ -247,7 +245,7 @@
         return self._weight(line) * CORE_SPEED.get(kind, 1.0)
 
     def _buckets(self, number: int) -> int:
-        return min(MOST_BUCKETS, max(1, round(BUCKETS_PER_UNIT * self.servers[number].weight)))
+        return min(MOST_BUCKETS, max(1, round(BUCKETS_PER_UNIT * self.servers[number].power)))
 
     def _forget(self, known: Server) -> None:
         """A fleet that is replaced again and again must not fill the memory with servers of the past."""
@@ -279,21 +277,14 @@
         held.server = known
         self.busy += not known.holds
         known.holds[held.event.request] = held
-        self._add_load(known, held.load)
 
     def _take_off(self, held: Held, known: Server) -> None:
         held.server = None
         del known.holds[held.event.request]
         self.setting_up.discard(held.event.request)
         self.busy -= not known.holds
-        self._add_load(known, -held.load)
         self._forget(known)
 
-    def _add_load(self, known: Server, load: float) -> None:
-        known.load += load
-        if known.ready:
-            self.ready_load += load
-
     def _tenant(self, held: Held) -> int:
         return min(held.event.tenant, len(self.by_tenant) - 1)
 
@@ -379,10 +370,10 @@
 
     def _well(self, held: Held, known: Server) -> bool:
         """Neither resting nor shunned, nor over its part of what this gateway holds. Messages may take long
-        long before anything is refused, and not every wire tells that they do: its load must show it."""
-        fair = self.ready_load / (self.ready_power or 1.0) * known.power
-        return self.now >= max(known.rest_until, known.shun_until) and (
-            known.load <= SPILL * fair + held.load)
+        long before anything is refused, and not every wire tells that they do. Loads differ tenfold: by them
+        a gateway with few connections would take one heavy client for a crowd, and scatter groups."""
+        fair = len(self.held) / (self.ready_power or 1.0) * known.power
+        return self.now >= max(known.rest_until, known.shun_until) and len(known.holds) <= SPILL * fair + 1
 
     def _slice(self, known: Server) -> float:
         """A server that this gateway has never seen at work is taken to be as full as those it has."""
@@ -523,7 +514,6 @@
         if held is None or held.server is None or held.server.listed.server != event.server:
             return
         if event.kind is i.NoticeKind.LOAD:
-            self._add_load(held.server, event.amount - held.load)
             held.load = event.amount
             index = min(held.event.request_class, len(self.mean_load) - 1)
             mean = self.mean_load[index] or event.amount
--- a/tests/test_many_gateways.py
+++ b/tests/test_many_gateways.py
@@ -271,3 +271,23 @@
     fleet.wait(21 * SECOND)
     late = sum(fleet.ask(key)[2] == 100 for key in range(101, 201))
     assert early == 0 and late > 30
+
+
+def test_one_heavy_client_is_no_crowd_but_many_clients_are():
+    gateway = Gateway(servers=14, gateways=40)
+    home = gateway.balancer.anchor.lookup(7, SEEDS[0])
+    heavy = gateway.open(1, group=7)
+    gateway.note(heavy, NoticeKind.LOAD, 500_000.0)
+    assert gateway.where[heavy] == home
+    assert gateway.where[gateway.open(2, group=7)] == home  # its group stays together
+    for key in range(3, 20):
+        gateway.open(key, group=7)
+    assert {gateway.where[number] for number in range(1, 20)} > {home}
+
+
+@pytest.mark.parametrize("gateways", COUNTS)
+def test_keys_follow_what_servers_can_do(gateways):
+    fleet = Fleet(gateways, servers=0, kinds=("small-fast", "mid-slow"), weighted=True)
+    fleet.servers(*(listed(100 + n, weight=(2.0, 3.0)[n % 2], kind=n % 2) for n in range(10)))
+    fast = [fleet.open(key)[2] % 2 == 0 for key in range(1, 2_001)]
+    assert 0.55 < sum(fast) / len(fast) < 0.7  # two cores at 2.0 against three at 0.8
