Tell refused clients waits that differ, by the relay's own seed

Need: every refused client was told to come again after 1 s, so those refused together by forty relays came back together.

At fault: Balancer._answer_finally, one wait for all. Now it is drawn evenly between a third and the whole of what clients heed, around the same mean of 1 s.

--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -477,7 +477,9 @@
         kind = self._class(held)
         harmless = held.risky is None or kind.semantics is i.Semantics.REPEATABLE or (
             kind.semantics is i.Semantics.BY_KEY and kind.scope is i.DedupScope.ALL)
-        wait = min(self.s.max_retry_after_us, 1_000_000) if self.s.may_retry_after else 0
+        # Those refused together must not come back together.
+        mean = min(self.s.max_retry_after_us * 2 // 3, 1_000_000) if self.s.may_retry_after else 0
+        wait = mean // 2 + self.random.randrange(mean + 1)
         self.out.append(i.Refuse(held.event.request, wait) if harmless else i.Fail(held.event.request))
         self._end(held.event.request)
 
--- a/tests/test_many_gateways.py
+++ b/tests/test_many_gateways.py
@@ -6,7 +6,7 @@
 from driver import SECOND, Gateway, listed, moves, sends
 
 from linnetspread.choice import SEEDS, Anchor
-from linnetspread.interface import ListKind, NoticeKind, Outcome, Request, ServerState, Tenant
+from linnetspread.interface import ListKind, NoticeKind, Outcome, Refuse, Request, ServerState, Tenant
 
 COUNTS = [1, 3, 200]
 LIFE_S, RATE = 30, 20.0  # of all clients: connections last so long, so many new ones come a second
@@ -326,3 +326,11 @@
     for key in range(1, 20):
         gateway.open(key, mid_flow=True)
     assert gateway.balancer.sharers == 40
+
+
+def test_refused_clients_of_many_gateways_do_not_come_back_together():
+    fleet = Fleet(40, servers=0, may_retry_after=True, max_retry_after_us=1_500_000)
+    waits = sorted(action.retry_after_us for gateway in fleet.gateways for action in gateway.ask()[1]
+                   if isinstance(action, Refuse))
+    assert len(waits) == 40 and waits[0] >= 500_000 and waits[-1] <= 1_500_000
+    assert max(sum(at <= other < at + 100_000 for other in waits) for at in waits) <= 4 + 2 * 3
