--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -46,7 +46,7 @@
 
 
 class Anchor:
-    """AnchorHash, Algorithm 3; a server owns a number of buckets that its own listed weight decides."""
+    """AnchorHash, Algorithm 3; a server owns a number of buckets that its own power decides."""
 
     def __init__(self, servers: list[tuple[int, int]]) -> None:
         self._build(servers, CAPACITY)
