Test discovery's half lines and faulty entries on a watch, and sums over 1, 2, 40 and 200 relays

Need: what discovery sends wrongly must cost no other entry and bring no server back now that a watch resumes; what must add up over relays was tested at 1, 3 and 200 only.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,7 +1,6 @@
 """How a relay goes on after a fault of discovery, on loopback sockets with a clock that jumps."""
 
 import json
-from collections.abc import Callable
 from pathlib import Path
 
 import pytest
@@ -11,7 +10,7 @@
 from relaying import entry, read_line, whole
 
 from glenfold.counters import Counters
-from glenfold.destinations import DestinationSet
+from glenfold.destinations import DestinationSet, server_number
 from glenfold.net.discovery import Discovery
 from linnetspread import interface as i
 
@@ -56,12 +55,14 @@
 
 
 def follow(tmp_path: Path, agent: Scripted, known: bool = False, spread_s: float = 0.0,
-           then: Callable[[Discovery], None] = lambda discovery: None) -> list[int]:
-    """Follows it until its script is used up; the versions heard."""
+           told: list[i.ServerList] | None = None) -> list[int]:
+    """Follows it until its script is used up; the versions heard. `told` takes the lists themselves."""
     heard: list[int] = []
 
     async def hear(servers: i.ServerList) -> None:
         heard.append(destinations.version)
+        if told is not None:
+            told.append(servers)
 
     destinations = DestinationSet(relaying.config(tmp_path).names)
     if known:
@@ -126,3 +127,22 @@
     agent.answer = slow  # type: ignore[method-assign]
     follow(tmp_path, agent, known=True)
     assert len(asked) == 1
+
+
+def test_half_a_line_is_not_taken_and_asked_for_again(tmp_path: Path) -> None:
+    half = OK + b'Transfer-Encoding: chunked\r\n\r\na\r\n{"seq":43,\r\n0\r\n\r\n'
+    agent = Scripted(change(41), half, change(43))
+    assert follow(tmp_path, agent, known=True) == [41, 43]
+    assert [target for _, target in agent.asked][:3] == [WATCH % 40, WATCH % 41, WATCH % 41]
+
+
+def test_an_entry_with_a_fault_costs_no_other_and_brings_nobody_back(tmp_path: Path) -> None:
+    gone = json.dumps(whole(entry("s-1") | {"health": "terminated"}, seq=42) | {"whole": False})
+    mixed = json.dumps(whole(entry("s-3") | {"health": "?"}, entry("s-2"), seq=43) | {"whole": False})
+    late = json.dumps(whole(entry("s-1"), seq=41))  # a whole list from before it left
+    agent = Scripted(change(41), *(OK + b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\n\r\n" % (
+        len(line) + 1, line.encode()) for line in (gone, mixed, late)))
+    told: list[i.ServerList] = []
+    follow(tmp_path, agent, known=True, told=told)
+    states = {line.server: line.state for servers in told for line in servers.servers}
+    assert states == {server_number("s-1"): i.ServerState.DRAINING, server_number("s-2"): i.ServerState.READY}
--- a/tests/test_many_gateways.py
+++ b/tests/test_many_gateways.py
@@ -1,4 +1,4 @@
-"""What must add up over all gateways, with one, three and two hundred of them and the same traffic."""
+"""What must add up over all gateways, with one, two, forty and two hundred of them and the same traffic."""
 
 import random
 
@@ -8,7 +8,7 @@
 from linnetspread.choice import SEEDS, Anchor
 from linnetspread.interface import ListKind, NoticeKind, Outcome, Refuse, Request, ServerState, Tenant
 
-COUNTS = [1, 3, 200]
+COUNTS = [1, 2, 40, 200]
 LIFE_S, RATE = 30, 20.0  # of all clients: connections last so long, so many new ones come a second
 
 
