--- a/glenfold/daemon/platform.py
+++ b/glenfold/daemon/platform.py
@@ -28,7 +28,8 @@
 def main() -> int:
     logs.begin(logs.Terms())
     try:
-        logs.take_terms(logs.Terms(levels=log_levels(os.environ)))
+        if levels := log_levels(os.environ):
+            logs.take_terms(logs.Terms(levels=levels))
         trio.run(serve, read_config(os.environ))
         return 0
     except ConfigError as error:
--- a/glenfold/net/discovery.py
+++ b/glenfold/net/discovery.py
@@ -90,6 +90,7 @@
                 if not self._resumes:
                     body = b"".join([part async for part in self._get(connection, stream, "/v1/servers")])
                     await self._take(body)
+                    self._resumes = True
                     self.heard_at = trio.current_time()
                     connection.start_next_cycle()
                 line = b""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -87,6 +87,12 @@
     assert [target for _, target in agent.asked] == [WHOLE, WATCH % 41, WATCH % 42, WATCH % 43]
 
 
+def test_a_watch_that_never_began_costs_no_second_whole_list(tmp_path: Path) -> None:
+    agent = Scripted(whole_list(), busy(), change(42))
+    assert follow(tmp_path, agent) == [41, 42]
+    assert [target for _, target in agent.asked][:3] == [WHOLE, WATCH % 41, WATCH % 41]
+
+
 def test_a_restarted_relay_asks_only_for_what_changed_since_its_own_list(tmp_path: Path) -> None:
     agent = Scripted(change(41))
     assert follow(tmp_path, agent, known=True) == [41]
