Refuse names in LB_LOG_LEVELS that fit no event

Need: bad input gets a clear error that names the key; a misspelt event was ignored without a word. Nothing else changes, and nothing at all where the variable is not set.

--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -225,3 +225,5 @@
     for bad in ("decision.traced", "client=loud"):
         with pytest.raises(ConfigError, match="LB_LOG_LEVELS.*none of debug"):
             log_levels({"LB_LOG_LEVELS": bad})
+    with pytest.raises(ConfigError, match="LB_LOG_LEVELS: clint is no event"):
+        log_levels({"LB_LOG_LEVELS": "clint=debug"})
