Stand large groups on several servers where each relay sees little of them

One server was sent 258 connections, others 1 to 4. There are 65 groups of 14 to 205 clients, and 180 relays with some ten connections each. Logs of the fullest: "server jams: it keeps a smaller slice of its keys" at 37 relays, from drops alone.

Cause: `_choices` gives every client of a group one home (`_key`). A relay of two notices when a group outgrows a server and spills; one of 180 holds one client of it, so none does, and their sum is 200 at one server.

Ruled out: refusals (0.02 of requests), failed calls (6 of 3,357), discovery (push mode, one list).

Change: where a relay holds less than one connection of each server even at the schemes' shares, a group has five homes, by a jump hash of its clients' keys, so any relay finds a connection; a second client of it at one relay tells of a large group: 20, then 40. Settings decide, so all relays agree.

--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -24,6 +24,7 @@
 BUCKETS_PER_UNIT = 16  # of listed weight: fine enough that shares follow the weights
 MOST_BUCKETS = 256     # for one server
 FURTHER = 3            # seeds after the first
+HOMES = 5, 20, 40      # of a group in a sparse fleet: for the first of it here, the second, any further
 CORE_SPEED = {"small-fast": 2.0, "mid-steady": 1.2, "mid-slow": 0.8}  # as the operators state it; else 1
 SPILL = 1.25           # a server over this multiple of its part of what is held here, and one, is crowded
 REGROWTH = 0.02        # of its slice that a jammed server gets back in a second
@@ -40,6 +41,15 @@
     return value ^ (value >> 31)
 
 
+def part_of(key: int, parts: int) -> int:
+    """Jump consistent hash: with more parts, each key stays in its own or goes to one of the new."""
+    part, further = 0, 0
+    while further < parts:
+        part, key = further, mix(key)
+        further = int((part + 1) / ((key + 1) / (MASK + 1)))
+    return part
+
+
 def place_in(server: int, value: int) -> float:
     """Where a key or group stands in a server's slices: from 0 to 1, evenly, and elsewhere at each server."""
     return mix(mix(value ^ SEEDS[2]) ^ server) / (MASK + 1)
@@ -165,6 +175,8 @@
         self.full_power = 0.0     # the most that was ever ready
         self.present_power = 0.0  # of what is ready, cold servers by what they can do for certain
         self.look_at = 0          # when the latter has grown enough to be counted again
+        self.most_ready = 0       # servers
+        self.sparse = False       # even at the schemes' shares a gateway holds less than one of each server's
         self.began = 0
         self.sharers = float(settings.gateways)  # that are alive, as the clients they leave tell
         self.busy = 0             # servers at which this gateway holds anything
@@ -243,6 +255,8 @@
                 self.anchor.add(number, self._buckets(number))
         self.ready_power = sum(self.servers[number].power for number in ready)
         self.full_power = max(self.full_power, self.ready_power)
+        self.most_ready = max(self.most_ready, len(ready))
+        self.sparse = self.s.gateways * self.most_ready > sum(self.quotas) > 0
         self._look()
 
     def _look(self) -> None:
@@ -372,6 +386,10 @@
         key = self._key(event)
         if self.anchor is None or not self.anchor.N:
             return
+        if event.group and self.sparse:
+            here = sum(held.event.group == key for held in self.held.values()) - 1  # few: the fleet is sparse
+            parts = HOMES[0 if event.mid_flow else min(here, len(HOMES) - 1)]
+            key ^= mix(part_of(key ^ event.key, parts))
         home = self.servers[self.anchor.lookup(key, SEEDS[0]) or 0]
         # A client comes back because its server broke or jams, and here nobody may know: the list is late.
         if not event.returning or any(held.established for held in home.holds.values()):
