Count cold budgets by the servers that were there at first, and correct the figures

Change: the rate is shared among the servers that were there before any started, and the latest start counts; the test reads an old list last. Counting them in the longest list was tried: long lists stand cut short in a log (12 of 62).

--- a/benchmarks/vast/count.py
+++ b/benchmarks/vast/count.py
@@ -105,7 +105,8 @@
             if found[1] == "ServerList":
                 for server, started_us in LISTED.findall(text):
                     if int(started_us):
-                        self._tally.started[int(server)] = int(started_us) / 1e6 % DAY_S
+                        latest = max(self._tally.started.get(int(server), 0.0), int(started_us) / 1e6 % DAY_S)
+                        self._tally.started[int(server)] = latest
             self._event(at, found[1], fields)
             self._actions(at, moment, found[3])
 
@@ -175,7 +176,8 @@
         print(*table("server", sorted(tally.by_server.items(), key=lambda row: -row[1]["try"])), sep="\n")
     print("refused by class:", dict(tally.refused))
     if told.cold:
-        cold = Cold(told.rate, max(1, len(tally.by_server)))
+        # As many as were there before any started; long lists stand cut short in a log.
+        cold = Cold(told.rate, max(1, len(tally.by_server.keys() - tally.started.keys())))
         print("".join(f"{name:>12}" for name in ("cold server", "tries", "in a window", "budget", "of it")))
         rows = [(server, len(tally.tries[server]), *cold.fullest(started, tally.tries[server]))
                 for server, started in tally.started.items()]
--- a/tests/test_vast_count.py
+++ b/tests/test_vast_count.py
@@ -55,6 +55,7 @@
            " -> Attempt(request={n}, server=7, timeout_us=9)")
     relays = [[listed, *(ask.format(at=at, n=n) for n, at in enumerate(times))]
               for times in ((1.0, 2.0, 9.0), (1.5, 3.9, 4.0), (30.0,))]
+    relays[2].append(listed.replace(str(started_us), str(started_us - 9_000_000)))  # an old list, read last
     relays[2].append("31 17:00:31.000 DEBUG Timer(token=0) -> Refuse(request=0, retry_after_us=0)")
     tally = count.count(relays)
     cold = count.Cold(rate=10.0, servers=10, share=0.1, cold_s=20.0, multiple=3.0, window_s=3.0)
