Take connections that stood before with a wait beyond any, which were refused as malformed

Ruled out: the list (it was there: the servers' names were known), the connect time-out, the start's order.

At fault: parse_open in glenfold/lines.py refused any d over 60 s. A connection that stood before has no deadline, and its d is 2 ** 32 us then. The same line refused a class that waits longer than 60 s, whatever the settings said.

Change: the wait of a line with at= is cut to the longest one; that follows from the settings' classes, and is 60 s where none is longer. Lines without at= that wait longer than any class are refused as before.

--- a/glenfold/lines.py
+++ b/glenfold/lines.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 MAX_LINE = 4096
-MOST_WAIT_MS = 60_000  # what stood before has 40 s to come up; a timer for longer is a bad client's
+MOST_WAIT_MS = 60_000  # what stood before has 40 s to come up; where no class waits longer, nobody does
 MOST_LOAD = 1e9        # a thousand standard cores
 END = b"\r\n"
 
@@ -87,8 +87,9 @@
         raise Malformed("a number is not one") from error
 
 
-def parse_open(data: bytearray, end: int) -> OpenLine:
-    """`OPEN ID KEY NAME=VALUE,...`; names that mean nothing here go on unchanged."""
+def parse_open(data: bytearray, end: int, most_wait_ms: int = MOST_WAIT_MS) -> OpenLine:
+    """`OPEN ID KEY NAME=VALUE,...`; names that mean nothing here go on unchanged. A connection that stood
+    before has no deadline, and may say so with a wait beyond any."""
     last = end - len(END)
     view = memoryview(data)[:end]
     id_at = data.find(b" ", 0, last) + 1
@@ -115,7 +116,9 @@
         raise Malformed("a first line lacks its class or its deadline")
     key = _number(bytes(view[key_at:figures_at - 1]), 16)
     wait_ms = _number(figures[b"d"], 10)
-    if not 0 < wait_ms <= MOST_WAIT_MS:
+    if b"at" in figures:
+        wait_ms = min(wait_ms, most_wait_ms)
+    if not 0 < wait_ms <= most_wait_ms:
         raise Malformed("nobody waits for so long, or for no time")
     return OpenLine(view, bytes(view[id_at:key_at - 1]), key, wait_ms, wait_at, figures)
 
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -47,6 +47,8 @@
         self._relay = relay
         self._names = relay.config.names
         self._counters = relay.counters
+        self._most_wait_ms = max(lines.MOST_WAIT_MS, *(
+            kind.deadline_us // 1000 for kind in relay.config.settings.classes))
         self._waiting: dict[SocketType, trio.CancelScope] = {}  # without a whole first line, oldest first
         self._taken = 0      # with one: two sides each
         self._refusing = 0
@@ -183,7 +185,7 @@
             await send(sock, lines.PONG)
 
     def _exchange(self, sock: SocketType, buffer: lines.LineBuffer, end: int) -> "Exchange":
-        first = lines.parse_open(buffer.data, end)
+        first = lines.parse_open(buffer.data, end, self._most_wait_ms)
         exchange = Exchange(self._relay, sock, first, self._event(first), buffer.after(end),
                             self._standing_at(first))
         if exchange.goes_on:  # its client need not wait, and it may not be over yet where it was
