--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -225,7 +225,8 @@
 
     async def client(shared: Relay, port: int) -> None:
         streams = [await trio.open_tcp_stream("127.0.0.1", port) for _ in range(2)]
-        for stream, wait, word in zip(streams, (b"90000", b"90001"), (b"UP r1\r\n", lines.FAILED), strict=True):
+        waits = (b"90000", b"UP r1\r\n"), (b"90001", lines.FAILED)
+        for stream, (wait, word) in zip(streams, waits, strict=True):
             await stream.send_all(OPEN.replace(b"2000", wait))
             assert await read_line(stream) == word
 
