Look once more before a line is sent on, and lose nothing to ends that cross a receipt

Found by reading each path that ends something, then forced on sockets (tests/test_crossings.py):

- net/outbound.py wrote the line right after connect, whatever had happened meanwhile: a client's end that the loop had not come to (it lags, or both became known in one turn) was sent on, and so was a request whose server had begun to drain.
Now the client's socket is asked for its end (poll, also behind unread bytes) and the list for the server, with no turn of the loop before the first byte.
In mid flow half of the grace is kept.
- _watch_client stopped for good at 4 KiB of early bytes: the end of a client in mid flow or with at= that sent more was seen at its deadline only.
It is looked for every 0.1 s from there.
- _watch_client runs on for two turns, or while the decisions' queue is full, after a receipt went out: what a client said right after UP was read there and dropped.
It is kept, as was done for connections that go on.
- A client's end in the inbox behind its receipt was taken by _move_when_told, which dropped the reports that follow: the decisions counted that connection for ever.
They are told.
- An eviction, or the end of the 2 s, on a first line that is whole in the kernel answered ERR: one read more.
- passing._upward used up a server's reset, so that the client saw an orderly end (known weak point): kept for the other direction, which learns of it a turn later.
- The counter left also counted deadlines and clients that spoke, each a second time; it now means what it says, and left_unsent those whom only the last look saw.

Ruled out: two calls out at once (DropCall closes before the next), answers after the deadline, a full inbox.

--- a/glenfold/counters.py
+++ b/glenfold/counters.py
@@ -18,6 +18,7 @@
     answered_busy: int = 0
     answered_failed: int = 0
     left: int = 0            # clients that went before their answer
+    left_unsent: int = 0     # of these, seen to have left only once a call for them had connected
     moved: int = 0           # clients of standing connections that were told to move
     moved_late: int = 0      # of these at the end of this relay, all at once, as there was no time for each
     not_moved: int = 0       # of standing connections that this relay cut off without MOVE
--- a/glenfold/destinations.py
+++ b/glenfold/destinations.py
@@ -88,6 +88,9 @@
     def address(self, server: int) -> Address | None:
         return self._known[server].address if server in self._known else None
 
+    def ready(self, server: int) -> bool:
+        return server in self._known and self._known[server].line.state is i.ServerState.READY
+
     def numbered(self, host: str) -> int | None:
         known = self._known.get(server_number(host))
         return known.line.server if known is not None and known.host == host else None
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -14,14 +14,15 @@
 from glenfold.counters import Counters
 from glenfold.decisions import Closed, Decisions, Taken
 from glenfold.destinations import DestinationSet
-from glenfold.net.outbound import OutboundCall
+from glenfold.net.outbound import OutboundCall, Unsent
 from glenfold.net.passing import Passage
-from glenfold.net.sockets import SocketType, finish, send, without_delay
+from glenfold.net.sockets import SocketType, finish, hung_up, receive_now, send, without_delay
 from linnetspread import interface as i
 
 BACKLOG = 1024
 INBOX = 16             # incidents of one request
 FIRST_LINE_S = 2.0     # from the accept to a whole first line, PING included; 3 s are promised
+LOOK_S = 0.1           # between two looks for the end of a client of whom no more is read before its answer
 PARTING_S = 0.3        # for a client to take an answer before its connection closes
 PARTING_BYTES = 1 << 16  # read from it meanwhile: one that floods must not cost more
 OUT_OF_SOCKETS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -128,6 +129,9 @@
             with scope:
                 end = await self._first_line(sock, buffer)
             self._waiting.pop(sock, None)
+            if scope.cancelled_caught:  # its line may have come just as it was given up
+                buffer.wrote(receive_now(sock, buffer.room()))
+                end = buffer.line_end()
             if end is None:
                 if scope.cancelled_caught:
                     self._counters.silent_clients += 1
@@ -279,6 +283,7 @@
                 incident: r.Incident = r.DeadlinePassed()
                 with trio.move_on_at(self._relay.clock.to_trio(self._deadline_us)):
                     incident = await self._receive.receive()
+                self._relay.counters.left += isinstance(incident, r.ClientGone)
                 effects = self._state.on(incident, self._relay.clock.now_us())
                 await self._carry_out(effects, nursery)
                 if isinstance(incident, r.CallUp) and self._state.phase is r.Phase.STANDING:
@@ -308,7 +313,6 @@
                     counters.answered_failed += 1
                     await self._answer(lines.FAILED)
                 case r.Report(event):
-                    counters.left += isinstance(event, i.ClientLeft)
                     await self._relay.decisions.tell(event)
                 case r.MoveClient():
                     pass  # only a standing connection is moved, and that one has its own task
@@ -320,27 +324,44 @@
             events.client_unanswered(request=self._state.number, error=error)
 
     async def _watch_client(self) -> None:
-        """A client that goes before its answer is not worth a call, nor is one that does not wait for it;
-        of a connection that goes on here, what it sends early is kept."""
+        """A client that goes before its answer is not worth a call, nor is one that does not wait for it.
+        What it sends is kept: a connection that goes on here may send early, and any other when it has its
+        answer, which it may have before this task is told to stop."""
         while len(self._early) < lines.MAX_LINE:
             try:
                 data = await self._sock.recv(lines.MAX_LINE)
             except OSError:
                 data = b""
+            self._early += data
             if not data:
-                await self._send.send(r.ClientGone())
-                return
+                return await self._send.send(r.ClientGone())
             if not self.goes_on:
-                await self._send.send(r.ClientSpoke())
-                return
-            self._early += data
+                return await self._send.send(r.ClientSpoke())
+        while not hung_up(self._sock):  # no more is read before it is up: its end stands behind that
+            await trio.sleep_until(trio.current_time() + LOOK_S)
+        await self._send.send(r.ClientGone())
+
+    def _last_look(self, server: int, drained_after: float) -> Unsent | None:
+        """drained_after: the server was ready then, as far as the decisions knew."""
+        if hung_up(self._sock):
+            self._relay.counters.left_unsent += 1
+            return r.ClientGone()
+        if self._stands_at is not None or self._relay.destinations.ready(server):
+            return None
+        # What is new it would turn away; a connection in mid flow goes on there, as long as it may be sent.
+        grace_s = self._relay.config.settings.drain_grace_us / 2 / SECOND_US
+        if self.goes_on and trio.current_time() < drained_after + grace_s:
+            return None
+        return r.CallEnded(i.Outcome.CONNECT_FAILED)
 
     def _new_call(self, server: int, deadline_us: int) -> OutboundCall | None:
         address = self._relay.destinations.address(server)
         if address is None:
             return None
-        connect_by = trio.current_time() + self._relay.config.settings.connect_timeout_us / SECOND_US
-        return OutboundCall(address, self._first, connect_by, self._relay.clock.to_trio(deadline_us))
+        now = trio.current_time()
+        connect_by = now + self._relay.config.settings.connect_timeout_us / SECOND_US
+        return OutboundCall(address, self._first, connect_by, self._relay.clock.to_trio(deadline_us),
+                            lambda: self._last_look(server, now))
 
     async def _outbound(self, call: OutboundCall | None) -> None:
         """A server that has just left the list has no address: the same as one that can't be reached."""
@@ -378,3 +399,5 @@
             for effect in self._state.on(incident, self._relay.clock.now_us()):
                 if isinstance(effect, r.MoveClient):
                     await passage.move()
+                elif isinstance(effect, r.Report):  # its end had been seen while it came up
+                    await self._relay.decisions.tell(effect.event)
--- a/glenfold/net/outbound.py
+++ b/glenfold/net/outbound.py
@@ -2,6 +2,7 @@
 
 import math
 import socket
+from collections.abc import Callable
 
 import trio
 
@@ -9,9 +10,10 @@
 from glenfold.config import Address
 from glenfold.lines import END, LineBuffer, Malformed, OpenLine
 from glenfold.net.sockets import KernelTimes, SocketType, kernel_times, send_pieces, without_delay
-from glenfold.request import CallEnded, CallUp
+from glenfold.request import CallEnded, CallUp, ClientGone
 from linnetspread.interface import Outcome
 
+Unsent = CallEnded | ClientGone
 LEAST_STALL_S = 0.01  # below it the kernel's figures, in milliseconds and ticks, say nothing
 
 
@@ -23,11 +25,16 @@
 
 
 class OutboundCall:
-    def __init__(self, address: Address, first: OpenLine, connect_by: float, deadline: float) -> None:
+    """`last_look`: why the line must not be sent any more, if so. A connection may be long in coming up, and
+    the loop in telling it: by then the client may have left, and the server be about to go."""
+
+    def __init__(self, address: Address, first: OpenLine, connect_by: float, deadline: float,
+                 last_look: Callable[[], Unsent | None]) -> None:
         self.address = address
         self.first = first
         self.connect_by = min(connect_by, deadline)
         self.deadline = deadline
+        self._last_look = last_look
         self.sock: SocketType | None = None
         self._scope = trio.CancelScope()
         self._begun_at = self._written_at = trio.current_time()
@@ -38,9 +45,9 @@
         if self.sock is not None:
             self.sock.close()
 
-    async def run(self) -> CallUp | CallEnded:
+    async def run(self) -> CallUp | Unsent:
         """Closed before it returns, unless it came up: the next call may begin right away."""
-        ended = CallEnded(Outcome.CANCELLED)
+        ended: Unsent = CallEnded(Outcome.CANCELLED)
         with self._scope:
             result = await self._call()
             if isinstance(result, CallUp):
@@ -50,12 +57,14 @@
             self.sock.close()
         return ended
 
-    async def _call(self) -> CallUp | CallEnded:
+    async def _call(self) -> CallUp | Unsent:
         try:
             sock = self.sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             without_delay(sock)
             with trio.fail_at(self.connect_by):
                 await sock.connect(self.address)
+            if (unsent := self._last_look()) is not None:  # no turn of the loop before the first byte
+                return unsent
             with trio.fail_at(self.deadline):
                 left = self.deadline - trio.current_time()
                 await send_pieces(sock, self.first.with_wait(math.ceil(left * 1000)))
--- a/glenfold/net/passing.py
+++ b/glenfold/net/passing.py
@@ -1,5 +1,6 @@
 """A standing connection: lines pass both ways unchanged, and an end on one side is an end on the other."""
 
+import errno
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -33,6 +34,7 @@
         self._writing = trio.Lock()             # held while the client is sent something
         self._move_left = MOVE                  # what of it the client has not been sent
         self._client_done = False
+        self._server_reset = False
         self._client_over = trio.Event()
         self._scope = trio.CancelScope()
         self._between_lines = trio.Event()
@@ -116,8 +118,11 @@
                     self._asked_at = trio.current_time()
                 try:
                     await send(self.server, data)
-                except OSError:
-                    return  # what the server still had to say is read downward, and so is its reset
+                except OSError as error:
+                    # What the server still had to say is read downward; its reset is told but once. Any other
+                    # error comes of a line that met a server which had ended in the usual way.
+                    self._server_reset = error.errno == errno.ECONNRESET
+                    return
             try:
                 data = await self.client.recv(CHUNK)
             except OSError:
@@ -139,7 +144,12 @@
                 reset_on_close(self.client)
                 return self._end(Outcome.RESET)
             if not data:
-                break
+                # Who met a reset with a line, and used it up, comes to say so a turn of the loop later.
+                await trio.lowlevel.checkpoint()
+                if not self._server_reset:
+                    break
+                reset_on_close(self.client)
+                return self._end(Outcome.RESET)
             self._asked_at = None
             try:
                 if not await self._pass_down(data):
--- a/glenfold/net/sockets.py
+++ b/glenfold/net/sockets.py
@@ -1,6 +1,7 @@
 """What trio's sockets lack: gathered writes to the end, and endings of either kind."""
 
 import os
+import select
 import socket
 import struct
 from collections.abc import Sequence
@@ -41,6 +42,24 @@
         return 0
 
 
+def receive_now(sock: SocketType, room: memoryview) -> int:
+    """How many bytes are there already, put into `room`; 0 also at an end."""
+    try:
+        data = os.read(sock.fileno(), len(room))
+    except OSError:  # nothing yet, or a reset, which whoever writes next will meet
+        return 0
+    room[:len(data)] = data
+    return len(data)
+
+
+def hung_up(sock: SocketType) -> bool:
+    """Whether the other side has ended or reset it, as far as the kernel knows: also behind bytes that nobody
+    has read, and before the loop comes to tell it."""
+    look = select.poll()
+    look.register(sock.fileno(), select.POLLRDHUP)  # a reset is told without being asked for
+    return bool(look.poll(0))
+
+
 def finish(sock: SocketType) -> None:
     """FIN: nothing more will be sent."""
     with suppress(OSError):  # the other side has reset it already
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,287 @@
+"""Two things at one instant, on real sockets: each crossing is forced, in the order that costs something."""
+
+import socket
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+import relaying
+import trio
+import trio.testing
+from relaying import OPEN, entry, read_line, relay
+
+from glenfold import lines
+from glenfold.decisions import Decisions
+from glenfold.net import outbound, passing, sockets
+from glenfold.net.inbound import Exchange, Inbound, Relay
+from linnetspread import interface as i
+
+MID = OPEN.replace(b",zz=1", b",mid=1,zz=1")
+AT = OPEN.replace(b",zz=1", b",at=s-0,zz=1")
+LIMITS = {"invariants": {"stop_sending_within_us": 2_000_000}, "ceilings": {"connect_timeout_us": 5_000_000}}
+Client = Callable[[Relay, int], Awaitable[None]]
+
+
+def play(folder: Path, handler: relaying.Handler, client: Client, clock: trio.abc.Clock | None = None,
+         **changes: Any) -> Relay:
+    """Whatever crossed, nothing of it is left behind."""
+    seen: list[Relay] = []
+
+    async def main() -> None:
+        conf = relaying.config(folder, settings={**relaying.SETTINGS, **LIMITS}, **changes)
+        with trio.fail_after(20):
+            async with relay(conf, handler) as (shared, _, port):
+                seen.append(shared)
+                await client(shared, port)
+                balancer = shared.decisions.dispatch.balancer
+                while shared.ids or shared.unanswered or balancer.held or sum(balancer.by_tenant):
+                    await trio.lowlevel.checkpoint()
+
+    trio.run(main, clock=clock)
+    assert seen[0].counters.faults == 0
+    return seen[0]
+
+
+class Heard:
+    """A push server that answers nothing, and what it was sent."""
+
+    def __init__(self) -> None:
+        self.lines: list[bytes] = []
+
+    async def __call__(self, stream: trio.SocketStream) -> None:
+        self.lines.append(await read_line(stream))
+        await trio.sleep_forever()
+
+
+def plain_client(port: int, data: bytes) -> socket.socket:
+    """Its sends and ends are in the kernel once they return, with no turn of the loop between."""
+    client = socket.create_connection(("127.0.0.1", port))
+    client.sendall(data)
+    return client
+
+
+def once_connected(monkeypatch: pytest.MonkeyPatch, do: Callable[[], object]) -> None:
+    """`do` runs after a call has connected, just before the look that precedes its line."""
+    look = Exchange._last_look
+
+    def then_look(self: Exchange, *given: Any) -> object:
+        do()
+        return look(self, *given)
+    monkeypatch.setattr(Exchange, "_last_look", then_look)
+
+
+def leave(client: socket.socket, how: str) -> None:
+    if how == "reset":
+        sockets.reset_on_close(client)  # type: ignore[arg-type]
+    elif how == "behind bytes":
+        client.sendall(b"M 1\r\n" * 5)
+    client.close()
+
+
+@pytest.mark.parametrize(("line", "how"), [
+    (OPEN, "end"), (OPEN, "reset"), (MID, "end"), (MID, "reset"), (MID, "behind bytes"), (AT, "behind bytes"),
+])
+def test_who_has_left_when_the_call_connects_is_not_sent_on(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, line: bytes, how: str) -> None:
+    heard, clients = Heard(), list[socket.socket]()
+    monkeypatch.setattr(Exchange, "_watch_client", lambda self: trio.sleep_forever())  # a loop that lags
+    once_connected(monkeypatch, lambda: leave(clients[0], how))
+
+    async def client(shared: Relay, port: int) -> None:
+        clients.append(plain_client(port, line))
+        while not (shared.counters.left or heard.lines):
+            await trio.lowlevel.checkpoint()
+
+    counters = play(tmp_path, heard, client).counters
+    assert heard.lines in ([], [b""])  # a connection that ends without a line
+    assert (counters.left, counters.left_unsent, counters.answered_failed) == (1, 1, 0)
+
+
+@pytest.mark.parametrize("line", [MID, AT])
+@pytest.mark.parametrize("how", ["end", "reset"])
+def test_who_sent_much_early_and_left_is_seen_at_once(tmp_path: Path, line: bytes, how: str) -> None:
+    clock = trio.testing.MockClock(autojump_threshold=0.01)
+    heard = Heard()
+
+    async def client(shared: Relay, port: int) -> None:
+        stream = plain_client(port, line + b"M" * 3 * lines.MAX_LINE)
+        await trio.testing.wait_all_tasks_blocked(0.005)
+        leave(stream, how)
+        left_at = trio.current_time()
+        while shared.unanswered or not shared.counters.taken:
+            await trio.sleep(0.01)
+        assert trio.current_time() - left_at < 0.3
+
+    assert play(tmp_path, heard, client, clock).counters.left == 1
+
+
+class Held:
+    """Decisions whose queue is full just as a connection has come up: who tells them that waits."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.come, self.go_on = trio.Event(), trio.Event()
+        tell = Decisions.tell
+
+        async def held(decisions: Decisions, message: Any) -> None:
+            if isinstance(message, i.Established):
+                self.come.set()
+                await self.go_on.wait()
+            await tell(decisions, message)
+        monkeypatch.setattr(Decisions, "tell", held)
+
+
+async def up_and_echo(stream: trio.SocketStream) -> None:
+    await read_line(stream)
+    await stream.send_all(b"UP r1\r\n")
+    while line := await read_line(stream):
+        await stream.send_all(line)
+
+
+@pytest.mark.parametrize("line", [OPEN, MID])
+def test_a_line_right_after_the_receipt_is_passed_on(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, line: bytes) -> None:
+    held = Held(monkeypatch)
+
+    async def client(shared: Relay, port: int) -> None:
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        await stream.send_all(line)
+        assert await read_line(stream) == b"UP r1\r\n"
+        await held.come.wait()
+        await stream.send_all(b"M 1\r\n")
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        held.go_on.set()
+        assert await read_line(stream) == b"M 1\r\n"
+        await stream.aclose()
+
+    play(tmp_path, up_and_echo, client)
+
+
+@pytest.mark.parametrize("how", ["end", "reset"])
+def test_a_client_that_ends_as_its_receipt_comes_leaves_nothing_with_the_decisions(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str) -> None:
+    held, over = Held(monkeypatch), trio.Event()
+
+    async def server(stream: trio.SocketStream) -> None:
+        await read_line(stream)
+        await stream.send_all(b"UP r1\r\n")
+        with suppress(trio.BrokenResourceError):
+            assert await stream.receive_some() == b""
+        over.set()
+
+    async def client(shared: Relay, port: int) -> None:
+        stream = plain_client(port, OPEN)
+        await held.come.wait()
+        leave(stream, how)
+        await trio.testing.wait_all_tasks_blocked(0.05)
+        held.go_on.set()
+        await over.wait()  # the end is passed on
+
+    play(tmp_path, server, client)
+
+
+def test_a_client_that_ends_as_its_receipt_is_read_is_told_to_neither(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The other order: its end is there before the receipt."""
+    clients = list[socket.socket]()
+    kernel_times = outbound.kernel_times
+
+    def then(sock: sockets.SocketType) -> sockets.KernelTimes:
+        clients[0].close()
+        return kernel_times(sock)
+    monkeypatch.setattr(outbound, "kernel_times", then)
+
+    async def client(shared: Relay, port: int) -> None:
+        clients.append(plain_client(port, OPEN))
+        while not shared.counters.answered_up + shared.counters.left:
+            await trio.lowlevel.checkpoint()
+
+    play(tmp_path, up_and_echo, client)
+
+
+@pytest.mark.parametrize(("line", "passed_s", "sent"), [
+    (OPEN, 0.0, False), (MID, 0.9, True), (MID, 1.1, False), (AT, 1.1, True)])
+def test_a_server_that_drains_while_a_call_connects_gets_nothing_new(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, line: bytes, passed_s: float, sent: bool) -> None:
+    """In mid flow it goes on there, within half of the time for which it may be sent."""
+    heard, clock, relays = Heard(), trio.testing.MockClock(), list[Relay]()
+
+    def drain() -> None:
+        known = relays[0].destinations.state().known
+        host, port = next(iter(known.values())).address
+        relays[0].destinations.read({"seq": 2, "whole": False, "hosts": [
+            entry("s-0", f"{host}:{port}", health="terminating")]})  # the decisions have yet to hear of it
+        clock.jump(passed_s)
+    once_connected(monkeypatch, drain)
+
+    async def client(shared: Relay, port: int) -> None:
+        relays.append(shared)
+        stream = plain_client(port, line)
+        while not heard.lines:
+            await trio.lowlevel.checkpoint()
+        stream.close()
+
+    play(tmp_path, heard, client, clock)
+    assert bool(heard.lines[0]) == sent
+
+
+def test_a_first_line_that_is_whole_when_its_client_is_crowded_out_is_taken(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    make_room, silent = Inbound._make_room, list[socket.socket]()
+
+    def line_comes_first(self: Inbound) -> None:
+        if len(self._waiting) >= self._room.waiting:
+            silent[0].sendall(OPEN)
+        make_room(self)
+    monkeypatch.setattr(Inbound, "_make_room", line_comes_first)
+
+    async def client(shared: Relay, port: int) -> None:
+        for n in range(4):  # three may wait at once
+            silent.append(socket.create_connection(("127.0.0.1", port)))
+            while shared.counters.accepted <= n:
+                await trio.lowlevel.checkpoint()
+        first = trio.SocketStream(trio.socket.from_stdlib_socket(silent[0]))
+        assert await read_line(first) == b"UP r1\r\n"
+        await first.aclose()
+
+    assert play(tmp_path, up_and_echo, client, limits={"sockets": 40}).counters.crowded_out == 1
+
+
+@pytest.mark.parametrize("how", ["end", "reset"])
+def test_how_a_server_ends_is_passed_on_though_a_line_meets_it(
+        tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str) -> None:
+    """The line that a client sends uses up the error; what the server had said before comes through."""
+    servers = list[trio.SocketStream]()
+    send = passing.send
+
+    async def met(sock: sockets.SocketType, data: bytes) -> None:
+        if data == b"M 2\r\n":
+            if how == "reset":
+                sockets.reset_on_close(servers[0].socket)
+            servers[0].socket.close()  # with nothing unread: an end, unless it is to be a reset
+        await send(sock, data)
+    monkeypatch.setattr(passing, "send", met)
+
+    async def server(stream: trio.SocketStream) -> None:
+        servers.append(stream)
+        await read_line(stream)
+        await stream.send_all(b"UP r1\r\n")
+        await stream.send_all(await read_line(stream))
+        await trio.sleep_forever()
+
+    async def client(shared: Relay, port: int) -> None:
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        await stream.send_all(OPEN)
+        await read_line(stream)
+        await stream.send_all(b"M 1\r\n")
+        assert await read_line(stream) == b"M 1\r\n"
+        await stream.send_all(b"M 2\r\n")
+        if how == "reset":
+            with pytest.raises(trio.BrokenResourceError):
+                await stream.receive_some()
+        else:
+            assert await stream.receive_some() == b""
+        await stream.aclose()
+
+    assert play(tmp_path, server, client).counters.broken == 1
