Hear what a silent watch missed inside the clock, and leave nothing of an old discovery

Now only a whole object or an empty line between objects is word. - After a silence found at 4 s an agent that accepted and said nothing cost 6 s more (ANSWER_S), also where it answers at once; with 230 relays that ask, again_s() waited up to 23 s. What is missed counts after 6 s. Now: silence after 2.5 s, 1 s for an answer to begin (3 s where it must be asked for), and a spread of 0.75 s at the most until a call is refused; the start waits no longer than 4 s or ask_within_us. The address of the version is kept now, and a move takes effect as the shield ends. A move during the first wait of all did nothing until that was over; after one, the faults of the old discovery still counted (up to 4 x the spread).

Ruled out: half a line at a watch's end, pieces cut at every byte, a whole list that comes slowly or never ends, an agent that refuses and then listens (0.25 s): these held and have tests now.

--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -67,7 +67,8 @@
         self.relay = Relay(config, clock, decisions, destinations, counters)
         self.inbound = Inbound(self.relay)
         self.discovery = Discovery(config.discovery, destinations, decisions.tell, counters,
-                                   calls_spread_s(config.settings), config.seed)
+                                   calls_spread_s(config.settings), config.seed,
+                                   config.settings.ask_within_us / 1e6)
         self.listeners: list[SocketType] = [trio.socket.from_stdlib_socket(s) for s in listeners]
         self._accepting: dict[SocketType, trio.CancelScope] = {}
         self._nursery: trio.Nursery | None = None
--- a/glenfold/net/discovery.py
+++ b/glenfold/net/discovery.py
@@ -15,11 +15,18 @@
 from glenfold.rules.backoff import Backoff
 from linnetspread import interface as i
 
-LONGEST_SILENCE_S = 4.0  # a watch sends a line at least every 2 s
-ANSWER_S = 6.0           # an agent that has to ask for all relays in turn answers after some seconds
+MISSED_S = 6.0           # what a silent watch misses counts as told so long after it fell silent
+LONGEST_SILENCE_S = 2.5  # a watch sends a line at least every 2 s
+ANSWER_S = 1.0           # an agent that has been sent the list answers at once
+ASKING_S = 3.0           # one that has to ask for all relays in turn answers, be it 503, ...
+BUSY_S = 2.0             # ... after so long at the most
+WHOLE_S = 6.0            # for a whole list that comes in steadily
+LOOK_S = 0.01            # for what is there already, when it is looked for late
 AGAIN_S = 0.25           # before a call after a fault
-MOST_TIMES = 4.0         # of that and of the spread, after several faults in a row
+MOST_TIMES = 4.0         # of that and of the spread, after several calls in a row that were refused
+SOON_S = MISSED_S - max(LONGEST_SILENCE_S, ASKING_S) - BUSY_S - AGAIN_S  # what is left of that for a turn
 LONGEST_LINE = 4 << 20
+MOST_READ = 1 << 18
 
 
 class Unavailable(Exception):
@@ -61,46 +68,77 @@
         return False
 
 
+class Silence:
+    """`until`: when an agent that has said nothing up to then counts as dead, though TCP is not."""
+
+    def __init__(self, until: float) -> None:
+        self.until = until
+
+    async def receive(self, stream: trio.SocketStream) -> bytes:
+        """The next bytes; raises trio.TooSlowError. A loop that lags looks late: what is there by then is
+        read, and only a watch that has nothing to be read is silent."""
+        late = max(self.until, trio.current_time() + LOOK_S)
+        with trio.fail_at(min(late, self.until + LONGEST_SILENCE_S)):
+            return bytes(await stream.receive_some(MOST_READ))
+
+
 class Discovery:
-    """`spread_s`: the span over which all relays together spread their calls, at their start and after
-    faults; 0 where a call costs nobody else anything. `seed`: of the moments in it, another at each relay."""
+    """`spread_s`: the span over which one service could answer all relays; 0 where a call costs nobody else
+    anything. `seed`: of the moments in it, another at each relay. `ask_within_s`: who has not asked for so
+    long counts as told."""
 
-    def __init__(self, address: Address, destinations: DestinationSet, heard: ListHeard,
-                 counters: Counters, spread_s: float = 0.0, seed: int = 0) -> None:
+    def __init__(self, address: Address, destinations: DestinationSet, heard: ListHeard, counters: Counters,
+                 spread_s: float = 0.0, seed: int = 0, ask_within_s: float = math.inf) -> None:
         self._address = address
         self._destinations = destinations
         self._heard = heard
         self._counters = counters
-        self._backoff = Backoff(AGAIN_S, spread_s, MOST_TIMES, random.Random(seed))
+        self._answer_s = ASKING_S if spread_s else ANSWER_S
+        self._backoff = Backoff(AGAIN_S, spread_s, MOST_TIMES if spread_s else 1.0,
+                                random.Random(seed), SOON_S)
+        self._first_within_s = min(MISSED_S - BUSY_S, ask_within_s)
         self._scope = trio.CancelScope()
         self._said = ""
-        self._resumes = False  # a watch may go on from the version known
+        self._known_of: Address | None = None  # whose version is known: a watch there may go on from it
         self.heard_at = -math.inf  # when the agent last said that what is known holds
 
     def move_to(self, address: Address) -> None:
-        """From now on discovery is there; what was heard so far holds until it says otherwise."""
+        """From now on discovery is there; what was heard so far holds until it says otherwise. The new one
+        may count its versions otherwise, and has no part in the faults of the old one."""
         if address != self._address:
             self._address = address
-            self._resumes = False  # it may count its versions otherwise
             self._scope.cancel()
 
     async def follow(self) -> None:
         """Each call costs discovery, and after a fault of its own all relays make one: a watch that broke off
         goes on from the version known. Only an agent that has not spoken yet, or that sent what is no list,
         is asked for the whole list first."""
-        self._resumes = self._destinations.listed
-        if self._resumes:  # with a list to go by it can wait for its turn
-            await trio.sleep_until(trio.current_time() + self._backoff.first_s())
+        wait_s, busy = 0.0, False
+        if self._destinations.listed:  # with a list to go by it can wait for its turn
+            self._known_of = self._address
+            wait_s = self._backoff.first_s(self._first_within_s)
         while True:
+            address = self._address
             with trio.CancelScope() as self._scope:
-                try:
-                    await self._watch()
-                except BadList as error:
-                    self._resumes = False
-                    self._tell(error)
-                except FAULTS as error:
-                    self._tell(error)
-                await trio.sleep_until(trio.current_time() + self._backoff.again_s())
+                await trio.sleep_until(trio.current_time() + wait_s)
+                busy = await self._call()
+            if self._address != address:
+                self._backoff.worked()
+                wait_s = self._backoff.first_s(SOON_S)
+            else:
+                wait_s = self._backoff.again_s(busy)
+
+    async def _call(self) -> bool:
+        """To the end of a watch: whether it was refused as one too many."""
+        try:
+            await self._watch()
+        except BadList as error:
+            self._known_of = None
+            self._tell(error)
+        except FAULTS as error:
+            self._tell(error)
+            return isinstance(error, Unavailable)
+        return False
 
     def _tell(self, error: Exception) -> None:
         """An agent that is down fails alike each time."""
@@ -113,59 +151,72 @@
             events.discovery_failed(error=error)
 
     async def _watch(self) -> None:
-        with trio.fail_at(trio.current_time() + ANSWER_S) as silence:
-            stream = await trio.open_tcp_stream(*self._address)
-            async with stream:
-                connection = h11.Connection(h11.CLIENT)
-                if not self._resumes:
-                    body = b"".join([part async for part in self._get(connection, stream, "/v1/servers")])
-                    await self._take(body)
-                    self._resumes = True
-                    self.heard_at = trio.current_time()
-                    connection.start_next_cycle()
-                line, objects = b"", Objects()
-                target = f"/v1/servers?watch=1&from={self._destinations.version}"
-                async for part in self._get(connection, stream, target):
-                    # A watch that says nothing, not even that nothing changed, is dead though TCP is not.
-                    silence.deadline = trio.current_time() + LONGEST_SILENCE_S
-                    *lines, line = (line + part).split(b"\n")
-                    if len(line) + objects.size > LONGEST_LINE:
-                        raise BadList("a line is too long")
-                    for change in filter(None, map(objects.take, lines)):
+        address = self._address
+        with trio.fail_at(trio.current_time() + self._answer_s):
+            stream = await trio.open_tcp_stream(*address)
+        async with stream:
+            connection = h11.Connection(h11.CLIENT)
+            if self._known_of != address:
+                self._known_of = None  # a move may cut in once the list is read
+                await self._take(await self._whole(connection, stream))
+                self._known_of = address
+                self.heard_at = trio.current_time()
+                connection.start_next_cycle()
+            line, objects, silence = b"", Objects(), Silence(trio.current_time() + self._answer_s)
+            target = f"/v1/servers?watch=1&from={self._destinations.version}"
+            async for part in self._get(connection, stream, target, silence):
+                *lines, line = (line + part).split(b"\n")
+                if len(line) + objects.size > LONGEST_LINE:
+                    raise BadList("a line is too long")
+                word = False
+                for ended in lines:
+                    if change := objects.take(ended):
                         await self._take(change)
+                    word = word or not objects.size
+                if word or not part:  # bytes of what does not become whole say nothing
+                    silence.until = trio.current_time() + LONGEST_SILENCE_S
+                if word:
                     self.heard_at = trio.current_time()
-                    self._resumes = True
+                    self._known_of = address
                     self._backoff.worked()
-                if objects.size:
-                    raise BadList("a watch ended within an object")
-
-    async def _get(self, connection: h11.Connection, stream: trio.SocketStream,
-                   target: str) -> AsyncIterator[bytes]:
+            if objects.size:
+                raise BadList("a watch ended within an object")
+
+    async def _whole(self, connection: h11.Connection, stream: trio.SocketStream) -> bytes:
+        began, body = trio.current_time(), bytearray()
+        silence = Silence(began + self._answer_s)
+        async for part in self._get(connection, stream, "/v1/servers", silence):
+            body += part
+            if len(body) > LONGEST_LINE:
+                raise BadList("the whole list is too long")
+            silence.until = min(trio.current_time() + self._answer_s, began + WHOLE_S)
+        return bytes(body)
+
+    async def _get(self, connection: h11.Connection, stream: trio.SocketStream, target: str,
+                   silence: Silence) -> AsyncIterator[bytes]:
+        """Nothing once the answer has begun, then its body part by part."""
         host = f"{self._address[0]}:{self._address[1]}"
         request = h11.Request(method="GET", target=target, headers=[("Host", host)])
         for part in (request, h11.EndOfMessage()):
             await stream.send_all(connection.send(part) or b"")
-        size = 0
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
-                connection.receive_data(await stream.receive_some())
+                connection.receive_data(await silence.receive(stream))
             elif isinstance(event, h11.Response):
                 if event.status_code >= 500:
                     raise Unavailable(f"{target} answers {event.status_code}")
                 if event.status_code != 200:
                     raise BadList(f"{target} answers {event.status_code}")
+                yield b""
             elif isinstance(event, h11.Data):
-                size += len(event.data)
-                if "watch" not in target and size > LONGEST_LINE:
-                    raise BadList("the whole list is too long")
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return
             elif isinstance(event, h11.ConnectionClosed):
                 raise h11.RemoteProtocolError("discovery closed the connection")
 
-    async def _take(self, text: bytes) -> int:
+    async def _take(self, text: bytes) -> None:
         try:
             document = json.loads(text)
         except (ValueError, RecursionError) as error:  # nested too deep: that would end the relay
@@ -180,4 +231,4 @@
         # A move or a silence that cut in here would leave the addresses and the decisions two lists apart.
         with trio.CancelScope(shield=True):
             await self._heard(servers)
-        return self._destinations.version
+        await trio.lowlevel.checkpoint_if_cancelled()  # what else the old one sent has no place after a move
--- /dev/null
+++ b/tests/test_quiet_lists.py
@@ -0,0 +1,351 @@
+"""Lists that go quiet: how long until a relay has been told what it missed, on loopback sockets with a clock
+that jumps. A moment is in seconds of that clock."""
+
+import json
+import math
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import pytest
+import relaying
+import trio
+import trio.testing
+from relaying import entry, read_line, whole
+from test_discovery import OK, WATCH, WHOLE, busy, whole_list
+
+from glenfold.counters import Counters
+from glenfold.daemon.process import calls_spread_s
+from glenfold.destinations import DestinationSet
+from glenfold.net.discovery import AGAIN_S, LONGEST_SILENCE_S, MISSED_S, Discovery
+from linnetspread.interface import ServerList, Settings
+
+HEAD = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+Answer = Callable[["Agent", trio.SocketStream], Awaitable[None]]
+
+
+def chunk(text: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(text), text)
+
+
+def change(seq: int, indent: int | None = None) -> bytes:
+    return json.dumps(whole(entry("s-2"), seq=seq) | {"whole": False}, indent=indent).encode() + b"\n"
+
+
+class Agent:
+    """Answers the calls one after the other as the script says, the last way for all that come after it.
+    `asked` has each call with its moment, `heard` each version that was taken in."""
+
+    def __init__(self, folder: Path, *script: Answer, known: bool = True, spread_s: float = 0.0,
+                 seed: int = 7) -> None:
+        self.script, self.seed = script, seed
+        self.asked: list[tuple[float, bytes]] = []
+        self.heard: list[tuple[float, int]] = []
+        self.silent_at = math.inf
+        self.news = trio.Event()
+        self.may_hear = trio.Event()
+        self.may_hear.set()
+        self.destinations = DestinationSet(relaying.config(folder).names)
+        if known:
+            self.destinations.read(whole(entry("s-1"), seq=40), cached=True)
+        self.address = ("127.0.0.1", 0)
+        self.spread_s = spread_s
+
+    async def hear(self, servers: ServerList) -> None:
+        self.heard.append((trio.current_time(), self.destinations.version))
+        self.tell()
+        await self.may_hear.wait()
+
+    async def answer(self, stream: trio.SocketStream) -> None:
+        while (line := await read_line(stream)).startswith(b"GET"):
+            while await read_line(stream) != b"\r\n":
+                pass
+            self.asked.append((trio.current_time(), line.split()[1]))
+            self.tell()
+            try:
+                await self.script[min(len(self.asked), len(self.script)) - 1](self, stream)
+            except trio.BrokenResourceError:  # the relay has gone
+                return
+
+    async def listen(self, nursery: trio.Nursery) -> None:
+        listeners = await nursery.start(trio.serve_tcp, self.answer, 0)
+        self.address = ("127.0.0.1", listeners[0].socket.getsockname()[1])
+
+    async def follow(self, nursery: trio.Nursery) -> Discovery:
+        if not self.address[1]:
+            await self.listen(nursery)
+        discovery = Discovery(self.address, self.destinations, self.hear, Counters(), self.spread_s,
+                              self.seed)
+        nursery.start_soon(discovery.follow)
+        return discovery
+
+    def tell(self) -> None:
+        self.news.set()
+        self.news = trio.Event()
+
+    async def has_asked(self, times: int) -> None:
+        while len(self.asked) < times:
+            await self.news.wait()
+
+    async def has_heard(self, version: int) -> float:
+        while not (moments := [at for at, heard in self.heard if heard == version]):
+            await self.news.wait()
+        return moments[0]
+
+
+def run(script: Callable[[trio.Nursery], Awaitable[None]]) -> None:
+    async def main() -> None:
+        with trio.fail_after(300):
+            async with trio.open_nursery() as nursery:
+                await script(nursery)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.02))
+
+
+def told(*versions: int, after_s: float = 0.0) -> Answer:
+    """Sends these changes, and is sound from then on."""
+    async def answer(agent: Agent, stream: trio.SocketStream) -> None:
+        await trio.sleep(after_s)
+        await stream.send_all(HEAD + b"".join(chunk(change(version)) for version in versions))
+        while True:
+            await trio.sleep(2.0)
+            await stream.send_all(chunk(b"\n"))
+    return answer
+
+
+async def falls_silent(agent: Agent, stream: trio.SocketStream) -> None:
+    """Just after an empty line, so that the relay knows as late as can be."""
+    await stream.send_all(HEAD + chunk(change(41)))
+    await trio.sleep(2.0)
+    await stream.send_all(chunk(b"\n"))
+    agent.silent_at = trio.current_time()
+    await trio.sleep_forever()
+
+
+async def silent(agent: Agent, stream: trio.SocketStream) -> None:
+    await trio.sleep_forever()
+
+
+async def reset(agent: Agent, stream: trio.SocketStream) -> None:
+    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    stream.socket.close()
+    raise trio.BrokenResourceError
+
+
+async def only_a_head(agent: Agent, stream: trio.SocketStream) -> None:
+    await stream.send_all(HEAD)
+    await trio.sleep_forever()
+
+
+@pytest.mark.parametrize("relays", [1, 230])
+@pytest.mark.parametrize(("asks", "between", "answer_s"), [
+    (False, (), 0.0), (False, (silent,), 0.0), (False, (silent, silent), 0.0), (False, (only_a_head,), 0.0),
+    (False, (reset,) * 10, 0.0), (True, (), 2.0), (True, (reset,), 0.0), (True, (reset, reset), 0.0)])
+def test_what_a_silent_watch_missed_is_heard_inside_the_clock(
+        tmp_path: Path, relays: int, asks: bool, between: tuple[Answer, ...], answer_s: float) -> None:
+    spread_s = calls_spread_s(Settings(gateways=relays, ask_for_list=asks))
+    script_of_all = falls_silent, *between, told(42, after_s=answer_s)
+    agents = [Agent(tmp_path, *script_of_all, spread_s=spread_s, seed=seed) for seed in range(20)]
+
+    async def script(nursery: trio.Nursery) -> None:
+        for agent in agents:
+            await agent.follow(nursery)
+        spans = [await agent.has_heard(42) - agent.silent_at for agent in agents]
+        print(f"{relays} relays, asks {asks}, {len(between)} between: {min(spans):.2f} to {max(spans):.2f} s")
+        assert max(spans) <= MISSED_S
+        assert all(agent.asked[0][0] <= MISSED_S - 2.0 for agent in agents)  # of a new process
+        if spread_s > 1.0:  # nor all at once
+            firsts = sorted(agent.asked[1][0] - agent.silent_at for agent in agents)
+            assert firsts[-1] - firsts[0] > 0.4
+
+    run(script)
+
+
+def trickles(begun: bytes, piece: bytes) -> Answer:
+    async def answer(agent: Agent, stream: trio.SocketStream) -> None:
+        await stream.send_all(HEAD + chunk(change(41)) + begun)
+        agent.silent_at = trio.current_time()
+        while piece:
+            await trio.sleep(0.5)
+            await stream.send_all(piece)
+        await trio.sleep_forever()
+    return answer
+
+
+@pytest.mark.parametrize(("begun", "piece"), [
+    (b"", b""),                                        # in its first second
+    (chunk(b'{"seq":42,"who'), b""),                   # in the middle of a line
+    (chunk(b'{"seq":42,"who'), chunk(b"x")),           # a line that never ends
+    (chunk(b'{\n  "seq": 42,\n'), chunk(b'  "x": 1,\n')),  # an object that never ends
+    (b"1000\r\n{", b" "),                              # a chunk that never ends
+    (b"1;", b"x"),                                     # its size never does
+])
+def test_a_watch_on_which_nothing_becomes_whole_is_silent(tmp_path: Path, begun: bytes, piece: bytes) -> None:
+    agent = Agent(tmp_path, trickles(begun, piece), told(42))
+
+    async def script(nursery: trio.Nursery) -> None:
+        discovery = await agent.follow(nursery)
+        await trio.sleep(LONGEST_SILENCE_S - 0.1)
+        assert discovery.heard_at == agent.silent_at
+        assert await agent.has_heard(42) - agent.silent_at <= LONGEST_SILENCE_S + AGAIN_S + 0.01
+        assert [target for _, target in agent.asked] == [WATCH % 40, WATCH % 41]
+
+    run(script)
+
+
+def test_a_loop_that_lags_drops_no_sound_watch(tmp_path: Path) -> None:
+    clock = trio.testing.MockClock()
+
+    async def sound(agent: Agent, stream: trio.SocketStream) -> None:
+        await stream.send_all(HEAD + chunk(change(41)))
+        for version in range(42, 52):
+            await trio.testing.wait_all_tasks_blocked()
+            await stream.send_all(chunk(b"\n{") + chunk(change(version)[1:]))
+            clock.jump(5.0)  # before the relay's loop turns again
+        await trio.sleep_forever()
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            agent = Agent(tmp_path, sound)
+            await agent.follow(nursery)
+            await agent.has_heard(51)
+            assert len(agent.asked) == 1
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=clock)
+
+
+def test_lists_indented_or_not_come_whole_in_pieces_cut_at_every_byte(tmp_path: Path) -> None:
+    def piece(version: int) -> bytes:
+        return chunk(change(version) + b"\n" + change(version + 1, indent=2)) + chunk(b"\r\n") + chunk(
+            change(version + 2, indent=1) + b"\n")
+
+    versions = range(100, 100 + 3 * len(piece(100)), 3)
+
+    async def cut(agent: Agent, stream: trio.SocketStream) -> None:
+        parts = [HEAD[n:n + 1] for n in range(len(HEAD))]
+        for at, version in enumerate(versions):
+            parts += [piece(version)[:at], piece(version)[at:]]
+        parts += [byte.to_bytes() for byte in piece(versions.stop)]
+        for part in parts:
+            await stream.send_all(part)
+            await trio.testing.wait_all_tasks_blocked()
+        await trio.sleep_forever()
+
+    agent = Agent(tmp_path, cut)
+
+    async def script(nursery: trio.Nursery) -> None:
+        await agent.follow(nursery)
+        await agent.has_heard(versions.stop + 2)
+        assert [version for _, version in agent.heard] == [*range(100, versions.stop + 3)]
+        assert len(agent.asked) == 1
+
+    run(script)
+
+
+@pytest.mark.parametrize(("parts", "told_whole"), [(6, True), (100, False)])
+def test_a_whole_list_may_come_slowly_but_has_to_end(tmp_path: Path, parts: int, told_whole: bool) -> None:
+    async def slowly(agent: Agent, stream: trio.SocketStream) -> None:
+        text = whole_list()[:-parts] if told_whole else OK + b"Content-Length: 1000000\r\n\r\n"
+        await stream.send_all(text)
+        for part in whole_list()[-parts:]:
+            await trio.sleep(0.8)
+            await stream.send_all(part.to_bytes())
+
+    agent = Agent(tmp_path, slowly, told(42), known=False)
+
+    async def script(nursery: trio.Nursery) -> None:
+        await agent.follow(nursery)
+        await agent.has_asked(2)
+        assert agent.asked[1][1] == (WATCH % 41 if told_whole else WHOLE)
+        assert agent.asked[1][0] <= MISSED_S + AGAIN_S + 0.02
+
+    run(script)
+
+
+def test_an_agent_that_was_down_is_heard_a_quarter_of_a_second_after_it_listens(tmp_path: Path) -> None:
+    agent = Agent(tmp_path, told(41))
+
+    async def script(nursery: trio.Nursery) -> None:
+        with trio.socket.socket() as sock:
+            await sock.bind(("127.0.0.1", 0))  # refuses until it listens
+            agent.address = sock.getsockname()
+            await agent.follow(nursery)
+            await trio.sleep(30.1)
+            sock.listen()
+            nursery.start_soon(trio.serve_listeners, agent.answer, [trio.SocketListener(sock)])
+            assert await agent.has_heard(41) - 30.1 <= AGAIN_S + 0.02
+
+    run(script)
+
+
+def test_a_move_while_the_decisions_take_a_list_in_leaves_nothing_of_the_old_one(tmp_path: Path) -> None:
+    """Both changes have come when the relay is told to move; the first one is with the decisions."""
+    old, new = Agent(tmp_path, told(41, 42)), Agent(tmp_path, told(43))
+
+    async def script(nursery: trio.Nursery) -> None:
+        await new.listen(nursery)
+        old.may_hear = trio.Event()
+        discovery = await old.follow(nursery)
+        await old.has_heard(41)
+        discovery.move_to(new.address)
+        await trio.testing.wait_all_tasks_blocked()
+        old.may_hear.set()
+        await new.has_asked(1)
+        assert new.asked[0][1] == WHOLE
+        assert [version for _, version in old.heard] == [41]
+
+    run(script)
+
+
+def test_a_move_back_while_the_new_list_is_taken_in_asks_for_the_whole_again(tmp_path: Path) -> None:
+    async def whole_first(agent: Agent, stream: trio.SocketStream) -> None:
+        old.may_hear = trio.Event()
+        await stream.send_all(whole_list())
+
+    old, new = Agent(tmp_path, told(42), told(43)), Agent(tmp_path, whole_first)
+
+    async def script(nursery: trio.Nursery) -> None:
+        await new.listen(nursery)
+        discovery = await old.follow(nursery)
+        await old.has_heard(42)
+        discovery.move_to(new.address)
+        await old.has_heard(41)
+        discovery.move_to(old.address)
+        await trio.testing.wait_all_tasks_blocked()
+        old.may_hear.set()
+        await old.has_asked(2)
+        assert [target for _, target in old.asked] == [WATCH % 40, WHOLE]  # 41 is the other's number
+
+    run(script)
+
+
+async def refused(agent: Agent, stream: trio.SocketStream) -> None:
+    await stream.send_all(busy())
+
+
+@pytest.mark.parametrize("spread_s", [0.0, 23.0])
+@pytest.mark.parametrize("refusals", [0, 6])  # before its first call, or after some were refused
+def test_a_new_discovery_is_asked_at_once_and_pays_for_no_fault_of_the_old_one(
+        tmp_path: Path, spread_s: float, refusals: int) -> None:
+    moved = []
+    for seed in range(10):
+        old, new = Agent(tmp_path, refused, spread_s=spread_s, seed=seed), Agent(tmp_path, refused)
+
+        async def script(nursery: trio.Nursery, old: Agent = old, new: Agent = new) -> None:
+            await new.listen(nursery)
+            discovery = await old.follow(nursery)
+            await old.has_asked(refusals)
+            await trio.sleep(0.05)
+            at = trio.current_time()
+            discovery.move_to(new.address)
+            await new.has_asked(2)
+            (first, _), (second, _) = new.asked[:2]
+            moved.append(first - at)
+            assert second - first <= AGAIN_S + spread_s + 0.01
+
+        run(script)
+    assert max(moved) <= (0.75 if spread_s else 0.0)
+    assert not spread_s or max(moved) - min(moved) > 0.3
