Answer all that the kernel accepted before a relay ends, whatever their deadlines

Seen on sockets, each forced: (1) clients in the kernel's queue in the turn in which arrivals are over were reset; (2) one that was accepted, with its line read not at all or in part, was closed without an answer, as was one whose accept was under way; (3) a request whose client waits longer than the relay (a server hangs, the class's deadline and more, or it came after the signal) was closed without an answer at the end; (4) a request whose answer was cut short left its id behind, its call open and the decisions untold.

Ruled out: a gap between answered and standing (no turn of the loop lies between them in Exchange.run), refusals without a socket (shielded).

Lines at fault: Process.run released the listener as soon as last_arrivals returned; finish_taken and its loops looked at `standing` and `unanswered` alone, and cancelled all at `leave_at`; Exchange.run began its second `try` only where _until_answered had not raised.

Change: Process._empty_queues lets the accepting go on until the queue is empty, where it does accept; Relay.unheard counts from the accept (and while an accept is under way) to the request or the refusal; Relay.end_by moves the patience of all requests, and what the decisions are told of new ones, to 0.15 s before the end; answers that a lagging loop comes to late have ten turns more; one `try` for all that a request leaves.

--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -24,11 +24,11 @@
 from glenfold.daemon.warming import warm_up
 from glenfold.decisions import Decisions
 from glenfold.destinations import BadList, DestinationSet
-from glenfold.leaving import Leaving, in_order
+from glenfold.leaving import ANSWER_TURNS, ANSWERS_S, Leaving, in_order
 from glenfold.net.discovery import Discovery
 from glenfold.net.inbound import BACKLOG, Inbound, Relay
 from glenfold.net.passing import Passage
-from glenfold.net.sockets import SocketType
+from glenfold.net.sockets import SocketType, queued
 from linnetspread import interface as i
 
 CALLS_PER_S = 10.0  # that all relays together may ask of one discovery, where each call costs it time
@@ -100,9 +100,11 @@
                 nursery.start_soon(companion, self)
             await self._told_to_stop.wait()
             leaving = Leaving(self._told_at(), self.relay.config.settings, self._deadline_s)
+            self.relay.end_by(leaving.answers_end)
             self.life.to(State.DRAINING)
             if self._accepting:
                 await last_arrivals(leaving, self.inbound)
+                await self._empty_queues(leaving.moves_end)
             self.release(self.listeners)
             self.life.to(State.FINISHING)
             gc.freeze()  # looking through all that stands would hold up the moves time and again
@@ -145,6 +147,14 @@
             self.listeners.remove(listener)
             listener.close()
 
+    async def _empty_queues(self, until: float) -> None:
+        """Closing resets who is queued, as some are when a loop that lags sees that arrivals are over. Not
+        where it accepts no more, as another process does now; in a flood, no more than a queue holds."""
+        most = self.relay.counters.accepted + BACKLOG
+        while (any(map(queued, self._accepting)) and self.relay.counters.accepted < most
+                and trio.current_time() < until):
+            await trio.lowlevel.checkpoint()
+
     async def _become_ready(self) -> None:
         """Clients that come before are served as well as it goes; only PING waits."""
         relay = self.relay
@@ -161,12 +171,15 @@
             self.life.to(State.READY)
 
     async def _accept(self, scope: trio.CancelScope, listener: SocketType, nursery: trio.Nursery) -> None:
+        self.relay.unheard += 1  # one that it has just accepted, when it is paused, is known a turn later
         with scope:
             try:
                 await self.inbound.serve(listener, nursery)
             except (OSError, trio.ClosedResourceError):
                 if not scope.cancel_called:  # closed just as a client arrived
                     raise
+            finally:
+                self.relay.unheard -= 1
 
     def note_moment(self, *numbers: int) -> None:
         """Of these signals, which trio receives already: a loop with many lines to pass comes to heed one
@@ -239,11 +252,22 @@
         await _until_moves(leaving, relay)
         async with trio.open_nursery() as nursery:
             await _move_all(leaving, relay, nursery)
-    for passage in list(relay.standing):
-        if not _tell(passage, relay, late=True):
-            passage.cut()
-    if relay.standing:
-        events.leave_cut(connections=len(relay.standing))
+    _end_all(relay)
+    turns = 0
+    # Their time is up, and a turn or two of the loop shows it. One may have come up just now.
+    while relay.unanswered and (turns < ANSWER_TURNS or trio.current_time() < leaving.over_at):
+        await trio.sleep_until(min(trio.current_time() + ANSWERS_S, leaving.over_at))
+        turns += 1
+        _end_all(relay)
+
+
+def _end_all(relay: Relay) -> None:
+    cut = [passage for passage in list(relay.standing) if not _tell(passage, relay, late=True)]
+    for passage in cut:
+        passage.cut()
+        del relay.standing[passage]
+    if cut:
+        events.leave_cut(connections=len(cut))
 
 
 def _tell(passage: Passage, relay: Relay, late: bool) -> bool:
@@ -258,7 +282,7 @@
 
 async def _until_moves(leaving: Leaving, relay: Relay) -> None:
     began, worked_s = trio.current_time(), time.process_time()
-    while (relay.standing or relay.unanswered) and (
+    while relay.owes and (
             (now := trio.current_time()) < (begin := leaving.moves_from(len(relay.standing)))):
         await trio.sleep_until(look := min(begin, now + LOOK_S))
         leaving.came_back(trio.current_time(), look)
@@ -269,7 +293,7 @@
     """A connection counts as standing until its client has been told to move, or is gone."""
     asked: set[Passage] = set()  # they have only part of a line
     queue: deque[Passage] = deque()
-    while relay.standing or relay.unanswered:
+    while relay.owes:
         while queue and queue[0] not in relay.standing:
             queue.popleft()
         left = len(relay.standing) - len(asked & relay.standing.keys())
--- a/glenfold/leaving.py
+++ b/glenfold/leaving.py
@@ -17,6 +17,8 @@
 SWEEP_S = 0.05         # before the end all that are left are told at once
 SWEEP_EACH_S = 60e-6   # which takes so long for each
 MOVES_S = 1.5          # over which they are spread where packets pass through
+ANSWERED_S = 0.15      # before the end whoever still waits gets a final answer, and has it
+ANSWER_TURNS = 10      # of the loop, at least, from the end to an answer, and to a MOVE after one of UP
 ANSWERS_S = 0.02       # between two looks at what is unanswered
 PACE = 2500.0          # moves a second with all that follows one, until measured
 MEASURED = 400         # moves that the figure above weighs as much as, and after which a forecast is sound
@@ -60,6 +62,8 @@
         self.told_at = told_at
         self.leave_at = told_at + max(0.0, deadline_s - (KILL_S - LEAVE_S))
         self.moves_end = max(told_at, self.leave_at - MOVE_S)
+        self.answers_end = max(told_at, self.leave_at - ANSWERED_S)
+        self.over_at = self.leave_at + ANSWERED_S  # for a loop that comes late to the answers
         self.one_by_one = settings.pass_through
         self.short = False         # of time: not all can be moved one by one
         self._cost = MEASURED / PACE, float(MEASURED)  # seconds taken by moves, and their number
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -1,8 +1,11 @@
 """The clients' side: first lines in, one request each, and its final answer out."""
 
 import errno
+import math
 import os
 from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 
 import trio
@@ -36,10 +39,34 @@
     decisions: Decisions
     destinations: DestinationSet
     counters: Counters
+    unheard: int = 0  # accepted, or being accepted, and no request yet; it may be told why it becomes none
     unanswered: int = 0
     ids: Counter[bytes] = field(default_factory=Counter)  # of the requests and connections open here
     standing: dict[Passage, float] = field(default_factory=dict)  # oldest first; the worth of each
     ready: trio.Event = field(default_factory=trio.Event)  # to go at the usual pace: PING waits for it
+    answers_end: float = math.inf  # finite once it has been told to stop
+    _patience: set[trio.CancelScope] = field(default_factory=set)  # of the requests without their answer
+
+    @property
+    def owes(self) -> bool:
+        """Some client has not had its answer yet, or stands and has not been told to move."""
+        return bool(self.standing or self.unanswered or self.unheard)
+
+    def end_by(self, moment: float) -> None:
+        """Who still waits by then gets a final answer, however much longer it would."""
+        self.answers_end = moment
+        for scope in self._patience:
+            scope.deadline = min(scope.deadline, moment)
+
+    @contextmanager
+    def patience(self, deadline: float) -> Iterator[None]:
+        """Of one request, for its next incident."""
+        with trio.move_on_at(min(deadline, self.answers_end)) as scope:
+            self._patience.add(scope)
+            try:
+                yield
+            finally:
+                self._patience.discard(scope)
 
 
 class Inbound:
@@ -71,7 +98,9 @@
             self.last_arrival = trio.current_time()
             self._counters.accepted += 1
             self._make_room()
-            scope = self._waiting[sock] = trio.CancelScope(deadline=self.last_arrival + FIRST_LINE_S)
+            line_by = min(self.last_arrival + FIRST_LINE_S, self._relay.answers_end)
+            scope = self._waiting[sock] = trio.CancelScope(deadline=line_by)
+            self._relay.unheard += 1
             nursery.start_soon(self._connection, sock, scope)
 
     def _make_room(self) -> None:
@@ -108,8 +137,13 @@
     async def _connection(self, sock: SocketType, scope: trio.CancelScope) -> None:
         """One connection's fault ends that connection, and is logged."""
         try:
-            without_delay(sock)
-            await self._talk(sock, scope)
+            try:
+                without_delay(sock)
+                exchange = await self._talk(sock, scope)
+            finally:
+                self._relay.unheard -= 1
+            if exchange is not None:
+                await self._exchanged(exchange)
         except OSError as error:
             events.client_broke(error=error)
         except Exception as error:
@@ -119,7 +153,8 @@
             self._waiting.pop(sock, None)
             sock.close()
 
-    async def _talk(self, sock: SocketType, scope: trio.CancelScope) -> None:
+    async def _talk(self, sock: SocketType, scope: trio.CancelScope) -> "Exchange | None":
+        """None: the client has gone, or been told why it is no request."""
         buffer = lines.LineBuffer()
         end = None
         try:
@@ -130,7 +165,7 @@
                 if scope.cancelled_caught:
                     self._counters.silent_clients += 1
                     await send(sock, lines.FAILED)
-                return
+                return None
             exchange = self._exchange(sock, buffer, end)
         except lines.Malformed as error:
             self._waiting.pop(sock, None)
@@ -138,11 +173,14 @@
             events.client_malformed(count=self._counters.malformed, error=error)
             more = buffer.filled > (end or 0)
             await self._turn_away(sock, lines.FAILED, more)
-            return
+            return None
         if self._taken >= self._room.taken:
             self._counters.fail_fast += 1
             await self._turn_away(sock, self._busy(), False)
-            return
+            return None
+        return exchange
+
+    async def _exchanged(self, exchange: "Exchange") -> None:
         self._taken += 1
         try:
             await exchange.run()
@@ -200,7 +238,7 @@
             raise lines.Malformed("the class is unknown")
         return i.Request(
             request=self._relay.decisions.new_request(),
-            expires_in_us=first.wait_ms * 1000,
+            expires_in_us=self._expires_in_us(first),
             key=first.key,
             group=first.number(b"g", 16),
             request_class=request_class,
@@ -211,6 +249,11 @@
             returning=first.flag(b"again"),
         )
 
+    def _expires_in_us(self, first: lines.OpenLine) -> int:
+        """A relay that ends has less time than its client: the decisions are to know."""
+        left_s = max(0.0, self._relay.answers_end - trio.current_time())
+        return int(min(first.wait_ms * 1000, left_s * SECOND_US))
+
     def _standing_at(self, first: lines.OpenLine) -> int | None:
         """The server of a connection that stood before this relay did."""
         if b"at" not in first.figures:
@@ -246,10 +289,10 @@
         relay.counters.existing += self._stands_at is not None
         relay.unanswered += 1
         try:
-            receipt = await self._until_answered()
-        finally:
-            relay.unanswered -= 1
-        try:
+            try:
+                receipt = await self._until_answered()
+            finally:
+                relay.unanswered -= 1
             if receipt is not None and self._call is not None and self._call.sock is not None:
                 await self._stand(self._call.sock, receipt)
         finally:
@@ -275,7 +318,7 @@
                 await self._carry_out(self._state.resume(server, self._relay.clock.now_us()), nursery)
             while self._state.phase in (r.Phase.TAKEN, r.Phase.CALLING):
                 incident: r.Incident = r.DeadlinePassed()
-                with trio.move_on_at(self._relay.clock.to_trio(self._deadline_us)):
+                with self._relay.patience(self._relay.clock.to_trio(self._deadline_us)):
                     incident = await self._receive.receive()
                 effects = self._state.on(incident, self._relay.clock.now_us())
                 await self._carry_out(effects, nursery)
--- a/glenfold/net/sockets.py
+++ b/glenfold/net/sockets.py
@@ -1,6 +1,7 @@
 """What trio's sockets lack: gathered writes to the end, and endings of either kind."""
 
 import os
+import select
 import socket
 import struct
 from collections.abc import Sequence
@@ -53,6 +54,13 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _AT_ONCE)
 
 
+def queued(listener: SocketType) -> bool:
+    """Whether the kernel has a client that nobody has accepted yet; asked without a turn of the loop."""
+    poll = select.poll()
+    poll.register(listener.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def without_delay(sock: SocketType) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
