Let no SIGHUP end a relay that does not heed it yet, and no signal one that has finished

Seen: a process that gets SIGHUP before its handler stands dies of it, forced before the program begins, and between reading the file and the handler; one that had finished died of a signal that came in its last turn (trio passes signals not taken out on to the default action when its receiver is left).

Ruled out: a second SIGTERM, a SIGHUP or a SIGUSR1 while it drains or finishes: `stop` sets an event that is set, `reload` refuses in an ending life.

Lines at fault: __main__.main and run_by_signals took no care of the time before open_signal_receiver and behind it; the interpreter's own start, which no code of ours covers, is `run` in deploy/balancer.toml.

--- a/glenfold/__main__.py
+++ b/glenfold/__main__.py
@@ -2,6 +2,7 @@
 
 import gc
 import os
+import signal
 import sys
 
 
@@ -14,6 +15,8 @@
             sys.stderr.write(f"the command line needs the package {error.name}: pip install glenfold\n")
             return 2
         command_line(prog_name="glenfold")
+    # They would end a relay that does not heed them yet; these wait until it does.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGUSR1))
     gc.disable()  # a start leaves next to no garbage; enabled again before it is ready
     from glenfold.daemon.platform import main as relay
     return relay()
--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -329,13 +329,17 @@
         signal.SIGTERM: process.stop,
         signal.SIGINT: process.stop,
     }
-    # To the very end: SIGHUP would end a relay that has stopped listening to it.
     with trio.open_signal_receiver(*by_signal) as signals:
         process.note_moment(signal.SIGTERM, signal.SIGINT)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(heed, signals, by_signal)
-            await process.run()
-            nursery.cancel_scope.cancel()
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, by_signal)  # those that came during the start come now
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(heed, signals, by_signal)
+                await process.run()
+                nursery.cancel_scope.cancel()
+        finally:
+            # To the very end: any of them would end a relay that has stopped listening to it, as by a crash.
+            signal.pthread_sigmask(signal.SIG_BLOCK, by_signal)
 
 
 async def heed(signals: AsyncIterator[int], by_signal: Mapping[int, Callable[[], object]]) -> None:
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -1,8 +1,15 @@
 """How the relay starts: without words it is the platform's, and loads nothing of the command line."""
 
 import os
+import signal
+import socket
 import subprocess
 import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+import relaying
 
 import glenfold
 
@@ -57,3 +64,49 @@
                      "from glenfold.__main__ import run; run()")
     assert done.returncode == 2
     assert done.stderr == "the command line needs the package click: pip install glenfold\n"
+
+
+# ---- signals that come when nobody heeds them yet, or any more ----
+
+ROOT = Path(__file__).parents[1]
+ALL = "for name in ('HUP', 'USR1', 'TERM', 'INT'): os.kill(os.getpid(), signal.Signals[f'SIG{name}'])"
+BEGIN = "import os, signal, sys; from glenfold import events, logs; from glenfold.daemon import platform\n"
+MAIN = "sys.argv = ['glenfold']; from glenfold.__main__ import run; run()\n"
+EARLY = f"""{BEGIN}
+def read(environment, real=platform.read_config):
+    config = real(environment)
+    os.kill(os.getpid(), signal.SIGHUP)
+    return config
+platform.read_config = read
+{MAIN}"""
+LATE = f"""{BEGIN}
+def wrapped(real):
+    def last(**given):
+        real(**given)
+        {ALL}
+    return last
+events.relay_exit, logs.finish = wrapped(events.relay_exit), wrapped(logs.finish)
+{MAIN}"""
+DEPLOYED = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"].replace(
+    "exec .venv/bin/python", f"kill -HUP $$; kill -USR1 $$; exec {sys.executable}")
+
+
+@pytest.mark.parametrize(("words", "logged"), [
+    ([sys.executable, "-c", EARLY], "read again; discovery is at 127.0.0.1:9"),
+    ([sys.executable, "-c", LATE], "relay listens"),
+    (["/bin/sh", "-c", DEPLOYED], "relay listens"),
+], ids=["between the file and the handler", "behind the handler", "before the program"])
+def test_no_signal_ends_a_relay_that_heeds_it_not_yet_or_no_more(words, logged, tmp_path):
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    relaying.write(tmp_path, listen=f"127.0.0.1:{port}")
+    environment = os.environ | {"LB_CONFIG": str(tmp_path / "config.json")}
+    with subprocess.Popen(words, cwd=ROOT, env=environment, stderr=subprocess.PIPE, text=True) as relay:
+        for line in relay.stderr:
+            if logged in line:
+                break
+        else:
+            raise AssertionError(f"it ended with {relay.wait()}")
+        relay.send_signal(signal.SIGTERM)
+        relay.stderr.read()
+        assert relay.wait() == 0
