--- a/tests/test_last_moments.py
+++ b/tests/test_last_moments.py
@@ -1,5 +1,7 @@
 """What is still owed in the last moments of a relay: each crossing is forced, none is waited for."""
 
+import os
+import signal
 import socket
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -15,7 +17,7 @@
 from glenfold.config.platform import written
 from glenfold.daemon import process as p
 from glenfold.daemon.life import State
-from glenfold.daemon.process import Process
+from glenfold.daemon.process import Process, run_by_signals
 from glenfold.net.inbound import Exchange
 from glenfold.net.sockets import queued
 from linnetspread import interface as i
@@ -43,7 +45,7 @@
             lambda _, now: self.finishing.set() if now is State.FINISHING else None)
 
     async def run(self) -> None:
-        await self.process.run()
+        await run_by_signals(self.process)
         self.over.set()
 
     def connect(self, said: bytes = b"") -> trio.SocketStream:
@@ -62,11 +64,21 @@
         assert not relay._patience and not self.process.listeners
 
 
+@asynccontextmanager
+async def signals_as_before() -> AsyncIterator[None]:
+    """A relay that has finished holds them back for good."""
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+    try:
+        yield
+    finally:
+        signal.pthread_sigmask(signal.SIG_SETMASK, before)
+
+
 def ending(handler: relaying.Handler, deadline_s: float = 1.2) -> relaying.Setting:
     @asynccontextmanager
     async def setting(folder: Path) -> AsyncIterator[Ending]:
-        async with trio.open_nursery() as nursery:
-            made: list[Ending] = []
+        made: list[Ending] = []
+        async with signals_as_before(), trio.open_nursery() as nursery:
 
             async def server(stream: trio.SocketStream) -> None:
                 first = await read_line(stream)
@@ -232,3 +244,44 @@
 async def test_who_comes_up_in_the_turn_of_the_end_is_told_to_move(
         made: Ending, monkeypatch: pytest.MonkeyPatch) -> None:
     pass
+
+
+@relaying.scripted(ending(takes))
+async def test_who_was_told_up_in_the_turn_of_the_end_is_told_to_move(
+        made: Ending, monkeypatch: pytest.MonkeyPatch) -> None:
+    real = Exchange._answer
+
+    async def answer(exchange: Exchange, line: bytes) -> None:
+        await real(exchange, line)
+        while trio.current_time() < made.process.relay.answers_end + 0.16:  # beyond `leave_at`
+            await trio.lowlevel.checkpoint()
+    monkeypatch.setattr(Exchange, "_answer", answer)
+    stream = made.connect(OPEN)
+    while not made.asked:
+        await trio.sleep(0.005)
+    made.process.stop()
+    await moved(stream)
+    await made.ended()
+
+
+@relaying.scripted(ending(takes))
+async def test_further_signals_change_nothing_in_an_end_and_lose_nobody(made: Ending) -> None:
+    seen = []
+
+    def all_of_them(before: State, now: State) -> None:
+        if now in (State.DRAINING, State.FINISHING):
+            for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1, signal.SIGINT, signal.SIGTERM):
+                os.kill(os.getpid(), number)
+        seen.append(now)
+    stands = made.connect(own(OPEN, 1))
+    assert await read_line(stands) == b"UP r1\r\n"
+    made.process.life.watches.append(all_of_them)
+    os.kill(os.getpid(), signal.SIGTERM)
+    waits = made.connect(own(OPEN, 2)[:20])
+    await made.finishing.wait()
+    await waits.send_all(own(OPEN, 2)[20:])
+    await moved(waits)
+    assert await read_line(stands) == lines.MOVE
+    await made.ended()
+    assert seen == [State.DRAINING, State.FINISHING, State.STOPPED]
+    assert not made.process.relay.counters.reloads
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -10,6 +10,7 @@
 from contextlib import asynccontextmanager
 from dataclasses import replace
 from functools import partial
+from itertools import pairwise
 from pathlib import Path
 
 import pytest
@@ -64,6 +65,18 @@
     assert not swept or leaving.short
 
 
+@given(st.floats(0.05, 60.0), st.floats(0.0, 60.0), st.booleans())
+def test_the_spans_of_an_end_hold_for_any_deadline(longest_s: float, last: float, through: bool) -> None:
+    settings = replace(THROUGH, pass_through=through,
+                       classes=tuple(i.RequestClass(deadline_us=int(s * 1e6)) for s in (0.05, longest_s)))
+    leaving = Leaving(0.0, settings)
+    moments = [leaving.arrivals_until(last), leaving.moves_end, leaving.answers_end, leaving.leave_at,
+               leaving.over_at, max(3.0, int(longest_s * 1e6) / 1e6) + 0.7]
+    assert moments[0] > 0.4 and moments == sorted(moments)
+    assert leaving.answers_end >= longest_s and all(b - a > 0.1 for a, b in pairwise(moments))
+    assert leaving.moves_from(100) == pytest.approx(leaving.moves_end - 1.5 if through else 0.0)
+
+
 @given(st.integers(2_000, 6_000), st.floats(0.0001, 0.0004))
 def test_thousands_are_begun_early_enough_for_the_pace(standing: int, cost: float) -> None:
     leaving = Leaving(0.0, THROUGH)
