Hold SIGHUP and SIGUSR1 back in an operators' relay as well, from its first lines

Cause: as for the platform's relay; a supervisor tells an instance to reload by SIGHUP also while that starts. Change: __main__.main blocks both for `run` too. The test failed on the old line for either, and where nothing unblocks them.

--- a/glenfold/__main__.py
+++ b/glenfold/__main__.py
@@ -8,6 +8,8 @@
 
 def main() -> int:
     """Without words the relay of the platform; all else is the command line's. Each loads only its own."""
+    if sys.argv[1:2] in ([], ["run"]):  # a relay, which they would end while it does not heed them: they wait
+        signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGUSR1))
     if len(sys.argv) > 1 or "_GLENFOLD_COMPLETE" in os.environ:  # a shell's completion asks without words
         try:
             from glenfold.cli.main import main as command_line
@@ -15,8 +17,6 @@
             sys.stderr.write(f"the command line needs the package {error.name}: pip install glenfold\n")
             return 2
         command_line(prog_name="glenfold")
-    # They would end a relay that does not heed them yet; these wait until it does.
-    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGUSR1))
     gc.disable()  # a start leaves next to no garbage; enabled again before it is ready
     from glenfold.daemon.platform import main as relay
     return relay()
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -5,6 +5,7 @@
 import socket
 import subprocess
 import sys
+import threading
 import tomllib
 from pathlib import Path
 
@@ -79,6 +80,26 @@
     return config
 platform.read_config = read
 {MAIN}"""
+EARLY_RUN = """
+import os, signal, sys
+from glenfold.config import operators
+def read(*given, real=operators.read):
+    found = real(*given)
+    os.kill(os.getpid(), signal.SIGHUP)
+    return found
+operators.read = read
+from glenfold.__main__ import run; run()
+"""
+FILE = """format = 1
+[instance]
+name = "a"
+[listeners]
+addresses = ["127.0.0.1:{}"]
+[list]
+discovery = "127.0.0.1:9"
+[[settings.classes]]
+name = "watch"
+"""
 LATE = f"""{BEGIN}
 def wrapped(real):
     def last(**given):
@@ -93,15 +114,20 @@
 
 @pytest.mark.parametrize(("words", "logged"), [
     ([sys.executable, "-c", EARLY], "read again; discovery is at 127.0.0.1:9"),
+    ([sys.executable, "-c", EARLY_RUN, "run", "glenfold.toml"], "read again; discovery is at 127.0.0.1:9"),
     ([sys.executable, "-c", LATE], "relay listens"),
     (["/bin/sh", "-c", DEPLOYED], "relay listens"),
-], ids=["between the file and the handler", "behind the handler", "before the program"])
+], ids=["before the handler", "the same by an operators' file", "behind the handler", "before the program"])
 def test_no_signal_ends_a_relay_that_heeds_it_not_yet_or_no_more(words, logged, tmp_path):
     with socket.create_server(("127.0.0.1", 0)) as free:
         port = free.getsockname()[1]
     relaying.write(tmp_path, listen=f"127.0.0.1:{port}")
+    (tmp_path / "glenfold.toml").write_text(FILE.format(port))
+    words = [str(tmp_path / word) if word == "glenfold.toml" else word for word in words]
     environment = os.environ | {"LB_CONFIG": str(tmp_path / "config.json")}
     with subprocess.Popen(words, cwd=ROOT, env=environment, stderr=subprocess.PIPE, text=True) as relay:
+        late = threading.Timer(20.0, relay.kill)
+        late.start()
         for line in relay.stderr:
             if logged in line:
                 break
@@ -110,3 +136,4 @@
         relay.send_signal(signal.SIGTERM)
         relay.stderr.read()
         assert relay.wait() == 0
+        late.cancel()
