--- a/glenfold/net/sockets.py
+++ b/glenfold/net/sockets.py
@@ -55,9 +55,7 @@
 def hung_up(sock: SocketType) -> bool:
     """Whether the other side has ended or reset it, as far as the kernel knows: also behind bytes that nobody
     has read, and before the loop comes to tell it."""
-    look = select.poll()
-    look.register(sock.fileno(), select.POLLRDHUP)  # a reset is told without being asked for
-    return bool(look.poll(0))
+    return _told_now(sock, select.POLLRDHUP)  # a reset is told without being asked for
 
 
 def finish(sock: SocketType) -> None:
@@ -72,6 +70,18 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _AT_ONCE)
 
 
+def _told_now(sock: SocketType, what: int) -> bool:
+    """By the kernel, without a turn of the loop."""
+    look = select.poll()
+    look.register(sock.fileno(), what)
+    return bool(look.poll(0))
+
+
+def queued(listener: SocketType) -> bool:
+    """Whether the kernel has a client that nobody has accepted yet."""
+    return _told_now(listener, select.POLLIN)
+
+
 def without_delay(sock: SocketType) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
