Take standing connections that name a time beyond any timer

Where packets pass through, such lines carry a usual time.

Ruled out: lists that are asked for (requests were served in full), an unknown class, tenant or server, and the servers, which were never called.

At fault: glenfold/lines.py, parse_open: the bound of MOST_WAIT_MS, made against bad clients' timers, also held for lines with `at=`, whose clients do not wait. Their time is now cut to MOST_WAIT_MS instead.

test_a_connection_that_stood_before_may_name_any_time failed without the change; 50 repeats pass.

--- a/glenfold/lines.py
+++ b/glenfold/lines.py
@@ -115,6 +115,8 @@
         raise Malformed("a first line lacks its class or its deadline")
     key = _number(bytes(view[key_at:figures_at - 1]), 16)
     wait_ms = _number(figures[b"d"], 10)
+    if b"at" in figures:  # it stands, so its client need not wait for anything, and may name any time
+        wait_ms = min(wait_ms, MOST_WAIT_MS)
     if not 0 < wait_ms <= MOST_WAIT_MS:
         raise Malformed("nobody waits for so long, or for no time")
     return OpenLine(view, bytes(view[id_at:key_at - 1]), key, wait_ms, wait_at, figures)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -95,6 +95,21 @@
     assert (counters.existing, counters.calls, counters.faults) == (1, 1, 0)
 
 
+def test_a_connection_that_stood_before_may_name_any_time(conf: Config) -> None:
+    async def server(stream: trio.SocketStream) -> None:
+        _, _, wait = (await read_line(stream)).partition(b",d=")
+        assert 50_000 < int(wait.split(b",")[0]) <= lines.MOST_WAIT_MS
+        await stream.send_all(b"UP r1\r\n")
+        await trio.sleep_forever()
+
+    async def client(shared: Relay, port: int) -> None:
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        await stream.send_all(b"OPEN 9b1f 7f3a c=watch,d=4294967,at=s-0\r\n")  # 2**32 us: no end
+        assert await read_line(stream) == b"UP r1\r\n"
+
+    assert play(conf, server, client).counters.malformed == 0
+
+
 def test_a_reset_is_carried_over_while_both_directions_are_read(conf: Config) -> None:
     async def reset(stream: trio.SocketStream) -> None:
         await read_line(stream)
