--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -403,7 +403,8 @@
             return None
         now = trio.current_time()
         connect_by = now + self._relay.config.settings.connect_timeout_us / SECOND_US
-        return OutboundCall(address, self._first, connect_by, self._relay.clock.to_trio(deadline_us),
+        answer_by = min(self._relay.clock.to_trio(deadline_us), self._relay.answers_end)
+        return OutboundCall(address, self._first, connect_by, answer_by,
                             lambda: self._last_look(server, now))
 
     async def _outbound(self, call: OutboundCall | None) -> None:
--- a/glenfold_lab/checker/attempt.py
+++ b/glenfold_lab/checker/attempt.py
@@ -1,22 +1,27 @@
-"""At most one attempt out for a request at any moment, none after its final answer, and not too many."""
+"""At most one attempt out for a request at any moment, none after its final answer or long after its client
+has left, and not too many."""
 
 from glenfold_lab.checker.state import Attempt, Request
 from glenfold_lab.checker.verdicts import Seen, Verdicts
 
+LEFT_US = 300_000  # after its client has left a request may be sent on for so long
+
 
 def judge(found: Verdicts, state: Request, now: int, most: int, slack_us: int) -> None:
     one = state.last
     if one is not None and one.before is not None:
         _judge_several(found, state, now, most, slack_us)
-    while one is not None and state.final is not None:
+    while one is not None:
         judge_late(found, state, one, slack_us)
         one = one.before
 
 
 def judge_late(found: Verdicts, state: Request, one: Attempt, slack_us: int) -> None:
-    """Against the final answer."""
-    if one.first > state.final_at + slack_us:
+    """Against the final answer, and against the client's end."""
+    if state.final is not None and one.first > state.final_at + slack_us:
         _broken(found, state, one, [state.final_seen(), *one.seen()])
+    elif state.left_at is not None and one.first > state.left_at + LEFT_US + slack_us:
+        _broken(found, state, one, [(state.left_at, "its client had left"), *one.seen()])
 
 
 def _judge_several(found: Verdicts, state: Request, now: int, most: int, slack_us: int) -> None:
--- a/tests/glenfold_lab/test_checker.py
+++ b/tests/glenfold_lab/test_checker.py
@@ -126,6 +126,14 @@
     return add(lambda slack: [(kind, (at + slack, *values))])
 
 
+def left(then):
+    """The client of REFUSED leaves at 6 s; `then` after that it is sent on."""
+    return lambda made, slack: [
+        *without(made, "answered", REFUSED), ("left", (6 * S, REFUSED)),
+        ("sent", (6 * S + then + slack + 1000, REFUSED, 0, OLD, 6 * S + then + slack)),
+        ("attempt_over", (6 * S + then + slack + 2000, REFUSED, OLD, Over.ABANDONED))]
+
+
 DUE = 8 * S + round(RULES.answer_slack_ms * 1000)
 FAULTS = {
     "late": ("answer", answer(lambda slack: DUE + slack + 1, Final.BUSY)),
@@ -145,6 +153,7 @@
         ("sent", (5_001_500, REFUSED, 0, FLAPS, 5_001_000))])),
     "after the answer": ("attempt", again("sent", 5_100_000, REFUSED, 0, OLD, 5_100_000)),
     "after the answer, while it stands": ("attempt", again("sent", 10_500_000, PLAIN, 0, OLD, 10_500_000)),
+    "long after its client left": ("attempt", left(300_001)),
     "for nobody": ("attempt", again("sent", 10_500_000, 999, 0, OLD, 10_500_000)),
     "too many": ("attempt", add(lambda slack: request(7777, 3 * S, before=(Over.BUSY,) * 5))),
     "drained": ("drain", late_send(DRAINS, 4 * S)),
@@ -175,6 +184,7 @@
         ("attempt_over", (5_001_500, REFUSED, FLAPS, Over.ABANDONED)),
         ("sent", (5_001_700, REFUSED, 0, FLAPS, 5_001_000))]),
     "under way at the answer": again("sent", 5_020_000, REFUSED, 0, FLAPS, 5_003_500),
+    "soon after its client left": left(300_000),
     "drained": late_send(DRAINS, 4 * S, 2 * S),
     "back after a cut of its network": lambda made, slack: late_send(DIES, 14 * S)(
         [*made, ("server_started", (13_200_000, DIES, CAPACITY, False)),
