Ignore signals behind a relay's end in all its threads, not in the first one alone

Seen: the test of signals behind the handler failed in 3 of 51 plays under load: blocked in the main thread, SIGTERM went to another (the log's), by its default. Ruled out: the tests of the start (18 plays of all four without a failure).

Lines at fault: the SIG_BLOCK at the end of run_by_signals. Change: a handler that only notes stands before trio's receiver and behind it, and the end ignores all four; what is noted before the receiver is heeded. The test has a second thread now, and fails on the old lines each time.

--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -329,17 +329,24 @@
         signal.SIGTERM: process.stop,
         signal.SIGINT: process.stop,
     }
-    with trio.open_signal_receiver(*by_signal) as signals:
-        process.note_moment(signal.SIGTERM, signal.SIGINT)
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, by_signal)  # those that came during the start come now
-        try:
+    # What trio goes back to: by their default any of them would end a relay that has stopped listening to it.
+    # Blocking does not keep them off: another thread would take them.
+    early: list[int] = []
+    for number in by_signal:
+        signal.signal(number, lambda number, frame: early.append(number))
+    try:
+        with trio.open_signal_receiver(*by_signal) as signals:
+            process.note_moment(signal.SIGTERM, signal.SIGINT)
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, by_signal)  # those that came during the start come now
+            for number in early:
+                by_signal[number]()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(heed, signals, by_signal)
                 await process.run()
                 nursery.cancel_scope.cancel()
-        finally:
-            # To the very end: any of them would end a relay that has stopped listening to it, as by a crash.
-            signal.pthread_sigmask(signal.SIG_BLOCK, by_signal)
+    finally:
+        for number in by_signal:
+            signal.signal(number, signal.SIG_IGN)
 
 
 async def heed(signals: AsyncIterator[int], by_signal: Mapping[int, Callable[[], object]]) -> None:
--- a/tests/test_last_moments.py
+++ b/tests/test_last_moments.py
@@ -66,12 +66,14 @@
 
 @asynccontextmanager
 async def signals_as_before() -> AsyncIterator[None]:
-    """A relay that has finished holds them back for good."""
-    before = signal.pthread_sigmask(signal.SIG_BLOCK, ())
+    """A relay that has finished ignores them for good."""
+    before = {number: signal.getsignal(number) for number in
+              (signal.SIGTERM, signal.SIGHUP, signal.SIGUSR1, signal.SIGINT)}
     try:
         yield
     finally:
-        signal.pthread_sigmask(signal.SIG_SETMASK, before)
+        for number, handler in before.items():
+            signal.signal(number, handler)
 
 
 def ending(handler: relaying.Handler, deadline_s: float = 1.2) -> relaying.Setting:
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -101,6 +101,8 @@
 name = "watch"
 """
 LATE = f"""{BEGIN}
+import threading, time  # another thread would take what the first one blocks
+threading.Thread(target=time.sleep, args=(600,), daemon=True).start()
 def wrapped(real):
     def last(**given):
         real(**given)
