Take a server's power from its listed share: no speeds by one site's names of kinds

Seen: `CORE_SPEED` in linnetspread/choice.py, read in `_power`, gave three kinds of server a speed by their names, and every kind of another customer the speed 1; a list's entry of an unknown kind counts as the settings' first, so it had that one's speed.

--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -25,7 +25,6 @@
 FURTHER = 3            # seeds after the first
 MOST_HOMES = 5         # of a group in a sparse fleet with all listed power: each costs what it shares
 MORE = 1, 4, 8         # times that for the first of it here, the second, any further
-CORE_SPEED = {"small-fast": 2.0, "mid-steady": 1.2, "mid-slow": 0.8}  # as the operators state it; else 1
 SPILL = 1.25           # a server over this multiple of its part of what is held here, and one, is crowded
 REGROWTH = 0.02        # of its slice that a jammed server gets back in a second
 CROWD = 3              # set-ups under way here beside one that tells of its server's delay
@@ -121,7 +120,7 @@
     """What this gateway knows of one server, from its list and its own traffic."""
 
     listed: i.ListedServer
-    power: float              # listed cores at their kind's speed
+    power: float              # as its list says; what its cores are worth is told nowhere
     holds: "dict[int, Held]" = field(default_factory=dict)  # attempts out and connections, by request
     strikes: int = 0          # failures since the last success
     shun_until: int = 0
@@ -265,9 +264,8 @@
         self.homes = max(1, round(MOST_HOMES * self.present_power / (sum(listed) or 1.0)))
 
     def _power(self, line: i.ListedServer) -> float:
-        kind = self.s.kinds[line.kind] if line.kind < len(self.s.kinds) else ""
-        weight = max(line.weight, 0.0) or 1.0 if self.s.weighted else 1.0
-        return weight * CORE_SPEED.get(kind, 1.0)
+        """The map goes by it, so nothing that one gateway has learnt may enter here."""
+        return max(line.weight, 0.0) or 1.0 if self.s.weighted else 1.0
 
     def _buckets(self, number: int) -> int:
         return min(MOST_BUCKETS, max(1, round(BUCKETS_PER_UNIT * self.servers[number].power)))
