Tell a faulty setting by its key; no aims, no worth and no warm-up stop no decision

Seen: `_Pairs.number` in linnetspread/wire.py and the lookups of words in `read_settings` took a default for whatever they could not read, and said nothing; a negative deadline was taken as it stood, and a NaN or an infinite one written as text raised. `invariants.cold_us` of 0 (warm at once) divided by zero in `_look`. A class's name with a line's end in it (`_plain` replaced blanks and commas alone) brought a setting of its own.

`read_settings` now hands out key and fault of what it did not take: no number, out of its range, a word that it does not know, a value where an object belongs and the reverse, a class without a deadline. The platform's start logs each (`config.default`) and serves with the default. At SIGHUP a fault that was not there at the start is refused, and nothing changes; one that was there does not keep discovery from moving. `sim` reads as before and prints nothing. Names are now read before settings, so that the faults of both come in the same order each time.

In the decisions: the shortest aim was 0 where settings told none, and each set-up slower than the quickest made a jam of its server; now no aim makes none, and one aim stands for all classes that tell none. Classes without any worth divided by zero in `_merit`.

--- a/glenfold/config/operators.py
+++ b/glenfold/config/operators.py
@@ -63,7 +63,7 @@
             discovery=read_address(self.terms.list.discovery),
             seed=int.from_bytes(os.urandom(8)),
             room=Room.within(sockets, float("inf") if limits.memory_mb is None else limits.memory_mb),
-            settings=settings_of(told),
+            settings=settings_of(told)[0],  # the file itself is checked whole
             names=names_of(told),
             cores=limits.cores,
             known=self._known(),
--- a/glenfold/config/platform.py
+++ b/glenfold/config/platform.py
@@ -2,13 +2,14 @@
 
 import json
 import math
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
 from linnetspread import interface as i
-from linnetspread.wire import read_settings
+from linnetspread.wire import Fault, read_settings
 
 Address = tuple[str, int]
 
@@ -61,6 +62,7 @@
     names: Names
     cores: float = 1.0  # the part of a core that this process may use
     known: dict[str, Any] = field(default_factory=dict)  # in discovery's form; checked where that is read
+    faults: tuple[Fault, ...] = ()  # in the settings, where a default stands for what they say
 
 
 def read_address(text: str) -> Address:
@@ -104,7 +106,7 @@
         raise ConfigError(f"settings.{path}", "is not a finite number")
     if isinstance(value, bool):
         return str(value).lower()
-    return str(value).replace(" ", "_").replace(",", "_")
+    return re.sub(r"[\s,]", "_", str(value))  # a line's end too, or a name could bring a setting of its own
 
 
 def _places(values: Any, key: str) -> dict[str, int]:
@@ -120,9 +122,12 @@
     return places
 
 
-def settings_of(settings: dict[str, Any]) -> i.Settings:
-    """Of that JSON object. Whatever it says: no line of the protocol tells what a message takes."""
-    return replace(read_settings("\n".join(_flat(settings, ""))), tells_delay=False)
+def settings_of(settings: dict[str, Any]) -> tuple[i.Settings, tuple[Fault, ...]]:
+    """Of that JSON object, with what is faulty in it. Whatever it says: no line of the protocol tells what a
+    message takes."""
+    faults: list[Fault] = []
+    read = replace(read_settings("\n".join(_flat(settings, "")), faults), tells_delay=False)
+    return read, tuple((f"settings.{key}", fault) for key, fault in faults)
 
 
 def names_of(settings: dict[str, Any]) -> Names:
@@ -168,6 +173,8 @@
         seed = int(document.get("seed", "0"), 16)
     except (TypeError, ValueError) as error:
         raise ConfigError("seed", "is not a hexadecimal number") from error
+    names = names_of(settings)
+    read, faults = settings_of(settings)
     discovery = [("LB_DISCOVERY", environment.get("LB_DISCOVERY")), ("discovery", document.get("discovery"))]
     return Config(
         name=environment.get("LB_NAME") or str(document.get("name", "relay")),
@@ -175,10 +182,11 @@
         discovery=_address(*(reversed(discovery) if again else discovery)),
         seed=seed,
         room=room,
-        settings=settings_of(settings),
-        names=names_of(settings),
+        settings=read,
+        names=names,
         cores=_limit(limits, "cores", 1.0, 0.01),
         known=_object(document, "known", "known", {}),
+        faults=faults,
     )
 
 
@@ -186,7 +194,11 @@
 
 
 def read_again(environment: Mapping[str, str], current: Config) -> tuple[Config, list[str]]:
-    """The configuration after SIGHUP, and the keys whose new values wait for a restart."""
+    """The configuration after SIGHUP, and the keys whose new values wait for a restart. A setting that has
+    become faulty is refused: at a start somebody must serve, here somebody does."""
     new = read_config(environment, again=True)
+    for key, fault in new.faults:
+        if (key, fault) not in current.faults:
+            raise ConfigError(key, fault)
     waiting = [key for key in NEED_RESTART if getattr(new, key) != getattr(current, key)]
     return replace(current, discovery=new.discovery, room=new.room), waiting
--- a/glenfold/daemon/platform.py
+++ b/glenfold/daemon/platform.py
@@ -33,7 +33,10 @@
     try:
         if levels := log_levels(os.environ):
             logs.take_terms(logs.Terms(levels=levels))
-        trio.run(serve, read_config(os.environ))
+        config = read_config(os.environ)
+        for key, fault in config.faults:
+            events.config_default(key=key, fault=fault)
+        trio.run(serve, config)
         return 0
     except ConfigError as error:
         events.config_refused(error=error)
--- a/glenfold/events.py
+++ b/glenfold/events.py
@@ -91,6 +91,11 @@
     """The configuration is faulty: a start ends there, at a reload the one before goes on to hold."""
 
 
+@event("config.default", "warning", "configuration: {key}: {fault}; its default holds")
+def config_default(*, key: str, fault: str) -> None:
+    """A setting is faulty at the platform's start, which is served all the same."""
+
+
 @event("config.reloaded", "info", "configuration read again; discovery is at {discovery}")
 def config_reloaded(*, discovery: str) -> None:
     """The configuration was read again and holds now."""
--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -181,7 +181,9 @@
         self.now = 0
         self.mean_load = [0.0] * len(settings.classes)
         self.moved_load: dict[int, float] = {}  # of clients moved off a jammed server, the latest few
-        self.mean_worth = sum(kind.worth for kind in settings.classes) / len(settings.classes)
+        self.mean_worth = sum(kind.worth for kind in settings.classes) / len(settings.classes) or 1.0
+        self.aim_us = min((kind.message_aim_us for kind in settings.classes if kind.message_aim_us),
+                          default=math.inf)  # the shortest told: without one no delay tells of a jam
         self.quotas = [tenant.quota_connections for tenant in settings.tenants] or [0.0]
         self.by_tenant = [0] * len(self.quotas)
         rate = sum(tenant.quota_per_s for tenant in settings.tenants)
@@ -579,15 +581,14 @@
             return
         known.quickest_us = min(known.quickest_us, took_us)
         known.delay_us += (took_us - known.quickest_us - known.delay_us) / 2
-        if known.delay_us > min(kind.message_aim_us for kind in self.s.classes):
+        if known.delay_us > self.aim_us:
             self._on_slow(known, known.delay_us)
 
     def _on_slow(self, known: Server, took_us: float) -> None:
         """Messages take long there: nothing new; past the aim nobody is served, so some must leave. The
         deeper the pile of work, the more: it has to be worked off besides what still comes in."""
-        aim = min(kind.message_aim_us for kind in self.s.classes)
-        known.rest_until = self.now + 1_500_000 if took_us > aim / 3 else 0
-        if took_us > aim:
+        known.rest_until = self.now + 1_500_000 if took_us > self.aim_us / 3 else 0
+        if took_us > self.aim_us:
             self._press(known, 0.7 - 0.3 * min(1.0, took_us / 1e6))
             self._shed(known)
 
--- a/linnetspread/wire.py
+++ b/linnetspread/wire.py
@@ -1,7 +1,10 @@
 """The codec: binary records of the wire to and from the types of interface.py. No decisions here."""
 
+import math
 import struct
+from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import TypeVar
 
 from linnetspread import interface as i
 
@@ -50,57 +53,105 @@
 SEMANTICS = {
     "repeatable": i.Semantics.REPEATABLE, "by_key": i.Semantics.BY_KEY, "once": i.Semantics.ONCE,
 }
+WEIGHTS = {"none": False, "nominal": True, "rough": True, "live": False}
 SCOPES = {"all": i.DedupScope.ALL, "zone": i.DedupScope.ZONE, "cell": i.DedupScope.CELL}
 
 
 # ---- settings ----------------------------------------------------------------------------------
 
 
+Fault = tuple[str, str]  # a key, and what is amiss with its value
+MOST = 1e15              # in whatever unit
+FLAGS = {"true": True, "1": True, "false": False, "0": False}
+T = TypeVar("T")
+
+
 class _Pairs:
-    """The settings text as a mapping; what is missing or not a number takes the default."""
+    """The settings text as a mapping. What is missing takes the default; so does what is no such value, or
+    out of its range, and that is put down in `faults`."""
 
-    def __init__(self, text: str) -> None:
+    def __init__(self, text: str, faults: list[Fault]) -> None:
         pairs = (line.split("=", 1) for line in text.splitlines() if "=" in line)
         self.values = {name.strip(): value.strip() for name, value in pairs}
-
-    def number(self, name: str, default: float) -> float:
+        self.tables = {name[:at] for name in self.values for at, sign in enumerate(name) if sign == "."}
+        self.faults = faults
+
+    def _fault(self, name: str, fault: str) -> None:
+        if (name, fault) not in self.faults:
+            self.faults.append((name, fault))
+
+    def _text(self, name: str) -> str | None:
+        for at, sign in enumerate(name):
+            if sign == "." and self.values.get(name[:at]):
+                self._fault(name[:at], "is not an object")
+        if name in self.tables:
+            self._fault(name, "is not a single value")
+            return None
+        return self.values.get(name)
+
+    def _read(self, name: str, text: str, default: float, least: float, most: float) -> float:
         try:
-            return float(self.values[name])
-        except (KeyError, ValueError):
-            return default
-
-    def whole(self, name: str, default: int) -> int:
-        return int(self.number(name, default))
+            value = float(text)
+        except ValueError:
+            value = math.nan
+        if least <= value <= most:  # nan is not
+            return value
+        self._fault(name, f"{text[:40]!r} is not a number from {least:g} to {most:g}")
+        return default
+
+    def number(self, name: str, default: float, least: float = 0.0, most: float = MOST) -> float:
+        text = self._text(name)
+        return default if text is None else self._read(name, text, default, least, most)
+
+    def whole(self, name: str, default: int, least: int = 0) -> int:
+        return int(self.number(name, default, least))
+
+    def one_of(self, name: str, words: Mapping[str, T], default: T) -> T:
+        text = self._text(name)
+        if not text or text.lower() in words:
+            return words[text.lower()] if text else default
+        self._fault(name, f"{text[:40]!r} is not one of {', '.join(words)}")
+        return default
 
     def flag(self, name: str) -> bool:
-        return self.values.get(name, "").lower() in ("true", "1")
+        return self.one_of(name, FLAGS, False)
 
     def numbers(self, name: str) -> list[float]:
-        try:
-            return [float(value) for value in self.values[name].split(",") if value]
-        except (KeyError, ValueError):
-            return []
+        texts = filter(None, (self._text(name) or "").split(","))
+        return [self._read(f"{name}.{n}", text, 0.0, 0.0, MOST) for n, text in enumerate(texts)]
+
+    def items(self, name: str) -> range:
+        """Of a list of objects."""
+        if self.values.get(name):
+            self._fault(name, "is not a list of objects")
+        return range(self.whole(f"{name}.count", 0))
+
+    def needs(self, name: str) -> str:
+        if name not in self.values and name not in self.tables:
+            self._fault(name, "is missing")
+        return name
 
 
 def _at(values: list[float], index: int) -> float:
     return values[index] if index < len(values) else 0.0
 
 
-def read_settings(text: str) -> i.Settings:
-    """Unknown names are passed over; missing ones take the defaults of Settings."""
-    pairs, base, plain = _Pairs(text), i.Settings(), i.RequestClass()
+def read_settings(text: str, faults: list[Fault] | None = None) -> i.Settings:
+    """Unknown names are passed over; missing ones take the defaults of Settings, as do faulty values, which
+    are added to `faults`."""
+    pairs, base, plain = _Pairs(text, [] if faults is None else faults), i.Settings(), i.RequestClass()
     aims = pairs.numbers("extra.message_aim_us")
     classes = tuple(
         i.RequestClass(
             aim_us=pairs.whole(f"classes.{n}.aim_us", plain.aim_us),
-            deadline_us=pairs.whole(f"classes.{n}.hard_limit_us", plain.deadline_us),
-            semantics=SEMANTICS.get(pairs.values.get(f"classes.{n}.semantics", ""), plain.semantics),
-            scope=SCOPES.get(pairs.values.get(f"classes.{n}.group", ""), plain.scope),
+            deadline_us=pairs.whole(pairs.needs(f"classes.{n}.hard_limit_us"), plain.deadline_us, 1),
+            semantics=pairs.one_of(f"classes.{n}.semantics", SEMANTICS, plain.semantics),
+            scope=pairs.one_of(f"classes.{n}.group", SCOPES, plain.scope),
             window_us=pairs.whole(f"classes.{n}.window_us", plain.window_us),
             worth=pairs.number(f"classes.{n}.worth", plain.worth),
             message_aim_us=_at(aims, n),
         )
-        for n in range(pairs.whole("classes.count", 0))
+        for n in pairs.items("classes")
     )
     quotas = pairs.numbers("extra.tenant_quota_connections")
     tenants = tuple(
@@ -109,34 +160,34 @@
             quota_per_s=pairs.number(f"accounts.{n}.quota_per_s", 0.0),
             quota_connections=_at(quotas, n),
         )
-        for n in range(pairs.whole("accounts.count", 0))
+        for n in pairs.items("accounts")
     )
     return i.Settings(
-        gateways=max(1, pairs.whole("replicas_of_me", base.gateways)),
+        gateways=pairs.whole("replicas_of_me", base.gateways, 1),
         slot=pairs.whole("slot_no", base.slot),
         zone=pairs.whole("az", base.zone),
         tick_us=pairs.whole("period_us", base.tick_us),
         classes=classes or base.classes,
         tenants=tenants,
         kinds=tuple(filter(None, pairs.values.get("kinds", "").split(","))),
-        weighted=pairs.values.get("weights") in ("nominal", "rough"),
-        ask_for_list=pairs.values.get("registry_mode") == "ask",
-        pass_through=pairs.values.get("extra.mode") == "pass",
+        weighted=pairs.one_of("weights", WEIGHTS, False),
+        ask_for_list=pairs.one_of("registry_mode", {"push": False, "ask": True}, False),
+        pass_through=pairs.one_of("extra.mode", {"proxy": False, "pass": True}, False),
         tells_delay=pairs.flag("extra.tells_delay"),
         park_us=pairs.whole("extra.park_us", base.park_us),
-        over_share_worth=pairs.number("over_share_worth", base.over_share_worth),
-        cold_share=pairs.number("invariants.cold_share", base.cold_share),
-        cold_us=pairs.whole("invariants.cold_us", base.cold_us),
+        over_share_worth=pairs.number("over_share_worth", base.over_share_worth, most=1.0),
+        cold_share=pairs.number("invariants.cold_share", base.cold_share, most=1.0),
+        cold_us=max(1, pairs.whole("invariants.cold_us", base.cold_us)),
         fall_multiple=pairs.number("invariants.fall_multiple", base.fall_multiple),
         fall_us=pairs.whole("invariants.fall_us", base.fall_us),
         drain_grace_us=pairs.whole("invariants.stop_sending_within_us", base.drain_grace_us),
         answer_slack_us=pairs.whole("invariants.answer_slack_us", base.answer_slack_us),
         ask_within_us=pairs.whole("invariants.ask_within_us", base.ask_within_us),
-        max_attempts=pairs.whole("ceilings.max_attempts", base.max_attempts),
+        max_attempts=pairs.whole("ceilings.max_attempts", base.max_attempts, 1),
         spare_attempts=pairs.number("invariants.spare_attempts", base.spare_attempts),
         extra_per_request=pairs.number("invariants.extra_per_request", base.extra_per_request),
         look_back_us=pairs.whole("invariants.look_back_us", base.look_back_us),
-        connect_timeout_us=pairs.whole("ceilings.connect_timeout_us", base.connect_timeout_us),
+        connect_timeout_us=pairs.whole("ceilings.connect_timeout_us", base.connect_timeout_us, 1),
         max_retry_after_us=pairs.whole("ceilings.max_retry_after_us", base.max_retry_after_us),
         may_retry_after=pairs.flag("ceilings.retry_after"),
         may_cancel=pairs.flag("ceilings.cancel"),
