Take the unit of shares from the list: 50 and 100 tell the same as 1 and 2

Seen: `_buckets` in linnetspread/choice.py gave a server 32 buckets for each unit of its share, at least one and at most 512, so that shares of 16 and more, or under 1/32, counted alike: figures that fit shares which are numbers of cores. It comes from the list alone; relays with the same list agree whatever they saw before. Where the largest share crosses a power of two outside that range, the map changes for all.

The test fails with the unit fixed, with the anchor kept when the unit changes, without the lower bound and without the upper one.

--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -21,7 +21,7 @@
 SEEDS = (0x9E3779B97F4A7C15, 0xC2B2AE3D27D4EB4F, 0x165667B19E3779F9)
 BUCKETS = 1 << 15      # of the anchor, whatever the fleet: a bound at which it grew would move every key
 BUCKETS_PER_UNIT = 32  # that a server names, of listed weight: fine enough that shares follow the weights
-MOST_BUCKETS = 512     # for one server
+DOUBLINGS = 4          # of a unit, to the largest weight listed: a list's weights have no unit of their own
 FURTHER = 3            # seeds after the first
 MOST_HOMES = 5         # of a group in a sparse fleet with all listed power: each costs what it shares
 MORE = 1, 4, 8         # times that for the first of it here, the second, any further
@@ -160,16 +160,16 @@
     def __init__(self, settings: i.Settings, seed: int) -> None:
         self.s = settings
         self.random = random.Random(seed)  # for waits only: the map must be the same at every gateway
-        self.anchor = Anchor([])
-        self.version = 0
+        self.anchor, self.unit = Anchor([]), 1.0
         self.servers: dict[int, Server] = {}
+        self.listed: list[float] = []  # powers of all that are ready or leave
         self.ready_power = 0.0
         self.full_power = 0.0     # the most that was ever ready
         self.present_power = 0.0  # of what is ready, cold servers by what they can do for certain
         self.homes = MOST_HOMES   # by the part of the listed power that is there: alike at every gateway
         self.look_at = 0          # when the latter has grown enough to be counted again
         self.sparse, self.spread = False, 0.0  # at the shares less than one of each server's is here; how far
-        self.began = 0
+        self.now = self.began = self.version = 0
         self.sharers = float(settings.gateways)  # that are alive, as the clients they leave tell
         self.busy = 0             # servers at which this gateway holds anything
         self.fleet = Slice()      # mean over those: the best guess for a server it knows nothing of
@@ -178,7 +178,6 @@
         self.taken: deque[int] = deque()   # times of requests, within the look-back
         self.extras: deque[int] = deque()  # times of attempts after a request's first, within it
         self.out: list[i.Action] = []
-        self.now = 0
         self.mean_load = [0.0] * len(settings.classes)
         self.moved_load: dict[int, float] = {}  # of clients moved off a jammed server, the latest few
         self.mean_worth = sum(kind.worth for kind in settings.classes) / len(settings.classes) or 1.0
@@ -243,6 +242,11 @@
 
     def _update_anchor(self) -> None:
         """Removals first, then additions, each in id order; the map is the same whatever came before."""
+        self.listed = [known.power for known in self.servers.values()
+                       if known.listed.state is not i.ServerState.GONE]
+        exponent = math.frexp(max(self.listed, default=1.0))[1]
+        if (unit := 2.0 ** (exponent - min(DOUBLINGS, max(1, exponent)))) != self.unit:
+            self.anchor, self.unit = Anchor([]), unit
         ready = sorted(number for number, known in self.servers.items() if known.ready)
         for number in sorted(set(self.anchor.buckets_of) - set(ready)):
             self.anchor.remove(number)
@@ -259,18 +263,15 @@
         self.present_power = sum(
             known.power * min(1.0, least + (1 - least) * self._age(known) / self.s.cold_us)
             for known in self.servers.values() if known.ready)
-        listed = [known.power for known in self.servers.values()
-                  if known.listed.state is not i.ServerState.GONE]
-        wide = self.s.gateways * len(listed) / (sum(self.quotas) or math.inf)
+        wide = self.s.gateways * len(self.listed) / (sum(self.quotas) or math.inf)
         self.sparse, self.spread = wide > 1, min(1.0, wide - 1)
-        self.homes = max(1, round(MOST_HOMES * self.present_power / (sum(listed) or 1.0)))
+        self.homes = max(1, round(MOST_HOMES * self.present_power / (sum(self.listed) or 1.0)))
 
     def _power(self, line: i.ListedServer) -> float:
-        """The map goes by it, so nothing that one gateway has learnt may enter here."""
-        return max(line.weight, 0.0) or 1.0 if self.s.weighted else 1.0
+        return max(line.weight, 0.0) or 1.0 if self.s.weighted else 1.0  # nothing learnt: the map goes by it
 
     def _buckets(self, number: int) -> int:
-        return min(MOST_BUCKETS, max(1, round(BUCKETS_PER_UNIT * self.servers[number].power)))
+        return max(1, round(BUCKETS_PER_UNIT * self.servers[number].power / self.unit))
 
     def _forget(self, known: Server) -> None:
         """A fleet that is replaced again and again must not fill the memory with servers of the past."""
--- a/tests/test_many_gateways.py
+++ b/tests/test_many_gateways.py
@@ -297,6 +297,18 @@
     assert 0.55 < sum(strong) / len(strong) < 0.7  # 4.0 against 2.4
 
 
+@pytest.mark.parametrize("unit", [0.01, 1.0, 100.0, 1e6])
+def test_keys_follow_the_weights_whatever_their_unit(unit):
+    gateways = [Gateway(servers=0, weighted=True) for _ in range(2)]
+    few = [listed(100 + n, weight=unit * (1 + n % 2)) for n in range(8)]
+    gateways[1].servers(ListKind.FULL, listed(99, weight=40 * unit), *few)  # it alone has seen a larger one
+    gateways[1].servers(ListKind.DELTA, listed(99, ServerState.GONE))
+    gateways[0].servers(ListKind.FULL, *few)
+    homes = [[gateway.balancer.anchor.lookup(key, SEEDS[0]) for key in range(4_000)] for gateway in gateways]
+    assert homes[0] == homes[1]
+    assert 0.6 < sum(home % 2 for home in homes[0]) / 4_000 < 0.73  # two thirds
+
+
 def test_the_name_of_a_kind_tells_nothing():
     maps = []
     for names in (("small-fast", "mid-slow"), ("c8", "m2")):
