--- a/benchmarks/left_waiting.py
+++ b/benchmarks/left_waiting.py
@@ -1,6 +1,6 @@
 """Clients that leave while their request waits, at one real relay: how many are sent on afterwards.
 
-    python benchmarks/left_waiting.py [--tree FOLDER] [--clients N] [--seed S] [--lags]
+    python benchmarks/left_waiting.py [--tree FOLDER] [--clients N] [--seed S] [--lags] [--ends HOW ...]
 
 The relay is `python -m glenfold` of that tree, on loopback. Of its push servers a third answers nothing, a
 third is full, and a third comes up late (its queue of new connections is full for about a second). Each
@@ -67,8 +67,8 @@
         sock.close()
 
 
-def play_client(number: int, port: int, chance: random.Random, seen: Seen) -> None:
-    how, name = chance.choice(ENDS), b"%x" % (number + 1)
+def play_client(number: int, port: int, chance: random.Random, seen: Seen, ends: list[str]) -> None:
+    how, name = chance.choice(ends), b"%x" % (number + 1)
     figures = b"c=watch,t=valleys,d=3000" + b",mid=1" * (how == "behind bytes")
     leaves_at = time.monotonic() + chance.uniform(0.0, WITHIN_S)
     with socket.create_connection(("127.0.0.1", port)) as sock:
@@ -97,6 +97,7 @@
     words.add_argument("--clients", type=int, default=600)
     words.add_argument("--seed", type=int, default=1)
     words.add_argument("--lags", action="store_true")
+    words.add_argument("--ends", nargs="+", choices=ENDS, default=list(ENDS))
     told = words.parse_args()
     seen, ports = Seen(), list[int]()
     for n in range(SERVERS):
@@ -112,7 +113,7 @@
         try:
             time.sleep(1.0)
             chances = [random.Random(1000 * told.seed + n) for n in range(told.clients)]
-            clients = [threading.Thread(target=play_client, args=(n, port, chance, seen))
+            clients = [threading.Thread(target=play_client, args=(n, port, chance, seen, told.ends))
                        for n, chance in enumerate(chances)]
             lag = threading.Thread(target=stop_and_go, args=(relay, told.clients * EVERY_S + WITHIN_S))
             if told.lags:
