Let a mutant's late calls end with its relay, as they are judged by its next life's list

Cause: the mutant's extra call is in no exchange, so `Relay.die` does not close it. Relay 0 sent request 1572 at 6.004 s, was killed, and the call arrived at 6.025 s: "the list of relay 0 had never named server". A relay's own calls are closed at its death (`die` in glenfold_lab/model/relays.py); sound relays pass on the same history. Ruled out: the relay being dead when it sends (asking for that changed nothing).

Change: the mutant closes its late calls when it dies.

--- a/tests/glenfold_lab/test_mutants.py
+++ b/tests/glenfold_lab/test_mutants.py
@@ -50,8 +50,14 @@
         if final is Final.BUSY:
             again = next(number for number, one in self.dispatch.balancer.servers.items() if one.ready)
             call = self._new_call(exchange, again, exchange.state.deadline_us)
+            self.late = [*getattr(self, "late", []), call]
             self._kernel.after(1, self._machines.call, call)
 
+    def die(self):
+        for call in getattr(self, "late", []):  # else one under way is judged by the list of its next life
+            self._machines.close(call)
+        return super().die()
+
 
 class HeedsTheListLate(Relay):
     """2.1 s after it was told."""
