--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -19,19 +19,20 @@
 
 MASK = (1 << 64) - 1
 SEEDS = (0x9E3779B97F4A7C15, 0xC2B2AE3D27D4EB4F, 0x165667B19E3779F9)
-BUCKETS = 1 << 15      # of the anchor, whatever the fleet: a bound at which it grew would move every key
+BUCKETS = 1 << 15  # of the anchor, whatever the fleet: a bound at which it grew would move every key
 BUCKETS_PER_UNIT = 32  # that a server names, of listed weight: fine enough that shares follow the weights
-DOUBLINGS = 4          # of a unit, to the largest weight listed: a list's weights have no unit of their own
-FURTHER = 3            # seeds after the first
-MOST_HOMES = 5         # of a group in a sparse fleet with all listed power: each costs what it shares
-MORE = 1, 4, 8         # times that for the first of it here, the second, any further
-SPILL = 1.25           # a server over this multiple of its part of what is held here, and one, is crowded
-REGROWTH = 0.02        # of its slice that a jammed server gets back in a second
-CROWD = 3              # set-ups under way here beside one that tells of its server's delay
-PART_MOVED = 8         # of a server's connections, at a time, where no notes tell that it is jammed
-REMEMBERED = 1000      # moved clients whose load is kept until they come back
+DOUBLINGS = 4  # of a unit, to the largest weight listed: a list's weights have no unit of their own
+FURTHER = 3  # seeds after the first
+MOST_HOMES = 5  # of a group in a sparse fleet with all listed power: each costs what it shares
+MORE = 1, 4, 8  # times that for the first of it here, the second, any further
+SPILL = 1.25  # a server over this multiple of its part of what is held here, and one, is crowded
+REGROWTH = 0.02  # of its slice that a jammed server gets back in a second
+CROWD = 3  # set-ups under way here beside one that tells of its server's delay
+PART_MOVED = 8  # of a server's connections, at a time, where no notes tell that it is jammed
+REMEMBERED = 1000  # moved clients whose load is kept until they come back
 LONGEST_LIFE_US = 300e6  # mean, of a connection, that a site may have: where no shares tell one
-ASK_AGAIN = 1 << 60    # timer token; request ids stay far below
+ASK_AGAIN = 1 << 60  # timer token; request ids stay far below
+FAILURES = i.Outcome.TIMEOUT, i.Outcome.CONNECT_FAILED, i.Outcome.RESET
 
 
 def mix(value: int) -> int:
@@ -121,16 +122,16 @@
     """What this gateway knows of one server, from its list and its own traffic."""
 
     listed: i.ListedServer
-    power: float              # as its list says; what its cores are worth is told nowhere
+    power: float  # as its list says; what its cores are worth is told nowhere
     holds: "dict[int, Held]" = field(default_factory=dict)  # attempts out and connections, by request
-    strikes: int = 0          # failures since the last success
+    strikes: int = 0  # failures since the last success
     shun_until: int = 0
-    rest_until: int = 0       # nothing new: it refused as full, or its messages take long
+    rest_until: int = 0  # nothing new: it refused as full, or its messages take long
     slice: Slice = field(default_factory=Slice)
     pressed_at: int = 0
-    up_at: int = 0            # when it last took a connection
+    up_at: int = 0  # when it last took a connection
     quickest_us: int = 1 << 60  # set-up seen there
-    delay_us: float = 0.0     # of set-ups beyond that, the latest most
+    delay_us: float = 0.0  # of set-ups beyond that, the latest most
 
     @property
     def ready(self) -> bool:
@@ -145,11 +146,11 @@
     deadline: int
     load: float
     server: Server | None = None  # where its attempt is out or its connection stands
-    at_home: bool = True      # there by its client key, not by a further seed
+    at_home: bool = True  # there by its client key, not by a further seed
     sent: int = 0
     sent_at: int = 0
     established: bool = False
-    ended: bool = False       # final answer given; kept until the attempt's own answer comes
+    ended: bool = False  # final answer given; kept until the attempt's own answer comes
     tried: list[int] = field(default_factory=list)
     risky: Server | None = None  # first server where it may have run
     risky_at: int = 0
@@ -165,25 +166,25 @@
         self.servers: dict[int, Server] = {}
         self.listed: list[float] = []  # powers of all that are ready or leave
         self.ready_power = 0.0
-        self.full_power = 0.0     # the most that was ever ready
+        self.full_power = 0.0  # the most that was ever ready
         self.present_power = 0.0  # of what is ready, cold servers by what they can do for certain
-        self.homes = MOST_HOMES   # by the part of the listed power that is there: alike at every gateway
-        self.look_at = 0          # when the latter has grown enough to be counted again
+        self.homes = MOST_HOMES  # by the part of the listed power that is there: alike at every gateway
+        self.look_at = 0  # when the latter has grown enough to be counted again
         self.sparse, self.spread = False, 0.0  # at the shares less than one of each server's is here; how far
         self.now = self.began = self.version = 0
         self.sharers = float(settings.gateways)  # that are alive, as the clients they leave tell
-        self.busy = 0             # servers at which this gateway holds anything
-        self.fleet = Slice()      # mean over those: the best guess for a server it knows nothing of
+        self.busy = 0  # servers at which this gateway holds anything
+        self.fleet = Slice()  # mean over those: the best guess for a server it knows nothing of
         self.held: dict[int, Held] = {}
         self.setting_up: set[int] = set()  # of these, with an attempt out
-        self.taken: deque[int] = deque()   # times of requests, within the look-back
+        self.taken: deque[int] = deque()  # times of requests, within the look-back
         self.extras: deque[int] = deque()  # times of attempts after a request's first, within it
         self.out: list[i.Action] = []
         self.mean_load = [0.0] * len(settings.classes)
         self.moved_load: dict[int, float] = {}  # of clients moved off a jammed server, the latest few
         self.mean_worth = sum(kind.worth for kind in settings.classes) / len(settings.classes) or 1.0
-        self.aim_us = min((kind.message_aim_us for kind in settings.classes if kind.message_aim_us),
-                          default=math.inf)  # the shortest told: without one no delay tells of a jam
+        aims = [kind.message_aim_us for kind in settings.classes if kind.message_aim_us]
+        self.aim_us = min(aims, default=math.inf)  # the shortest told: without one no delay tells of a jam
         self.quotas = [tenant.quota_connections for tenant in settings.tenants] or [0.0]
         self.by_tenant = [0] * len(self.quotas)
         rate = sum(tenant.quota_per_s for tenant in settings.tenants)
@@ -234,17 +235,16 @@
             known.listed = line
         if event.kind is not i.ListKind.DELTA:
             named = {line.server for line in event.servers}
-            for number, known in self.servers.items():
-                if number not in named:
-                    known.listed = replace(known.listed, state=i.ServerState.GONE)
+            for known in (self.servers[number] for number in self.servers.keys() - named):
+                known.listed = replace(known.listed, state=i.ServerState.GONE)
         self._update_anchor()
-        for number in [n for n, known in self.servers.items() if known.listed.state is i.ServerState.GONE]:
-            self._forget(self.servers[number])
+        for known in list(self.servers.values()):
+            self._forget(known)
 
     def _update_anchor(self) -> None:
         """Removals first, then additions, each in id order; the map is the same whatever came before."""
-        self.listed = [known.power for known in self.servers.values()
-                       if known.listed.state is not i.ServerState.GONE]
+        present = [known for known in self.servers.values() if known.listed.state is not i.ServerState.GONE]
+        self.listed = [known.power for known in present]
         exponent = math.frexp(max(self.listed, default=1.0))[1]
         if (unit := 2.0 ** (exponent - min(DOUBLINGS, max(1, exponent)))) != self.unit:
             self.anchor, self.unit = Anchor([]), unit
@@ -260,10 +260,8 @@
 
     def _look(self) -> None:
         self.look_at = self.now + 1_000_000
-        least = self.s.cold_share
-        self.present_power = sum(
-            known.power * min(1.0, least + (1 - least) * self._age(known) / self.s.cold_us)
-            for known in self.servers.values() if known.ready)
+        ready = [known for known in self.servers.values() if known.ready]
+        self.present_power = sum(known.power * self._warmth(known) for known in ready)
         wide = self.s.gateways * len(self.listed) / (sum(self.quotas) or math.inf)
         self.sparse, self.spread = wide > 1, min(1.0, wide - 1)
         self.homes = max(1, round(MOST_HOMES * self.present_power / (sum(self.listed) or 1.0)))
@@ -346,8 +344,9 @@
     def _may_try(self, held: Held) -> bool:
         """The ration of further attempts, where one is stated; the last of it is for what is worth most."""
         left = self._ration() if held.sent else float("inf")
-        return held.sent < self.s.max_attempts and held.deadline - self.now > self.s.tick_us and (
-            left >= 2 or left >= 1 and self._class(held).worth >= self.mean_worth)
+        if held.sent >= self.s.max_attempts or held.deadline - self.now <= self.s.tick_us:
+            return False
+        return left >= 2 or left >= 1 and self._class(held).worth >= self.mean_worth
 
     def _ration(self) -> float:
         edge = self.now - self.s.look_back_us
@@ -366,8 +365,9 @@
         one that should rest is tried."""
         last_resort = resting = None
         for known, at_home in self._choices(held.event):
-            if known.listed.server in held.tried or not (self._allowed(held, known) and self._within(
-                    held, known, at_home) and self._warm_enough(held, known, at_home)):
+            if known.listed.server in held.tried or not self._allowed(held, known):
+                continue
+            if not (self._within(held, known, at_home) and self._warm_enough(held, known, at_home)):
                 continue
             # Mid-flow it would be reset anywhere else, however the server looks.
             if held.event.mid_flow and held.sent == 0 or self._well(held, known):
@@ -414,8 +414,8 @@
         if kind.semantics is i.Semantics.ONCE or self.now - held.risky_at >= kind.window_us:
             return False
         here, there = known.listed, held.risky.listed
-        return kind.scope is i.DedupScope.ALL or here.zone == there.zone and (
-            kind.scope is i.DedupScope.ZONE or here.cell == there.cell)
+        same_zone, same_cell = here.zone == there.zone, here.cell == there.cell
+        return kind.scope is i.DedupScope.ALL or same_zone and (kind.scope is i.DedupScope.ZONE or same_cell)
 
     def _well(self, held: Held, known: Server) -> bool:
         """Neither resting nor shunned, nor over its part of what this gateway holds. Messages may take long
@@ -457,13 +457,17 @@
         started = known.listed.started_us
         return max(0, self.now - started) if started else self.s.cold_us
 
+    def _warmth(self, known: Server) -> float:
+        """The part of its power that a server has for certain: it grows evenly from the cold share on."""
+        return min(1.0, self.s.cold_share + (1 - self.s.cold_share) * self._age(known) / self.s.cold_us)
+
     def _warm_enough(self, held: Held, known: Server, at_home: bool) -> bool:
         """A server that just started takes only a slice of the keys, however many gateways there are.
 
         New clients come evenly: a slice as large as its present share fits. Returning ones may come all at
         once, each only once, and so may a spilled group: their slice grows no faster than the server could
         have been filled."""
-        age, event, least = self._age(known), held.event, self.s.cold_share
+        age, event = self._age(known), held.event
         if age >= self.s.cold_us:
             return True
         place = place_in(known.listed.server, event.key or event.request)
@@ -472,7 +476,7 @@
         if not at_home or event.returning:  # each has its turn but once, or the same would come over and over
             return self._filled(age - 2 * self.s.fall_us) <= place < self._filled(age)
         again = event.mid_flow or event.client_retry
-        return place < (self._filled(age) if again else least + (1 - least) * age / self.s.cold_us)
+        return place < (self._filled(age) if again else self._warmth(known))
 
     def _filled(self, age: int) -> float:
         """The part of its keys that a server could have taken since it started, with room to spare."""
@@ -495,8 +499,8 @@
 
     def _answer_finally(self, held: Held) -> None:
         kind = self._class(held)
-        harmless = held.risky is None or kind.semantics is i.Semantics.REPEATABLE or (
-            kind.semantics is i.Semantics.BY_KEY and kind.scope is i.DedupScope.ALL)
+        repeats_dropped = kind.semantics is i.Semantics.BY_KEY and kind.scope is i.DedupScope.ALL
+        harmless = held.risky is None or kind.semantics is i.Semantics.REPEATABLE or repeats_dropped
         # Those refused together must not come back together.
         mean = min(self.s.max_retry_after_us * 2 // 3, 1_000_000) if self.s.may_retry_after else 0
         wait = mean // 2 + self.random.randrange(mean + 1)
@@ -546,17 +550,14 @@
 
     def _judge(self, known: Server, outcome: i.Outcome, held: Held) -> None:
         """Health from own traffic: a failure shuns a server for a second, further ones for longer."""
-        if outcome is i.Outcome.FULL:
-            known.rest_until = max(known.rest_until, self.now + 200_000)
+        if outcome is i.Outcome.FULL or outcome is i.Outcome.TIMEOUT and known.up_at > held.sent_at:
+            known.rest_until = max(known.rest_until, self.now + 200_000)  # slow or full, not gone
         elif outcome is i.Outcome.RESET and held.established:  # dropped by a server that holds too much
             known.rest_until = max(known.rest_until, self.now + 1_000_000)
             self._press(known, 0.7)
             if not self.s.tells_delay:  # no note has come before it, and the next would be dropped as well
                 self._shed(known)
-        elif outcome is i.Outcome.TIMEOUT and known.up_at > held.sent_at:  # slow, not gone
-            known.rest_until = max(known.rest_until, self.now + 200_000)
-        elif outcome in (i.Outcome.TIMEOUT, i.Outcome.CONNECT_FAILED) or (
-                outcome is i.Outcome.RESET and not held.event.mid_flow):
+        elif outcome in FAILURES and not (outcome is i.Outcome.RESET and held.event.mid_flow):
             if not known.strikes:
                 self.out.append(i.Log(f"server {known.listed.server} suspect after {outcome.name.lower()}"))
             known.strikes += 1
