--- a/glenfold_lab/model/clients.py
+++ b/glenfold_lab/model/clients.py
@@ -29,22 +29,22 @@
 from glenfold_lab.streams import Streams
 from linnetspread import interface as i
 
-DRAWN_US = SECOND_US // 4     # clients are drawn for so long ahead
-LINES_US = 2 * SECOND_US      # between two lines that a client sends on a standing connection
-PATIENCE_US = 100_000         # beyond its deadline and the slack: an answer may still be under way
-SYN_AGAIN_US = SECOND_US      # TCP's first wait before it asks again for a connection
-PACKETS_US = SECOND_US        # within which packets of a connection come after the front sends them elsewhere
+DRAWN_US = SECOND_US // 4  # clients are drawn for so long ahead
+LINES_US = 2 * SECOND_US  # between two lines that a client sends on a standing connection
+PATIENCE_US = 100_000  # beyond its deadline and the slack: an answer may still be under way
+SYN_AGAIN_US = SECOND_US  # TCP's first wait before it asks again for a connection
+PACKETS_US = SECOND_US  # within which packets of a connection come after the front sends them elsewhere
 FIRST_ASKS_US = 3 * SECOND_US  # within which those come that nobody could hold at the start
-CHANGES = 4096                # drawn at once
+CHANGES = 4096  # drawn at once
 
 ASK, LEAVE, CHANGE, GIVE_UP = range(4)  # what is planned
 
 
-WAITING = 0    # to ask
+WAITING = 0  # to ask
 ASKING = 1
 STANDING = 2
-PARKED = 3     # its packets reach no relay until the front sends them elsewhere
-RESIGNED = 4   # it has tried often enough, but still wants a connection
+PARKED = 3  # its packets reach no relay until the front sends them elsewhere
+RESIGNED = 4  # it has tried often enough, but still wants a connection
 GONE = 5
 
 
@@ -76,16 +76,20 @@
         clients, classes = scenario.clients, scenario.classes
         return cls(
             deadlines=tuple(round(kind.deadline_ms * 1000) for kind in classes),
-            change_us=tuple(value(kind.change_s, streams.of("classes", "change", number)) * SECOND_US
-                            for number, kind in enumerate(classes)),
-            swing=tuple(value(kind.swing_sigma, streams.of("classes", "swing", number))
-                        for number, kind in enumerate(classes)),
+            change_us=tuple(
+                value(kind.change_s, streams.of("classes", "change", number)) * SECOND_US
+                for number, kind in enumerate(classes)
+            ),
+            swing=tuple(
+                value(kind.swing_sigma, streams.of("classes", "swing", number))
+                for number, kind in enumerate(classes)
+            ),
             backoff_us=value(clients.backoff_ms, streams.of("clients", "backoff")) * 1000,
             backoff_most_us=clients.backoff_most_ms * 1000,
             rejoin_us=_about(clients.rejoin_ms, streams.of("clients", "rejoin")),
             move_us=_about(clients.move_ms, streams.of("clients", "move")),
-            slack_us=round(scenario.rules.answer_slack_ms * 1000))
-
+            slack_us=round(scenario.rules.answer_slack_ms * 1000),
+        )
 
     def away_us(self, moved: bool, place: float) -> int:
         """How long a client stays away that was moved, or whose connection broke; `place` is its own."""
@@ -121,11 +125,20 @@
         first, count = len(self), len(drawn.at)
         assert first + count <= MOST_CLIENTS
         for column, values in (
-                (self.first_ask, drawn.at), (self.until, drawn.until), (self.due, drawn.at),
-                (self.key, drawn.key), (self.group, drawn.group), (self.kind, drawn.request_class),
-                (self.scheme, drawn.scheme), (self.zone, drawn.zone), (self.usual, drawn.load),
-                (self.load, drawn.load), (self.pace, drawn.pace), (self.rejoin, drawn.rejoin),
-                (self.honours, drawn.honours)):
+            (self.first_ask, drawn.at),
+            (self.until, drawn.until),
+            (self.due, drawn.at),
+            (self.key, drawn.key),
+            (self.group, drawn.group),
+            (self.kind, drawn.request_class),
+            (self.scheme, drawn.scheme),
+            (self.zone, drawn.zone),
+            (self.usual, drawn.load),
+            (self.load, drawn.load),
+            (self.pace, drawn.pace),
+            (self.rejoin, drawn.rejoin),
+            (self.honours, drawn.honours),
+        ):
             _extend(column, values)
         for flags in (self.state, self.returning, self.mid_flow, self.tries, self.turn):
             _extend(flags, np.zeros(count))
@@ -139,9 +152,19 @@
 
 
 class Clients:
-    def __init__(self, scenario: Scenario, population: Population, streams: Streams, kernel: Kernel,
-                 network: Network, machines: Machines, service: Wanted, watcher: Watcher,
-                 front: Front, relays: Relays) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        population: Population,
+        streams: Streams,
+        kernel: Kernel,
+        network: Network,
+        machines: Machines,
+        service: Wanted,
+        watcher: Watcher,
+        front: Front,
+        relays: Relays,
+    ) -> None:
         self._terms: ClientTerms = scenario.clients
         self._habits = Habits.of(scenario, streams)
         self._pass_through = scenario.relays.pass_through
@@ -169,8 +192,9 @@
         refused = [client for client in self._new(drawn) if not self._stands(client)]
         for place, client in enumerate(refused):
             self._plan_first_ask(client, now + FIRST_ASKS_US * place // len(refused))
-        for (kind, scheme), count in sorted(Counter(zip(
-                drawn.request_class.tolist(), drawn.scheme.tolist(), strict=True)).items()):
+        for (kind, scheme), count in sorted(
+            Counter(zip(drawn.request_class.tolist(), drawn.scheme.tolist(), strict=True)).items()
+        ):
             self._service.wanted(kind, scheme, count)
         self._come()
 
@@ -200,8 +224,9 @@
         """Each has its end and its next change of load planned, whatever becomes of it."""
         clients = self._all.add(drawn)
         add, every = self._plan.add, self._habits.change_us
-        for client, at, until, kind in zip(clients, drawn.at.tolist(), drawn.until.tolist(),
-                                           drawn.request_class.tolist(), strict=True):
+        for client, at, until, kind in zip(
+            clients, drawn.at.tolist(), drawn.until.tolist(), drawn.request_class.tolist(), strict=True
+        ):
             add(until, client, LEAVE)
             add(at + int(every[kind] * next(self._changes)[1]), client, CHANGE)
         return clients
@@ -221,8 +246,12 @@
     def _relay_for(self, client: int) -> int | None:
         """A connection that goes on elsewhere leaves its relay; the front knows what runs only later."""
         every = self._all
-        relay = self._front.relay_for(every.zone[client], every.key[client], every.turn[client],
-                                      every.relay[client] if every.mid_flow[client] else -1)
+        relay = self._front.relay_for(
+            every.zone[client],
+            every.key[client],
+            every.turn[client],
+            every.relay[client] if every.mid_flow[client] else -1,
+        )
         every.relay[client] = -1 if relay is None else relay
         return relay
 
@@ -259,9 +288,17 @@
         kind, scheme, group = every.kind[client], every.scheme[client], every.group[client]
         deadline = self._habits.deadlines[kind]
         event = i.Request(
-            self._requests, deadline, every.key[client], group, kind, scheme, None,
+            self._requests,
+            deadline,
+            every.key[client],
+            group,
+            kind,
+            scheme,
+            None,
             client_retry=self._terms.marks_retry and every.tries[client] > 0,
-            mid_flow=bool(every.mid_flow[client]), returning=bool(every.returning[client]))
+            mid_flow=bool(every.mid_flow[client]),
+            returning=bool(every.returning[client]),
+        )
         state = RequestState(self._requests, self._kernel.now + deadline)
         return Exchange(relay, client, scheme, group, event, state)
 
@@ -362,7 +399,8 @@
 
     def hears(self, exchange: Exchange) -> bool:
         return self._all.exchange[exchange.client] is exchange and (
-            self._relays.reachable(exchange.relay.number))
+            self._relays.reachable(exchange.relay.number)
+        )
 
     def up(self, exchange: Exchange) -> None:
         client, every = exchange.client, self._all
@@ -430,5 +468,6 @@
     """For each change of a load: how far it swings, and when the next comes, in mean intervals."""
     random = streams.of("clients", "changes")
     while True:
-        yield from zip(random.standard_normal(CHANGES).tolist(), random.uniform(0.5, 1.5, CHANGES).tolist(),
-                       strict=True)
+        yield from zip(
+            random.standard_normal(CHANGES).tolist(), random.uniform(0.5, 1.5, CHANGES).tolist(), strict=True
+        )
--- a/glenfold_lab/model/fleet.py
+++ b/glenfold_lab/model/fleet.py
@@ -11,7 +11,7 @@
 from glenfold_lab.spec import Range, Scenario, ServerKind
 from glenfold_lab.streams import Streams
 
-CORE = 1_000_000.0        # microseconds of work that a standard core does in a second
+CORE = 1_000_000.0  # microseconds of work that a standard core does in a second
 TABLE_TAX: Range = (0.2, 0.4)  # of the capacity, lost to a full table of connections
 
 
@@ -125,18 +125,30 @@
     def _draw_kinds(self) -> list[KindTerms]:
         # Kinds with the same range carry the same number: it is the connections' doing, not the servers'.
         place = float(self._streams.of("servers", "per_core").uniform())
-        return [self._draw_kind(number, kind, between(kind.per_core, place))
-                for number, kind in enumerate(self._scenario.servers.kinds)]
+        return [
+            self._draw_kind(number, kind, between(kind.per_core, place))
+            for number, kind in enumerate(self._scenario.servers.kinds)
+        ]
 
     def _draw_kind(self, number: int, kind: ServerKind, per_core: float) -> KindTerms:
         def drawn(name: str) -> float:
             return value(getattr(kind, name), self._streams.of("servers", name, number))
 
         return KindTerms(
-            name=kind.name, cores=kind.cores, weight=kind.weight or float(kind.cores), per_core=per_core,
-            cold_us=int(drawn("cold_s") * SECOND_US), message_us=drawn("message_ms") * 1000,
-            speed=drawn("speed"), speed_cv=drawn("speed_cv"), cap=drawn("cap"), queue=drawn("queue"),
-            cold_from=drawn("cold_from"), buffer_s=drawn("buffer_s"), burst=drawn("burst"))
+            name=kind.name,
+            cores=kind.cores,
+            weight=kind.weight or float(kind.cores),
+            per_core=per_core,
+            cold_us=int(drawn("cold_s") * SECOND_US),
+            message_us=drawn("message_ms") * 1000,
+            speed=drawn("speed"),
+            speed_cv=drawn("speed_cv"),
+            cap=drawn("cap"),
+            queue=drawn("queue"),
+            cold_from=drawn("cold_from"),
+            buffer_s=drawn("buffer_s"),
+            burst=drawn("burst"),
+        )
 
     def _speeds_of(self, place: int, kind: KindTerms) -> Iterator[float]:
         return lognormals(kind.speed, kind.speed_cv, self._streams.of("servers", "speeds", place))
@@ -162,7 +174,8 @@
             group_size=group_size,
             new_per_us=self._new_per_us(capacity / each, life),
             full_per_us=capacity / each / life,
-            quotas=tuple(scheme.share * capacity / mean for scheme in self._scenario.schemes))
+            quotas=tuple(scheme.share * capacity / mean for scheme in self._scenario.schemes),
+        )
 
     def _new_per_us(self, most: float, life_us: float) -> float:
         """`most`: connections that all servers can do."""
--- a/glenfold_lab/model/listing/feeds.py
+++ b/glenfold_lab/model/listing/feeds.py
@@ -25,7 +25,7 @@
 AGAIN_US = int(AGAIN_S * SECOND_US)
 LONGEST_SILENCE_US = int(LONGEST_SILENCE_S * SECOND_US)
 HEARTBEAT_US = 2 * SECOND_US  # an agent finds out so much later at the most that a change is missing
-ANSWER_US = 1_000             # an agent on the same machine answers at once
+ANSWER_US = 1_000  # an agent on the same machine answers at once
 
 Heard = Callable[[ServerList], None]
 
@@ -38,8 +38,19 @@
     relay has a watch that works. free_at: nothing sent now arrives before that.
     """
 
-    __slots__ = ("relay", "heard", "known", "held", "missing", "last", "reads", "life", "free_at", "behind",
-                 "quiet_since")
+    __slots__ = (
+        "relay",
+        "heard",
+        "known",
+        "held",
+        "missing",
+        "last",
+        "reads",
+        "life",
+        "free_at",
+        "behind",
+        "quiet_since",
+    )
 
     def __init__(self, relay: int, version: int) -> None:
         self.relay = relay
@@ -51,14 +62,21 @@
         self.life = 0
         self.free_at = 0
         self.behind: list[int] = []  # changes that come after the next one
-        self.quiet_since = 0         # 0: the agent hears of discovery
+        self.quiet_since = 0  # 0: the agent hears of discovery
 
 
 class RelayLists:
     """Implements `wire.Listing`."""
 
-    def __init__(self, scenario: Scenario, streams: Streams, kernel: Kernel, watcher: Watcher, fleet: Fleet,
-                 network: Network) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        streams: Streams,
+        kernel: Kernel,
+        watcher: Watcher,
+        fleet: Fleet,
+        network: Network,
+    ) -> None:
         spec = scenario.server_list
         self._kernel, self._watcher, self._network = kernel, watcher, network
         self._spec = spec
@@ -78,8 +96,8 @@
         first = [Entry(machine, Told.READY, 0) for machine in fleet.machines]
         self._versions = Versions(scenario.zones.names, first)
         self._feeds = [Feed(relay, 1) for relay in range(scenario.relays.count)]
-        self._news_of: dict[int, int] = {}        # how much has happened to each server
-        self._noticed_of: dict[int, int] = {}     # and how much of it is known
+        self._news_of: dict[int, int] = {}  # how much has happened to each server
+        self._noticed_of: dict[int, int] = {}  # and how much of it is known
         self._gathered: dict[int, Entry] = {}
         self._silent_until = 0
         network.on_change.append(self._zone_changed)
--- a/glenfold_lab/model/listing/versions.py
+++ b/glenfold_lab/model/listing/versions.py
@@ -19,6 +19,7 @@
 
 def names_of(scenario: Scenario) -> Names:
     """Places as relays are told them by their settings."""
+
     def places(parts: tuple[Any, ...]) -> dict[str, int]:
         return {part.name: place for place, part in enumerate(parts)}
 
@@ -36,9 +37,16 @@
 
     def document(self, zones: tuple[str, ...]) -> Document:
         machine = self.machine
-        return {"host": machine.host, "dial": f"{machine.host}:{PORT}", "site": zones[machine.zone],
-                "class": machine.kind.name, "block": machine.cell, "health": WORDS[self.state],
-                "share": machine.kind.weight, "born_ms": self.started // 1000}
+        return {
+            "host": machine.host,
+            "dial": f"{machine.host}:{PORT}",
+            "site": zones[machine.zone],
+            "class": machine.kind.name,
+            "block": machine.cell,
+            "health": WORDS[self.state],
+            "share": machine.kind.weight,
+            "born_ms": self.started // 1000,
+        }
 
 
 class Versions:
@@ -87,7 +95,7 @@
 
     def _whole_of(self, version: int) -> tuple[list[Entry], Document]:
         if version not in self._whole:
-            by_server = {e.machine.number: e for step in self._changes[:version + 1] for e in step}
+            by_server = {e.machine.number: e for step in self._changes[: version + 1] for e in step}
             entries = [entry for entry in by_server.values() if entry.state is not Told.GONE]
             self._whole[version] = entries, self._document(version, True, entries)
             if len(self._whole) > WHOLE_KEPT:
--- a/glenfold_lab/model/machine_faults.py
+++ b/glenfold_lab/model/machine_faults.py
@@ -31,7 +31,8 @@
         self.fault = fault
         self._streams, self._place = streams, place
         self.at, self.length, self.over, self.every = (
-            int(self.drawn(name, 0.0) * SECOND_US) for name in ("at_s", "len_s", "over_s", "every_s"))
+            int(self.drawn(name, 0.0) * SECOND_US) for name in ("at_s", "len_s", "over_s", "every_s")
+        )
 
     def drawn(self, name: str, default: float) -> float:
         wanted = getattr(self.fault, name)
@@ -55,20 +56,40 @@
 class MachineFaults:
     """Each kind of fault is one method, called at its moment; it tells until when it lasts and of whom."""
 
-    def __init__(self, scenario: Scenario, streams: Streams, kernel: Kernel, servers: PushServers,
-                 lives: Lives, lists: RelayLists, network: Network, note: Callable[[Happened], None]) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        streams: Streams,
+        kernel: Kernel,
+        servers: PushServers,
+        lives: Lives,
+        lists: RelayLists,
+        network: Network,
+        note: Callable[[Happened], None],
+    ) -> None:
         self._kernel, self._servers, self._lives = kernel, servers, lives
         self._lists, self._network = lists, network
         self._relays = scenario.relays.count
         self._end = kernel.start + int(scenario.length_s * SECOND_US)
         self._note = note
         self._kinds: dict[str, Callable[[Due], Happened]] = {
-            "neighbour": self._neighbour, "shrink": self._shrink, "drain": self._drain,
-            "restart_servers": self._restart, "start_servers": self._start_new, "server_crash": self._crash,
-            "server_vanish": self._vanish, "server_jam": self._jam, "zone_loss": self._zone_loss,
-            "list_silent": self._list_silent, "flap": self._flap}
-        self._due = [Due(fault, place, streams) for place, fault in enumerate(scenario.faults)
-                     if fault.kind in self._kinds]
+            "neighbour": self._neighbour,
+            "shrink": self._shrink,
+            "drain": self._drain,
+            "restart_servers": self._restart,
+            "start_servers": self._start_new,
+            "server_crash": self._crash,
+            "server_vanish": self._vanish,
+            "server_jam": self._jam,
+            "zone_loss": self._zone_loss,
+            "list_silent": self._list_silent,
+            "flap": self._flap,
+        }
+        self._due = [
+            Due(fault, place, streams)
+            for place, fault in enumerate(scenario.faults)
+            if fault.kind in self._kinds
+        ]
 
     def start(self) -> None:
         for due in self._due:
@@ -81,8 +102,9 @@
         running = self._lives.running()
         return due.choose(running, due.count_of(len(running)))
 
-    def _happened(self, due: Due, servers: Sequence[Server], us: int = 0,
-                  relays: tuple[int, ...] = ()) -> Happened:
+    def _happened(
+        self, due: Due, servers: Sequence[Server], us: int = 0, relays: tuple[int, ...] = ()
+    ) -> Happened:
         """us: for how long; 0 is for good."""
         now = self._kernel.now - self._kernel.start
         numbers = tuple(server.machine.number for server in servers)
--- a/glenfold_lab/model/machinery.py
+++ b/glenfold_lab/model/machinery.py
@@ -32,8 +32,16 @@
         self.listing = RelayLists(scenario, streams, kernel, watcher, fleet, self.network)
         self.service = Service(scenario, kernel, self.servers)
         self.lives = Lives(self.servers, scenario.rules, self.listing.news, self.happened.append)
-        self._faults = MachineFaults(scenario, streams, kernel, self.servers, self.lives, self.listing,
-                                     self.network, self.happened.append)
+        self._faults = MachineFaults(
+            scenario,
+            streams,
+            kernel,
+            self.servers,
+            self.lives,
+            self.listing,
+            self.network,
+            self.happened.append,
+        )
 
     def start(self) -> None:
         """Tells of the push servers that run and sets the clock going: before any call or `resume`."""
--- a/glenfold_lab/model/plan.py
+++ b/glenfold_lab/model/plan.py
@@ -9,7 +9,7 @@
 
 from glenfold_lab.model.kernel import Kernel
 
-STEP_BITS = 13     # moments of 8,192 microseconds lie together
+STEP_BITS = 13  # moments of 8,192 microseconds lie together
 CLIENT_BITS = 26
 KIND_BITS = 2
 CLIENT_MASK = (1 << CLIENT_BITS) - 1
--- a/glenfold_lab/model/population.py
+++ b/glenfold_lab/model/population.py
@@ -64,11 +64,19 @@
         self._swing_at = float(streams.of("clients", "swing").uniform())
         self._honour = self._value("honour")
         self._class_shares = _shares([kind.share for kind in scenario.classes])
-        self._load_sigma = np.array([value(kind.load_sigma, streams.of("classes", "load_sigma", number))
-                                     for number, kind in enumerate(scenario.classes)])
-        self._scheme_shares = _shares([
-            scheme.share * value(scheme.usage, streams.of("clients", "usage", number))
-            for number, scheme in enumerate(scenario.schemes)] or [1.0])
+        self._load_sigma = np.array(
+            [
+                value(kind.load_sigma, streams.of("classes", "load_sigma", number))
+                for number, kind in enumerate(scenario.classes)
+            ]
+        )
+        self._scheme_shares = _shares(
+            [
+                scheme.share * value(scheme.usage, streams.of("clients", "usage", number))
+                for number, scheme in enumerate(scenario.schemes)
+            ]
+            or [1.0]
+        )
         self._zone_shares = self._skewed_zones()
         self._group_shares, self._group_keys = self._draw_groups()
 
@@ -136,7 +144,8 @@
         sigma = self._load_sigma[classes]
         spread = np.exp(sigma * of("loads").standard_normal(count) - sigma * sigma / 2)
         return Drawn(
-            at=at, until=at + np.minimum(life, 1e15).astype(np.int64) + 1,
+            at=at,
+            until=at + np.minimum(life, 1e15).astype(np.int64) + 1,
             request_class=classes,
             scheme=_places(of("schemes"), self._scheme_shares, count),
             zone=_places(of("zones"), self._zone_shares, count),
@@ -145,7 +154,8 @@
             load=np.array(self._terms.class_load)[classes] * spread,
             pace=of("paces").uniform(size=count),
             rejoin=of("rejoins").uniform(size=count),
-            honours=of("honours").uniform(size=count) < self._honour)
+            honours=of("honours").uniform(size=count) < self._honour,
+        )
 
 
 def _shares(weights: list[float] | NDArray[np.floating[Any]]) -> Floats:
--- a/glenfold_lab/model/posts.py
+++ b/glenfold_lab/model/posts.py
@@ -16,7 +16,7 @@
 from linnetspread.choice import SEEDS, mix
 
 FRONT_TOLD_S = (0.2, 0.4)  # after SIGTERM new connections keep arriving for so long
-KILLED_S = 0.3             # SIGKILL, after the moment by which a relay leaves by itself
+KILLED_S = 0.3  # SIGKILL, after the moment by which a relay leaves by itself
 
 MakeRelay = Callable[[int, int], Relay]  # its number, and the seed of this life
 
@@ -37,8 +37,17 @@
 
     clients: Clients
 
-    def __init__(self, scenario: Scenario, streams: Streams, kernel: Kernel, network: Network,
-                 listing: Listing, watcher: Watcher, front: Front, make: MakeRelay) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        streams: Streams,
+        kernel: Kernel,
+        network: Network,
+        listing: Listing,
+        watcher: Watcher,
+        front: Front,
+        make: MakeRelay,
+    ) -> None:
         self._scenario = scenario
         self._kernel, self._network, self._listing, self._watcher = kernel, network, listing, watcher
         self._front, self._make = front, make
@@ -107,8 +116,9 @@
         post.relay = None
         self._watcher.relay_down(self._kernel.now, number)
         self._listing.relay_down(number)
-        post.lost += [exchange.client for exchange in relay.die()
-                      if self.clients.lost_relay(exchange, post.leaving)]
+        post.lost += [
+            exchange.client for exchange in relay.die() if self.clients.lost_relay(exchange, post.leaving)
+        ]
         self._kernel.after(self._draw_us(self._scenario.relays.restart_s), self._boot, number, lives)
         if post.leaving:  # the front knows
             self._front.remove(number)
--- a/glenfold_lab/model/relay_settings.py
+++ b/glenfold_lab/model/relay_settings.py
@@ -27,7 +27,9 @@
     rules, park_s = scenario.rules, scenario.servers.park_s
     return told(
         i.Settings,
-        gateways=scenario.relays.count, slot=slot, zone=zone,
+        gateways=scenario.relays.count,
+        slot=slot,
+        zone=zone,
         classes=tuple(_class(kind) for kind in scenario.classes),
         tenants=_tenants(scenario, terms),
         kinds=tuple(kind.name for kind in scenario.servers.kinds),
@@ -35,11 +37,16 @@
         pass_through=scenario.relays.pass_through,
         park_us=_us(park_s[0] if isinstance(park_s, tuple) else park_s, 1e6),
         over_share_worth=rules.over_share_worth,
-        cold_share=rules.cold_share, cold_us=_us(rules.cold_s, 1e6),
-        fall_multiple=rules.fall_multiple, fall_us=_us(rules.fall_s, 1e6),
-        drain_grace_us=_us(rules.drain_grace_ms), answer_slack_us=_us(rules.answer_slack_ms),
-        max_attempts=rules.max_attempts, connect_timeout_us=_us(rules.connect_timeout_ms),
-        max_retry_after_us=_us(rules.max_retry_after_ms), may_retry_after=rules.max_retry_after_ms > 0,
+        cold_share=rules.cold_share,
+        cold_us=_us(rules.cold_s, 1e6),
+        fall_multiple=rules.fall_multiple,
+        fall_us=_us(rules.fall_s, 1e6),
+        drain_grace_us=_us(rules.drain_grace_ms),
+        answer_slack_us=_us(rules.answer_slack_ms),
+        max_attempts=rules.max_attempts,
+        connect_timeout_us=_us(rules.connect_timeout_ms),
+        max_retry_after_us=_us(rules.max_retry_after_ms),
+        may_retry_after=rules.max_retry_after_ms > 0,
         may_cancel=True,
     )
 
@@ -50,14 +57,21 @@
 
 def _class(kind: RequestClass) -> i.RequestClass:
     """Asking for a connection again harms nobody."""
-    return i.RequestClass(aim_us=_us(kind.aim_ms), deadline_us=_us(kind.deadline_ms), worth=kind.worth,
-                          semantics=i.Semantics.REPEATABLE, message_aim_us=kind.message_aim_ms * 1e3)
+    return i.RequestClass(
+        aim_us=_us(kind.aim_ms),
+        deadline_us=_us(kind.deadline_ms),
+        worth=kind.worth,
+        semantics=i.Semantics.REPEATABLE,
+        message_aim_us=kind.message_aim_ms * 1e3,
+    )
 
 
 def _tenants(scenario: Scenario, terms: Terms) -> tuple[i.Tenant, ...]:
     """A tenant within its share asks for as many connections a second as end of those it may have."""
-    return tuple(i.Tenant(scheme.share, quota / terms.life_us * 1e6, quota)
-                 for scheme, quota in zip(scenario.schemes, terms.quotas, strict=True))
+    return tuple(
+        i.Tenant(scheme.share, quota / terms.life_us * 1e6, quota)
+        for scheme, quota in zip(scenario.schemes, terms.quotas, strict=True)
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +88,9 @@
     def of(cls, relays: Relays, streams: Streams) -> "Costs":
         cores = value(relays.cores, streams.of("relays", "cores"))
         return cls(
-            accept=round(relays.accept_us / cores), call=round(relays.call_us / cores),
-            reply=round(relays.reply_us / cores), notice=round(relays.notice_us / cores),
-            room=Room.within(relays.sockets or UNBOUND, relays.memory_mb or math.inf))
+            accept=round(relays.accept_us / cores),
+            call=round(relays.call_us / cores),
+            reply=round(relays.reply_us / cores),
+            notice=round(relays.notice_us / cores),
+            room=Room.within(relays.sockets or UNBOUND, relays.memory_mb or math.inf),
+        )
--- a/glenfold_lab/model/relays.py
+++ b/glenfold_lab/model/relays.py
@@ -102,7 +102,7 @@
         self._telling = False
         self._steps: deque[tuple[int, Callable[..., None], tuple[Any, ...]]] = deque()
         self._busy_until = self._stalled_until = 0
-        self._backlog: dict[int, Exchange] = {}   # accepted by its machine alone
+        self._backlog: dict[int, Exchange] = {}  # accepted by its machine alone
         self._last_arrival = 0
         self._due: list[tuple[int, int, Exchange, Call | None]] = []  # when what must have its answer
         self._made = 0
@@ -367,8 +367,19 @@
 
     def _new_call(self, exchange: Exchange, server: int, deadline_us: int) -> Call:
         event = exchange.event
-        return Call(event.request, self.number, server, event.request_class, exchange.scheme, exchange.group,
-                    exchange.client, self._clients.load(exchange.client), deadline_us, event.mid_flow, self)
+        return Call(
+            event.request,
+            self.number,
+            server,
+            event.request_class,
+            exchange.scheme,
+            exchange.group,
+            exchange.client,
+            self._clients.load(exchange.client),
+            deadline_us,
+            event.mid_flow,
+            self,
+        )
 
     def _start_call(self, exchange: Exchange, server: int, deadline_us: int) -> None:
         self._busy_until += self._costs.call
@@ -418,8 +429,11 @@
     @staticmethod
     def _waited_for(exchange: Exchange, call: Call | None) -> bool:
         phase = exchange.state.phase
-        return phase is r.Phase.CALLING and (call is None or call is exchange.call) or (
-            phase is r.Phase.TAKEN and call is None)
+        return (
+            phase is r.Phase.CALLING
+            and (call is None or call is exchange.call)
+            or (phase is r.Phase.TAKEN and call is None)
+        )
 
     def _too_late(self, exchange: Exchange, call: Call | None) -> None:
         if call is None:
@@ -457,8 +471,9 @@
         self._kernel.at(round(begin * SECOND_US), self._leave, leaving, set(), [], over)
         return round(leaving.leave_at * SECOND_US)
 
-    def _leave(self, leaving: Leaving, told: set[int], left: list[Exchange],
-               over: Callable[[], None]) -> None:
+    def _leave(
+        self, leaving: Leaving, told: set[int], left: list[Exchange], over: Callable[[], None]
+    ) -> None:
         if not self.alive:
             return
         if self._stalled_until > self._kernel.now:
@@ -468,8 +483,11 @@
         while left and left[-1].state.phase is not r.Phase.STANDING:
             left.pop()
         if not left:
-            worths = {exchange: self.settings.classes[exchange.event.request_class].worth
-                      for exchange in self.standing if exchange.event.request not in told}
+            worths = {
+                exchange: self.settings.classes[exchange.event.request_class].worth
+                for exchange in self.standing
+                if exchange.event.request not in told
+            }
             left = in_order(worths, leaving.short)[::-1]
         arriving = now < leaving.arrivals_until(self._last_arrival / SECOND_US)
         if now >= leaving.leave_at or not (left or arriving or self.exchanges or self._backlog):
@@ -482,5 +500,6 @@
         for _ in range(step.moves):
             told.add(left[-1].event.request)
             self._do(self._costs.notice, self._move, left.pop(), CANCELLED)
-        self._kernel.at(max(self._kernel.now, round(step.again_at * SECOND_US)),
-                        self._leave, leaving, told, left, over)
+        self._kernel.at(
+            max(self._kernel.now, round(step.again_at * SECOND_US)), self._leave, leaving, told, left, over
+        )
--- a/glenfold_lab/model/servers/calls.py
+++ b/glenfold_lab/model/servers/calls.py
@@ -21,24 +21,36 @@
 from glenfold_lab.streams import Streams
 
 TICK_US = 250_000
-SET_UP_SIGMA = 0.9     # of the logarithm of a set-up's work
-OWN_SPREAD = 0.1       # of a set-up's own time, on the mean
+SET_UP_SIGMA = 0.9  # of the logarithm of a set-up's work
+OWN_SPREAD = 0.1  # of a set-up's own time, on the mean
 SILENT_US = SILENT_S * SECOND_US
-ROOM = 0.95            # of its capacity: what a server that sheds connections comes down to
+ROOM = 0.95  # of its capacity: what a server that sheds connections comes down to
 
 
 class PushServers:
     """Implements `wire.Machines`. A server goes by its number outside and by its index in tables."""
 
-    def __init__(self, scenario: Scenario, streams: Streams, kernel: Kernel, watcher: Watcher, fleet: Fleet,
-                 network: Network) -> None:
+    def __init__(
+        self,
+        scenario: Scenario,
+        streams: Streams,
+        kernel: Kernel,
+        watcher: Watcher,
+        fleet: Fleet,
+        network: Network,
+    ) -> None:
         self.kernel, self.watcher, self.fleet, self.network = kernel, watcher, fleet, network
         self._rules = scenario.rules
         self._error_rate = value(scenario.servers.error_rate, streams.of("servers", "error_rate"))
         self._park_us = int(value(scenario.servers.park_s, streams.of("servers", "park")) * SECOND_US)
         self._works = [
-            lognormals(value(kind.set_up_ms, streams.of("classes", "set_up", n)) * 1000, SET_UP_SIGMA,
-                       streams.of("servers", "set_ups", n)) for n, kind in enumerate(scenario.classes)]
+            lognormals(
+                value(kind.set_up_ms, streams.of("classes", "set_up", n)) * 1000,
+                SET_UP_SIGMA,
+                streams.of("servers", "set_ups", n),
+            )
+            for n, kind in enumerate(scenario.classes)
+        ]
         self._spread = _exponentials(streams.of("servers", "spread"))
         self._luck = streams.of("servers", "errors")
         self._store = store_of(scenario, streams, fleet.terms)
@@ -290,8 +302,12 @@
         demand, capacity, set_ups, pile = np.array(rows, dtype=np.float64).T
         used = np.divide(demand + set_ups, capacity, out=np.ones_like(demand), where=capacity > 0)
         zones = range(len(self.network.names))
-        answers = np.array([[s.running and not s.silent and self.network.passes(zone, s.machine.zone)
-                             for zone in zones] for s in self.all])
+        answers = np.array(
+            [
+                [s.running and not s.silent and self.network.passes(zone, s.machine.zone) for zone in zones]
+                for s in self.all
+            ]
+        )
         for server, wait in zip(self.all, self.messages.waits(used).tolist(), strict=True):
             server.wait_us = wait
         return Moment(demand, capacity, used, pile, answers)
--- a/glenfold_lab/model/servers/lives.py
+++ b/glenfold_lab/model/servers/lives.py
@@ -12,7 +12,7 @@
 from glenfold_lab.spec import Rules
 
 STEP_US = 100_000  # a draining server asks some of its clients to leave every so often
-MS = 1000          # lists tell the moment of a start in milliseconds: starts fall on whole ones
+MS = 1000  # lists tell the moment of a start in milliseconds: starts fall on whole ones
 
 # Machine, its new state, when it started, and whether it went without a word.
 News = Callable[[Machine, Told, int, bool], None]
@@ -22,8 +22,9 @@
     """All changes of a server's stage are made here, once each; what is over for a server stays so until its
     next process. `news` hears of what discovery has to find out."""
 
-    def __init__(self, servers: PushServers, rules: Rules, news: News,
-                 note: Callable[[Happened], None]) -> None:
+    def __init__(
+        self, servers: PushServers, rules: Rules, news: News, note: Callable[[Happened], None]
+    ) -> None:
         self._servers = servers
         self._kernel, self._watcher = servers.kernel, servers.watcher
         self._rules = rules
@@ -64,8 +65,9 @@
 
     def _tell_started(self, server: Server, cold: bool) -> None:
         rules = self._rules
-        capacity = Capacity(self._servers.fleet.warm_per_s(server.machine), rules.cold_share,
-                            int(rules.cold_s * SECOND_US))
+        capacity = Capacity(
+            self._servers.fleet.warm_per_s(server.machine), rules.cold_share, int(rules.cold_s * SECOND_US)
+        )
         self._watcher.server_started(self._kernel.now, server.machine.number, capacity, cold)
 
     def end(self, server: Server) -> None:
@@ -123,7 +125,7 @@
             return self.end(server)
         step = min(STEP_US, left_us)
         stay = math.ceil(count * (left_us - step) / over_us)
-        for call in list(server.standing.values())[:max(0, len(server.standing) - stay)]:
+        for call in list(server.standing.values())[: max(0, len(server.standing) - stay)]:
             self._servers.break_off(call, server, End.MOVED)
         self._kernel.after(step, self._ask_to_leave, server, life, count, over_us, left_us - step)
 
--- a/glenfold_lab/model/servers/messages.py
+++ b/glenfold_lab/model/servers/messages.py
@@ -20,7 +20,7 @@
 
     demand: Floats
     capacity: Floats
-    used: Floats       # of the capacity, with set-ups
+    used: Floats  # of the capacity, with set-ups
     pile_us: Floats
     answers: NDArray[np.bool_]
 
--- a/glenfold_lab/model/servers/server.py
+++ b/glenfold_lab/model/servers/server.py
@@ -35,11 +35,35 @@
     """
 
     __slots__ = (
-        "machine", "cap", "queue", "table_tax", "group_cost",
-        "stage", "silent", "quiet", "life", "started", "cold", "neighbour", "jammed",
-        "base", "taken_each", "demand", "piled", "came", "left_out", "at",
-        "standing", "waiting", "line", "parked", "groups",
-        "set_up_work", "set_up_load", "wait_us", "arrivals",
+        "machine",
+        "cap",
+        "queue",
+        "table_tax",
+        "group_cost",
+        "stage",
+        "silent",
+        "quiet",
+        "life",
+        "started",
+        "cold",
+        "neighbour",
+        "jammed",
+        "base",
+        "taken_each",
+        "demand",
+        "piled",
+        "came",
+        "left_out",
+        "at",
+        "standing",
+        "waiting",
+        "line",
+        "parked",
+        "groups",
+        "set_up_work",
+        "set_up_load",
+        "wait_us",
+        "arrivals",
     )
 
     def __init__(self, machine: Machine, mean_load: float, table_tax: float, group_cost: float) -> None:
@@ -48,10 +72,10 @@
         self.queue = max(1, int(machine.kind.queue * machine.kind.cores))
         self.table_tax, self.group_cost = table_tax, group_cost
         self.stage = Stage.DOWN
-        self.silent = False     # nothing reaches it, nothing leaves it
-        self.life = 0           # which of its processes this is
-        self.started = 0        # 0: long ago
-        self.neighbour = 0.0    # the share of its cores that others take
+        self.silent = False  # nothing reaches it, nothing leaves it
+        self.life = 0  # which of its processes this is
+        self.started = 0  # 0: long ago
+        self.neighbour = 0.0  # the share of its cores that others take
         self.jammed = False
         self.at = 0
         self.clear()
@@ -60,19 +84,19 @@
         """As a process begins: with nothing."""
         self.life += 1
         self.cold = False
-        self.quiet = False      # its connections have been told that lines go unanswered
+        self.quiet = False  # its connections have been told that lines go unanswered
         self.base = self.taken_each = 0.0  # capacity, and what each connection in the table takes of it
         self.demand = self.piled = 0.0
-        self.came = 0.0         # all work so far, with what is piled up
-        self.left_out = 0.0     # of it, what is still in the line but will not be done
+        self.came = 0.0  # all work so far, with what is piled up
+        self.left_out = 0.0  # of it, what is still in the line but will not be done
         self.standing: dict[int, Call] = {}  # by request
         self.waiting: dict[int, SetUp] = {}  # also; until answered
-        self.line: deque[SetUp] = deque()    # those of them whose work is not done, and what is left out
-        self.parked: dict[int, Call] = {}    # by the client's number
+        self.line: deque[SetUp] = deque()  # those of them whose work is not done, and what is left out
+        self.parked: dict[int, Call] = {}  # by the client's number
         self.groups: dict[int, int] = {}
         self.set_up_work = 0.0  # since the last tick
         self.set_up_load = 0.0
-        self.wait_us = 0.0      # mean wait of a message behind others, but for what is piled up
+        self.wait_us = 0.0  # mean wait of a message behind others, but for what is piled up
         self.arrivals: deque[int] = deque()  # new connections, while it is cold
 
     @property
--- a/glenfold_lab/model/service.py
+++ b/glenfold_lab/model/service.py
@@ -12,9 +12,9 @@
 from glenfold_lab.spec import Scenario
 
 WINDOW_US = 10 * SECOND_US
-MOST_STEPS = 400          # of a series; a longer history has longer steps
-MOST_SERVERS = 50         # with a series of their own
-MOST_LOAD = 100.0         # times the limit, where that is next to nothing
+MOST_STEPS = 400  # of a series; a longer history has longer steps
+MOST_SERVERS = 50  # with a series of their own
+MOST_LOAD = 100.0  # times the limit, where that is next to nothing
 PERCENTILES = (10, 50, 90, 100)
 WHOLE, WORST_WINDOW, WORST_CLASS, WORST_SCHEME = 0.35, 0.35, 0.2, 0.1
 
@@ -43,7 +43,7 @@
         self._wanted: list[Floats] = []
         self._counts: list[tuple[int, int]] = []  # wanted, and standing
         self._counted: list[bool] = []
-        self._loads: list[Floats] = []            # by step: of each server, the sum of its ticks
+        self._loads: list[Floats] = []  # by step: of each server, the sum of its ticks
 
     def wanted(self, request_class: int, scheme: int, change: int) -> None:
         self._wants[request_class][scheme] += change
@@ -88,10 +88,12 @@
         mix of these; and one for each class and scheme. Shares of what was wanted, 1 where nothing was."""
         counted = np.array(self._counted, dtype=bool)
         shape = (len(self._worth), len(self._quotas))
-        served, wanted = (np.array(table).reshape(-1, *shape)[counted]
-                          for table in (self._served, self._wanted))
-        classes, schemes = (_shares(served.sum(axis=axes), wanted.sum(axis=axes))
-                            for axes in ((0, 2), (0, 1)))
+        served, wanted = (
+            np.array(table).reshape(-1, *shape)[counted] for table in (self._served, self._wanted)
+        )
+        classes, schemes = (
+            _shares(served.sum(axis=axes), wanted.sum(axis=axes)) for axes in ((0, 2), (0, 1))
+        )
         whole = float(_shares(served.sum(), wanted.sum()))
         window = _worst_window(served.sum(axis=(1, 2)), wanted.sum(axis=(1, 2)))
         worst = whole, window, float(classes.min()), float(schemes.min())
@@ -104,12 +106,15 @@
 
     def series(self) -> dict[str, Series]:
         """service: by step, of what was wanted; wanted and connections: how many, on the mean of a step."""
-        served, wanted = (np.array([table.sum() for table in tables])
-                          for tables in (self._served, self._wanted))
+        served, wanted = (
+            np.array([table.sum() for table in tables]) for tables in (self._served, self._wanted)
+        )
         wants, stands = np.array(self._counts, dtype=np.float64).reshape(-1, 2).T
-        return {"service": self._series(_shares(self._steps(served), self._steps(wanted)), "service"),
-                "wanted": self._series(self._means(wants), "connections wanted"),
-                "connections": self._series(self._means(stands), "standing connections")}
+        return {
+            "service": self._series(_shares(self._steps(served), self._steps(wanted)), "service"),
+            "wanted": self._series(self._means(wants), "connections wanted"),
+            "connections": self._series(self._means(stands), "standing connections"),
+        }
 
     def server_load(self) -> dict[str, Series]:
         """By host: the load over the limit at that moment, 1 being all of its capacity. Of a large fleet the
@@ -119,8 +124,10 @@
         rows = rows.reshape(-1, len(machines)) / self._lengths()[:, None]
         if len(machines) <= MOST_SERVERS:
             return {machine.host: self._series(rows[:, machine.index], machine.host) for machine in machines}
-        found = {f"p{part}": self._series(np.percentile(rows, part, axis=1), f"{part} % of servers are below")
-                 for part in PERCENTILES}
+        found = {
+            f"p{part}": self._series(np.percentile(rows, part, axis=1), f"{part} % of servers are below")
+            for part in PERCENTILES
+        }
         worst = np.argsort(-rows.mean(axis=0), kind="stable")[:MOST_SERVERS]
         return found | {machines[n].host: self._series(rows[:, n], machines[n].host) for n in sorted(worst)}
 
--- a/glenfold_lab/model/wire.py
+++ b/glenfold_lab/model/wire.py
@@ -33,12 +33,12 @@
     mid_flow: bool
     back: "Caller"
     # The rest is written by the machines alone.
-    sent_at: int = 0         # when its first byte leaves the relay; 0: the other side's machine is silent
+    sent_at: int = 0  # when its first byte leaves the relay; 0: the other side's machine is silent
     stands: bool = False
-    dropped: bool = False    # the relay has closed it
-    arrived: bool = False    # its last byte reached the server
-    over: bool = False       # the server (or its machine) has answered its first line, or broken it before
-    resumed: bool = False    # mid-flow and UP: it goes on unbroken; else its client was reset and set up anew
+    dropped: bool = False  # the relay has closed it
+    arrived: bool = False  # its last byte reached the server
+    over: bool = False  # the server (or its machine) has answered its first line, or broken it before
+    resumed: bool = False  # mid-flow and UP: it goes on unbroken; else its client was reset and set up anew
 
 
 class Caller(Protocol):
--- a/glenfold_lab/model/world.py
+++ b/glenfold_lab/model/world.py
@@ -23,9 +23,9 @@
 from glenfold_lab.spec import Scenario
 from glenfold_lab.streams import Streams
 
-SLICE_US = SECOND_US // 2     # of virtual time, between two words on the progress
-LAST_ANSWERS_US = 1_500_000   # beyond the longest deadline: by then the last requests are judged
-FELL = "fell_over"            # what happens to a cold push server that was sent too much
+SLICE_US = SECOND_US // 2  # of virtual time, between two words on the progress
+LAST_ANSWERS_US = 1_500_000  # beyond the longest deadline: by then the last requests are judged
+FELL = "fell_over"  # what happens to a cold push server that was sent too much
 
 Progress = Callable[[float], None]
 
@@ -52,9 +52,11 @@
 
     def figures(self) -> dict[str, float]:
         """requests taken; attempts_per_request; cross_zone: share of attempts between two zones."""
-        return {"requests": float(self.taken_in),
-                "attempts_per_request": self.attempts / max(1, self.taken_in),
-                "cross_zone": self.crossings / max(1, self.attempts)}
+        return {
+            "requests": float(self.taken_in),
+            "attempts_per_request": self.attempts / max(1, self.taken_in),
+            "cross_zone": self.crossings / max(1, self.attempts),
+        }
 
 
 class World:
@@ -65,29 +67,57 @@
         self.kernel, self._streams = Kernel(), Streams(seed)
         start = self.kernel.start
         self.checker = Checker(scenario.rules, slack_us=0, start_us=start)
-        self.measures = Measures([kind.name for kind in scenario.classes], start_us=start,
-                                 counted_from=start + round(scenario.warm_up_s * SECOND_US))
+        self.measures = Measures(
+            [kind.name for kind in scenario.classes],
+            start_us=start,
+            counted_from=start + round(scenario.warm_up_s * SECOND_US),
+        )
         self.tally = Tally(self)
         self.watcher = Watchers(self.checker, self.measures, self.tally, *watchers)
         self.machinery = Machinery(scenario, self._streams, self.kernel, self.watcher)
         self.clients, self.posts = self._actors()
-        ActorFaults(scenario.faults, self._streams, self.kernel, self.posts, self.clients,
-                    self.machinery.happened.append)
+        ActorFaults(
+            scenario.faults,
+            self._streams,
+            self.kernel,
+            self.posts,
+            self.clients,
+            self.machinery.happened.append,
+        )
 
     def _actors(self) -> tuple[Clients, Posts]:
         scenario, streams, machinery = self.scenario, self._streams, self.machinery
         network, terms = machinery.network, machinery.terms
         front = Front([network.zone_of(number) for number in range(scenario.relays.count)])
-        posts = Posts(scenario, streams, self.kernel, network, machinery.listing, self.watcher, front,
-                      lambda number, seed: Relay(number, settings[number], seed, around))
+        posts = Posts(
+            scenario,
+            streams,
+            self.kernel,
+            network,
+            machinery.listing,
+            self.watcher,
+            front,
+            lambda number, seed: Relay(number, settings[number], seed, around),
+        )
         population = Population(scenario, terms, streams, self.kernel.start)
         clients = posts.clients = Clients(
-            scenario, population, streams, self.kernel, network, machinery.servers, machinery.service,
-            self.watcher, front, posts)
-        around = Surroundings(self.kernel, machinery.servers, clients, self.watcher,
-                              Costs.of(scenario.relays, streams))
-        settings = [settings_of(scenario, terms, number, network.zone_of(number))
-                    for number in range(len(posts))]
+            scenario,
+            population,
+            streams,
+            self.kernel,
+            network,
+            machinery.servers,
+            machinery.service,
+            self.watcher,
+            front,
+            posts,
+        )
+        around = Surroundings(
+            self.kernel, machinery.servers, clients, self.watcher, Costs.of(scenario.relays, streams)
+        )
+        settings = [
+            settings_of(scenario, terms, number, network.zone_of(number)) for number in range(len(posts))
+        ]
         return clients, posts
 
     def start(self) -> None:
@@ -110,23 +140,43 @@
         service, measures, verdicts = self.machinery.service, self.measures, self.checker.verdicts()
         happened = tuple(sorted(self.machinery.happened, key=lambda one: one.at_us))
         answers = measures.answers()
-        figures = service.figures() | measures.figures() | self.tally.figures() | {
-            "clients": float(len(self.clients)),
-            "refused": float(answers["busy"]),
-            "rules_broken": float(len(verdicts) + self.checker.left_out),
-            "servers_fallen": float(sum(len(one.servers) for one in happened if one.what == FELL)),
-        }
+        figures = (
+            service.figures()
+            | measures.figures()
+            | self.tally.figures()
+            | {
+                "clients": float(len(self.clients)),
+                "refused": float(answers["busy"]),
+                "rules_broken": float(len(verdicts) + self.checker.left_out),
+                "servers_fallen": float(sum(len(one.servers) for one in happened if one.what == FELL)),
+            }
+        )
         return RunResult(
-            scenario=self.scenario.name, seed=self.seed, revision=revision,
-            length_us=round(self.scenario.length_s * SECOND_US), figures=figures, answers=answers,
-            set_up=measures.set_up(), series=service.series() | measures.series(),
-            server_load=service.server_load(), verdicts=verdicts,
-            verdicts_left_out=self.checker.left_out, happened=happened, cost=cost,
-            guards_against=" ".join(self.scenario.guards_against.split()))
-
-
-def play(scenario: Scenario, seed: int, *, revision: str = "work tree", watchers: Sequence[Watcher] = (),
-         progress: Progress | None = None) -> RunResult:
+            scenario=self.scenario.name,
+            seed=self.seed,
+            revision=revision,
+            length_us=round(self.scenario.length_s * SECOND_US),
+            figures=figures,
+            answers=answers,
+            set_up=measures.set_up(),
+            series=service.series() | measures.series(),
+            server_load=service.server_load(),
+            verdicts=verdicts,
+            verdicts_left_out=self.checker.left_out,
+            happened=happened,
+            cost=cost,
+            guards_against=" ".join(self.scenario.guards_against.split()),
+        )
+
+
+def play(
+    scenario: Scenario,
+    seed: int,
+    *,
+    revision: str = "work tree",
+    watchers: Sequence[Watcher] = (),
+    progress: Progress | None = None,
+) -> RunResult:
     """Plays one history. The same scenario, seed and decision package give the same `results.encode`.
 
     watchers: see all observations besides the checker and the measures. progress: is told the part (0 to 1)
--- a/glenfold_lab/observe.py
+++ b/glenfold_lab/observe.py
@@ -25,32 +25,32 @@
 class Final(IntEnum):
     """How a request ended for its client."""
 
-    UP = 0        # with the receipt of a push server
-    BUSY = 1      # refused: trying again is harmless
-    ERROR = 2     # any other line
-    CLOSED = 3    # the relay ended the connection without an answer
+    UP = 0  # with the receipt of a push server
+    BUSY = 1  # refused: trying again is harmless
+    ERROR = 2  # any other line
+    CLOSED = 3  # the relay ended the connection without an answer
 
 
 class Over(IntEnum):
     """How an attempt ended, as its push server (or the network) saw it; UP ends it as an attempt."""
 
     UP = 0
-    BUSY = 1          # turned away unseen
+    BUSY = 1  # turned away unseen
     ERROR = 2
-    REFUSED = 3       # no connection: the server process is down, or at its cap
-    RESET = 4         # broken by the server's side
-    ABANDONED = 5     # the relay closed it, or ended its sending
+    REFUSED = 3  # no connection: the server process is down, or at its cap
+    RESET = 4  # broken by the server's side
+    ABANDONED = 5  # the relay closed it, or ended its sending
 
 
 class End(IntEnum):
     """How a standing connection ended for its client."""
 
-    CLIENT = 0        # it had what it wanted, or went away
-    MOVED = 1         # told MOVE first
-    SERVED = 2        # BYE
-    BROKEN = 3        # its push server reset it, crashed or fell silent, and the relay passed that on
-    CUT = 4           # by the relay, without MOVE, while its push server still answered
-    RELAY_DIED = 5    # with the relay's process, or because packets now go to another relay
+    CLIENT = 0  # it had what it wanted, or went away
+    MOVED = 1  # told MOVE first
+    SERVED = 2  # BYE
+    BROKEN = 3  # its push server reset it, crashed or fell silent, and the relay passed that on
+    CUT = 4  # by the relay, without MOVE, while its push server still answered
+    RELAY_DIED = 5  # with the relay's process, or because packets now go to another relay
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,8 +138,11 @@
 
     def __init__(self, *watchers: Watcher) -> None:
         for name in OBSERVATIONS:
-            calls = [getattr(watcher, name) for watcher in watchers
-                     if getattr(type(watcher), name) is not getattr(Watcher, name) or name in vars(watcher)]
+            calls = [
+                getattr(watcher, name)
+                for watcher in watchers
+                if getattr(type(watcher), name) is not getattr(Watcher, name) or name in vars(watcher)
+            ]
             if calls:
                 setattr(self, name, _to_all(calls))
 
--- a/glenfold_lab/reports/live.py
+++ b/glenfold_lab/reports/live.py
@@ -19,14 +19,25 @@
     "relay_restart": "a relay restarts",
 }
 COLUMNS = ("second", "clients up", "new/s", "set-up p50 ms", "set-up p99 ms", "lines/s", "moves", "answers")
-NARROW = ("s", "clients\nup", "new\n/s", "set-up\np50, ms", "set-up\np99, ms", "lines\n/s", "moves\n/s",
-          "answers\n/s")
+NARROW = (
+    "s",
+    "clients\nup",
+    "new\n/s",
+    "set-up\np50, ms",
+    "set-up\np99, ms",
+    "lines\n/s",
+    "moves\n/s",
+    "answers\n/s",
+)
 
 
 def notes(scenario: Scenario) -> dict[int, str]:
     """What is to happen, by second; only of faults whose moment is not drawn."""
-    return {int(fault.at_s): NOTES.get(fault.kind, fault.kind.replace("_", " "))
-            for fault in scenario.faults if not isinstance(fault.at_s, tuple)}
+    return {
+        int(fault.at_s): NOTES.get(fault.kind, fault.kind.replace("_", " "))
+        for fault in scenario.faults
+        if not isinstance(fault.at_s, tuple)
+    }
 
 
 @contextmanager
@@ -64,8 +75,16 @@
 
 def _cells(row: Snapshot) -> tuple[str, ...]:
     answers = " ".join(f"{kind} {count}" for kind, count in row.answers.items()) or "none"
-    return (str(row.second), str(row.standing), str(row.new), f"{row.set_up_p50_ms:.0f}",
-            f"{row.set_up_p99_ms:.0f}", str(row.lines), str(row.moves), answers)
+    return (
+        str(row.second),
+        str(row.standing),
+        str(row.new),
+        f"{row.set_up_p50_ms:.0f}",
+        f"{row.set_up_p99_ms:.0f}",
+        str(row.lines),
+        str(row.moves),
+        answers,
+    )
 
 
 def _relays(row: Snapshot) -> list[str]:
@@ -75,8 +94,10 @@
 def outcome(result: RunResult) -> Iterator[str]:
     """Service and verdicts, line by line."""
     figures = result.figures
-    yield (f"service: clients had {figures['service']:.1%} of what they wanted, "
-           f"{figures['worst_window']:.1%} in the worst 10 s")
+    yield (
+        f"service: clients had {figures['service']:.1%} of what they wanted, "
+        f"{figures['worst_window']:.1%} in the worst 10 s"
+    )
     yield ", ".join(f"{kind} {count}" for kind, count in result.answers.items() if count) + " answers"
     for rule, says in RULES.items():
         broken = [verdict for verdict in result.verdicts if verdict.rule == rule]
--- a/glenfold_lab/reports/page.py
+++ b/glenfold_lab/reports/page.py
@@ -14,11 +14,11 @@
 from glenfold_lab.results import RunResult
 
 TOC_PARTS = 3  # histories whose parts are in the table of contents
-OTHERS = 12    # series without a picture of their own that are drawn
-COMPARED = 6   # figures that are compared in pictures
-GROUPS = 60    # that a comparison shows
-PAIRS = 150    # in its table
-FOREST = 40    # of them in a picture
+OTHERS = 12  # series without a picture of their own that are drawn
+COMPARED = 6  # figures that are compared in pictures
+GROUPS = 60  # that a comparison shows
+PAIRS = 150  # in its table
+FOREST = 40  # of them in a picture
 PARTS = {
     "figures": "Figures",
     "service": "Service over time",
@@ -35,21 +35,35 @@
 def page(report: Report, told: Sequence[RunResult]) -> str:
     """told: the results of the report's histories."""
     environment = jinja2.Environment(
-        loader=jinja2.PackageLoader("glenfold_lab.reports"), autoescape=True, trim_blocks=True,
-        lstrip_blocks=True, undefined=jinja2.StrictUndefined)
-    environment.filters.update(number=number, signed=signed, seconds=seconds, title=terms.title,
-                               unit=terms.unit, where=where)
-    environment.globals.update(rules=terms.RULES, parts=PARTS, in_order=terms.in_order,
-                               quantile_marks=quantile_marks)
+        loader=jinja2.PackageLoader("glenfold_lab.reports"),
+        autoescape=True,
+        trim_blocks=True,
+        lstrip_blocks=True,
+        undefined=jinja2.StrictUndefined,
+    )
+    environment.filters.update(
+        number=number, signed=signed, seconds=seconds, title=terms.title, unit=terms.unit, where=where
+    )
+    environment.globals.update(
+        rules=terms.RULES, parts=PARTS, in_order=terms.in_order, quantile_marks=quantile_marks
+    )
     groups = report.groups[:GROUPS]
     names = compared(groups)
     pairs = pairs_of(report.experiments, terms.in_order([*names, "rules_broken"]))
     return environment.get_template("page.html.j2").render(
-        report=report, toc_parts=len(report.histories) <= TOC_PARTS, groups_shown=GROUPS,
-        compared_names=names, pairs=pairs[:PAIRS], pairs_left_out=len(pairs[PAIRS:]),
-        pictures={history.name: dict(pictures(history.name, result))
-                  for history, result in zip(report.histories, told, strict=True)},
-        spreads=list(spreads(groups, names)), forests=list(forests(pairs, names)))
+        report=report,
+        toc_parts=len(report.histories) <= TOC_PARTS,
+        groups_shown=GROUPS,
+        compared_names=names,
+        pairs=pairs[:PAIRS],
+        pairs_left_out=len(pairs[PAIRS:]),
+        pictures={
+            history.name: dict(pictures(history.name, result))
+            for history, result in zip(report.histories, told, strict=True)
+        },
+        spreads=list(spreads(groups, names)),
+        forests=list(forests(pairs, names)),
+    )
 
 
 def compared(groups: Sequence[Group]) -> list[str]:
@@ -81,8 +95,11 @@
 
 def where(pair: Difference) -> str:
     """What both sides of a pair have in common."""
-    return ", ".join(filter(None, (
-        pair.scenario, *(f"{name} {level}" for name, level in pair.levels.items()), pair.revision)))
+    return ", ".join(
+        filter(
+            None, (pair.scenario, *(f"{name} {level}" for name, level in pair.levels.items()), pair.revision)
+        )
+    )
 
 
 def seconds(us: int) -> str:
@@ -104,24 +121,39 @@
     yield "happened", Markup(plots.time_line(day))
     in_pictures = {key for one in terms.PICTURES for key in one.series}
     others = [key for key in result.series if key not in in_pictures]
-    yield "others", Markup("").join(
-        Markup(plots.lines(day, f"other{n}", {terms.title(key): result.series[key]}, terms.unit(key)))
-        for n, key in enumerate(others[:OTHERS]))
+    yield (
+        "others",
+        Markup("").join(
+            Markup(plots.lines(day, f"other{n}", {terms.title(key): result.series[key]}, terms.unit(key)))
+            for n, key in enumerate(others[:OTHERS])
+        ),
+    )
 
 
 def spreads(groups: Sequence[Group], names: Sequence[str]) -> Iterator[tuple[str, Markup]]:
     """Titles and drawings of what there is to compare."""
     for n, name in enumerate(names if len(groups) > 1 else ()):
         values = {group.name: group.figures[name].values for group in groups if name in group.figures}
-        yield terms.title(name), Markup(
-            plots.spread(f"spread{n}", terms.title(name), terms.unit(name), values))
+        yield (
+            terms.title(name),
+            Markup(plots.spread(f"spread{n}", terms.title(name), terms.unit(name), values)),
+        )
 
 
 def forests(pairs: Sequence[Difference], names: Sequence[str]) -> Iterator[tuple[str, Markup]]:
     """Titles and drawings of differences, of those figures that have any with an interval."""
     for n, name in enumerate(names):
-        drawn = {f"{pair.of}: {pair.base} to {pair.other}; {where(pair)}": (pair.mean, pair.low, pair.high)
-                 for pair in pairs if pair.figure == name and pair.low is not None and pair.high is not None}
+        drawn = {
+            f"{pair.of}: {pair.base} to {pair.other}; {where(pair)}": (pair.mean, pair.low, pair.high)
+            for pair in pairs
+            if pair.figure == name and pair.low is not None and pair.high is not None
+        }
         if drawn:
-            yield terms.title(name), Markup(plots.forest(
-                f"forest{n}", terms.title(name), terms.unit(name), dict(list(drawn.items())[:FOREST])))
+            yield (
+                terms.title(name),
+                Markup(
+                    plots.forest(
+                        f"forest{n}", terms.title(name), terms.unit(name), dict(list(drawn.items())[:FOREST])
+                    )
+                ),
+            )
--- a/glenfold_lab/reports/plots.py
+++ b/glenfold_lab/reports/plots.py
@@ -12,15 +12,21 @@
 from glenfold_lab.reports.thin import POINTS, ROWS, Loads, Values, blocks, thin
 from glenfold_lab.results import Distribution, Happened, Series
 
-EVENTS = 40       # that are shaded, or have a row of their own in the time line
-HEAT_TOP = 2.0    # the load at which the colours of the heat map end
-WORST = 5         # servers drawn one by one
+EVENTS = 40  # that are shaded, or have a row of their own in the time line
+HEAT_TOP = 2.0  # the load at which the colours of the heat map end
+WORST = 5  # servers drawn one by one
 DASHES = ((0, (4, 2)), (0, (1, 1.5)), (0, (6, 2, 1, 2)), (0, (9, 3)))
 
 # Nothing at 0, so that it does on a light and a dark page; blue up to the limit, from there on red.
-HEAT = LinearSegmentedColormap.from_list("load", [
-    (0.0, (0.25, 0.5, 0.85, 0.0)), (0.4999, (0.15, 0.4, 0.85, 0.9)),
-    (0.5, (0.95, 0.6, 0.1, 1.0)), (1.0, (0.75, 0.0, 0.1, 1.0))])
+HEAT = LinearSegmentedColormap.from_list(
+    "load",
+    [
+        (0.0, (0.25, 0.5, 0.85, 0.0)),
+        (0.4999, (0.15, 0.4, 0.85, 0.9)),
+        (0.5, (0.95, 0.6, 0.1, 1.0)),
+        (1.0, (0.75, 0.0, 0.1, 1.0)),
+    ],
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,8 +77,14 @@
         day.over_time(axes, unit)
         longest = max(drawn.values(), key=lambda one: len(one.values))
         heights = [np.interp(_ends(longest), _ends(one), one.values) for one in drawn.values()]
-        axes.stackplot(_ends(longest), heights, step="pre", labels=[label(shown) for shown in drawn],
-                       colors=[COLOURS[f"line{n % LINES}"] for n in range(len(drawn))], alpha=0.85)
+        axes.stackplot(
+            _ends(longest),
+            heights,
+            step="pre",
+            labels=[label(shown) for shown in drawn],
+            colors=[COLOURS[f"line{n % LINES}"] for n in range(len(drawn))],
+            alpha=0.85,
+        )
         axes.set_ylim(0.0, top)
         _thousands(axes)
         _legend(drawing)
@@ -87,15 +99,23 @@
     with Drawing(f"{day.name}-heat", 2.1 + 2.4 * min(1.0, len(shown) / ROWS)) as drawing:
         axes = drawing.axes()
         span_s = loads.values.shape[1] * loads.step_us / 1e6
-        image = axes.imshow(shown, cmap=HEAT, vmin=0.0, vmax=HEAT_TOP, aspect="auto", interpolation="none",
-                            extent=(0.0, span_s, len(loads.names), 0))
+        image = axes.imshow(
+            shown,
+            cmap=HEAT,
+            vmin=0.0,
+            vmax=HEAT_TOP,
+            aspect="auto",
+            interpolation="none",
+            extent=(0.0, span_s, len(loads.names), 0),
+        )
         axes.grid(False)
         axes.set_xlim(0.0, day.length_us / 1e6)
         axes.set_xlabel("time, s")
         axes.set_ylabel("servers, worst first")
         axes.yaxis.set_major_locator(MaxNLocator(nbins=6, integer=True, min_n_ticks=1))
-        bar = drawing.figure.colorbar(image, ax=axes, extend="max", location="top", shrink=0.5, aspect=40,
-                                      anchor=(1.0, 0.0), pad=0.02)
+        bar = drawing.figure.colorbar(
+            image, ax=axes, extend="max", location="top", shrink=0.5, aspect=40, anchor=(1.0, 0.0), pad=0.02
+        )
         bar.set_label("load, of the limit", labelpad=4)
         bar.outline.set_visible(False)
         return drawing.svg("load of each server against its limit over time")
@@ -112,8 +132,15 @@
             _row(axes, loads, values, label=label(name), linewidth=1.2)
         of_all = loads.percentiles or (("median of all", np.nanmedian(loads.values, axis=0)),)
         for n, (name, values) in enumerate(of_all):
-            _row(axes, loads, values, label=label(name), color=COLOURS["ink"], linewidth=1.0,
-                 linestyle=DASHES[n % len(DASHES)])
+            _row(
+                axes,
+                loads,
+                values,
+                label=label(name),
+                color=COLOURS["ink"],
+                linewidth=1.0,
+                linestyle=DASHES[n % len(DASHES)],
+            )
         axes.axhline(1.0, color=COLOURS["bad"], linewidth=1.6, label="limit")
         axes.set_ylim(bottom=0.0)
         _legend(drawing)
@@ -124,7 +151,8 @@
     """Set-up latencies by class, from the median to the greatest."""
     slowest_first = sorted(
         ((name, one) for name, one in set_up.items() if one.count and one.quantiles),
-        key=lambda pair: (-max(pair[1].quantiles.values()), pair[0]))[:LINES]
+        key=lambda pair: (-max(pair[1].quantiles.values()), pair[0]),
+    )[:LINES]
     if not slowest_first:
         return ""
     marks = sorted({mark for _, one in slowest_first for mark in one.quantiles}, key=float)
@@ -132,8 +160,13 @@
         axes = drawing.axes()
         for name, one in slowest_first:
             places = [place for place, mark in enumerate(marks) if mark in one.quantiles]
-            axes.plot(places, [max(one.quantiles[marks[place]], 1) / 1e3 for place in places],
-                      marker="o", markersize=4, label=label(name))
+            axes.plot(
+                places,
+                [max(one.quantiles[marks[place]], 1) / 1e3 for place in places],
+                marker="o",
+                markersize=4,
+                label=label(name),
+            )
         axes.set_yscale("log")
         axes.yaxis.set_major_locator(LogLocator(subs=(1.0, 2.0, 5.0)))
         axes.yaxis.set_minor_locator(NullLocator())
@@ -155,12 +188,16 @@
         axes = drawing.axes()
         for place, what in enumerate(rows):
             mine = [event for event in events if event.what == what][:POINTS]
-            spans = [(event.at_us / 1e6, (event.until_us - event.at_us) / 1e6)
-                     for event in mine if event.until_us is not None]
+            spans = [
+                (event.at_us / 1e6, (event.until_us - event.at_us) / 1e6)
+                for event in mine
+                if event.until_us is not None
+            ]
             axes.broken_barh(spans, (place - 0.3, 0.6), facecolor=COLOURS["shade"], alpha=0.6, linewidth=0)
             moments = [event.at_us / 1e6 for event in mine]
-            axes.plot(moments, [place] * len(moments), linestyle="", marker="|", markersize=9,
-                      color=COLOURS["bad"])
+            axes.plot(
+                moments, [place] * len(moments), linestyle="", marker="|", markersize=9, color=COLOURS["bad"]
+            )
         axes.set_yticks(range(len(rows)), [label(what.replace("_", " "), 60) for what in rows])
         axes.set_ylim(len(rows) - 0.5, -0.5)
         axes.set_xlim(0.0, day.length_us / 1e6)
@@ -173,10 +210,23 @@
     with Drawing(name, 0.8 + 0.26 * len(groups)) as drawing:
         axes = drawing.axes()
         for place, values in enumerate(groups.values()):
-            axes.plot(values, [place] * len(values), linestyle="", marker="o", markersize=4.5, alpha=0.55,
-                      color=COLOURS["line0"])
-            axes.plot([float(np.mean(values))], [place], marker="|", markersize=13, markeredgewidth=2.2,
-                      color=COLOURS["ink"])
+            axes.plot(
+                values,
+                [place] * len(values),
+                linestyle="",
+                marker="o",
+                markersize=4.5,
+                alpha=0.55,
+                color=COLOURS["line0"],
+            )
+            axes.plot(
+                [float(np.mean(values))],
+                [place],
+                marker="|",
+                markersize=13,
+                markeredgewidth=2.2,
+                color=COLOURS["ink"],
+            )
         axes.set_yticks(range(len(groups)), [label(group, 60) for group in groups])
         axes.set_ylim(len(groups) - 0.5, -0.5)
         axes.set_xlabel(f"{title}, {unit}" if unit else title)
@@ -213,8 +263,9 @@
 
 
 def _legend(drawing: Drawing) -> None:
-    drawing.figure.legend(loc="outside upper left", ncols=4, borderaxespad=0.2, handlelength=1.4,
-                          columnspacing=1.2)
+    drawing.figure.legend(
+        loc="outside upper left", ncols=4, borderaxespad=0.2, handlelength=1.4, columnspacing=1.2
+    )
 
 
 def _thousands(axes: Axes) -> None:
--- a/glenfold_lab/reports/read.py
+++ b/glenfold_lab/reports/read.py
@@ -167,8 +167,11 @@
     for number, cell in enumerate(exported.cells):
         if cell.failed is None and cell.repeat == 0:
             found.histories.append(_found(file, f"cell {number}", cell.result))
-    failed = tuple(f"{cell.scenario}, seed {cell.seed}, {cell.revision}: {cell.failed}"
-                   for cell in exported.cells if cell.failed is not None)
+    failed = tuple(
+        f"{cell.scenario}, seed {cell.seed}, {cell.revision}: {cell.failed}"
+        for cell in exported.cells
+        if cell.failed is not None
+    )
     found.experiments.append(Experiment(exported.name, exported.asks, exported.differences, failed))
 
 
--- a/glenfold_lab/reports/summary.py
+++ b/glenfold_lab/reports/summary.py
@@ -14,11 +14,11 @@
 from glenfold_lab.results import Distribution, Happened, RunResult, Series, Verdict
 
 FORMAT = 1
-HISTORIES = 12   # told one by one
-VERDICTS = 100   # of a history
+HISTORIES = 12  # told one by one
+VERDICTS = 100  # of a history
 EVENTS = 100
-SERVERS = 12     # the worst
-ENTRIES = 60     # of any other table
+SERVERS = 12  # the worst
+ENTRIES = 60  # of any other table
 
 
 class ServerLoad(msgspec.Struct, frozen=True):
@@ -104,7 +104,8 @@
         histories=tuple(_history(f"h{n}", result) for n, result in enumerate(told, start=1)),
         histories_left_out=len(given.histories) - len(told),
         groups=tuple(_groups([one.short for one in given.histories])),
-        experiments=tuple(given.experiments))
+        experiments=tuple(given.experiments),
+    )
 
 
 def _history(name: str, result: RunResult) -> History:
@@ -112,19 +113,28 @@
     happened = sorted(result.happened, key=lambda event: event.at_us)
     shown = _in_turn(result.verdicts)[:VERDICTS]
     return History(
-        name=name, scenario=result.scenario, guards_against=result.guards_against, seed=result.seed,
-        revision=result.revision, factors=result.factors, length_s=result.length_us / 1e6,
-        figures=result.figures, answers=result.answers,
+        name=name,
+        scenario=result.scenario,
+        guards_against=result.guards_against,
+        seed=result.seed,
+        revision=result.revision,
+        factors=result.factors,
+        length_s=result.length_us / 1e6,
+        figures=result.figures,
+        answers=result.answers,
         set_up=dict(sorted(result.set_up.items(), key=lambda pair: -pair[1].count)[:ENTRIES]),
         series={key: thin(series) for key, series in list(result.series.items())[:ENTRIES]},
-        servers=len(of_servers.names), all_servers=not of_servers.percentiles,
+        servers=len(of_servers.names),
+        all_servers=not of_servers.percentiles,
         worst_servers=_worst(of_servers),
         broken=dict.fromkeys(RULES, 0) | Counter(verdict.rule for verdict in result.verdicts),
         verdicts=tuple(sorted(shown, key=lambda verdict: verdict.at_us)),
         verdicts_left_out=len(result.verdicts) + result.verdicts_left_out - len(shown),
         hosts=_hosts(shown, result.server_load),
-        happened=tuple(happened[:EVENTS]), happened_left_out=len(happened[EVENTS:]),
-        cost=result.cost)
+        happened=tuple(happened[:EVENTS]),
+        happened_left_out=len(happened[EVENTS:]),
+        cost=result.cost,
+    )
 
 
 def _in_turn(verdicts: Iterable[Verdict]) -> list[Verdict]:
@@ -145,8 +155,10 @@
 def _worst(of_servers: Loads) -> tuple[ServerLoad, ...]:
     return tuple(
         ServerLoad(name, float(np.nanmax(row)), float(np.nanmean(row)), float(over_s))
-        for name, row, over_s in zip(of_servers.names[:SERVERS], of_servers.values, of_servers.over_s,
-                                     strict=False))
+        for name, row, over_s in zip(
+            of_servers.names[:SERVERS], of_servers.values, of_servers.over_s, strict=False
+        )
+    )
 
 
 def _groups(found: Iterable[Short]) -> Iterator[Group]:
@@ -160,10 +172,17 @@
         if several_revisions:
             names.append(f"decisions of {first.revision}")
         yield Group(
-            name=", ".join(names), scenario=first.scenario, revision=first.revision, factors=first.factors,
-            seeds=tuple(one.seed for one in members), rules_broken=sum(one.rules_broken for one in members),
-            figures={name: _spread([one.figures[name] for one in members if name in one.figures])
-                     for name in dict.fromkeys(name for one in members for name in one.figures)})
+            name=", ".join(names),
+            scenario=first.scenario,
+            revision=first.revision,
+            factors=first.factors,
+            seeds=tuple(one.seed for one in members),
+            rules_broken=sum(one.rules_broken for one in members),
+            figures={
+                name: _spread([one.figures[name] for one in members if name in one.figures])
+                for name in dict.fromkeys(name for one in members for name in one.figures)
+            },
+        )
 
 
 def _spread(values: Sequence[float]) -> Spread:
--- a/glenfold_lab/reports/svg.py
+++ b/glenfold_lab/reports/svg.py
@@ -14,10 +14,14 @@
 from matplotlib.axes import Axes
 from matplotlib.figure import Figure
 
-WIDTH_IN = 8.6      # at 72 points to the inch a little less than the width of a page's text
-LINES = 6           # colours for lines, as many as can be told apart
-COLOURS = {name: f"#0101{number:02x}" for number, name in enumerate(
-    ("ink", "faint", "grid", "shade", "bad", "good", *(f"line{n}" for n in range(LINES))), start=1)}
+WIDTH_IN = 8.6  # at 72 points to the inch a little less than the width of a page's text
+LINES = 6  # colours for lines, as many as can be told apart
+COLOURS = {
+    name: f"#0101{number:02x}"
+    for number, name in enumerate(
+        ("ink", "faint", "grid", "shade", "bad", "good", *(f"line{n}" for n in range(LINES))), start=1
+    )
+}
 
 STYLE: dict[str, object] = {
     "svg.fonttype": "none",
@@ -81,12 +85,12 @@
             warnings.filterwarnings("ignore", "Glyph")  # the reader's fonts draw it, not matplotlib's
             self.figure.savefig(out, format="svg", metadata=_NO_METADATA)
         drawn = out.getvalue()
-        return _inline(drawn[drawn.index("<svg"):], self.name, told)
+        return _inline(drawn[drawn.index("<svg") :], self.name, told)
 
 
 def label(text: str, most: int = 40) -> str:
     """A name as a drawing can show it: short, and not taken for one of matplotlib's own."""
-    short = text if len(text) <= most else f"{text[:most - 1]}…"
+    short = text if len(text) <= most else f"{text[: most - 1]}…"
     return f" {short}" if short.startswith("_") else short
 
 
--- a/glenfold_lab/reports/terms.py
+++ b/glenfold_lab/reports/terms.py
@@ -5,8 +5,17 @@
 
 UNITS = {"us": "µs", "ms": "ms", "s": "s", "mb": "MB", "per_s": "1/s", "share": "of 1"}
 SHARES = ("service", "worst_", "goal", "cross_zone")  # figures that begin so are parts of 1
-FIRST = ("goal", "service", "worst_window", "rules_broken", "worst_class", "worst_scheme", "refused",
-         "moves", "servers_fallen")  # figures that a reader wants first
+FIRST = (
+    "goal",
+    "service",
+    "worst_window",
+    "rules_broken",
+    "worst_class",
+    "worst_scheme",
+    "refused",
+    "moves",
+    "servers_fallen",
+)  # figures that a reader wants first
 RULES = {
     "answer": "one final answer in time",
     "attempt": "at most one attempt out",
--- a/glenfold_lab/reports/thin.py
+++ b/glenfold_lab/reports/thin.py
@@ -9,8 +9,8 @@
 
 from glenfold_lab.results import Series
 
-POINTS = 400   # of a series
-ROWS = 100     # of a heat map
+POINTS = 400  # of a series
+ROWS = 100  # of a heat map
 PERCENTILE = re.compile(r"p\d+$")  # the name of such a row among those of servers
 Values = NDArray[np.float64]
 
--- a/glenfold_lab/scenario.py
+++ b/glenfold_lab/scenario.py
@@ -151,8 +151,11 @@
 
 def _check_names(file: Located, scenario: Scenario) -> None:
     lists: list[tuple[Key, tuple[Any, ...]]] = [
-        (("classes",), scenario.classes), (("schemes",), scenario.schemes),
-        (("servers", "kinds"), scenario.servers.kinds), (("zones", "names"), scenario.zones.names)]
+        (("classes",), scenario.classes),
+        (("schemes",), scenario.schemes),
+        (("servers", "kinds"), scenario.servers.kinds),
+        (("zones", "names"), scenario.zones.names),
+    ]
     for key, parts in lists:
         seen: set[str] = set()
         for number, part in enumerate(parts):
--- a/glenfold_lab/spec.py
+++ b/glenfold_lab/spec.py
@@ -73,8 +73,8 @@
     kinds: Annotated[tuple[ServerKind, ...], Meta(min_length=1)] = (ServerKind(),)
     zone_shares: tuple[Positive, ...] | None = None  # None: evenly over the zones
     cell_size: Count = 4
-    group_cost: Range = 2.0    # of a group at a server, in mean loads of a connection
-    error_rate: Range = 0.0    # share of set-ups that it answers ERR
+    group_cost: Range = 2.0  # of a group at a server, in mean loads of a connection
+    error_rate: Range = 0.0  # share of set-ups that it answers ERR
     store_ms: Range = (5.0, 40.0)
     store_headroom: Range = (10.0, 16.0)
     park_s: Range = (4.0, 9.0)  # for how long a connection whose packets stopped is kept
@@ -88,14 +88,14 @@
 
     count: Count = 2
     cores: Range = 1.0
-    accept_us: NotNegative = 250.0   # a client's connection and its first line
-    call_us: NotNegative = 250.0     # an outbound call begun
-    reply_us: NotNegative = 300.0    # a server's answer, passed on
-    notice_us: NotNegative = 40.0    # a LOAD line, an end
+    accept_us: NotNegative = 250.0  # a client's connection and its first line
+    call_us: NotNegative = 250.0  # an outbound call begun
+    reply_us: NotNegative = 300.0  # a server's answer, passed on
+    notice_us: NotNegative = 40.0  # a LOAD line, an end
     memory_mb: Positive | None = None
     sockets: Annotated[int, Meta(ge=32)] | None = None
-    pass_through: bool = True        # packets pass through: connections outlive their relay
-    restart_s: Range = (1.0, 8.0)    # a relay that died is up again after so long
+    pass_through: bool = True  # packets pass through: connections outlive their relay
+    restart_s: Range = (1.0, 8.0)  # a relay that died is up again after so long
 
 
 class Front(Part, frozen=True):
@@ -158,7 +158,7 @@
     load: Range = (0.3, 0.41)
     life_s: Range = (28.0, 130.0)
     life_sigma: Range = (0.8, 1.2)
-    swing: Range = (0.16, 0.38)    # of the rate of new clients over the history
+    swing: Range = (0.16, 0.38)  # of the rate of new clients over the history
     shape: Literal["steady", "ramp"] = "steady"
     groups: bool = True
     group_size: Range = (5.0, 60.0)
@@ -212,21 +212,21 @@
 
 
 FaultKind = Literal[
-    "neighbour",      # takes `size` of the cores of `part` of the servers, on and off
-    "shrink",         # the fleet shrinks to 1 / `size`: servers drain, over `over_s`, and end
-    "drain",          # `part` (or `count`) of the servers drain and end; with `replace`, others start
+    "neighbour",  # takes `size` of the cores of `part` of the servers, on and off
+    "shrink",  # the fleet shrinks to 1 / `size`: servers drain, over `over_s`, and end
+    "drain",  # `part` (or `count`) of the servers drain and end; with `replace`, others start
     "restart_servers",  # `part` of the servers end at once and start again cold
     "start_servers",  # `count` new servers start cold
-    "server_crash",   # processes die: connections are reset, new ones refused
+    "server_crash",  # processes die: connections are reset, new ones refused
     "server_vanish",  # machines fall silent: nothing is signalled
-    "server_jam",     # set-ups and messages hang: work piles up for `len_s`
-    "zone_loss",      # all servers (and relays, with `relays`) of `zone` are cut off for `len_s`
-    "relay_crash",    # `part` of the relays die and start again with their last list
+    "server_jam",  # set-ups and messages hang: work piles up for `len_s`
+    "zone_loss",  # all servers (and relays, with `relays`) of `zone` are cut off for `len_s`
+    "relay_crash",  # `part` of the relays die and start again with their last list
     "relay_restart",  # planned: SIGTERM, one by one over `over_s`
-    "relay_stall",    # processes stop for `len_s`, then go on
-    "reconnect",      # `size` of the clients drop and come again within `over_s`
-    "list_silent",    # the list says nothing for `len_s`
-    "flap",           # `part` of the servers drain and return again and again, every `every_s`
+    "relay_stall",  # processes stop for `len_s`, then go on
+    "reconnect",  # `size` of the clients drop and come again within `over_s`
+    "list_silent",  # the list says nothing for `len_s`
+    "flap",  # `part` of the servers drain and return again and again, every `every_s`
 ]
 
 
--- a/glenfold_lab/stands/agent.py
+++ b/glenfold_lab/stands/agent.py
@@ -20,7 +20,7 @@
 
 BACKLOG = 64
 CHUNK = 16 * 1024
-STILL_S = 2.0      # an empty line goes out when there was nothing for so long
+STILL_S = 2.0  # an empty line goes out when there was nothing for so long
 REMEMBERED = 4096  # changes; who asks for older ones gets the whole list
 HEALTH = {Told.READY: "in_service", Told.DRAINING: "terminating", Told.GONE: "terminated"}
 
@@ -42,9 +42,16 @@
     started_us: int = 0
 
     def plain(self) -> dict[str, object]:
-        return {"host": self.host, "dial": self.dial, "site": self.site, "class": self.kind,
-                "block": self.block, "health": HEALTH[self.state], "share": self.share,
-                "born_ms": self.born_ms}
+        return {
+            "host": self.host,
+            "dial": self.dial,
+            "site": self.site,
+            "class": self.kind,
+            "block": self.block,
+            "health": HEALTH[self.state],
+            "share": self.share,
+            "born_ms": self.born_ms,
+        }
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,8 +112,11 @@
         if not self._first <= seq <= self.seq or (upto is None and len(self.sent) > REMEMBERED):
             return self.whole() + b"\n"
         news = self.sent[upto:] if upto is not None else [change for change in self.sent if change.seq > seq]
-        newest = {entry.host: entry for change in sorted(news, key=lambda change: change.seq)
-                  for entry in change.entries}
+        newest = {
+            entry.host: entry
+            for change in sorted(news, key=lambda change: change.seq)
+            for entry in change.entries
+        }
         return _document(self.seq, False, tuple(newest.values())) + b"\n"
 
 
@@ -116,8 +126,9 @@
     Whatever it holds counts as told to its relays, once it can be asked: when it was written to a watch, or
     at once if none is open."""
 
-    def __init__(self, relays: Sequence[int], host: str, holding: Holding, seen: Seen,
-                 clock: MachineClock) -> None:
+    def __init__(
+        self, relays: Sequence[int], host: str, holding: Holding, seen: Seen, clock: MachineClock
+    ) -> None:
         self.relays = tuple(relays)
         self.holding = holding
         self._host = host
@@ -128,7 +139,7 @@
         self._watches: dict[SocketType, int] = {}  # of each watch, how much of `holding.sent` it has carried
         self._open: dict[SocketType, None] = {}
         self._news = trio.Event()
-        self._told = 0   # of `holding.sent`, how much counts as told
+        self._told = 0  # of `holding.sent`, how much counts as told
         self._found = True  # at its present address
         self.quiet = False
         self._nursery: trio.Nursery | None = None
@@ -225,8 +236,9 @@
             elif isinstance(event, h11.ConnectionClosed):
                 return None
 
-    async def _answer(self, connection: h11.Connection, sock: SocketType, target: str,
-                      upto: int | None) -> int | None:
+    async def _answer(
+        self, connection: h11.Connection, sock: SocketType, target: str, upto: int | None
+    ) -> int | None:
         """`upto`: how much of `holding.sent` was in the whole list that this connection had last."""
         path, _, query = target.partition("?")
         asked = dict(pair.partition("=")[::2] for pair in query.split("&"))
@@ -250,8 +262,9 @@
         self._tell_upto(upto)
         return upto
 
-    async def _watch(self, connection: h11.Connection, sock: SocketType, since: int,
-                     upto: int | None) -> None:
+    async def _watch(
+        self, connection: h11.Connection, sock: SocketType, since: int, upto: int | None
+    ) -> None:
         headers = [("Content-Type", "application/json"), ("Transfer-Encoding", "chunked")]
         first, carried = self.holding.after(since, upto), len(self.holding.sent)
         response = h11.Response(status_code=200, headers=headers)
@@ -287,10 +300,8 @@
 
     def _tell_upto(self, count: int) -> None:
         now = self._clock.now_us()
-        for change in self.holding.sent[self._told:count]:
+        for change in self.holding.sent[self._told : count]:
             for relay in self.relays:
                 for entry in self.holding.newest(change):
                     self._seen.told(now, relay, entry.number, entry.state, entry.started_us)
         self._told = max(self._told, count)
-
-
--- a/glenfold_lab/stands/bad_clients.py
+++ b/glenfold_lab/stands/bad_clients.py
@@ -36,8 +36,11 @@
 async def _takes_an_id(sock: SocketType, crowd: Crowd, relay: int) -> None:
     """That of a connection which stands at this relay, if one was begun there: one that goes on there comes
     under an id that may not be over where it was."""
-    lines = [other.first_line for other in crowd.standing
-             if other.relay == relay and not any(mark in other.first_line for mark in (b"mid=1", b"at="))]
+    lines = [
+        other.first_line
+        for other in crowd.standing
+        if other.relay == relay and not any(mark in other.first_line for mark in (b"mid=1", b"at="))
+    ]
     await take(sock, lines[0] if lines else b"OPEN\r\n")
 
 
--- a/glenfold_lab/stands/clients.py
+++ b/glenfold_lab/stands/clients.py
@@ -35,21 +35,26 @@
 CHUNK = 4096
 HELD_BACK_US = SECOND_US
 
-FINALS = {c.Answer.UP: Final.UP, c.Answer.BUSY: Final.BUSY, c.Answer.ERROR: Final.ERROR,
-          c.Answer.CLOSED: Final.CLOSED, c.Answer.RESET: Final.CLOSED}
+FINALS = {
+    c.Answer.UP: Final.UP,
+    c.Answer.BUSY: Final.BUSY,
+    c.Answer.ERROR: Final.ERROR,
+    c.Answer.CLOSED: Final.CLOSED,
+    c.Answer.RESET: Final.CLOSED,
+}
 SECOND_ANSWERS = {b"UP": Final.UP, b"BUSY": Final.BUSY, b"ERR": Final.ERROR}
 
 
 class Over(Enum):
     """How one connection, or the try to get it, ended for its client."""
 
-    DONE = auto()       # it has had what it wanted
-    REFUSED = auto()    # or failed; another try follows
+    DONE = auto()  # it has had what it wanted
+    REFUSED = auto()  # or failed; another try follows
     UNREACHED = auto()  # nothing came up: TCP asks again by itself
-    MOVED = auto()      # it stood, and its client was told to come again
-    ENDED = auto()      # it stood, and broke
+    MOVED = auto()  # it stood, and its client was told to come again
+    ENDED = auto()  # it stood, and broke
     ELSEWHERE = auto()  # it stands, and its packets come to another relay
-    DROPPED = auto()    # its client lost it, with all others at that moment
+    DROPPED = auto()  # its client lost it, with all others at that moment
 
 
 @dataclass(slots=True, eq=False)
@@ -71,20 +76,31 @@
     rejoin: float
     honours: bool
     host: str | None = None
-    first_ask: int = 0   # for the connection that it wants now
+    first_ask: int = 0  # for the connection that it wants now
     tries: int = 0
     turn: int = 0
     relay: int = -1
     mid_flow: bool = False
     returning: bool = False
     advised_us: int = 0  # by BUSY
-    away_us: int = 0     # after a drop
+    away_us: int = 0  # after a drop
 
 
 def clients_of(drawn: Drawn, first: int, stood: bool) -> Iterator[Client]:
     """`first`: the number of the first of them."""
-    columns = (drawn.at, drawn.until, drawn.request_class, drawn.scheme, drawn.zone, drawn.key, drawn.group,
-               drawn.load, drawn.pace, drawn.rejoin, drawn.honours)
+    columns = (
+        drawn.at,
+        drawn.until,
+        drawn.request_class,
+        drawn.scheme,
+        drawn.zone,
+        drawn.key,
+        drawn.group,
+        drawn.load,
+        drawn.pace,
+        drawn.rejoin,
+        drawn.honours,
+    )
     for number, row in enumerate(zip(*(column.tolist() for column in columns), strict=True), first):
         yield Client(stood, number, *row)
 
@@ -148,8 +164,9 @@
 
     async def _try(self, client: Client, asking: trio.CancelScope) -> Over:
         """One try, to its end; whoever has a connection ends it itself, in good manners."""
-        relay = self.front.relay_for(client.zone, client.key, client.turn,
-                                     client.relay if client.mid_flow else -1)
+        relay = self.front.relay_for(
+            client.zone, client.key, client.turn, client.relay if client.mid_flow else -1
+        )
         client.turn += 1
         if relay is None or not self.front.reaches(relay):
             await self.clock.until(self.clock.now_us() + self.habits.deadlines[client.kind] + PATIENCE_US)
@@ -193,8 +210,11 @@
         figures.append(f"w={client.load:.1f}")  # means nothing to relays, and their load to push servers
         if client.stood:
             figures.append("s=0" if client.host is None else f"at={client.host}")
-        marks = {"r": terms.marks_retry and client.tries > 0, "again": client.returning,
-                 "mid": client.mid_flow}
+        marks = {
+            "r": terms.marks_retry and client.tries > 0,
+            "again": client.returning,
+            "mid": client.mid_flow,
+        }
         figures += [f"{name}=1" for name, marked in marks.items() if marked]
         return self.seal.line(request, client.key, figures, wait_us // 1000)
 
@@ -219,8 +239,11 @@
             return
         zones, salt = len(self.scenario.zones.names), self._changes * SEEDS[0]
         for connection in list(self.standing):
-            if (connection.relay != relay and connection.relay % zones == relay % zones
-                    and mix(connection.client.key + salt) < self.reshuffle * (1 << 64)):
+            if (
+                connection.relay != relay
+                and connection.relay % zones == relay % zones
+                and mix(connection.client.key + salt) < self.reshuffle * (1 << 64)
+            ):
                 connection.give_up(Over.ELSEWHERE, End.RELAY_DIED)
 
     def close_books(self) -> None:
@@ -241,7 +264,7 @@
         self._crowd = crowd
         self._began = crowd.clock.now_us()
         self._over = Over.REFUSED
-        self._died = False        # it ended without a word while it stood
+        self._died = False  # it ended without a word while it stood
         self._given_up = False
         self._scope = trio.CancelScope()
         self._wait_us = crowd.habits.deadlines[client.kind]
--- a/glenfold_lab/stands/crew.py
+++ b/glenfold_lab/stands/crew.py
@@ -36,8 +36,9 @@
         assert isinstance(places, Places)
         return places
 
-    async def play(self, places: Places, begin: Callable[[], Awaitable[Times]],
-                   tell: Callable[[Second], None]) -> None:
+    async def play(
+        self, places: Places, begin: Callable[[], Awaitable[Times]], tell: Callable[[Second], None]
+    ) -> None:
         self._pipe.send(places)
         self._pipe.send(await begin())
         while not isinstance(heard := await self._hear(), Report):
--- a/glenfold_lab/stands/daemons.py
+++ b/glenfold_lab/stands/daemons.py
@@ -30,7 +30,7 @@
 NAME = "fleet"
 LOOK_S = 0.02
 ANSWER_S = 2.0
-GONE_S = 2.0       # that the kernel may take to end them
+GONE_S = 2.0  # that the kernel may take to end them
 PATIENCE_S = 30.0  # for what is waited for to come true
 COMMAND = [sys.executable, "-m", "glenfold"]
 STARTED_BY = re.compile(rb"\0--instance\0(\d+)\0")
@@ -42,11 +42,23 @@
     """What was waited for."""
 
 
-def operators_file(day: Scenario, kinds: Sequence[str], discovery: Address, listen: Sequence[Address],
-                   **tables: Mapping[str, Any]) -> str:
+def operators_file(
+    day: Scenario,
+    kinds: Sequence[str],
+    discovery: Address,
+    listen: Sequence[Address],
+    **tables: Mapping[str, Any],
+) -> str:
     """For an instance at each address; `tables` are merged into those of the file."""
-    classes = [{"name": kind.name, "deadline_ms": kind.deadline_ms, "message_aim_ms": kind.message_aim_ms,
-                "worth": kind.worth} for kind in day.classes]
+    classes = [
+        {
+            "name": kind.name,
+            "deadline_ms": kind.deadline_ms,
+            "message_aim_ms": kind.message_aim_ms,
+            "worth": kind.worth,
+        }
+        for kind in day.classes
+    ]
     rules = day.rules
     document: dict[str, Any] = {
         "format": 1,
@@ -55,11 +67,19 @@
         "list": {"discovery": written(discovery)},
         "logging": {"form": "json"},
         "settings": {
-            "classes": classes, "zones": list(day.zones.names), "zone": day.zones.names[0],
+            "classes": classes,
+            "zones": list(day.zones.names),
+            "zone": day.zones.names[0],
             "kinds": list(kinds),
-            "rules": {"pass_through": day.relays.pass_through, "max_attempts": rules.max_attempts,
-                      "cold_share": rules.cold_share, "cold_s": rules.cold_s,
-                      "fall_multiple": rules.fall_multiple, "fall_s": rules.fall_s}},
+            "rules": {
+                "pass_through": day.relays.pass_through,
+                "max_attempts": rules.max_attempts,
+                "cold_share": rules.cold_share,
+                "cold_s": rules.cold_s,
+                "fall_multiple": rules.fall_multiple,
+                "fall_s": rules.fall_s,
+            },
+        },
         "fleet": {"instances": len(listen), "addresses": [[written(address)] for address in listen]},
     }
     for name, more in tables.items():
@@ -107,16 +127,27 @@
 
     def _start(self, *words: str) -> subprocess.Popen[bytes]:
         with (self.file.parent / "log").open("ab") as log:
-            process = subprocess.Popen([*COMMAND, *words], cwd=ROOT, stdin=subprocess.DEVNULL, stdout=log,
-                                       stderr=log, start_new_session=True)
+            process = subprocess.Popen(
+                [*COMMAND, *words],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
+            )
         self._own.append(process)
         return process
 
     async def say(self, *words: str) -> Said:
         """A command about this file: its words before the file, options after it."""
         place = next((n for n, word in enumerate(words) if word.startswith("-")), len(words))
-        done = await trio.run_process([*COMMAND, *words[:place], os.fspath(self.file), *words[place:]],
-                                      cwd=ROOT, capture_stdout=True, stderr=subprocess.STDOUT, check=False)
+        done = await trio.run_process(
+            [*COMMAND, *words[:place], os.fspath(self.file), *words[place:]],
+            cwd=ROOT,
+            capture_stdout=True,
+            stderr=subprocess.STDOUT,
+            check=False,
+        )
         return Said(done.returncode, done.stdout.decode())
 
     def processes(self) -> dict[int, list[psutil.Process]]:
@@ -128,8 +159,10 @@
                 number = words and os.fsencode(self.file.parent) in words and STARTED_BY.search(words)
                 if number:
                     found.setdefault(int(number[1]) - 1, []).append(psutil.Process(int(entry.name)))
-        return {relay: sorted(found[relay], key=lambda one: (one.create_time(), one.pid))
-                for relay in sorted(found)}
+        return {
+            relay: sorted(found[relay], key=lambda one: (one.create_time(), one.pid))
+            for relay in sorted(found)
+        }
 
     def kill(self, relay: int) -> list[psutil.Process]:
         """All its processes, by SIGKILL: those."""
@@ -185,7 +218,8 @@
     async def all_ready(self) -> Answer:
         """By the supervisor's status."""
         return await self.when(
-            self.fleet, lambda one: {each["phase"] for each in one["instances"]} == {"ready"})
+            self.fleet, lambda one: {each["phase"] for each in one["instances"]} == {"ready"}
+        )
 
     async def in_state(self, relay: int, *states: str) -> Answer:
         return await self.when(lambda: self.instance(relay), lambda one: one["state"] in states)
@@ -221,5 +255,3 @@
         yield
     finally:
         daemons.end_all()
-
-
--- a/glenfold_lab/stands/fleet.py
+++ b/glenfold_lab/stands/fleet.py
@@ -59,8 +59,15 @@
 class OneAtATime(Agent):
     """Gives whole lists in turn; each takes `one_s` seconds."""
 
-    def __init__(self, one_s: float, relays: Sequence[int], host: str, holding: Holding, seen: Seen,
-                 clock: MachineClock) -> None:
+    def __init__(
+        self,
+        one_s: float,
+        relays: Sequence[int],
+        host: str,
+        holding: Holding,
+        seen: Seen,
+        clock: MachineClock,
+    ) -> None:
         super().__init__(relays, host, holding, seen, clock)
         self._one_s = one_s
         self._turn = trio.Lock()
@@ -81,11 +88,13 @@
         places, relays = await super().bind(), range(self.scenario.relays.count)
         self._servers = {
             index: PushServer(server.holder, self._clock, [self.net.host(SERVERS, index)])
-            for index, server in self._servers.items()}
+            for index, server in self._servers.items()
+        }
         places.servers = {index: server.addresses * len(relays) for index, server in self._servers.items()}
         if self._agents:
-            agent = OneAtATime(self.crowds.one_s, relays, self.net.host(AGENTS, 0), Holding(1, []), self.seen,
-                               self._clock)
+            agent = OneAtATime(
+                self.crowds.one_s, relays, self.net.host(AGENTS, 0), Holding(1, []), self.seen, self._clock
+            )
             self._agents = {0: agent}
             places.agents = dict.fromkeys(relays, agent.address)
         return places
@@ -99,9 +108,17 @@
         for n in range(wanted if standing else 0):
             like = standing[n % len(standing)]
             begin = at + int(random.integers(Crowds.OVER_US))
-            coming.append(replace(
-                like, stood=False, number=len(coming) + (n + 1 << 32), at=begin,
-                until=begin + like.until - start, key=int(random.integers(1 << 63)), host=None))
+            coming.append(
+                replace(
+                    like,
+                    stood=False,
+                    number=len(coming) + (n + 1 << 32),
+                    at=begin,
+                    until=begin + like.until - start,
+                    key=int(random.integers(1 << 63)),
+                    host=None,
+                )
+            )
         return standing, sorted(coming, key=lambda client: client.at)
 
 
@@ -134,8 +151,11 @@
     def note(self, what: str, since_us: int | None = None, relays: tuple[int, ...] = ()) -> Happened:
         """`since_us`: it has lasted from then until now."""
         now = self.now_us()
-        one = Happened(what, now, None, relays=relays) if since_us is None else Happened(
-            what, since_us, now, relays=relays)
+        one = (
+            Happened(what, now, None, relays=relays)
+            if since_us is None
+            else Happened(what, since_us, now, relays=relays)
+        )
         self.happened.append(one)
         return one
 
@@ -157,9 +177,18 @@
     logs: dict[str, str]
 
 
-def play_fleet(day: Scenario, seed: int, begin: Begin, goes: Goes, *, crowds: Crowds | None = None,
-               processes: int = 0, tables: Mapping[str, Mapping[str, Any]] | None = None,
-               watchers: Sequence[Watcher] = (), revision: str = "work tree") -> Played:
+def play_fleet(
+    day: Scenario,
+    seed: int,
+    begin: Begin,
+    goes: Goes,
+    *,
+    crowds: Crowds | None = None,
+    processes: int = 0,
+    tables: Mapping[str, Mapping[str, Any]] | None = None,
+    watchers: Sequence[Watcher] = (),
+    revision: str = "work tree",
+) -> Played:
     """Plays one history with an instance for each of the scenario's relays.
 
     begin: starts them, and returns once all are ready. goes: the course of the history from its start on;
@@ -169,8 +198,11 @@
     Whatever it started has ended when it returns. Raises `daemons.NeverCame`, `crew.PartFailed`.
     """
     run = _Run(day, seed, begin, goes, crowds or Crowds(), tables or {})
-    with (tempfile.TemporaryDirectory(prefix="glenfold-fleet-") as folder, ExitStack() as stack,
-          no_collections()):
+    with (
+        tempfile.TemporaryDirectory(prefix="glenfold-fleet-") as folder,
+        ExitStack() as stack,
+        no_collections(),
+    ):
         trio.run(run.play, Path(folder), stack, processes)
     return run.played(revision, watchers)
 
@@ -198,8 +230,10 @@
         began = time.monotonic()
         self._script = draw(self.day, self.seed)
         net, clock, half = Net(), MachineClock(), max(1, processes // 2)
-        parts: list[Part] = [FleetPart(self.day, self.seed, share, net, crowds=self.crowds)
-                             for share in self._shares(processes, half)]
+        parts: list[Part] = [
+            FleetPart(self.day, self.seed, share, net, crowds=self.crowds)
+            for share in self._shares(processes, half)
+        ]
         played: Sequence[Part | RemotePart] = stack.enter_context(remote(parts)) if processes else parts
         relays = range(self.day.relays.count)
         places = Places(relays=[free_address(net.host(RELAYS, relay)) for relay in relays])
@@ -225,8 +259,9 @@
         file.write_text(operators_file(self.day, kinds, places.agents[0], places.relays, **self.tables))
         return Daemons(file, places.relays, self._seen, clock)
 
-    async def _play_parts(self, played: Sequence[Part | RemotePart], places: Places,
-                          clock: MachineClock) -> None:
+    async def _play_parts(
+        self, played: Sequence[Part | RemotePart], places: Places, clock: MachineClock
+    ) -> None:
         ready = trio.Event()
 
         async def begun() -> Times:
@@ -303,5 +338,9 @@
 
 def _by_their_relays(records: list[Record]) -> list[Record]:
     relay_of = {values[1]: values[2] for name, values in records if name == "taken"}
-    return [(name, (*values[:2], relay_of.get(values[1], values[2]), *values[3:])) if name == "sent"
-            else (name, values) for name, values in records]
+    return [
+        (name, (*values[:2], relay_of.get(values[1], values[2]), *values[3:]))
+        if name == "sent"
+        else (name, values)
+        for name, values in records
+    ]
--- a/glenfold_lab/stands/front.py
+++ b/glenfold_lab/stands/front.py
@@ -17,8 +17,8 @@
 from glenfold_lab.stands.ping import Ping, ping
 from glenfold_lab.stands.sockets import Address
 
-FIND_S = 0.05   # between two looks for a relay that is not admitted
-CHECK_S = 0.5   # and at one that is
+FIND_S = 0.05  # between two looks for a relay that is not admitted
+CHECK_S = 0.5  # and at one that is
 
 Changed = Callable[[int], None]
 
@@ -27,8 +27,14 @@
     """zones: of each relay. notice_s: from a relay's death until the front knows. `on_change` is called with
     a relay whenever it comes in or goes out."""
 
-    def __init__(self, zones: Sequence[int], addresses: Sequence[Address], notice_s: Range,
-                 random: np.random.Generator, clock: MachineClock) -> None:
+    def __init__(
+        self,
+        zones: Sequence[int],
+        addresses: Sequence[Address],
+        notice_s: Range,
+        random: np.random.Generator,
+        clock: MachineClock,
+    ) -> None:
         self._spread = Front(zones)
         self._addresses = addresses
         self._notice_s = notice_s
--- a/glenfold_lab/stands/judge.py
+++ b/glenfold_lab/stands/judge.py
@@ -11,10 +11,10 @@
 from glenfold_lab.observe import End, Record, Told
 from glenfold_lab.stands.moments import SECOND_US
 
-SLACK_US = 50_000            # by which every time limit is extended on sockets
-ENDED_US = SECOND_US         # within which an end on one side is one on the other
-SILENT_US = 7 * SECOND_US    # within which a relay ends a connection that nothing comes back on
-EXIT_SEEN_US = 500_000       # a process may have ended so much before it was seen to have
+SLACK_US = 50_000  # by which every time limit is extended on sockets
+ENDED_US = SECOND_US  # within which an end on one side is one on the other
+SILENT_US = 7 * SECOND_US  # within which a relay ends a connection that nothing comes back on
+EXIT_SEEN_US = 500_000  # a process may have ended so much before it was seen to have
 
 Listed = tuple[Told, int]
 
@@ -50,9 +50,18 @@
         self._stalled: defaultdict[int, list[tuple[int, int]]] = defaultdict(list)
         self._out: list[Record] = []
         self._takes: dict[str, Callable[..., None]] = {
-            "relay_up": self._relay_up, "relay_down": self._relay_down, "stopping": self._stopping,
-            "stalled": self._stalls, "told": self._told, "due": self._told, "taken": self._taken,
-            "broke": self._broke, "ended": self._ended, "unsaid": self._unsaid, "held_back": self._held_back}
+            "relay_up": self._relay_up,
+            "relay_down": self._relay_down,
+            "stopping": self._stopping,
+            "stalled": self._stalls,
+            "told": self._told,
+            "due": self._told,
+            "taken": self._taken,
+            "broke": self._broke,
+            "ended": self._ended,
+            "unsaid": self._unsaid,
+            "held_back": self._held_back,
+        }
 
     def settle(self, records: Iterable[Record], end: int) -> list[Record]:
         """The observations until `end`."""
--- a/glenfold_lab/stands/keeper.py
+++ b/glenfold_lab/stands/keeper.py
@@ -14,17 +14,24 @@
 from glenfold_lab.stands.seen import Seen
 from glenfold_lab.streams import Streams
 
-LOOK_S = 0.05     # between two looks whether all still run
+LOOK_S = 0.05  # between two looks whether all still run
 SAMPLE_S = 1.0
 LEAST_STOP_US = 3_000_000  # SIGKILL comes so long after SIGTERM, or the longest deadline, and
-BEYOND_US = 700_000        # so much later
+BEYOND_US = 700_000  # so much later
 
 
 class Keeper:
     """`down` names relays that are not expected to run. start: of the history, on the machine's clock."""
 
-    def __init__(self, script: Script, seed: int, relays: Sequence[RelayProcess], places: Places, seen: Seen,
-                 clock: MachineClock) -> None:
+    def __init__(
+        self,
+        script: Script,
+        seed: int,
+        relays: Sequence[RelayProcess],
+        places: Places,
+        seen: Seen,
+        clock: MachineClock,
+    ) -> None:
         streams = Streams(seed)
         self.happened: list[Happened] = []
         self._script, self._places, self._seen, self._clock = script, places, seen, clock
--- a/glenfold_lab/stands/outcome.py
+++ b/glenfold_lab/stands/outcome.py
@@ -40,34 +40,56 @@
     def seen_by_all(self) -> list[Record]:
         return [*self.seen.records, *(record for report in self.reports for record in report.records)]
 
-    def result(self, records: list[Record], revision: str, happened: Sequence[Happened],
-               cost: dict[str, float], watchers: Sequence[Watcher] = ()) -> RunResult:
+    def result(
+        self,
+        records: list[Record],
+        revision: str,
+        happened: Sequence[Happened],
+        cost: dict[str, float],
+        watchers: Sequence[Watcher] = (),
+    ) -> RunResult:
         """Of observations as a judge has settled them; `watchers` see them too. `happened`, beside what is in
         the script."""
         scenario, script = self._scenario, self.script
         checker = Checker(scenario.rules, SLACK_US, MOST_KEPT, self.start)
-        measures = Measures([kind.name for kind in scenario.classes], self.start,
-                            self.start + round(scenario.warm_up_s * SECOND_US))
+        measures = Measures(
+            [kind.name for kind in scenario.classes],
+            self.start,
+            self.start + round(scenario.warm_up_s * SECOND_US),
+        )
         watcher = Watchers(checker, measures, *watchers)
         replay(records, watcher)
         watcher.finish(self.end)
         verdicts = tuple(sorted((*checker.verdicts(), *self._faults()), key=lambda one: one.at_us))
         return RunResult(
-            scenario=scenario.name, seed=self.seed, revision=revision, length_us=script.length,
+            scenario=scenario.name,
+            seed=self.seed,
+            revision=revision,
+            length_us=script.length,
             figures=self._figures(measures, records, len(verdicts) + checker.left_out),
-            answers=measures.answers(), set_up=measures.set_up(),
+            answers=measures.answers(),
+            set_up=measures.set_up(),
             series=self._series() | measures.series(),
-            server_load={host: Series(SECOND_US, tuple(loads), host) for report in self.reports
-                         for host, loads in sorted(report.loads.items())},
-            verdicts=verdicts, verdicts_left_out=checker.left_out,
-            happened=tuple(sorted([*script.happened, *happened], key=lambda one: one.at_us)), cost=cost,
-            guards_against=" ".join(scenario.guards_against.split()))
+            server_load={
+                host: Series(SECOND_US, tuple(loads), host)
+                for report in self.reports
+                for host, loads in sorted(report.loads.items())
+            },
+            verdicts=verdicts,
+            verdicts_left_out=checker.left_out,
+            happened=tuple(sorted([*script.happened, *happened], key=lambda one: one.at_us)),
+            cost=cost,
+            guards_against=" ".join(scenario.guards_against.split()),
+        )
 
     def _faults(self) -> list[Verdict]:
         """What relays did that no rule of the platform words."""
         seen = [*self.seen.faults, *(fault for report in self.reports for fault in report.faults)]
-        return [Verdict("protocol", at - self.start, None, None, relay, (words,))
-                for at, relay, words in seen if at <= self.end]
+        return [
+            Verdict("protocol", at - self.start, None, None, relay, (words,))
+            for at, relay, words in seen
+            if at <= self.end
+        ]
 
     def _figures(self, measures: Measures, records: list[Record], broken: int) -> dict[str, float]:
         wanted, served = self._clients_seconds()
@@ -76,12 +98,20 @@
         worst = max(percentile(report.late_ms, 99) for report in self.reports)
         taken = sum(name == "taken" for name, _ in records)
         sent = sum(name == "sent" for name, _ in records)
-        return figures(wanted, served, kinds, round(self._scenario.warm_up_s)) | measures.figures() | {
-            "clients": float(sum(report.clients for report in self.reports)),
-            "requests": float(taken), "attempts_per_request": sent / max(1, taken),
-            "refused": float(measures.answers()["busy"]), "rules_broken": float(broken),
-            "late_p99_ms": round(worst, 3), "late_most_ms": round(max(late, default=0.0), 3),
-            "late": float(worst > MOST_MS)}
+        return (
+            figures(wanted, served, kinds, round(self._scenario.warm_up_s))
+            | measures.figures()
+            | {
+                "clients": float(sum(report.clients for report in self.reports)),
+                "requests": float(taken),
+                "attempts_per_request": sent / max(1, taken),
+                "refused": float(measures.answers()["busy"]),
+                "rules_broken": float(broken),
+                "late_p99_ms": round(worst, 3),
+                "late_most_ms": round(max(late, default=0.0), 3),
+                "late": float(worst > MOST_MS),
+            }
+        )
 
     def _clients_seconds(self) -> tuple[NDArray[np.float64], NDArray[np.float64]]:
         wanted = [report.wanted for report in self.reports if report.wanted is not None]
@@ -92,6 +122,8 @@
         """service: by second, of what was wanted; wanted: how many clients wanted a connection."""
         wanted, served = (table.sum(axis=0) for table in self._clients_seconds())
         share = np.divide(served, wanted, out=np.ones_like(wanted), where=wanted > 0)
-        return {"service": Series(SECOND_US, tuple(np.minimum(share, 1).round(6).tolist()), "service"),
-                "wanted": Series(SECOND_US, tuple(wanted.round(3).tolist()), "connections wanted"),
-                "connections": Series(SECOND_US, tuple(served.round(3).tolist()), "connections served")}
+        return {
+            "service": Series(SECOND_US, tuple(np.minimum(share, 1).round(6).tolist()), "service"),
+            "wanted": Series(SECOND_US, tuple(wanted.round(3).tolist()), "connections wanted"),
+            "connections": Series(SECOND_US, tuple(served.round(3).tolist()), "connections served"),
+        }
--- a/glenfold_lab/stands/part.py
+++ b/glenfold_lab/stands/part.py
@@ -37,7 +37,7 @@
 from glenfold_lab.stands.service import Floats, Second, Served
 from glenfold_lab.streams import Streams
 
-STEP_US = SECOND_US // 4   # of the population, drawn at a time
+STEP_US = SECOND_US // 4  # of the population, drawn at a time
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,17 +108,25 @@
         part = len(self.share.servers) / len(self.script.fleet.machines)
         make = _ServerMaker(self.script, self.seed, self.seen, part)
         self._servers = {
-            index: PushServer(make.holder(self.script.fleet.machines[index]), self._clock, [
-                self.net.host(SERVERS, index * len(relays) + relay) for relay in relays])
-            for index in self.share.servers}
+            index: PushServer(
+                make.holder(self.script.fleet.machines[index]),
+                self._clock,
+                [self.net.host(SERVERS, index * len(relays) + relay) for relay in relays],
+            )
+            for index in self.share.servers
+        }
         self._agents = {
             relay: Agent([relay], self.net.host(AGENTS, relay), Holding(1, []), self.seen, self._clock)
-            for relay in self.share.agents}
-        return Places({index: server.addresses for index, server in self._servers.items()},
-                      {relay: agent.address for relay, agent in self._agents.items()})
-
-    async def play(self, places: Places, begin: Callable[[], Awaitable[Times]],
-                   tell: Callable[[Second], None]) -> None:
+            for relay in self.share.agents
+        }
+        return Places(
+            {index: server.addresses for index, server in self._servers.items()},
+            {relay: agent.address for relay, agent in self._agents.items()},
+        )
+
+    async def play(
+        self, places: Places, begin: Callable[[], Awaitable[Times]], tell: Callable[[Second], None]
+    ) -> None:
         """`begin` returns once all relays are up; `tell` hears of each second of the history."""
         self._list_first(places)
         async with trio.open_nursery() as nursery:
@@ -144,8 +152,14 @@
 
     def report(self) -> Report:
         seen, crowd = self.seen, self._crowd
-        report = Report(seen.records, seen.faults, self._lateness.ms, clients=self._clients,
-                        loads=self._loads, unreached=seen.unreached)
+        report = Report(
+            seen.records,
+            seen.faults,
+            self._lateness.ms,
+            clients=self._clients,
+            loads=self._loads,
+            unreached=seen.unreached,
+        )
         if crowd is not None:
             report.wanted, report.served = crowd.served.wanted, crowd.served.served
         return report
@@ -197,14 +211,23 @@
         assert self.share.clients is not None
         scenario, streams, which = self.scenario, Streams(self.seed), self.share.clients[0]
         zones = [self.script.network.zone_of(relay) for relay in range(scenario.relays.count)]
-        front = SocketFront(zones, places.relays, scenario.front.notice_s,
-                            streams.of("stands", "front", which), self._clock)
+        front = SocketFront(
+            zones, places.relays, scenario.front.notice_s, streams.of("stands", "front", which), self._clock
+        )
         return Crowd(
-            scenario, Habits.of(scenario, streams), front, Seal(secret(self.seed)), self.seen, self._clock,
+            scenario,
+            Habits.of(scenario, streams),
+            front,
+            Seal(secret(self.seed)),
+            self.seen,
+            self._clock,
             {machine.host: machine.number for machine in self.script.fleet.machines},
-            value(scenario.front.reshuffle, streams.of("front", "reshuffle")), which, times.start,
+            value(scenario.front.reshuffle, streams.of("front", "reshuffle")),
+            which,
+            times.start,
             times.start + self.script.length,
-            Served(len(scenario.classes), times.start, self.script.length))
+            Served(len(scenario.classes), times.start, self.script.length),
+        )
 
     def _draw_clients(self, start: int) -> tuple[list[Client], list[Client]]:
         """Those of this process: who stood before, and who comes."""
@@ -237,15 +260,17 @@
             nursery.start_soon(crowd.come, coming)
             for span in self.script.cut_off:
                 for relay in span.relays:
-                    nursery.start_soon(self._cut_off, crowd, relay, times.start + span.at,
-                                       times.start + span.until)
+                    nursery.start_soon(
+                        self._cut_off, crowd, relay, times.start + span.at, times.start + span.until
+                    )
             for deed in self.script.relays:
                 if deed.what == "restart":
                     nursery.start_soon(self._retire, crowd, deed.who, times.start + deed.at)
             nursery.start_soon(self._drop, crowd, times.start)
             if self.share.bad_per_s:
-                nursery.start_soon(BadClients(crowd, self.share.bad_per_s).come,
-                                   times.start + self.script.length)
+                nursery.start_soon(
+                    BadClients(crowd, self.share.bad_per_s).come, times.start + self.script.length
+                )
 
     async def _cut_off(self, crowd: Crowd, relay: int, begin: int, end: int) -> None:
         await self._clock.until(begin)
@@ -318,10 +343,14 @@
         self._cold = rules.cold_share, int(rules.cold_s * SECOND_US)
         self._works = {
             kind.name: ClassWork(
-                n, value(kind.set_up_ms, streams.of("classes", "set_up", n)) * 1000, terms.class_load[n],
+                n,
+                value(kind.set_up_ms, streams.of("classes", "set_up", n)) * 1000,
+                terms.class_load[n],
                 value(kind.swing_sigma, streams.of("classes", "swing", n)),
-                value(kind.change_s, streams.of("classes", "change", n)) * SECOND_US)
-            for n, kind in enumerate(scenario.classes)}
+                value(kind.change_s, streams.of("classes", "change", n)) * SECOND_US,
+            )
+            for n, kind in enumerate(scenario.classes)
+        }
 
     def holder(self, machine: Machine) -> Holder:
         fleet, network = self._script.fleet, self._script.network
@@ -331,6 +360,15 @@
         zones = [network.zone_of(relay) for relay in range(self._script.scenario.relays.count)]
         ways = tuple(2 * network.delay_us(zone, machine.zone) for zone in zones)
         return Holder(
-            fluid, Capacity(fleet.warm_per_s(machine), *self._cold), messages, self._seen,
-            self._streams.of("stands", "server", machine.index), self._works, ways, self._seal,
-            self._error_rate, self._park_us if self._script.scenario.relays.pass_through else 0, self._store)
+            fluid,
+            Capacity(fleet.warm_per_s(machine), *self._cold),
+            messages,
+            self._seen,
+            self._streams.of("stands", "server", machine.index),
+            self._works,
+            ways,
+            self._seal,
+            self._error_rate,
+            self._park_us if self._script.scenario.relays.pass_through else 0,
+            self._store,
+        )
--- a/glenfold_lab/stands/ping.py
+++ b/glenfold_lab/stands/ping.py
@@ -11,8 +11,8 @@
 
 class Ping(Enum):
     ANSWERED = auto()
-    REFUSED = auto()   # nobody listens, or whoever did is going away
-    NOTHING = auto()   # no answer within a second
+    REFUSED = auto()  # nobody listens, or whoever did is going away
+    NOTHING = auto()  # no answer within a second
 
 
 async def ping(address: Address) -> Ping:
--- a/glenfold_lab/stands/places.py
+++ b/glenfold_lab/stands/places.py
@@ -11,8 +11,8 @@
 from glenfold_lab.stands.sockets import Address, written
 
 SERVERS, AGENTS, RELAYS = range(3)
-BLOCKS = 60           # of three nets each, for the runs on one machine
-PLACES = 0xFF00       # of one net
+BLOCKS = 60  # of three nets each, for the runs on one machine
+PLACES = 0xFF00  # of one net
 
 
 class TooLarge(Exception):
@@ -56,9 +56,17 @@
         machine, zones = one.machine, self._script.scenario.zones.names
         started = self._start + one.started - self._script.epoch if one.started else 0
         return Entry(
-            machine.host, machine.number, written(self._places.servers[machine.index][relay]),
-            zones[machine.zone], machine.kind.name, machine.cell, machine.kind.weight, one.state,
-            (started + self._unix_us) // 1000 if started else 0, started)
+            machine.host,
+            machine.number,
+            written(self._places.servers[machine.index][relay]),
+            zones[machine.zone],
+            machine.kind.name,
+            machine.cell,
+            machine.kind.weight,
+            one.state,
+            (started + self._unix_us) // 1000 if started else 0,
+            started,
+        )
 
     def entries(self, several: Iterable[versions.Entry], relay: int) -> list[Entry]:
         return [self.entry(one, relay) for one in several]
@@ -70,5 +78,3 @@
         """As the relay's agent holds it at that moment of the history."""
         version, entries = self._script.known(relay, at)
         return version, self.entries(entries, relay)
-
-
--- a/glenfold_lab/stands/push_server.py
+++ b/glenfold_lab/stands/push_server.py
@@ -17,9 +17,9 @@
 
 BACKLOG = 1024
 CHUNK = 16 * 1024
-SLOW_BYTES = 16       # that a slow reader takes at a time
-SLOW_US = 100_000     # between two such times
-SLOW_BUFFER = 2048    # of its kernel's, in bytes
+SLOW_BYTES = 16  # that a slow reader takes at a time
+SLOW_US = 100_000  # between two such times
+SLOW_BUFFER = 2048  # of its kernel's, in bytes
 PARTING_US = SECOND_US  # for the relay to close after a last word
 
 
@@ -71,7 +71,7 @@
         self._held: dict[Held, None] = {}
         self._nursery: trio.Nursery | None = None
         self._cut: set[int] = set()  # relays
-        self._gone = False           # has been told to have ended, though its process runs
+        self._gone = False  # has been told to have ended, though its process runs
 
     @property
     def addresses(self) -> list[Address]:
@@ -160,7 +160,8 @@
         if self.holder.fluid.stage is Stage.DRAINS:
             self.holder.fluid.stage = Stage.RUNS
             self.holder.seen.server_started(
-                self._clock.now_us(), self.holder.number, self.holder.capacity, False)
+                self._clock.now_us(), self.holder.number, self.holder.capacity, False
+            )
 
     async def _pace_moves(self, began: int, over_us: int) -> None:
         clients = [held for held in self._held if held.state.phase is Phase.STANDING]
--- a/glenfold_lab/stands/push_states.py
+++ b/glenfold_lab/stands/push_states.py
@@ -25,7 +25,7 @@
 END = b"\r\n"
 MAX_LINE = 4096
 HELD_BACK_US = SECOND_US  # a line that took longer from one side to the other
-AT_ONCE_US = 3_000        # an answer due sooner is given at once: a timer costs more than it tells
+AT_ONCE_US = 3_000  # an answer due sooner is given at once: a timer costs more than it tells
 FIRST = re.compile(rb"OPEN ([0-9a-f]{1,16}) ([0-9a-f]{1,16}) ([a-z]+=[!-+\--~]*(?:,[a-z]+=[!-+\--~]*)*)")
 
 LEAST_US = 1_000  # until a set-up that is not done yet is looked at again
@@ -34,12 +34,12 @@
 class Fault(Enum):
     """What befalls a connection."""
 
-    RESET = auto()       # reset at once
+    RESET = auto()  # reset at once
     AFTER_LINE = auto()  # reset once the last byte of its first line was read; standing: of its next line
-    HANG = auto()        # it stays open and nothing comes
-    SLOW = auto()        # a few bytes are read at a time
+    HANG = auto()  # it stays open and nothing comes
+    SLOW = auto()  # a few bytes are read at a time
     HALF_CLOSE = auto()  # the server ends its own side where it would have answered, and reads on
-    ERROR = auto()       # ERR; standing: as HALF_CLOSE
+    ERROR = auto()  # ERR; standing: as HALF_CLOSE
 
 
 class Phase(Enum):
@@ -330,13 +330,24 @@
         except NotSent as error:
             return self._not_sent(str(error), now)
         goes_on = first.figures.get("at") == holder.host or (
-            first.figures.get("mid") == "1" and holder.holds(first.key))
+            first.figures.get("mid") == "1" and holder.holds(first.key)
+        )
         holder.seen.sent(now, first.request, self.relay, holder.number, self._first_at, goes_on)
         self._first, self._work = first, work
         self._usual = float(first.figures.get("w", work.load))
         self._call = Call(
-            first.request, self.relay, holder.number, work.number, 0, int(first.figures.get("g", "0"), 16),
-            first.key, self._usual, now + first.wait_ms * 1000, first.figures.get("mid") == "1", NOBODY)
+            first.request,
+            self.relay,
+            holder.number,
+            work.number,
+            0,
+            int(first.figures.get("g", "0"), 16),
+            first.key,
+            self._usual,
+            now + first.wait_ms * 1000,
+            first.figures.get("mid") == "1",
+            NOBODY,
+        )
         self.phase = Phase.SETTING_UP
         self._struck_or_taken(first, self._call, now)
 
@@ -349,8 +360,12 @@
             self._answer(now, Over.RESET, ending=Ending.RESET)
         elif self.fault is Fault.HALF_CLOSE:
             self._answer(now, Over.RESET, ending=Ending.FINISH)
-        elif (self.fault is Fault.ERROR or holder.random.random() < holder.error_rate
-              or call.request in fluid.waiting or call.request in fluid.standing):
+        elif (
+            self.fault is Fault.ERROR
+            or holder.random.random() < holder.error_rate
+            or call.request in fluid.waiting
+            or call.request in fluid.standing
+        ):
             self._answer(now, Over.ERROR, b"ERR\r\n")
         elif call.mid_flow:
             self._resume(call, now)
--- a/glenfold_lab/stands/relays.py
+++ b/glenfold_lab/stands/relays.py
@@ -27,9 +27,9 @@
 from glenfold_lab.stands.seen import Seen
 from glenfold_lab.stands.sockets import Address, bind, written
 
-READY_S = 30.0     # for a relay to answer its first PING
-LOOK_S = 0.02      # between two tries to reach one that starts
-TAIL = 40          # lines of a log that are kept for the report
+READY_S = 30.0  # for a relay to answer its first PING
+LOOK_S = 0.02  # between two tries to reach one that starts
+TAIL = 40  # lines of a log that are kept for the report
 PR_SET_PDEATHSIG = 1
 ROOT = Path(glenfold.__file__).parent.parent
 
@@ -63,8 +63,18 @@
 class RelayProcess:
     """One relay, through its restarts; it keeps its name and its address."""
 
-    def __init__(self, number: int, name: str, folder: Path, listen: Address, discovery: Address,
-                 settings: Mapping[str, Any], limits: Limits, seen: Seen, clock: MachineClock) -> None:
+    def __init__(
+        self,
+        number: int,
+        name: str,
+        folder: Path,
+        listen: Address,
+        discovery: Address,
+        settings: Mapping[str, Any],
+        limits: Limits,
+        seen: Seen,
+        clock: MachineClock,
+    ) -> None:
         self.number = number
         self.name = name
         self.listen = listen
@@ -107,9 +117,15 @@
         self._write(seed)
         with self.log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "glenfold"], cwd=ROOT, env=self._environment(),
-                stdin=subprocess.DEVNULL, stdout=log, stderr=log, preexec_fn=self._bound,
-                start_new_session=True)
+                [sys.executable, "-m", "glenfold"],
+                cwd=ROOT,
+                env=self._environment(),
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                preexec_fn=self._bound,
+                start_new_session=True,
+            )
         self._watched = psutil.Process(self._process.pid)
         self._cpu_before = 0.0
 
@@ -117,14 +133,25 @@
         temporary = self._folder / f"tmp-{self._starts}"
         temporary.mkdir()
         kept = {name: os.environ[name] for name in ("PATH", "LANG", "HOME") if name in os.environ}
-        return {**kept, "LB_NAME": self.name, "LB_LISTEN": written(self.listen), "TMPDIR": str(temporary),
-                "LB_DISCOVERY": written(self.discovery), "LB_CONFIG": str(self._folder / "config.json")}
+        return {
+            **kept,
+            "LB_NAME": self.name,
+            "LB_LISTEN": written(self.listen),
+            "TMPDIR": str(temporary),
+            "LB_DISCOVERY": written(self.discovery),
+            "LB_CONFIG": str(self._folder / "config.json"),
+        }
 
     def _write(self, seed: int) -> None:
         document = {
-            "name": self.name, "listen": written(self.listen), "discovery": written(self.discovery),
-            "seed": f"{seed:x}", "limits": self.limits.plain(), "known": self._known,
-            "settings": self._settings}
+            "name": self.name,
+            "listen": written(self.listen),
+            "discovery": written(self.discovery),
+            "seed": f"{seed:x}",
+            "limits": self.limits.plain(),
+            "known": self._known,
+            "settings": self._settings,
+        }
         (self._folder / "config.json").write_text(json.dumps(document))
 
     def _bound(self) -> None:
--- a/glenfold_lab/stands/run.py
+++ b/glenfold_lab/stands/run.py
@@ -39,10 +39,10 @@
 from glenfold_lab.streams import Streams
 
 BEGIN_US = SECOND_US // 2  # from the relays' being ready to the first client: for the fronts to admit them
-FILL_PER_S = 300           # connections that stood before are opened at this rate
+FILL_PER_S = 300  # connections that stood before are opened at this rate
 SPARE_SOCKETS = 200
-ALONE_PER_S = 300.0       # new connections a second that one process plays without running late
-LINES_PER_S = 0.5         # of a standing connection; each takes about a tenth of what a set-up takes
+ALONE_PER_S = 300.0  # new connections a second that one process plays without running late
+LINES_PER_S = 0.5  # of a standing connection; each takes about a tenth of what a set-up takes
 LINE_COST = 0.1
 
 
@@ -75,10 +75,18 @@
 OnSecond = Callable[[Snapshot], None]
 
 
-def play_on_sockets(scenario: Scenario, seed: int, seconds: float | None = None, *,
-                    processes: int | None = None, bad_per_s: float = 0.5, logs: Path | None = None,
-                    on_second: OnSecond | None = None, watchers: Sequence[Watcher] = (),
-                    revision: str = "work tree") -> RunResult:
+def play_on_sockets(
+    scenario: Scenario,
+    seed: int,
+    seconds: float | None = None,
+    *,
+    processes: int | None = None,
+    bad_per_s: float = 0.5,
+    logs: Path | None = None,
+    on_second: OnSecond | None = None,
+    watchers: Sequence[Watcher] = (),
+    revision: str = "work tree",
+) -> RunResult:
     """Plays one history with real relay processes.
 
     seconds: plays so much of it instead of `length_s`; faults come in proportion. processes: for the
@@ -93,8 +101,11 @@
     if seconds is not None:
         scenario = shortened(scenario, seconds)
     run = _Run(scenario, seed, processes, bad_per_s, on_second)
-    with (tempfile.TemporaryDirectory(prefix="glenfold-play-") as folder, ExitStack() as stack,
-          no_collections()):
+    with (
+        tempfile.TemporaryDirectory(prefix="glenfold-play-") as folder,
+        ExitStack() as stack,
+        no_collections(),
+    ):
         try:
             trio.run(run.play, Path(folder), stack)
         except BaseExceptionGroup as several:
@@ -131,8 +142,10 @@
     relays = relays or max(1, round(scenario.relays.count * scale))
     servers = servers or max(2, round(scenario.servers.count * scale))
     return msgspec.structs.replace(
-        scenario, relays=msgspec.structs.replace(scenario.relays, count=relays),
-        servers=msgspec.structs.replace(scenario.servers, count=servers))
+        scenario,
+        relays=msgspec.structs.replace(scenario.relays, count=relays),
+        servers=msgspec.structs.replace(scenario.servers, count=servers),
+    )
 
 
 @dataclass(slots=True)
@@ -208,8 +221,9 @@
         processes = load.processes(self.scenario.length_s) if self.processes is None else self.processes
         load.check_room(script, processes)
         net, clock = Net(), MachineClock()
-        parts = [Part(self.scenario, self.seed, share, net)
-                 for share in shares(script, processes, self.bad_per_s)]
+        parts = [
+            Part(self.scenario, self.seed, share, net) for share in shares(script, processes, self.bad_per_s)
+        ]
         self._tellers = sum(part.share.clients is not None for part in parts)
         played = stack.enter_context(remote(parts)) if processes else parts
         places = await self._bind(played, net)
@@ -221,8 +235,9 @@
         self._took_s = time.monotonic() - began
 
     async def _bind(self, played: Sequence[Part | RemotePart], net: Net) -> Places:
-        places = Places(relays=[free_address(net.host(RELAYS, relay))
-                                for relay in range(self.scenario.relays.count)])
+        places = Places(
+            relays=[free_address(net.host(RELAYS, relay)) for relay in range(self.scenario.relays.count)]
+        )
         for part in played:
             places |= await part.bind()
         return places
@@ -233,13 +248,27 @@
         terms = self._script.fleet.terms
         return [
             RelayProcess(
-                number, f"n{number}", folder / f"n{number}", address, places.agents[number],
+                number,
+                f"n{number}",
+                folder / f"n{number}",
+                address,
+                places.agents[number],
                 settings_json(self.scenario, terms, number, network.zone_of(number)),
-                Limits(1.0, told.memory_mb, sockets), self._seen, clock)
-            for number, address in enumerate(places.relays)]
-
-    async def _play_parts(self, played: Sequence[Part | RemotePart], places: Places, keeper: Keeper,
-                          clock: MachineClock, load: _Load) -> None:
+                Limits(1.0, told.memory_mb, sockets),
+                self._seen,
+                clock,
+            )
+            for number, address in enumerate(places.relays)
+        ]
+
+    async def _play_parts(
+        self,
+        played: Sequence[Part | RemotePart],
+        places: Places,
+        keeper: Keeper,
+        clock: MachineClock,
+        load: _Load,
+    ) -> None:
         ready = trio.Event()
 
         async def begin() -> Times:
@@ -279,12 +308,22 @@
         for second in told:
             for kind, count in sorted(second.answers.items()):
                 answers[kind] = answers.get(kind, 0) + count
-        now = tuple(RelayNow(relay.name, relay.running, relay.usage.cpu_share, relay.usage.peak_mb)
-                    for relay in self._relays)
+        now = tuple(
+            RelayNow(relay.name, relay.running, relay.usage.cpu_share, relay.usage.peak_mb)
+            for relay in self._relays
+        )
         return Snapshot(
-            number, sum(relay.up for relay in now), sum(one.standing for one in told),
-            sum(one.new for one in told), answers, percentile(set_ups, 50), percentile(set_ups, 99),
-            sum(one.lines for one in told), sum(one.moves for one in told), now)
+            number,
+            sum(relay.up for relay in now),
+            sum(one.standing for one in told),
+            sum(one.new for one in told),
+            answers,
+            percentile(set_ups, 50),
+            percentile(set_ups, 99),
+            sum(one.lines for one in told),
+            sum(one.moves for one in told),
+            now,
+        )
 
     # ---- what it came to ----
 
--- a/glenfold_lab/stands/script.py
+++ b/glenfold_lab/stands/script.py
@@ -91,8 +91,11 @@
         held = {machine.number: (1, Entry(machine, Told.READY, 0)) for machine in self.first}
         for one in self.news:
             if one.relay == relay and one.at <= at:
-                held |= {entry.machine.number: (one.version, entry) for entry in one.entries
-                         if one.version >= held.get(entry.machine.number, (0,))[0]}
+                held |= {
+                    entry.machine.number: (one.version, entry)
+                    for entry in one.entries
+                    if one.version >= held.get(entry.machine.number, (0,))[0]
+                }
         version = max(version for version, _ in held.values())
         return version, tuple(entry for _, entry in held.values() if entry.state is not Told.GONE)
 
@@ -131,8 +134,9 @@
         lists = _Lists(script, streams, kernel)
         lives = _Lives(script, servers, lists.news)
         lives.begin()
-        MachineFaults(scenario, streams, kernel, servers, lives, lists, script.network,
-                      script.happened.append).start()
+        MachineFaults(
+            scenario, streams, kernel, servers, lives, lists, script.network, script.happened.append
+        ).start()
 
     def run(self, until: int) -> None:
         self._kernel.run(until)
@@ -141,8 +145,9 @@
 class _Lives(Lives):
     """Notes what is done to which server."""
 
-    def __init__(self, script: Script, servers: PushServers,
-                 news: Callable[[Machine, Told, int, bool], None]) -> None:
+    def __init__(
+        self, script: Script, servers: PushServers, news: Callable[[Machine, Told, int, bool], None]
+    ) -> None:
         super().__init__(servers, script.scenario.rules, news, script.happened.append)
         self._script = script
 
@@ -198,8 +203,11 @@
 
     def _cut_from(self, server: Server) -> tuple[int, ...]:
         network, zone = self._servers.network, server.machine.zone
-        return tuple(relay for relay in range(self._script.scenario.relays.count)
-                     if server.silent or not network.passes(network.zone_of(relay), zone))
+        return tuple(
+            relay
+            for relay in range(self._script.scenario.relays.count)
+            if server.silent or not network.passes(network.zone_of(relay), zone)
+        )
 
     def take_cores(self, server: Server, share: float) -> None:
         super().take_cores(server, share)
@@ -259,8 +267,12 @@
         self._restarts = streams.of("relays", "waits")
 
     def draw(self) -> None:
-        kinds = {"relay_crash": self._crash, "relay_restart": self._restart, "relay_stall": self._stall,
-                 "reconnect": self._reconnect}
+        kinds = {
+            "relay_crash": self._crash,
+            "relay_restart": self._restart,
+            "relay_stall": self._stall,
+            "reconnect": self._reconnect,
+        }
         for place, fault in enumerate(self._script.scenario.faults):
             if fault.kind in kinds:
                 due = Due(fault, place, self._streams)
--- a/glenfold_lab/stands/service.py
+++ b/glenfold_lab/stands/service.py
@@ -76,19 +76,25 @@
             self._good_since = None
 
 
-def figures(wanted: Floats, served: Floats, classes: Sequence[str], warm_up: int,
-            window: int = 10) -> dict[str, float]:
+def figures(
+    wanted: Floats, served: Floats, classes: Sequence[str], warm_up: int, window: int = 10
+) -> dict[str, float]:
     """service: the share of all that was wanted; worst_window: of the worst so many seconds; worst_class; and
     one for each class. The first `warm_up` seconds do not count; 1 where nothing was wanted."""
     wanted, served = wanted[:, warm_up:], served[:, warm_up:]
-    by_class = [_share(float(had.sum()), float(asked.sum()))
-                for had, asked in zip(served, wanted, strict=True)]
+    by_class = [
+        _share(float(had.sum()), float(asked.sum())) for had, asked in zip(served, wanted, strict=True)
+    ]
     length = min(window, wanted.shape[1])
-    had, asked = (np.convolve(table.sum(axis=0), np.ones(length), "valid") if length else np.ones(1)
-                  for table in (served, wanted))
-    found = {"service": _share(float(served.sum()), float(wanted.sum())),
-             "worst_window": min(_share(float(h), float(a)) for h, a in zip(had, asked, strict=True)),
-             "worst_class": min(by_class)}
+    had, asked = (
+        np.convolve(table.sum(axis=0), np.ones(length), "valid") if length else np.ones(1)
+        for table in (served, wanted)
+    )
+    found = {
+        "service": _share(float(served.sum()), float(wanted.sum())),
+        "worst_window": min(_share(float(h), float(a)) for h, a in zip(had, asked, strict=True)),
+        "worst_class": min(by_class),
+    }
     return found | {f"service {name}": share for name, share in zip(classes, by_class, strict=True)}
 
 
--- a/glenfold_lab/stands/sockets.py
+++ b/glenfold_lab/stands/sockets.py
@@ -40,7 +40,7 @@
     """Writes it all."""
     left = memoryview(data)
     while left:
-        left = left[await sock.send(left):]
+        left = left[await sock.send(left) :]
 
 
 def finish(sock: SocketType) -> None:
--- a/linnetspread/interface.py
+++ b/linnetspread/interface.py
@@ -104,9 +104,9 @@
     answer_slack_us: int = 0
     ask_within_us: int = 10_000_000
     max_attempts: int = 3
-    spare_attempts: float = 0.0     # with a look-back: further attempts allowed however light the traffic,
+    spare_attempts: float = 0.0  # with a look-back: further attempts allowed however light the traffic,
     extra_per_request: float = 0.0  # and for each request taken within it
-    look_back_us: int = 0           # 0: further attempts are not rationed
+    look_back_us: int = 0  # 0: further attempts are not rationed
     connect_timeout_us: int = 250_000
     max_retry_after_us: int = 0
     may_retry_after: bool = False
@@ -213,8 +213,16 @@
 
 
 Event = (
-    ServerList | Request | Existing | Established | Answer | ClientLeft | Timer | Notice
-    | ProbeResult | PeerMessage
+    ServerList
+    | Request
+    | Existing
+    | Established
+    | Answer
+    | ClientLeft
+    | Timer
+    | Notice
+    | ProbeResult
+    | PeerMessage
 )
 
 
@@ -292,6 +300,16 @@
 
 
 Action = (
-    Attempt | Refuse | Fail | Cancel | Move | SetTimer | Log | Subscribe | FetchList | Probe
-    | CloseIdle | Tell
+    Attempt
+    | Refuse
+    | Fail
+    | Cancel
+    | Move
+    | SetTimer
+    | Log
+    | Subscribe
+    | FetchList
+    | Probe
+    | CloseIdle
+    | Tell
 )
--- a/linnetspread/wire.py
+++ b/linnetspread/wire.py
@@ -44,14 +44,22 @@
 ID_U64 = struct.Struct(">IQ")
 
 OUTCOMES = {
-    10: i.Outcome.OK, 20: i.Outcome.ERROR, 30: i.Outcome.FULL, 40: i.Outcome.TIMEOUT,
-    50: i.Outcome.CONNECT_FAILED, 60: i.Outcome.RESET, 70: i.Outcome.CANCELLED, 80: i.Outcome.MOOT,
+    10: i.Outcome.OK,
+    20: i.Outcome.ERROR,
+    30: i.Outcome.FULL,
+    40: i.Outcome.TIMEOUT,
+    50: i.Outcome.CONNECT_FAILED,
+    60: i.Outcome.RESET,
+    70: i.Outcome.CANCELLED,
+    80: i.Outcome.MOOT,
 }
 LIST_KINDS = {0: i.ListKind.DELTA, 1: i.ListKind.FULL, 2: i.ListKind.CACHED, 3: i.ListKind.FAILED}
 STATES = {0: i.ServerState.GONE, 1: i.ServerState.READY, 2: i.ServerState.DRAINING}
 NOTICES = {1: i.NoticeKind.LOAD, 2: i.NoticeKind.SLOW}
 SEMANTICS = {
-    "repeatable": i.Semantics.REPEATABLE, "by_key": i.Semantics.BY_KEY, "once": i.Semantics.ONCE,
+    "repeatable": i.Semantics.REPEATABLE,
+    "by_key": i.Semantics.BY_KEY,
+    "once": i.Semantics.ONCE,
 }
 WEIGHTS = {"none": False, "nominal": True, "rough": True, "live": False}
 SCOPES = {"all": i.DedupScope.ALL, "zone": i.DedupScope.ZONE, "cell": i.DedupScope.CELL}
@@ -61,7 +69,7 @@
 
 
 Fault = tuple[str, str]  # a key, and what is amiss with its value
-MOST = 1e15              # in whatever unit
+MOST = 1e15  # in whatever unit
 FLAGS = {"true": True, "1": True, "false": False, "0": False}
 T = TypeVar("T")
 
@@ -200,12 +208,20 @@
 # ---- events ------------------------------------------------------------------------------------
 
 
-def _request(number: int, expires: int, key: int, group: int, bits: int, cls: int, tenant: int,
-             load: int) -> i.Request:
+def _request(
+    number: int, expires: int, key: int, group: int, bits: int, cls: int, tenant: int, load: int
+) -> i.Request:
     return i.Request(
-        request=number, expires_in_us=expires, key=key, group=group, request_class=cls,
-        tenant=tenant, load_us=load if bits & 1 else None, client_retry=bool(bits & 2),
-        mid_flow=bool(bits & 8), returning=bool(bits & 16),
+        request=number,
+        expires_in_us=expires,
+        key=key,
+        group=group,
+        request_class=cls,
+        tenant=tenant,
+        load_us=load if bits & 1 else None,
+        client_retry=bool(bits & 2),
+        mid_flow=bool(bits & 8),
+        returning=bool(bits & 16),
     )
 
 
@@ -230,7 +246,7 @@
 def _read_event(code: int, body: bytes) -> Incoming | None:
     if code == 10:
         _, seed, size = POWER_ON.unpack_from(body)
-        text = body[POWER_ON.size:POWER_ON.size + size]
+        text = body[POWER_ON.size : POWER_ON.size + size]
         if len(text) < size:
             raise BrokenFrame("the settings are cut short")
         return PowerOn(seed, read_settings(text.decode("utf-8", "replace")))
@@ -257,7 +273,7 @@
         return i.ProbeResult(server, OUTCOMES.get(status, i.Outcome.UNKNOWN), elapsed, report)
     if code == 90:
         _, sender, size = HEARD.unpack_from(body)
-        return i.PeerMessage(sender, body[HEARD.size:HEARD.size + size])
+        return i.PeerMessage(sender, body[HEARD.size : HEARD.size + size])
     if code == 100:
         return Kill()
     if code == 110:
@@ -277,7 +293,7 @@
         for _ in range(count):
             code, size = RECORD.unpack_from(frame, at)
             at += RECORD.size
-            body = frame[at:at + size]
+            body = frame[at : at + size]
             if len(body) < size:
                 raise BrokenFrame("a record is longer than its frame")
             at += size
--- a/tests/config/test_fleet_file_page.py
+++ b/tests/config/test_fleet_file_page.py
@@ -34,7 +34,7 @@
 
 
 def rows(heading: str) -> dict[str, list[str]]:
-    section = re.split(r"\n#+ ", PAGE[PAGE.index(f"\n{heading}\n") + len(heading):])[0]
+    section = re.split(r"\n#+ ", PAGE[PAGE.index(f"\n{heading}\n") + len(heading) :])[0]
     found = [[cell.strip() for cell in line.split("|")] for line in section.splitlines()]
     return {row[1].strip("`"): row[2:5] for row in found if len(row) == 7 and row[1].startswith("`")}
 
@@ -55,4 +55,6 @@
     least, fleet = read(tmp_path / "least.toml"), read(tmp_path / "fleet.toml")
     assert len(examples[0][1].splitlines()) == 5 and least.numbers == (None,)
     assert [fleet.place(number).listeners for number in (1, 4)] == [
-        (("0.0.0.0", 3000),), (("0.0.0.0", 3003),)]
+        (("0.0.0.0", 3000),),
+        (("0.0.0.0", 3003),),
+    ]
--- a/tests/config/test_operators.py
+++ b/tests/config/test_operators.py
@@ -22,27 +22,82 @@
 
 
 def test_the_settings_are_those_that_the_platform_would_tell(tmp_path: Path) -> None:
-    told = {"classes": [{"name": "feed", "hard_limit_us": 2_000_500, "semantics": "by_key", "group": "zone",
-                         "window_us": 5_000_000, "worth": 5}],
-            "accounts": [{"name": "valleys", "quota_per_s": 3}], "areas": ["cardiff", "wrexham"], "az": 1,
-            "kinds": ["fast", "slow"], "replicas_of_me": 7, "period_us": 2000, "weights": "none",
-            "over_share_worth": 0.3, "ceilings": {"max_attempts": 4, "connect_timeout_us": 300_000,
-                                                  "max_retry_after_us": 700_000, "retry_after": True},
-            "invariants": {"cold_share": 0.2, "cold_us": 11_000_000,
-                           "fall_multiple": 2.5, "fall_us": 4_000_000, "spare_attempts": 3,
-                           "extra_per_request": 0.25, "look_back_us": 9_000_000},
-            "extra": {"mode": "proxy", "message_aim_us": [60_000], "tenant_quota_connections": [55]}}
-    rules = {"relays": 7, "pass_through": False, "weighted": False, "tick_ms": 2, "connect_timeout_ms": 300,
-             "max_attempts": 4, "spare_attempts": 3, "extra_per_request": 0.25, "look_back_s": 9,
-             "max_retry_after_ms": 700, "over_share_worth": 0.3, "cold_share": 0.2, "cold_s": 11,
-             "fall_multiple": 2.5, "fall_s": 4}
-    feed = {"name": "feed", "deadline_ms": 2000.5, "semantics": "by_key", "dedup": "zone", "window_ms": 5000,
-            "worth": 5, "message_aim_ms": 60}
-    (tmp_path / "config.json").write_text(json.dumps({
-        "listen": "127.0.0.1:3000", "discovery": "127.0.0.1:8500", "settings": told,
-        "limits": {"sockets": 999, "memory_mb": 64, "cores": 0.5}}))
+    told = {
+        "classes": [
+            {
+                "name": "feed",
+                "hard_limit_us": 2_000_500,
+                "semantics": "by_key",
+                "group": "zone",
+                "window_us": 5_000_000,
+                "worth": 5,
+            }
+        ],
+        "accounts": [{"name": "valleys", "quota_per_s": 3}],
+        "areas": ["cardiff", "wrexham"],
+        "az": 1,
+        "kinds": ["fast", "slow"],
+        "replicas_of_me": 7,
+        "period_us": 2000,
+        "weights": "none",
+        "over_share_worth": 0.3,
+        "ceilings": {
+            "max_attempts": 4,
+            "connect_timeout_us": 300_000,
+            "max_retry_after_us": 700_000,
+            "retry_after": True,
+        },
+        "invariants": {
+            "cold_share": 0.2,
+            "cold_us": 11_000_000,
+            "fall_multiple": 2.5,
+            "fall_us": 4_000_000,
+            "spare_attempts": 3,
+            "extra_per_request": 0.25,
+            "look_back_us": 9_000_000,
+        },
+        "extra": {"mode": "proxy", "message_aim_us": [60_000], "tenant_quota_connections": [55]},
+    }
+    rules = {
+        "relays": 7,
+        "pass_through": False,
+        "weighted": False,
+        "tick_ms": 2,
+        "connect_timeout_ms": 300,
+        "max_attempts": 4,
+        "spare_attempts": 3,
+        "extra_per_request": 0.25,
+        "look_back_s": 9,
+        "max_retry_after_ms": 700,
+        "over_share_worth": 0.3,
+        "cold_share": 0.2,
+        "cold_s": 11,
+        "fall_multiple": 2.5,
+        "fall_s": 4,
+    }
+    feed = {
+        "name": "feed",
+        "deadline_ms": 2000.5,
+        "semantics": "by_key",
+        "dedup": "zone",
+        "window_ms": 5000,
+        "worth": 5,
+        "message_aim_ms": 60,
+    }
+    (tmp_path / "config.json").write_text(
+        json.dumps(
+            {
+                "listen": "127.0.0.1:3000",
+                "discovery": "127.0.0.1:8500",
+                "settings": told,
+                "limits": {"sockets": 999, "memory_mb": 64, "cores": 0.5},
+            }
+        )
+    )
     platform = read_config({"LB_CONFIG": str(tmp_path / "config.json")})
-    ours = reading(tmp_path, f"""
+    ours = reading(
+        tmp_path,
+        f"""
 format = 1
 listeners.addresses = ["127.0.0.1:3000", "127.0.0.1:3001"]
 list.discovery = "127.0.0.1:8500"
@@ -54,7 +109,8 @@
 classes = [{in_toml(feed)}]
 tenants = [{{name = "valleys", quota_per_s = 3, quota_connections = 55}}]
 rules = {in_toml(rules)}
-""").config()
+""",
+    ).config()
     assert (ours.settings, ours.names) == (platform.settings, platform.names)
     assert (ours.room, ours.cores) == (platform.room, platform.cores)
 
@@ -75,7 +131,9 @@
     own = "fleet.addresses = [['127.0.0.1:4', '127.0.0.2:4'], ['127.0.0.3:4']]"
     operators = shown(tmp_path, TWO.replace(FIVE.splitlines()[1], own))
     assert [operators.place(number).listeners for number in (1, 2)] == [
-        (("127.0.0.1", 4), ("127.0.0.2", 4)), (("127.0.0.3", 4),)]
+        (("127.0.0.1", 4), ("127.0.0.2", 4)),
+        (("127.0.0.3", 4),),
+    ]
     with pytest.raises(ConfigError, match="has no fleet, and no 1"):
         reading(tmp_path, FIVE).config(1)
 
@@ -90,14 +148,20 @@
 
 LEVELS = st.sampled_from(["debug", "info", "warning", "error"])
 VALUES: dict[str, st.SearchStrategy[Any]] = {
-    "instance.folder": st.just("glen"), "limits.sockets": st.integers(48, 999),
+    "instance.folder": st.just("glen"),
+    "limits.sockets": st.integers(48, 999),
     "limits.memory_mb": st.floats(24, 64),
-    "snapshot.on": st.booleans(), "snapshot.every_s": st.floats(0.1, 100), "snapshot.folder": st.just("é"),
-    "control.on": st.booleans(), "control.socket": st.just("{name}.s"), "restart.take_over": st.booleans(),
+    "snapshot.on": st.booleans(),
+    "snapshot.every_s": st.floats(0.1, 100),
+    "snapshot.folder": st.just("é"),
+    "control.on": st.booleans(),
+    "control.socket": st.just("{name}.s"),
+    "restart.take_over": st.booleans(),
     "logging.level": LEVELS,
     "logging.levels": st.dictionaries(st.text(st.characters(codec="utf-8")), LEVELS),
     "settings.zones": st.lists(st.sampled_from("abc"), unique=True),
-    "settings.rules.cold_s": st.floats(0.1, 1e4)}
+    "settings.rules.cold_s": st.floats(0.1, 1e4),
+}
 
 
 @how(suppress_health_check=[HealthCheck.function_scoped_fixture], max_examples=40, deadline=None)
@@ -107,11 +171,14 @@
     assume(not faults(tmp_path, text))  # what is switched on may have no place
     before, after = reading(tmp_path, text), shown(tmp_path, text)
     assert {value.key: value.value for value in before.effective()} == {
-        value.key: value.value for value in after.effective()}
+        value.key: value.value for value in after.effective()
+    }
     assert before.place(None) == after.place(None)
     told = {value.key: value.value for value in before.effective() if value.origin != "default"}
-    assert values.items() <= {key: list(value) if isinstance(value, tuple) else value
-                              for key, value in told.items()}.items()
+    assert (
+        values.items()
+        <= {key: list(value) if isinstance(value, tuple) else value for key, value in told.items()}.items()
+    )
 
 
 def test_each_value_is_shown_with_where_it_came_from(tmp_path: Path) -> None:
@@ -137,7 +204,8 @@
     assert done.exit_code == 2
     assert done.stdout == f"{tmp_path}/good.toml: sound, 1 instance\n"
     assert [line.split(": ")[0] for line in done.stderr.splitlines()] == [
-        f"{tmp_path}/bad.toml:{line}" for line in (6, 8)]
+        f"{tmp_path}/bad.toml:{line}" for line in (6, 8)
+    ]
     for words in (["config", "show", str(tmp_path / "bad.toml")], ["check"], ["config", "show"]):
         assert runner.invoke(main, words).exit_code == 2
 
@@ -150,8 +218,11 @@
 def test_read_again_it_takes_over_what_can_be_and_names_the_rest(tmp_path: Path) -> None:
     begun = reading(tmp_path, FIVE)
     config, again = begun.config(), Again(begun, None)
-    reading(tmp_path, "logging.level = 'debug'\nlimits.cores = 0.5\nlimits.sockets = 100\n"
-            + FIVE.replace("8500", "8501").replace("3000", "3001"))
+    reading(
+        tmp_path,
+        "logging.level = 'debug'\nlimits.cores = 0.5\nlimits.sockets = 100\n"
+        + FIVE.replace("8500", "8501").replace("3000", "3001"),
+    )
     new, waiting = again(config)
     assert waiting == ["listeners"]
     assert (new.listen, new.seed, new.settings) == (config.listen, config.seed, config.settings)
@@ -163,10 +234,12 @@
     assert again.operators.terms.logging.level == "debug"
 
 
-@pytest.mark.parametrize("now, waiting", [
-    ("2\nfleet.stagger_s = 9", []), ("3", ["fleet"]), ("2\nfleet.port_step = 5", ["fleet"])])
-def test_of_a_fleet_an_instance_waits_only_for_its_own_part(tmp_path: Path, now: str,
-                                                            waiting: list[str]) -> None:
+@pytest.mark.parametrize(
+    "now, waiting", [("2\nfleet.stagger_s = 9", []), ("3", ["fleet"]), ("2\nfleet.port_step = 5", ["fleet"])]
+)
+def test_of_a_fleet_an_instance_waits_only_for_its_own_part(
+    tmp_path: Path, now: str, waiting: list[str]
+) -> None:
     begun = reading(tmp_path, TWO)
     reading(tmp_path, TWO.replace("2", now, 1))
     assert Again(begun, 2)(begun.config(2))[1] == waiting
@@ -182,5 +255,5 @@
     fleet = f"instance.folder = 'glen'\nfleet = {{instances = 1024, addresses = {own}}}\n"
     text = fleet + FIVE.replace(FIVE.splitlines()[1], "")
     assert reading(tmp_path, text).place(1024).listeners == (("127.0.4.24", 3000),)
-    fault, = faults(tmp_path, text.replace("127.0.2.201:3000", "nowhere"))
+    (fault,) = faults(tmp_path, text.replace("127.0.2.201:3000", "nowhere"))
     assert fault.startswith("2: fleet.addresses[700][0]: 'nowhere'")
--- a/tests/config/test_operators_faults.py
+++ b/tests/config/test_operators_faults.py
@@ -49,7 +49,7 @@
     (HERE, '"relay.example:1"', "4: listeners.addresses[0]: 'relay.example' is not an IPv4 address, such"),
     ("8500", "3001", "5: list.discovery: 127.0.0.1:3001 is a listener; give the agent's address"),
     ("8500", "none", "5: list.discovery: '127.0.0.1:none' is not HOST:PORT"),
-    ("8500\"", "8500\"\nlist.known = 'none.json'", "6: list.known: can't be read: [Errno 2] No such file"),
+    ('8500"', "8500\"\nlist.known = 'none.json'", "6: list.known: can't be read: [Errno 2] No such file"),
     ("= 3\n", "= 3\nfleet.most_out = 3\n", "3: fleet.most_out: 3 of 3 instances would leave none to serve"),
     ("= 3\n", "= 3\nfleet.stop_within_s = 30\n", "3: fleet.stop_within_s: 30 would kill an instance before"),
     ("= 3\n", "= 3\nfleet.backoff_s = 40\n", "2: fleet.most_backoff_s: 30 is less than"),
@@ -58,10 +58,16 @@
     ("= 3\n", "= 3\ncontrol.on = false\n", "3: control.on: a fleet asks its instances at their control"),
     ("= 3\n", f"= 3\n{OWN}[['127.0.0.1:1']]\n", "3: fleet.addresses: stands beside listeners.addresses"),
     (LISTENERS, OWN + "[['127.0.0.1:1'], ['127.0.0.1:2']]", "4: fleet.addresses: has 2 entries for 3"),
-    (LISTENERS, OWN + "[['127.0.0.1:1'], ['127.0.0.1:2'], ['127.0.0.1:1']]",
-     "4: fleet.addresses[2][0]: instance 3 would listen on 127.0.0.1:1, where"),
-    (LISTENERS, OWN + "[['127.0.0.1:1'], ['127.0.0.1:2'], ['127.0.0.1:3']]\nfleet.port_step = 2",
-     "5: fleet.port_step: counts from listeners.addresses; it"),
+    (
+        LISTENERS,
+        OWN + "[['127.0.0.1:1'], ['127.0.0.1:2'], ['127.0.0.1:1']]",
+        "4: fleet.addresses[2][0]: instance 3 would listen on 127.0.0.1:1, where",
+    ),
+    (
+        LISTENERS,
+        OWN + "[['127.0.0.1:1'], ['127.0.0.1:2'], ['127.0.0.1:3']]\nfleet.port_step = 2",
+        "5: fleet.port_step: counts from listeners.addresses; it",
+    ),
     (LISTENERS + "\n", "", "1: listeners.addresses: is missing; it must be a"),
     ("format = 1", "format = 2\nnew = 3", "3: format: this glenfold reads format 1 only"),
     ("format = 1\n", "", "1: format: is missing; it must be 1"),
@@ -69,8 +75,13 @@
 ]
 
 
-@pytest.mark.parametrize("text, told", [*((FIVE + added, told) for added, told in ADDED), *(
-    (FLEET.replace(was, now, 1), told) for was, now, told in CHANGED)])
+@pytest.mark.parametrize(
+    "text, told",
+    [
+        *((FIVE + added, told) for added, told in ADDED),
+        *((FLEET.replace(was, now, 1), told) for was, now, told in CHANGED),
+    ],
+)
 def test_what_is_amiss_with_one_relay_or_a_fleet(tmp_path: Path, text: str, told: str) -> None:
     assert faults(tmp_path, FLEET) == []
     [found] = faults(tmp_path, text)
@@ -93,11 +104,14 @@
     assert found.startswith("1: limits.sockets: 1024 is above the limit of open files for this user; at most")
 
 
-@pytest.mark.parametrize("document, told", [
-    ("[]", "can't be read: a list can't be read"),
-    ("{", "can't be read: Expecting property name"),
-    ('{"seq": 1, "whole": true, "hosts": [{"host": "s-1"}]}', "1 faulty entries; the first: an entry is"),
-])
+@pytest.mark.parametrize(
+    "document, told",
+    [
+        ("[]", "can't be read: a list can't be read"),
+        ("{", "can't be read: Expecting property name"),
+        ('{"seq": 1, "whole": true, "hosts": [{"host": "s-1"}]}', "1 faulty entries; the first: an entry is"),
+    ],
+)
 def test_a_known_list_is_read_as_the_relay_will(tmp_path: Path, document: str, told: str) -> None:
     (tmp_path / "known.json").write_text(document)
     found = faults(tmp_path, FIVE.replace("list.", "list.known = 'known.json'\nlist.", 1))
--- a/tests/config/test_sites.py
+++ b/tests/config/test_sites.py
@@ -5,9 +5,23 @@
 from typing import Any
 
 SITES = Path(__file__).parents[2] / "deploy" / "sites"
-OURS = {"cardiff", "wrexham", "trip-watch", "driver-feed", "small-fast", "mid-steady", "mid-slow",
-        "push-servers", "south-east", "north-wales", "west-wales", "mid-wales", "valleys", "campus",
-        "cardiff-live"}
+OURS = {
+    "cardiff",
+    "wrexham",
+    "trip-watch",
+    "driver-feed",
+    "small-fast",
+    "mid-steady",
+    "mid-slow",
+    "push-servers",
+    "south-east",
+    "north-wales",
+    "west-wales",
+    "mid-wales",
+    "valleys",
+    "campus",
+    "cardiff-live",
+}
 OURS_MS = {2000, 3000}  # deadlines
 
 
--- a/tests/daemon/fake_instance.py
+++ b/tests/daemon/fake_instance.py
@@ -55,8 +55,14 @@
             connection.settimeout(1.0)
             connection.recv(1000)
             asked += 40
-            counters = {"answered_up": asked // 2 if does("refuses") else asked,
-                        "answered_busy": asked // 2 if does("refuses") else 0}
-            status = {"instance": name, "pid": os.getpid(), "state": "waiting" if does("waits") else "ready",
-                      "counters": counters}
+            counters = {
+                "answered_up": asked // 2 if does("refuses") else asked,
+                "answered_busy": asked // 2 if does("refuses") else 0,
+            }
+            status = {
+                "instance": name,
+                "pid": os.getpid(),
+                "state": "waiting" if does("waits") else "ready",
+                "counters": counters,
+            }
             connection.sendall(json.dumps(status).encode() + b"\n")
--- a/tests/daemon/snapshot_disk.py
+++ b/tests/daemon/snapshot_disk.py
@@ -83,5 +83,5 @@
         self.files = {name: file for name, file in kept.items() if file is not None}
         for file in self.files.values():
             if not file.synced:
-                file.data = file.data[:self.draw(len(file.data) + 1)]
+                file.data = file.data[: self.draw(len(file.data) + 1)]
         self.synced, self.dies_at, self.writing = dict(self.files), -1, 0
--- a/tests/daemon/supervising.py
+++ b/tests/daemon/supervising.py
@@ -20,18 +20,27 @@
 
 supervisor_module.LOOK_S = 0.05
 FAKE = str(Path(__file__).with_name("fake_instance.py"))
-QUICK: dict[str, Any] = dict(backoff_s=0.1, jitter=0.0, ready_within_s=3.0, stop_within_s=3.0, window_s=0.3,
-                             settle_within_s=2.0, loop_ends=3)
+QUICK: dict[str, Any] = dict(
+    backoff_s=0.1,
+    jitter=0.0,
+    ready_within_s=3.0,
+    stop_within_s=3.0,
+    window_s=0.3,
+    settle_within_s=2.0,
+    loop_ends=3,
+)
 
 
 def read(folder: Path, names: tuple[str, ...], terms: dict[str, Any]) -> Order:
-    return Order(Terms(names, **(QUICK | terms)), {name: folder / f"{name}.control" for name in names},
-                 lambda: None)
+    return Order(
+        Terms(names, **(QUICK | terms)), {name: folder / f"{name}.control" for name in names}, lambda: None
+    )
 
 
 def supervisor(folder: Path, names: tuple[str, ...], **terms: Any) -> Supervisor:
-    orders = Orders(lambda: read(folder, names, terms),
-                    lambda name: [sys.executable, "-SE", FAKE, str(folder), name])
+    orders = Orders(
+        lambda: read(folder, names, terms), lambda name: [sys.executable, "-SE", FAKE, str(folder), name]
+    )
     return Supervisor(Place(folder), orders, LogFiles(folder, 2000))
 
 
--- a/tests/daemon/test_control.py
+++ b/tests/daemon/test_control.py
@@ -55,8 +55,13 @@
     counters = told.pop("counters")
     assert counters["taken"] == 0 and (await asked("counters"))["counters"] == counters
     assert told == {
-        "instance": "a", "state": "waiting", "list": {"version": 41, "servers": 1, "age_s": None},
-        "connections": {"standing": 0, "unanswered": 2}, "snapshot": {"age_s": 3.0}, "log_lines_lost": 0}
+        "instance": "a",
+        "state": "waiting",
+        "list": {"version": 41, "servers": 1, "age_s": None},
+        "connections": {"standing": 0, "unanswered": 2},
+        "snapshot": {"age_s": 3.0},
+        "log_lines_lost": 0,
+    }
 
 
 @relaying.scripted(control)
@@ -70,12 +75,18 @@
     assert await asked("reload") == {"instance": "a", "refused": "it is ending", "file": False}
 
 
-@pytest.mark.parametrize("said, told", [
-    (b"what?\n", "no question: "), (b"[1]\n", "no question: "), (b"\xff\n", "no question: "),
-    (b"[" * 5000 + b"\n", "no question: "), (b"{}\n", "None is none of status"),
-    (b'{"ask": ["status"]}\n', "['status'] is none of"),
-    (b"x" * (MOST_QUESTION + 1), "a line is longer than"),
-])
+@pytest.mark.parametrize(
+    "said, told",
+    [
+        (b"what?\n", "no question: "),
+        (b"[1]\n", "no question: "),
+        (b"\xff\n", "no question: "),
+        (b"[" * 5000 + b"\n", "no question: "),
+        (b"{}\n", "None is none of status"),
+        (b'{"ask": ["status"]}\n', "['status'] is none of"),
+        (b"x" * (MOST_QUESTION + 1), "a line is longer than"),
+    ],
+)
 @relaying.scripted(control)
 async def test_bad_input_gets_a_line_that_says_so(asked: Asked, said: bytes, told: str) -> None:
     async with await trio.open_unix_socket(asked.path) as stream:
--- a/tests/daemon/test_handshake.py
+++ b/tests/daemon/test_handshake.py
@@ -22,7 +22,7 @@
 
     inbox: deque[h.Message] = field(default_factory=deque)
     alive: bool = True
-    open: bool = True   # its end of the channel
+    open: bool = True  # its end of the channel
     holds: bool = False
     accepts: bool = False
     gave_up: bool = False
@@ -53,9 +53,15 @@
 
     @property
     def somebody_serves(self) -> bool:
-        return self.old.alive and self.giver.state is not h.Giving.RETIRED or (
-            self.new.alive and self.taker.state in (h.Taking.PREPARING, h.Taking.ACCEPTING,
-                                                    h.Taking.CONFIRMING, h.Taking.OWNER))
+        return (
+            self.old.alive
+            and self.giver.state is not h.Giving.RETIRED
+            or (
+                self.new.alive
+                and self.taker.state
+                in (h.Taking.PREPARING, h.Taking.ACCEPTING, h.Taking.CONFIRMING, h.Taking.OWNER)
+            )
+        )
 
     def hear(self, end: End) -> bool:
         other = self.new if end is self.old else self.old
@@ -118,10 +124,14 @@
         assert not old.holds and (not new.alive or taker.state is h.Taking.OWNER)
 
 
-@pytest.mark.parametrize(("hello", "taken", "reason"), [
-    (h.Hello(h.FORMAT + 1, "cardiff-1", []), False, "format 2 is not 1"),
-    (h.Hello(h.FORMAT, "wrexham-1", []), False, "this is cardiff-1, not wrexham-1"),
-    (h.Hello(h.FORMAT, "cardiff-1", []), True, "another process is taking over")])
+@pytest.mark.parametrize(
+    ("hello", "taken", "reason"),
+    [
+        (h.Hello(h.FORMAT + 1, "cardiff-1", []), False, "format 2 is not 1"),
+        (h.Hello(h.FORMAT, "wrexham-1", []), False, "this is cardiff-1, not wrexham-1"),
+        (h.Hello(h.FORMAT, "cardiff-1", []), True, "another process is taking over"),
+    ],
+)
 def test_who_may_not_take_over_is_told_why(hello: h.Hello, taken: bool, reason: str) -> None:
     giver = h.Giver("cardiff-1", 30.0, 5.0)
     assert giver.greet(hello, h.Offer([], [], False), taken) == [h.Say(h.Abort(reason)), h.Close(reason)]
--- a/tests/daemon/test_lock.py
+++ b/tests/daemon/test_lock.py
@@ -9,14 +9,17 @@
 
 from glenfold.daemon import lock
 
-HOLD = "import sys; from pathlib import Path; from glenfold.daemon import lock; " \
-       "lock.take(Path(sys.argv[1]), 'a'); print(flush=True); sys.stdin.read()"
+HOLD = (
+    "import sys; from pathlib import Path; from glenfold.daemon import lock; "
+    "lock.take(Path(sys.argv[1]), 'a'); print(flush=True); sys.stdin.read()"
+)
 
 
 def test_it_dies_with_its_process_however_that_ends(tmp_path: Path) -> None:
     root = Path(lock.__file__).parents[2]
-    with subprocess.Popen([sys.executable, "-c", HOLD, tmp_path],
-                          stdin=subprocess.PIPE, stdout=subprocess.PIPE, cwd=root) as other:
+    with subprocess.Popen(
+        [sys.executable, "-c", HOLD, tmp_path], stdin=subprocess.PIPE, stdout=subprocess.PIPE, cwd=root
+    ) as other:
         assert other.stdout is not None and other.stdout.readline()
         with pytest.raises(lock.Held, match="a runs already"):
             lock.take(tmp_path, "a")
@@ -36,8 +39,9 @@
     assert (tmp_path / "made").stat().st_mode & 0o777 == 0o700
 
 
-def test_a_file_that_was_replaced_keeps_nobody_out_unnoticed(tmp_path: Path,
-                                                             monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_file_that_was_replaced_keeps_nobody_out_unnoticed(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     """Somebody removes the file between its being opened and locked: the lock is on what is there now."""
     lock_it, seen = lock.fcntl.flock, []
 
@@ -46,6 +50,7 @@
             lock.path_of(tmp_path, "a").unlink()
         seen.append(descriptor)
         lock_it(descriptor, operation)
+
     monkeypatch.setattr(lock.fcntl, "flock", removed_first)
     held = lock.take(tmp_path, "a")
     assert len(seen) == 2 and os.path.samestat(os.fstat(held), os.stat(lock.path_of(tmp_path, "a")))
--- a/tests/daemon/test_notify.py
+++ b/tests/daemon/test_notify.py
@@ -43,6 +43,7 @@
         nursery.start_soon(notifier, process)
         await trio.testing.wait_all_tasks_blocked()
         return process
+
     async with relaying.instance(folder) as process, trio.open_nursery() as nursery:
         yield begin
         nursery.cancel_scope.cancel()
@@ -74,12 +75,19 @@
     assert heard(sock) == []
 
 
-@pytest.mark.parametrize("more, fed", [
-    ({"WATCHDOG_USEC": "2000000"}, 10), ({"WATCHDOG_USEC": "2000000", "WATCHDOG_PID": "2"}, 0),
-    ({"WATCHDOG_USEC": "x"}, 0), ({}, 0)])
+@pytest.mark.parametrize(
+    "more, fed",
+    [
+        ({"WATCHDOG_USEC": "2000000"}, 10),
+        ({"WATCHDOG_USEC": "2000000", "WATCHDOG_PID": "2"}, 0),
+        ({"WATCHDOG_USEC": "x"}, 0),
+        ({}, 0),
+    ],
+)
 @in_virtual_time
 async def test_the_watchdog_is_fed_at_half_its_time_if_it_is_meant_for_it_and_only_while_the_loop_turns(
-        begin: Begin, manager: Manager, more: dict[str, str], fed: int) -> None:
+    begin: Begin, manager: Manager, more: dict[str, str], fed: int
+) -> None:
     environment = {"NOTIFY_SOCKET": manager[1], **more}
     await begin(notify.from_environment(environment, 1))
     await trio.sleep(9.5)
--- a/tests/daemon/test_ready.py
+++ b/tests/daemon/test_ready.py
@@ -24,8 +24,9 @@
 from linnetspread import interface as i
 
 
-def ready_at(cores: float, cpu_s: float, used_before_s: float = 0.0,
-             late: Callable[[float], float] = lambda now: 0.0) -> float:
+def ready_at(
+    cores: float, cpu_s: float, used_before_s: float = 0.0, late: Callable[[float], float] = lambda now: 0.0
+) -> float:
     """In virtual time; `late`: how late the look comes that is due at that moment."""
     now, readiness = 0.0, Readiness(0.0, used_before_s, cores)
     while not readiness.look(now, cpu_s):
@@ -33,14 +34,17 @@
     return now
 
 
-@pytest.mark.parametrize("cores, cpu_s, used_before_s, at", [
-    (0.25, 0.2, 0.0, 0.8), (0.25, 0.2, 0.2, 0.6), (1.0, 0.2, 0.2, CALM_S), (0.01, 5.0, 0.0, LATEST_S)])
+@pytest.mark.parametrize(
+    "cores, cpu_s, used_before_s, at",
+    [(0.25, 0.2, 0.0, 0.8), (0.25, 0.2, 0.2, 0.6), (1.0, 0.2, 0.2, CALM_S), (0.01, 5.0, 0.0, LATEST_S)],
+)
 def test_it_waits_until_its_part_of_a_core_has_covered_the_start(cores, cpu_s, used_before_s, at):
     assert ready_at(cores, cpu_s, used_before_s) == pytest.approx(at, abs=STEP_S)
 
 
 def test_a_start_is_not_held_up_by_a_kernel_whose_clock_is_not_the_process_s(
-        tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     told = []
 
     class Seen(Readiness):
@@ -68,8 +72,12 @@
 def test_a_reply_that_lay_in_the_kernel_while_this_process_stood_still_was_no_slow_set_up():
     async def look() -> KernelTimes:
         return kernel_times(trio.socket.from_stdlib_socket(near))
-    with (socket.create_server(("127.0.0.1", 0)) as listener,
-          socket.create_connection(listener.getsockname()) as near, listener.accept()[0] as far):
+
+    with (
+        socket.create_server(("127.0.0.1", 0)) as listener,
+        socket.create_connection(listener.getsockname()) as near,
+        listener.accept()[0] as far,
+    ):
         far.sendall(b"UP x\r\n")
         time.sleep(0.2)
         kernel = trio.run(look)
@@ -89,13 +97,13 @@
 
 
 @pytest.mark.parametrize("ready", [0, 1, 20])
-def test_a_warm_up_takes_requests_to_their_ends(tmp_path: Path, monkeypatch: pytest.MonkeyPatch,
-                                                ready: int):
+def test_a_warm_up_takes_requests_to_their_ends(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, ready: int):
     seen, handle = Counter[str](), Dispatch.handle
 
     def spy(self: Dispatch, now_us: int, event: i.Event) -> list[RequestAction]:
         seen[type(event).__name__] += 1
         return handle(self, now_us, event)
+
     monkeypatch.setattr(Dispatch, "handle", spy)
     servers = tuple(i.ListedServer(n, i.ServerState.READY) for n in range(ready))
     warm_up(relaying.config(tmp_path), servers, now_us=10)
@@ -113,8 +121,9 @@
 async def listless(folder: Path) -> AsyncIterator[Process]:
     """An instance that starts without any list."""
     with socket.create_server(("127.0.0.1", 0)) as sock:
-        process = Process(relaying.config(folder, known=whole()), lambda current: (current, []),
-                          listeners=[sock])
+        process = Process(
+            relaying.config(folder, known=whole()), lambda current: (current, []), listeners=[sock]
+        )
         process.relay.config.known.clear()
         try:
             async with trio.open_nursery() as nursery:
--- a/tests/daemon/test_run.py
+++ b/tests/daemon/test_run.py
@@ -51,14 +51,24 @@
 
     def start(self, **how: Any) -> subprocess.Popen[bytes]:
         environment = {name: value for name, value in os.environ.items() if not name.startswith("LB_")}
-        self.started.append(subprocess.Popen(
-            [sys.executable, "-m", "glenfold", "run", self.file], cwd=ROOT, env=environment,
-            **{"stderr": (self.folder / "log").open("ab"), **how}))
+        self.started.append(
+            subprocess.Popen(
+                [sys.executable, "-m", "glenfold", "run", self.file],
+                cwd=ROOT,
+                env=environment,
+                **{"stderr": (self.folder / "log").open("ab"), **how},
+            )
+        )
         return self.started[-1]
 
     def say(self, *words: str) -> tuple[int, dict[str, object]]:
-        done = subprocess.run([sys.executable, "-m", "glenfold", *words, self.file, "--json"], cwd=ROOT,
-                              capture_output=True, text=True, timeout=30)
+        done = subprocess.run(
+            [sys.executable, "-m", "glenfold", *words, self.file, "--json"],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
         told = json.loads(done.stdout)["instances"][0] if done.stdout else {"said": done.stderr}
         return done.returncode, told
 
--- a/tests/daemon/test_snapshot_model.py
+++ b/tests/daemon/test_snapshot_model.py
@@ -28,17 +28,28 @@
 MOST_S = 100.0
 WORDS = st.sampled_from(["drain", "remove", "leave out", "add", "start anew", "late list", "wait"])
 STEPS = st.lists(st.tuples(WORDS, st.sampled_from(SERVERS)), max_size=7)
-LIVES = st.lists(st.fixed_dictionaries({
-    "steps": STEPS, "dies_at": st.integers(-1, 14), "hurt": st.integers(0, 3),
-    "pause_s": st.sampled_from([0.0, 20.0, 70.0, 130.0])}), min_size=2, max_size=6)
+LIVES = st.lists(
+    st.fixed_dictionaries(
+        {
+            "steps": STEPS,
+            "dies_at": st.integers(-1, 14),
+            "hurt": st.integers(0, 3),
+            "pause_s": st.sampled_from([0.0, 20.0, 70.0, 130.0]),
+        }
+    ),
+    min_size=2,
+    max_size=6,
+)
 
 
 def ready(process: Process) -> dict[int, int]:
     """Who is, with the start of each in milliseconds."""
     numbers = {server_number(f"s-{n}"): n for n in SERVERS}
-    return {numbers[server]: known.line.started_us // 1000
-            for server, known in process.relay.destinations.state().known.items()
-            if known.line.state is i.ServerState.READY}
+    return {
+        numbers[server]: known.line.started_us // 1000
+        for server, known in process.relay.destinations.state().known.items()
+        if known.line.state is i.ServerState.READY
+    }
 
 
 class World:
@@ -71,8 +82,9 @@
             return whole(*(self.entry(n, "in_service") for n in SERVERS), seq=1)
         if word == "start anew":
             self.started[n] += 1000
-        self.health[n] = {"drain": "terminating", "remove": "terminated",
-                          "leave out": "terminated"}.get(word, "in_service")
+        self.health[n] = {"drain": "terminating", "remove": "terminated", "leave out": "terminated"}.get(
+            word, "in_service"
+        )
         if word == "leave out":
             return self.whole()
         return {"seq": self.seq, "whole": False, "hosts": [self.entry(n)]}
@@ -116,8 +128,11 @@
             told = read(self.whole() if word == "hear" else self.change(word, n))
             if word == "late list":
                 late = {line.server for line in told.servers if line.state is i.ServerState.READY}
-                assert not [n for n in self.said if server_number(f"s-{n}") in late
-                            and self.started[n] <= self.said[n]], "a late list brought one back"
+                assert not [
+                    n
+                    for n in self.said
+                    if server_number(f"s-{n}") in late and self.started[n] <= self.said[n]
+                ], "a late list brought one back"
                 self.note(process, kept)
                 read(self.whole())
             self.note(process, kept)  # who is told to be ready may be so on the disk before the next note
@@ -146,15 +161,24 @@
     return relaying.config(tmp_path_factory.mktemp("model"))
 
 
-@settings(max_examples=250, deadline=None, derandomize=True,
-          suppress_health_check=[HealthCheck.function_scoped_fixture])
-@example(lives=[
-    {"steps": [("leave out", 0)], "dies_at": 10, "hurt": 0, "pause_s": 0.0},  # before the second copy
-    {"steps": [], "dies_at": -1, "hurt": 2, "pause_s": 0.0},                  # which a start makes up for
-    {"steps": [], "dies_at": -1, "hurt": 0, "pause_s": 0.0}], seed=0)
+@settings(
+    max_examples=250,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
+@example(
+    lives=[
+        {"steps": [("leave out", 0)], "dies_at": 10, "hurt": 0, "pause_s": 0.0},  # before the second copy
+        {"steps": [], "dies_at": -1, "hurt": 2, "pause_s": 0.0},  # which a start makes up for
+        {"steps": [], "dies_at": -1, "hurt": 0, "pause_s": 0.0},
+    ],
+    seed=0,
+)
 @given(lives=LIVES, seed=st.integers(0, 1 << 16))
-def test_no_server_known_to_have_left_comes_back(inline: None, conf: Any, lives: list[Any],
-                                                 seed: int) -> None:
+def test_no_server_known_to_have_left_comes_back(
+    inline: None, conf: Any, lives: list[Any], seed: int
+) -> None:
     world = World(conf, seed)
     for life in lives:
         world.disk.dies_at = world.disk.steps + life["dies_at"] if life["dies_at"] >= 0 else -1
--- a/tests/daemon/test_snapshots.py
+++ b/tests/daemon/test_snapshots.py
@@ -29,6 +29,7 @@
 
 def play(folder: Path, act: Act, files: Files | None = None, **terms: Any) -> Snapshots:
     """One life with snapshots, and neither discovery nor clients. Unix time goes on from `START`."""
+
     async def main() -> None:
         process = Process(relaying.config(folder), refuse)
         await kept.take_up(process)
@@ -120,8 +121,11 @@
 
     assert play(tmp_path, two_servers).generation == 3
     store = Store(tmp_path, Owner("valleys", "relay"), 1 << 20)
-    [newest] = [path for path, found in zip(store.places, store.read(), strict=True)
-                if isinstance(found, Snapshot) and found.generation == 3]
+    [newest] = [
+        path
+        for path, found in zip(store.places, store.read(), strict=True)
+        if isinstance(found, Snapshot) and found.generation == 3
+    ]
     newest.write_bytes(hurt)
     play(tmp_path, look)
     assert all(isinstance(found, Snapshot) for found in store.read())  # and what was hurt is replaced at once
@@ -210,7 +214,8 @@
 
 @pytest.mark.parametrize("slow, generations", [(False, 2), (True, 1)])
 def test_at_its_end_the_last_state_is_written_unless_the_disk_is_too_slow(
-        tmp_path: Path, slow: bool, generations: int) -> None:
+    tmp_path: Path, slow: bool, generations: int
+) -> None:
     async def act(process: Process, kept: Snapshots) -> None:
         hear(process, entry("s-1"), seq=1, all_of_them=True)
         await settled(kept)
--- a/tests/daemon/test_supervisor.py
+++ b/tests/daemon/test_supervisor.py
@@ -66,7 +66,8 @@
 @pytest.mark.parametrize("moment", ["told to stop", "not back"])
 @in_trio
 async def test_a_supervisor_killed_in_the_middle_of_a_roll_leaves_all_serving_and_the_next_ends_it(
-        folder: Path, moment: str) -> None:
+    folder: Path, moment: str
+) -> None:
     """It dies while the instance stops, or before it is back."""
     does(folder, "s-1", "stays")
     async with trio.open_nursery() as first:
@@ -90,7 +91,8 @@
 
 @in_trio
 async def test_the_next_supervisor_takes_over_whoever_answers_even_without_what_the_last_one_kept(
-        folder: Path) -> None:
+    folder: Path,
+) -> None:
     async with trio.open_nursery() as nursery:
         nursery.start_soon(supervisor(folder, NAMES).run)
         before = pids(await status_when(folder, all_ready))
@@ -133,7 +135,8 @@
 
 @in_trio
 async def test_an_instance_that_hangs_counts_as_not_ready_and_is_left_alone(
-        folder: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    folder: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr("glenfold.daemon.supervisor.SILENT_S", 0.5)
     monkeypatch.setattr("glenfold.daemon.supervisor.ANSWER_S", 0.2)
     async with supervised(folder, NAMES):
@@ -151,7 +154,8 @@
 
 @in_trio
 async def test_a_state_that_cant_be_saved_stops_a_roll_but_no_restart(
-        folder: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    folder: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async with supervised(folder, NAMES):
         before = pids(await status_when(folder, all_ready))
         await command(folder, "roll")
--- a/tests/daemon/test_takeover.py
+++ b/tests/daemon/test_takeover.py
@@ -82,8 +82,13 @@
 
     def __init__(self, house: House, taken: TakeOver | None) -> None:
         self.keeper = Keeper(house.place, None, taken)
-        self.process = Process(house.config, lambda config: (config, []), held=taken is not None,
-                               listeners=taken.listeners if taken else [house.sock], companions=[self.keeper])
+        self.process = Process(
+            house.config,
+            lambda config: (config, []),
+            held=taken is not None,
+            listeners=taken.listeners if taken else [house.sock],
+            companions=[self.keeper],
+        )
         self.over = trio.Event()
         self._scope = trio.CancelScope()
         self._nursery = house.nursery
@@ -231,7 +236,8 @@
 
 @relaying.scripted(house)
 async def test_what_can_not_be_had_or_taken_ends_it_with_a_reason_and_no_leak(
-        made: House, monkeypatch: pytest.MonkeyPatch) -> None:
+    made: House, monkeypatch: pytest.MonkeyPatch
+) -> None:
     others = [listeners.listen("127.0.0.1:0") for _ in "12"]
     with pytest.raises(Refused, match="in use"):
         await made.take_over(*listeners.where(others))
@@ -253,8 +259,11 @@
     await made.answers_all(3)
 
 
-@pytest.mark.parametrize("data", [b"{", b"x" * 70_000, b"[" * 60_000, json.dumps({"type": "Hello"}).encode()],
-                         ids=["cut", "long", "deep", "incomplete"])
+@pytest.mark.parametrize(
+    "data",
+    [b"{", b"x" * 70_000, b"[" * 60_000, json.dumps({"type": "Hello"}).encode()],
+    ids=["cut", "long", "deep", "incomplete"],
+)
 @relaying.scripted(house)
 async def test_what_is_no_message_is_refused_and_costs_nothing(made: House, data: bytes) -> None:
     with await made.connect() as sock, (made.place.folder / "stranger").open("w") as file:
@@ -290,11 +299,17 @@
     assert pair[1].hear() == (h.Abort("late"), [])
 
 
-@pytest.mark.parametrize(("kind", "listens", "fault"), [
-    (socket.SOCK_STREAM, True, None), (socket.SOCK_STREAM, False, "does not listen"),
-    (socket.SOCK_DGRAM, False, "is not a TCP socket over IPv4")])
+@pytest.mark.parametrize(
+    ("kind", "listens", "fault"),
+    [
+        (socket.SOCK_STREAM, True, None),
+        (socket.SOCK_STREAM, False, "does not listen"),
+        (socket.SOCK_DGRAM, False, "is not a TCP socket over IPv4"),
+    ],
+)
 def test_a_service_managers_sockets_are_taken_or_refused_by_name(
-        monkeypatch: pytest.MonkeyPatch, kind: int, listens: bool, fault: str | None) -> None:
+    monkeypatch: pytest.MonkeyPatch, kind: int, listens: bool, fault: str | None
+) -> None:
     addresses = []
     for place in (200, 201):
         with socket.socket(type=kind) as sock:
--- a/tests/glenfold_lab/modelled_machines.py
+++ b/tests/glenfold_lab/modelled_machines.py
@@ -12,8 +12,20 @@
 
 S, MS = SECOND_US, 1000
 WAY = 1 * MS  # between a relay and a server of its zone
-KIND = dict(name="m", cores=1, speed=1.0, speed_cv=0.0, per_core=10.0, cap=2.0, queue=5.0, cold_from=0.2,
-            cold_s=10.0, buffer_s=1.0, message_ms=2.0, burst=1.0)
+KIND = dict(
+    name="m",
+    cores=1,
+    speed=1.0,
+    speed_cv=0.0,
+    per_core=10.0,
+    cap=2.0,
+    queue=5.0,
+    cold_from=0.2,
+    cold_s=10.0,
+    buffer_s=1.0,
+    message_ms=2.0,
+    burst=1.0,
+)
 ZONES = dict(names=("here",), same_ms=1.0, cross_ms=10.0, client_ms=0.5, jitter=0.0)
 LIST = dict(notice_s=2.0, add_s=1.0, silent_notice_s=6.0, spread_ms=50.0, period_ms=500.0)
 
@@ -21,15 +33,29 @@
 class Fixed:
     """`count` push servers, each of 1 core that carries 10 connections of the mean load."""
 
-    def __init__(self, count: int = 1, kind: dict[str, Any] | None = None, seed: int = 1, relays: int = 1,
-                 zones: tuple[str, ...] = ("here",), listed: dict[str, Any] | None = None,
-                 store: float = 0.0, **scenario: Any) -> None:
+    def __init__(
+        self,
+        count: int = 1,
+        kind: dict[str, Any] | None = None,
+        seed: int = 1,
+        relays: int = 1,
+        zones: tuple[str, ...] = ("here",),
+        listed: dict[str, Any] | None = None,
+        store: float = 0.0,
+        **scenario: Any,
+    ) -> None:
         made = dict(
-            format=1, name="test", guards_against="-", relays=Relays(count=relays),
-            servers=Servers(count=count, kinds=(ServerKind(**KIND | (kind or {})),), park_s=5.0,
-                            store_headroom=store),
+            format=1,
+            name="test",
+            guards_against="-",
+            relays=Relays(count=relays),
+            servers=Servers(
+                count=count, kinds=(ServerKind(**KIND | (kind or {})),), park_s=5.0, store_headroom=store
+            ),
             classes=(RequestClass(name="watch", set_up_ms=10.0, message_aim_ms=100.0),),
-            zones=Zones(**ZONES | {"names": zones}), server_list=ServerList(**LIST | (listed or {})))
+            zones=Zones(**ZONES | {"names": zones}),
+            server_list=ServerList(**LIST | (listed or {})),
+        )
         self.kernel, self.seen = Kernel(), Recorder()
         self.machinery = Machinery(Scenario(**made | scenario), Streams(seed), self.kernel, self.seen)
         self.servers, self.lives = self.machinery.servers, self.machinery.lives
@@ -48,9 +74,19 @@
 
     def new_call(self, server: int = 0, load: float = 100_000.0, **changes: Any) -> Call:
         self.made += 1
-        values = dict(request=self.made, relay=0, server=self.server(server).machine.number, request_class=0,
-                      scheme=0, group=0, connection=self.made, load=load, deadline=self.kernel.now + 3 * S,
-                      mid_flow=False, back=self)
+        values = dict(
+            request=self.made,
+            relay=0,
+            server=self.server(server).machine.number,
+            request_class=0,
+            scheme=0,
+            group=0,
+            connection=self.made,
+            load=load,
+            deadline=self.kernel.now + 3 * S,
+            mid_flow=False,
+            back=self,
+        )
         return Call(**values | changes)
 
     def call(self, *where: Any, **changes: Any) -> Call:
--- a/tests/glenfold_lab/modelled_relays.py
+++ b/tests/glenfold_lab/modelled_relays.py
@@ -14,9 +14,19 @@
 
 WAY_US = 500  # from the relay to a push server, or back
 SETTINGS = i.Settings(
-    classes=(i.RequestClass(aim_us=500_000, deadline_us=3 * SECOND_US, semantics=i.Semantics.REPEATABLE,
-                            message_aim_us=250_000.0),),
-    pass_through=True, max_attempts=3, may_retry_after=True, max_retry_after_us=1_500_000)
+    classes=(
+        i.RequestClass(
+            aim_us=500_000,
+            deadline_us=3 * SECOND_US,
+            semantics=i.Semantics.REPEATABLE,
+            message_aim_us=250_000.0,
+        ),
+    ),
+    pass_through=True,
+    max_attempts=3,
+    may_retry_after=True,
+    max_retry_after_us=1_500_000,
+)
 
 
 @dataclass
@@ -96,15 +106,21 @@
 class Stage:
     """One relay that has heard of servers 1 to `servers`, and has room for `taken` connections."""
 
-    def __init__(self, servers: int = 4, taken: int = 1000, settings: i.Settings = SETTINGS,
-                 step_us: int = 100) -> None:
+    def __init__(
+        self, servers: int = 4, taken: int = 1000, settings: i.Settings = SETTINGS, step_us: int = 100
+    ) -> None:
         self.kernel, self.seen = Kernel(), Recorder()
         self.servers, self.clients = Servers(self.kernel), Callers(self.kernel)
         costs = Costs(step_us, step_us, step_us, step_us, Room(64, taken, 12))
         around = Surroundings(self.kernel, self.servers, self.clients, self.seen, costs)
         self.relay = Relay(0, settings, 1, around)
-        self.relay.heard(i.ServerList(i.ListKind.FULL, 1, tuple(
-            i.ListedServer(number, i.ServerState.READY) for number in range(1, servers + 1))))
+        self.relay.heard(
+            i.ServerList(
+                i.ListKind.FULL,
+                1,
+                tuple(i.ListedServer(number, i.ServerState.READY) for number in range(1, servers + 1)),
+            )
+        )
         self.run(0.01)  # the list has been read
         self.kernel.start = self.kernel.now
 
