--- a/glenfold_lab/cli.py
+++ b/glenfold_lab/cli.py
@@ -17,6 +17,7 @@
         ("report", "draw results as one HTML file"),
         ("play", "play a scenario with real relays and stand-ins on loopback sockets"),
         ("load", "put open-loop load on relays and measure latencies"),
+        ("scale", "measure what relays, connections and control cost as the fleet grows"),
         ("demo", "a relay with stand-ins and clients for 20 s, with a live table"),
     )
 }
