--- /dev/null
+++ b/glenfold_lab/scale/control_plays.py
@@ -0,0 +1,186 @@
+"""The plays of the control side: what befalls source, control processes and watchers, and what was judged."""
+
+import random
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+import psutil  # type: ignore[import-untyped]
+
+from glenfold_lab.observe import Told
+from glenfold_lab.scale.control_judge import Judge, Judgement, Outage
+from glenfold_lab.scale.control_source import Source
+from glenfold_lab.scale.hollow_fleet import HollowFleet
+
+LOOK_S = 0.05
+PATIENCE_S = 40.0  # for all watchers to have a revision
+START_PATIENCE_S = 600.0  # for all to have read the whole list
+AFTER_S = 2.5  # a line that comes once more, or is silent, shows by then
+
+
+class PlayFailed(Exception):
+    """What a play waits for did not come."""
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """Of one process over a play. `cpu_s`: processor time; `memory_mb`: resident at the end."""
+
+    cpu_s: float
+    memory_mb: float
+
+
+@dataclass(frozen=True, slots=True)
+class PlayResult:
+    """`usage`: by the process's name; a process that was started or killed in the play is left out."""
+
+    name: str
+    length_s: float
+    judgement: Judgement
+    usage: dict[str, Usage]
+
+
+@dataclass(slots=True)
+class Stage:
+    """What a play acts on. `pids`: tells the control processes by name, the source among them."""
+
+    source: Source
+    fleet: HollowFleet
+    pids: Callable[[], dict[str, int]]
+    chance: random.Random = field(default_factory=lambda: random.Random(1))
+    revision: int = 1
+
+    def publish(self, servers: Sequence[int], state: Told) -> None:
+        self.revision = self.source.publish(servers, state)
+
+    def wait_for_all(self, patience_s: float = PATIENCE_S) -> bool:
+        """Whether all watchers watch and know the last revision in time."""
+        until = time.monotonic() + patience_s
+        while time.monotonic() < until:
+            standing = self.fleet.look()
+            if standing.watching == self.fleet.watchers and standing.slowest >= self.revision:
+                return True
+            time.sleep(LOOK_S)
+        return False
+
+    def begin(self) -> float:
+        """Seconds until all watchers have read the list and watch. Raises PlayFailed."""
+        began = time.monotonic()
+        if not self.wait_for_all(START_PATIENCE_S):
+            raise PlayFailed(f"not all watchers have a list after {START_PATIENCE_S} s: {self.fleet.look()}")
+        return time.monotonic() - began
+
+
+Play = Callable[[Stage], dict[str, Outage]]
+
+
+def perform(name: str, stage: Stage, play: Play) -> PlayResult:
+    """Plays, waits until all watchers have caught up and a little longer, and judges. What did not come in
+    time is in the judgement."""
+    stage.fleet.collect()
+    pids_before = stage.pids()
+    before = usage_now(pids_before)
+    began = time.monotonic()
+    outages = play(stage)
+    stage.wait_for_all()
+    time.sleep(AFTER_S)
+    ended = time.monotonic()
+    pids = stage.pids()
+    usage = _spent(before, pids_before, usage_now(pids), pids)
+    history = stage.source.history()
+    judge = Judge(history, round(began * 1e6), round(ended * 1e6), outages)
+    return PlayResult(name, ended - began, judge.judge(stage.fleet.collect()), usage)
+
+
+# ---- the plays ----
+
+
+def idle(seconds: float) -> Play:
+    """Nothing changes."""
+
+    def play(stage: Stage) -> dict[str, Outage]:
+        time.sleep(seconds)
+        return {}
+
+    return play
+
+
+def steady(changes: int, gap_s: float) -> Play:
+    """One server after another drains, and comes back with the next change."""
+
+    def play(stage: Stage) -> dict[str, Outage]:
+        due = time.monotonic()
+        server = 0
+        for n in range(changes):
+            if n % 2 == 0:
+                server = stage.chance.randrange(stage.source.servers)
+            stage.publish([server], Told.DRAINING if n % 2 == 0 else Told.READY)
+            due += gap_s
+            time.sleep(max(0.0, due - time.monotonic()))
+        return {}
+
+    return play
+
+
+def burst(zone: int, apart: bool) -> Play:
+    """All servers of a zone drain at once, and come back at once when that is in force everywhere. `apart`:
+    each by a revision of its own."""
+
+    def play(stage: Stage) -> dict[str, Outage]:
+        servers = stage.source.zone(zone)
+        for state in (Told.DRAINING, Told.READY):
+            for part in [[server] for server in servers] if apart else [servers]:
+                stage.publish(part, state)
+            stage.wait_for_all()
+        return {}
+
+    return play
+
+
+def return_at_once(within_s: float, forget: bool) -> Play:
+    """All watchers close and come again, while a server drains. `forget`: as relays that know no list."""
+
+    def play(stage: Stage) -> dict[str, Outage]:
+        stage.fleet.drop(within_s, forget)
+        server = stage.chance.randrange(stage.source.servers)
+        stage.publish([server], Told.DRAINING)
+        stage.wait_for_all()
+        stage.publish([server], Told.READY)
+        return {}
+
+    return play
+
+
+def silent_source(seconds: float) -> Play:
+    """The source says nothing for so long, while a server drains."""
+
+    def play(stage: Stage) -> dict[str, Outage]:
+        began = time.monotonic()
+        stage.source.speak(False)
+        stage.publish([stage.chance.randrange(stage.source.servers)], Told.DRAINING)
+        time.sleep(seconds)
+        stage.source.speak(True)
+        outage = Outage(round(began * 1e6), round(time.monotonic() * 1e6))
+        return {group.name: outage for group in stage.fleet.plan.groups}
+
+    return play
+
+
+# ---- what processes use ----
+
+
+def usage_now(pids: dict[str, int]) -> dict[str, Usage]:
+    """Since each process began."""
+    usage = {}
+    for name, pid in pids.items():
+        process = psutil.Process(pid)
+        times = process.cpu_times()
+        usage[name] = Usage(times.user + times.system, process.memory_info().rss / 1e6)
+    return usage
+
+
+def _spent(
+    before: dict[str, Usage], pids_before: dict[str, int], after: dict[str, Usage], pids: dict[str, int]
+) -> dict[str, Usage]:
+    same = [name for name in after if pids_before.get(name) == pids[name]]
+    return {name: Usage(after[name].cpu_s - before[name].cpu_s, after[name].memory_mb) for name in same}
--- /dev/null
+++ b/glenfold_lab/scale/control_source.py
@@ -0,0 +1,210 @@
+"""The source of all revisions in a scale run: the lab's stand-in for discovery's agent, in a process of its
+own, which notes when it had each change and what was in it."""
+
+import multiprocessing
+import signal
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass, field, replace
+from multiprocessing.connection import Connection
+from multiprocessing.process import BaseProcess
+
+import trio
+
+from glenfold.config import Address
+from glenfold_lab.observe import Told
+from glenfold_lab.scale.hollow_list import digest, stamp
+from glenfold_lab.stands.agent import Agent, Change, Entry, Holding
+from glenfold_lab.stands.moments import MachineClock
+from glenfold_lab.stands.seen import Seen
+
+HOST = "127.0.0.1"
+SITES = 14  # zones
+FIRST_REVISION = 1
+ANSWER_S = 60.0
+JOIN_S = 5.0
+
+
+class SourceFailed(Exception):
+    """The source has ended or does not answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class Publish:
+    """From now on these servers, by number, are in this state; one that is ready has started again."""
+
+    servers: tuple[int, ...]
+    state: Told
+
+
+@dataclass(frozen=True, slots=True)
+class Speak:
+    """Whether it says anything at all; while it does not, connections stay open and silent."""
+
+    speaks: bool
+
+
+@dataclass(frozen=True, slots=True)
+class History:
+    """All revisions so far?"""
+
+
+@dataclass(frozen=True, slots=True)
+class Revision:
+    """`at_us`: when the source had it. `stamps`: of the servers it changed, by host. `digest`: of the whole
+    list then. `drains`: how many servers began to drain."""
+
+    number: int
+    at_us: int
+    stamps: dict[str, int]
+    digest: int
+    drains: int
+
+
+class _Source:
+    def __init__(self, servers: int, pipe: Connection) -> None:
+        self._pipe = pipe
+        self._clock = MachineClock()
+        entries = [_entry(number, servers) for number in range(servers)]
+        self._by_number = dict(enumerate(entries))
+        self._holding = Holding(FIRST_REVISION, entries)
+        # No relay is named, so nothing is kept of what was told to whom: the watchers judge that.
+        self._agent = Agent((), HOST, self._holding, Seen(), self._clock)
+        self._present = {entry.host: stamp(entry.plain()) for entry in entries}
+        self._digest = digest(self._present.values())
+        self._history = [Revision(FIRST_REVISION, self._clock.now_us(), {}, self._digest, 0)]
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._agent.serve)
+            self._pipe.send(self._agent.address)
+            while True:
+                await trio.lowlevel.wait_readable(self._pipe.fileno())
+                try:
+                    command = self._pipe.recv()
+                except (EOFError, OSError):
+                    break
+                self._pipe.send(self._answer(command))
+            nursery.cancel_scope.cancel()
+
+    def _answer(self, command: Publish | Speak | History) -> object:
+        if isinstance(command, Publish):
+            return self._publish(command)
+        if isinstance(command, History):
+            return self._history
+        if command.speaks:
+            self._agent.speak()
+        else:
+            self._agent.go_quiet()
+        return None
+
+    def _publish(self, command: Publish) -> int:
+        born_ms = time.time_ns() // 1_000_000 if command.state is Told.READY else 0
+        entries = tuple(self._changed(number, command.state, born_ms) for number in command.servers)
+        revision = self._holding.seq + 1
+        at_us = self._clock.now_us()
+        self._agent.take(Change(revision, entries))
+        stamps = {entry.host: stamp(entry.plain()) for entry in entries}
+        for host, new in stamps.items():
+            self._digest ^= self._present.pop(host, 0) ^ new
+            if new:
+                self._present[host] = new
+        drains = len(entries) if command.state is Told.DRAINING else 0
+        self._history.append(Revision(revision, at_us, stamps, self._digest, drains))
+        return revision
+
+    def _changed(self, number: int, state: Told, born_ms: int) -> Entry:
+        entry = replace(self._by_number[number], state=state)
+        if born_ms:
+            entry = replace(entry, born_ms=born_ms)
+        self._by_number[number] = entry
+        return entry
+
+
+def _entry(number: int, servers: int) -> Entry:
+    """As long as real ones are. The servers of a zone follow one another."""
+    site = number * SITES // servers
+    high, low = divmod(number, 250)
+    return Entry(
+        host=f"s-{number:08x}",
+        number=number,
+        dial=f"10.{high // 250}.{high % 250}.{low + 1}:3000",
+        site=f"z{site}",
+        kind="m2",
+        block=number % 8,
+        share=1.0,
+    )
+
+
+async def _serve(pipe: Connection, servers: int) -> None:
+    await _Source(servers, pipe).run()
+
+
+def _work(pipe: Connection, servers: int) -> None:
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    trio.run(_serve, pipe, servers)
+
+
+@dataclass(slots=True)
+class Source:
+    """The process, from outside; to be entered as a context."""
+
+    servers: int
+    address: Address = (HOST, 0)
+    pid: int = 0
+    _pipe: Connection = field(init=False)
+    _process: BaseProcess = field(init=False)
+
+    def __enter__(self) -> "Source":
+        context = multiprocessing.get_context("spawn")
+        self._pipe, there = context.Pipe()
+        self._process = context.Process(target=_work, args=(there, self.servers), daemon=True)
+        self._process.start()
+        there.close()
+        self.pid = self._process.pid or 0
+        address = self._receive()
+        assert isinstance(address, tuple)
+        self.address = str(address[0]), int(address[1])
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._pipe.close()
+        self._process.join(JOIN_S)
+        if self._process.is_alive():
+            self._process.kill()
+            self._process.join()
+
+    def publish(self, servers: Sequence[int], state: Told) -> int:
+        """The revision. Raises SourceFailed."""
+        revision = self._ask(Publish(tuple(servers), state))
+        assert isinstance(revision, int)
+        return revision
+
+    def speak(self, speaks: bool) -> None:
+        """Raises SourceFailed."""
+        self._ask(Speak(speaks))
+
+    def history(self) -> list[Revision]:
+        """Raises SourceFailed."""
+        history = self._ask(History())
+        assert isinstance(history, list)
+        return history
+
+    def zone(self, zone: int) -> list[int]:
+        """The servers of a zone, by number."""
+        return [n for n in range(self.servers) if n * SITES // self.servers == zone]
+
+    def _ask(self, command: Publish | Speak | History) -> object:
+        try:
+            self._pipe.send(command)
+        except OSError as error:
+            raise SourceFailed("the source has ended") from error
+        return self._receive()
+
+    def _receive(self) -> object:
+        if not self._pipe.poll(ANSWER_S):
+            raise SourceFailed("the source does not answer")
+        try:
+            return self._pipe.recv()
+        except (EOFError, OSError) as error:
+            raise SourceFailed("the source has ended") from error
--- /dev/null
+++ b/glenfold_lab/scale/control_topology.py
@@ -0,0 +1,89 @@
+"""A plain description of the control side of a scale run: which control processes there are, whom they
+follow, and which watchers go to which of them."""
+
+import socket
+from dataclasses import dataclass
+
+from glenfold.config import Address
+from glenfold_lab.scale.hollow_fleet import WatcherGroup
+
+SOURCE = "source"
+HOST = "127.0.0.1"
+
+
+@dataclass(frozen=True, slots=True)
+class ControlProcess:
+    """`parents`: names of others or `SOURCE`, in order of preference. `layer` 1 follows the source."""
+
+    name: str
+    address: Address
+    parents: tuple[str, ...]
+    zone: str
+    region: str
+    layer: int
+
+
+@dataclass(frozen=True, slots=True)
+class Watchers:
+    """So many that go to these processes, in that order of preference."""
+
+    count: int
+    parents: tuple[str, ...]
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class Topology:
+    processes: tuple[ControlProcess, ...]
+    watchers: tuple[Watchers, ...]
+
+    def groups(self, source: Address) -> tuple[WatcherGroup, ...]:
+        """The watchers' groups, named by their regions."""
+        addresses = self.addresses(source)
+        return tuple(
+            WatcherGroup(one.region, one.count, tuple(addresses[name] for name in one.parents))
+            for one in self.watchers
+        )
+
+    def addresses(self, source: Address) -> dict[str, Address]:
+        return {SOURCE: source} | {process.name: process.address for process in self.processes}
+
+    def layer(self, number: int) -> list[ControlProcess]:
+        return [process for process in self.processes if process.layer == number]
+
+
+def flat(watchers: int) -> Topology:
+    """Today's mechanism: all watch the one source."""
+    return Topology((), (Watchers(watchers, (SOURCE,), "all"),))
+
+
+def two_layers(watchers: int, regions: int, zones: int) -> Topology:
+    """source -> a replica in each region -> one in each zone -> watchers. A zone's replica prefers its own
+    region's, then the next region's; a watcher its own zone's replica, then the next one of its region."""
+    addresses = iter(free_addresses(regions + zones))
+    region_names = [f"region-{n}" for n in range(regions)]
+    processes = [ControlProcess(name, next(addresses), (SOURCE,), "", name, layer=1) for name in region_names]
+    zone_region = [n * regions // zones for n in range(zones)]
+    for zone, region in enumerate(zone_region):
+        parents = tuple(region_names[(region + n) % regions] for n in range(min(2, regions)))
+        name = f"zone-{zone}"
+        processes.append(ControlProcess(name, next(addresses), parents, name, region_names[region], layer=2))
+    groups = []
+    for zone, region in enumerate(zone_region):
+        near = [n for n in range(zones) if zone_region[n] == region]
+        order = near[near.index(zone) :] + near[: near.index(zone)]
+        count = len(range(zone, watchers, zones))
+        groups.append(Watchers(count, tuple(f"zone-{n}" for n in order), region_names[region]))
+    return Topology(tuple(processes), tuple(groups))
+
+
+def free_addresses(count: int) -> list[Address]:
+    """Loopback addresses at which nothing listens now."""
+    sockets = [socket.socket(socket.AF_INET, socket.SOCK_STREAM) for _ in range(count)]
+    try:
+        for sock in sockets:
+            sock.bind((HOST, 0))
+        return [(HOST, sock.getsockname()[1]) for sock in sockets]
+    finally:
+        for sock in sockets:
+            sock.close()
