--- a/glenfold_lab/scale/control_source.py
+++ b/glenfold_lab/scale/control_source.py
@@ -13,7 +13,7 @@
 
 from glenfold.config import Address
 from glenfold_lab.observe import Told
-from glenfold_lab.scale.hollow_list import digest, stamp
+from glenfold_lab.scale.hollow_list import GONE, digest, stamp
 from glenfold_lab.stands.agent import Agent, Change, Entry, Holding
 from glenfold_lab.stands.moments import MachineClock
 from glenfold_lab.stands.seen import Seen
@@ -61,18 +61,34 @@
     drains: int
 
 
+class Ledger:
+    """What a source had when. `history`: all revisions, in their order."""
+
+    def __init__(self, revision: int, at_us: int, entries: Sequence[Entry]) -> None:
+        self._stamps = {entry.host: stamp(entry.plain()) for entry in entries}
+        self._digest = digest(self._stamps.values())
+        self.history = [Revision(revision, at_us, {}, self._digest, 0)]
+
+    def add(self, revision: int, at_us: int, entries: Sequence[Entry]) -> None:
+        stamps = {entry.host: stamp(entry.plain()) for entry in entries}
+        for host, new in stamps.items():
+            self._digest ^= self._stamps.pop(host, GONE) ^ new
+            if new != GONE:
+                self._stamps[host] = new
+        drains = sum(entry.state is Told.DRAINING for entry in entries)
+        self.history.append(Revision(revision, at_us, stamps, self._digest, drains))
+
+
 class _Source:
     def __init__(self, servers: int, pipe: Connection) -> None:
         self._pipe = pipe
         self._clock = MachineClock()
-        entries = [_entry(number, servers) for number in range(servers)]
+        entries = [listed_server(number, servers) for number in range(servers)]
         self._by_number = dict(enumerate(entries))
         self._holding = Holding(FIRST_REVISION, entries)
         # No relay is named, so nothing is kept of what was told to whom: the watchers judge that.
         self._agent = Agent((), HOST, self._holding, Seen(), self._clock)
-        self._present = {entry.host: stamp(entry.plain()) for entry in entries}
-        self._digest = digest(self._present.values())
-        self._history = [Revision(FIRST_REVISION, self._clock.now_us(), {}, self._digest, 0)]
+        self._ledger = Ledger(FIRST_REVISION, self._clock.now_us(), entries)
 
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
@@ -91,7 +107,7 @@
         if isinstance(command, Publish):
             return self._publish(command)
         if isinstance(command, History):
-            return self._history
+            return self._ledger.history
         if command.speaks:
             self._agent.speak()
         else:
@@ -104,13 +120,7 @@
         revision = self._holding.seq + 1
         at_us = self._clock.now_us()
         self._agent.take(Change(revision, entries))
-        stamps = {entry.host: stamp(entry.plain()) for entry in entries}
-        for host, new in stamps.items():
-            self._digest ^= self._present.pop(host, 0) ^ new
-            if new:
-                self._present[host] = new
-        drains = len(entries) if command.state is Told.DRAINING else 0
-        self._history.append(Revision(revision, at_us, stamps, self._digest, drains))
+        self._ledger.add(revision, at_us, entries)
         return revision
 
     def _changed(self, number: int, state: Told, born_ms: int) -> Entry:
@@ -121,7 +131,7 @@
         return entry
 
 
-def _entry(number: int, servers: int) -> Entry:
+def listed_server(number: int, servers: int) -> Entry:
     """As long as real ones are. The servers of a zone follow one another."""
     site = number * SITES // servers
     high, low = divmod(number, 250)
--- /dev/null
+++ b/tests/glenfold_lab/scale/test_control.py
@@ -0,0 +1,302 @@
+"""Hollow relays and the judgement on what they got: a sound source, faulty ones, and sockets."""
+
+import random
+from collections.abc import Iterator
+from dataclasses import replace
+
+import pytest
+
+from glenfold.net.discovery import AGAIN_S, ASKING_S, LONGEST_SILENCE_S
+from glenfold_lab.observe import Told
+from glenfold_lab.scale import control_plays as plays
+from glenfold_lab.scale.control_judge import Judge, Judgement, Outage
+from glenfold_lab.scale.control_plays import Stage, perform
+from glenfold_lab.scale.control_source import Ledger, Source, listed_server
+from glenfold_lab.scale.control_topology import SOURCE, flat, two_layers
+from glenfold_lab.scale.hollow_fleet import Collected, FleetPlan, HollowFleet
+from glenfold_lab.scale.hollow_http import AnswerReader, BadAnswer, ChunkTable
+from glenfold_lab.scale.hollow_list import Lists
+from glenfold_lab.scale.hollow_watcher import Deliveries, Fault, HollowWatcher, Phase
+from glenfold_lab.stands.agent import Change, Holding
+
+SERVERS = 28
+PARENTS = (("127.0.0.1", 1001), ("127.0.0.1", 1002))
+WATCH_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def chunk(body: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(body), body)
+
+
+class World:
+    """A source with its ledger, and one watcher that reads what the test lets it have; a second a step."""
+
+    def __init__(self) -> None:
+        self.entries = [listed_server(n, SERVERS) for n in range(SERVERS)]
+        self.holding = Holding(1, self.entries)
+        self.ledger = Ledger(1, 0, self.entries)
+        self.deliveries = Deliveries()
+        self.watcher = HollowWatcher(
+            PARENTS, Lists(), self.deliveries, ChunkTable(), spread_s=1.0, chance=random.Random(1)
+        )
+        self.now = 0.0
+
+    def connect(self, first: bytes = b"") -> bytes:
+        """Up to the watch: its request. `first`: its first line, as the source has it if none is given."""
+        self.watcher.connecting(self.now)
+        request = self.watcher.connected()
+        if b"watch" not in request:
+            whole = self.holding.whole()
+            request = self.watcher.received(
+                b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(whole), whole), self.now
+            )
+        line = first or self.holding.after(self.watcher.revision, None)
+        self.watcher.received(WATCH_HEAD + chunk(line), self.now)
+        return request
+
+    def change(self, number: int, state: Told) -> bytes:
+        """The source has it; the line that a watch would carry."""
+        self.now += 1.0
+        entry = replace(self.entries[number], state=state)
+        change = Change(self.holding.seq + 1, (entry,))
+        self.holding.take(change)
+        self.ledger.add(change.seq, round(self.now * 1e6), change.entries)
+        return change.line()
+
+    def hear(self, line: bytes, late_s: float = 0.25) -> None:
+        self.watcher.received(chunk(line), self.now + late_s)
+
+    def collected(self) -> list[Collected]:
+        return [Collected(self.deliveries.all, [self.watcher.closed_log()], ["all"], 0.0, 0.0)]
+
+    def judged(self, outage: Outage | None = None) -> Judgement:
+        judge = Judge(self.ledger.history, 1, round(self.now * 1e6) + 2, {"all": outage} if outage else None)
+        return judge.judge(self.collected())
+
+
+@pytest.fixture
+def world() -> World:
+    return World()
+
+
+# ---- the judge ----
+
+
+def test_a_sound_source_is_judged_sound(world: World) -> None:
+    assert world.connect() == b"GET /v1/servers?watch=1&from=1 HTTP/1.1\r\nHost: 127.0.0.1:1001\r\n\r\n"
+    for n in range(4):
+        world.hear(world.change(n, Told.DRAINING))
+    judged = world.judged()
+    assert judged.sound
+    assert (judged.revisions, judged.in_force.count, judged.drains_in_force.count) == (4, 4, 4)
+    assert judged.in_force.max_s == pytest.approx(0.25)
+    assert (judged.drains_heard, judged.whole_lists, judged.connects) == (4, 1, 1)
+
+
+def test_a_skipped_revision_is_lost(world: World) -> None:
+    world.connect()
+    world.change(0, Told.DRAINING)  # never sent
+    world.hear(world.change(1, Told.DRAINING))
+    judged = world.judged()
+    assert (judged.lost, judged.doubled, judged.disagreeing) == (1, 0, 1)
+    assert judged.in_force.count == 1
+
+
+def test_a_revision_that_never_came_is_lost(world: World) -> None:
+    world.connect()
+    world.hear(world.change(0, Told.DRAINING))
+    world.change(1, Told.DRAINING)
+    judged = world.judged()
+    assert (judged.lost, judged.doubled, judged.in_force.count) == (1, 0, 1)
+
+
+def test_a_repeated_revision_is_doubled(world: World) -> None:
+    world.connect()
+    line = world.change(0, Told.DRAINING)
+    world.hear(line)
+    world.hear(line)
+    assert (world.judged().lost, world.judged().doubled) == (0, 1)
+
+
+def test_a_revision_that_comes_again_after_a_resume_is_doubled(world: World) -> None:
+    world.connect()
+    line = world.change(0, Told.DRAINING)
+    world.hear(line)
+    world.watcher.failed(Fault("closed"), world.now)
+    world.connect(first=line)
+    assert (world.judged().lost, world.judged().doubled) == (0, 1)
+
+
+def test_an_entry_that_is_told_again_with_a_newer_one_is_doubled(world: World) -> None:
+    world.connect()
+    world.hear(world.change(0, Told.DRAINING))
+    world.change(1, Told.DRAINING)
+    merged = world.holding.after(1, None)  # the watcher knows revision 2
+    world.hear(merged)
+    assert (world.judged().lost, world.judged().doubled) == (0, 1)
+
+
+def test_a_merged_line_after_a_resume_is_neither(world: World) -> None:
+    world.connect()
+    world.watcher.failed(Fault("closed"), world.now)
+    for n in range(3):
+        world.change(n, Told.DRAINING)
+    world.change(0, Told.GONE)
+    assert b"from=1 " in world.connect()
+    judged = world.judged()
+    assert judged.sound
+    assert (judged.in_force.count, judged.in_force.max_s) == (4, pytest.approx(3.0))
+
+
+def test_a_wrong_entry_is_lost_and_another_list_disagrees(world: World) -> None:
+    world.connect()
+    world.change(0, Told.DRAINING)
+    wrong = replace(world.entries[0], state=Told.DRAINING, share=0.5)
+    world.hear(Change(2, (wrong,)).line())
+    assert (world.judged().lost, world.judged().disagreeing) == (1, 1)
+
+
+def test_a_revision_that_the_source_never_had_is_unknown(world: World) -> None:
+    world.connect()
+    world.hear(Change(7, (world.entries[0],)).line())
+    assert world.judged().unknown == 1 and not world.judged().sound
+
+
+def test_an_older_change_has_no_place(world: World) -> None:
+    world.connect()
+    old = world.change(0, Told.DRAINING)
+    world.hear(old)
+    world.hear(world.change(0, Told.READY))
+    world.hear(old)
+    judged = world.judged()
+    assert (judged.doubled, judged.disagreeing) == (1, 0)
+
+
+def test_what_could_not_be_reached_counts_from_then_on(world: World) -> None:
+    world.connect()
+    world.hear(world.change(0, Told.DRAINING), late_s=5.0)
+    assert world.judged().in_force.max_s == pytest.approx(5.0)
+    assert world.judged(Outage(0, 5_500_000)).in_force.max_s == pytest.approx(0.5)
+
+
+# ---- the watcher ----
+
+
+def test_a_silent_parent_is_left_for_the_next_and_an_empty_line_is_a_word(world: World) -> None:
+    world.connect()
+    world.watcher.received(chunk(b"\n"), 2.0)
+    assert world.watcher.due_at == pytest.approx(2.0 + LONGEST_SILENCE_S)
+    world.watcher.failed(Fault("silent"), 4.5)
+    assert world.watcher.phase is Phase.WAITING
+    assert 4.5 + AGAIN_S / 2 <= world.watcher.due_at <= 4.5 + AGAIN_S + 1.0
+    world.now = 5.0
+    assert world.connect() == b"GET /v1/servers?watch=1&from=1 HTTP/1.1\r\nHost: 127.0.0.1:1002\r\n\r\n"
+
+
+def test_half_a_line_is_no_word_and_does_not_outlive_its_connection(world: World) -> None:
+    world.connect()
+    line = world.change(0, Told.DRAINING)
+    whole = chunk(line)
+    world.watcher.received(whole[:40], world.now)
+    assert world.watcher.due_at == LONGEST_SILENCE_S
+    world.watcher.failed(Fault("ECONNRESET"), world.now)
+    world.connect()
+    assert world.judged().sound and world.judged().connects == 2
+
+
+def test_a_refusal_is_obeyed(world: World) -> None:
+    world.watcher.connecting(0.0)
+    world.watcher.connected()
+    with pytest.raises(Fault) as caught:
+        world.watcher.received(b"HTTP/1.1 503 Busy\r\nRetry-After: 7\r\nContent-Length: 0\r\n\r\n", 0.0)
+    world.watcher.failed(caught.value, 0.0)
+    assert 7.0 <= world.watcher.due_at <= 10.5
+    assert world.watcher.log.refused == 1
+
+
+def test_after_what_is_no_list_the_whole_list_is_asked_for(world: World) -> None:
+    world.connect()
+    with pytest.raises(Fault, match="bad line"):
+        world.hear(b'{"seq":2,"whole":false}\n')
+    world.watcher.failed(Fault("bad line"), world.now)
+    world.watcher.connecting(world.now)
+    assert world.watcher.phase is Phase.CONNECTING and world.watcher.due_at == ASKING_S
+    assert world.watcher.connected().startswith(b"GET /v1/servers HTTP")
+
+
+def test_answers_are_read_however_they_come_in_pieces() -> None:
+    line = b'{"seq":1,"whole":false,"hosts":[]}\n'
+    data = WATCH_HEAD + chunk(line) + chunk(b"\n") + chunk(line) + b"0\r\n\r\n"
+    for size in range(1, len(data)):
+        reader = AnswerReader(ChunkTable())
+        parts = [data[at : at + size] for at in range(0, len(data), size)]
+        assert b"".join(map(reader.feed, parts)) == line + b"\n" + line and reader.ended
+
+
+def test_known_chunks_are_read_alike() -> None:
+    chunks = ChunkTable()
+    for _ in range(2):
+        reader = AnswerReader(chunks)
+        reader.feed(WATCH_HEAD)
+        assert [reader.feed(chunk(b"one\n")) for _ in range(3)] == [b"one\n"] * 3
+
+
+@pytest.mark.parametrize("data", [b"HTTP\r\n\r\n", WATCH_HEAD + b"zz\r\n", b"x" * 20_000])
+def test_what_is_no_answer_is_refused(data: bytes) -> None:
+    with pytest.raises(BadAnswer):
+        AnswerReader(ChunkTable()).feed(data)
+
+
+# ---- the topology ----
+
+
+def test_two_layers_have_a_way_for_every_watcher() -> None:
+    topology = two_layers(3400, regions=4, zones=14)
+    addresses = topology.addresses(("127.0.0.1", 9))
+    assert sum(one.count for one in topology.watchers) == 3400
+    assert len(topology.layer(1)) == 4 and len(topology.layer(2)) == 14
+    assert len(set(addresses.values())) == 19
+    assert all(one.parents == (SOURCE,) for one in topology.layer(1))
+    assert all(len(one.parents) == 2 and one.parents[0] == one.region for one in topology.layer(2))
+    assert all(len(set(one.parents)) == len(one.parents) >= 3 for one in topology.watchers)
+
+
+# ---- on sockets ----
+
+WATCHERS = 60
+
+
+@pytest.fixture(scope="module")
+def stage() -> Iterator[Stage]:
+    with Source(SERVERS) as source:
+        plan = FleetPlan(flat(WATCHERS).groups(source.address), spread_s=0.2, most_opening=32, seed=1)
+        with HollowFleet(plan, 2) as fleet:
+            stage = Stage(source, fleet, lambda: {SOURCE: source.pid})
+            stage.begin()
+            yield stage
+
+
+def test_watchers_on_sockets_hear_all_of_a_sound_source(stage: Stage) -> None:
+    result = perform("steady", stage, plays.steady(10, 0.02))
+    judged = result.judgement
+    assert judged.sound, judged
+    assert (judged.watchers, judged.revisions, judged.in_force.count) == (60, 10, 600)
+    assert judged.whole_lists == judged.connects == 0
+    assert result.usage[SOURCE].memory_mb > 0
+
+
+def test_a_burst_costs_a_watcher_its_part_of_the_whole_list(stage: Stage) -> None:
+    burst = perform("burst", stage, plays.burst(3, apart=False)).judgement
+    whole = perform("return", stage, plays.return_at_once(0.0, forget=True)).judgement
+    assert burst.sound and whole.sound
+    assert whole.whole_lists == whole.connects == WATCHERS
+    assert burst.drains_heard == WATCHERS * SERVERS // 14
+    # The whole list, two changes of one server and two heads, against two servers twice.
+    assert 0.5 < burst.bytes_mean * 2.5 / (whole.bytes_mean * 2.5) * 14 / 2 < 2
+
+
+def test_watchers_resume_after_silence_without_a_whole_list(stage: Stage) -> None:
+    judged = perform("silent", stage, plays.silent_source(3.0)).judgement
+    assert judged.sound, judged
+    assert judged.faults == {"silent while watching": WATCHERS}
+    assert judged.whole_lists == 0 and judged.connects == WATCHERS
