--- a/glenfold_lab/scale/control_command.py
+++ b/glenfold_lab/scale/control_command.py
@@ -50,8 +50,8 @@
     if not sizes:
         raise click.UsageError("--watchers or --servers says what is measured")
     console = Console()
-    for size in sizes:
-        for repeat in range(1, repeats + 1):
+    for repeat in range(1, repeats + 1):
+        for size in sizes:
             points = _measured(size, repeat, seed + repeat - 1, console)
             if out is not None:
                 _add(out, points)
@@ -96,8 +96,8 @@
     return {
         "servers, where watchers vary": DEFAULT_SERVERS,
         "watchers, where servers vary": DEFAULT_WATCHERS,
-        "changes": control_slopes.CHANGES,
-        "seconds between changes": control_slopes.GAP_S,
+        "seconds between changes, steady": control_slopes.GAP_S,
+        "seconds between changes, fast": control_slopes.FAST_GAP_S,
     }
 
 
--- /dev/null
+++ b/glenfold_lab/scale/control_links.py
@@ -0,0 +1,159 @@
+"""Links between regions: a process that passes bytes on, and can hold all of one region back, as a network
+that is cut off does: connections stay open, and nothing comes."""
+
+import multiprocessing
+import signal
+from collections.abc import Sequence
+from contextlib import suppress
+from dataclasses import dataclass, field
+from multiprocessing.connection import Connection
+from multiprocessing.process import BaseProcess
+
+import trio
+
+from glenfold.config import Address
+from glenfold_lab.stands.sockets import SocketType, bind, end_now, take
+
+HOST = "127.0.0.1"
+BACKLOG = 256
+MOST_READ = 64 << 10
+ANSWER_S = 30.0
+JOIN_S = 5.0
+
+
+class LinksFailed(Exception):
+    """The process of the links has ended or does not answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class LinkPlan:
+    """`listen`: where the link is found. `region`: with whose cut it is held back."""
+
+    listen: Address
+    target: Address
+    region: str
+
+
+@dataclass(frozen=True, slots=True)
+class Cut:
+    """All links of the region are held back from now on, or pass on again."""
+
+    region: str
+    held: bool
+
+
+class _Gate:
+    """Open, or closed until it is opened again."""
+
+    def __init__(self) -> None:
+        self._open = trio.Event()
+        self._open.set()
+
+    def set_held(self, held: bool) -> None:
+        if held:
+            self._open = trio.Event()
+        else:
+            self._open.set()
+
+    async def passed(self) -> None:
+        await self._open.wait()
+
+
+class _Links:
+    def __init__(self, pipe: Connection, plans: Sequence[LinkPlan]) -> None:
+        self._pipe = pipe
+        self._plans = plans
+        self._gates = {plan.region: _Gate() for plan in plans}
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for plan in self._plans:
+                listener = bind(*plan.listen)
+                listener.listen(BACKLOG)
+                nursery.start_soon(self._accept, listener, plan, nursery)
+            self._pipe.send(None)
+            while True:
+                await trio.lowlevel.wait_readable(self._pipe.fileno())
+                try:
+                    command: Cut = self._pipe.recv()
+                except (EOFError, OSError):
+                    break
+                self._gates[command.region].set_held(command.held)
+                self._pipe.send(None)
+            nursery.cancel_scope.cancel()
+
+    async def _accept(self, listener: SocketType, plan: LinkPlan, nursery: trio.Nursery) -> None:
+        while True:
+            sock, _ = await listener.accept()
+            nursery.start_soon(self._join, sock, plan)
+
+    async def _join(self, near: SocketType, plan: LinkPlan) -> None:
+        gate = self._gates[plan.region]
+        with near, trio.socket.socket() as far:
+            await gate.passed()
+            try:
+                await far.connect(plan.target)
+            except OSError:
+                end_now(near)
+                return
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_pass_on, near, far, gate, nursery.cancel_scope)
+                nursery.start_soon(_pass_on, far, near, gate, nursery.cancel_scope)
+            end_now(near)
+            end_now(far)
+
+
+async def _pass_on(come: SocketType, go: SocketType, gate: _Gate, both: trio.CancelScope) -> None:
+    with suppress(OSError):
+        while data := await come.recv(MOST_READ):
+            await gate.passed()
+            await take(go, data)
+    await gate.passed()  # the other end hears of the end no sooner than of all else
+    both.cancel()
+
+
+async def _serve(pipe: Connection, plans: Sequence[LinkPlan]) -> None:
+    await _Links(pipe, plans).run()
+
+
+def _work(pipe: Connection, plans: Sequence[LinkPlan]) -> None:
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+    trio.run(_serve, pipe, plans)
+
+
+@dataclass(slots=True)
+class Links:
+    """The process, from outside; to be entered as a context."""
+
+    plans: Sequence[LinkPlan]
+    _pipe: Connection = field(init=False)
+    _process: BaseProcess = field(init=False)
+
+    def __enter__(self) -> "Links":
+        context = multiprocessing.get_context("spawn")
+        self._pipe, there = context.Pipe()
+        self._process = context.Process(target=_work, args=(there, tuple(self.plans)), daemon=True)
+        self._process.start()
+        there.close()
+        self._answer()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._pipe.close()
+        self._process.join(JOIN_S)
+        if self._process.is_alive():
+            self._process.kill()
+            self._process.join()
+
+    def hold(self, region: str, held: bool) -> None:
+        """Raises LinksFailed."""
+        self._pipe.send(Cut(region, held))
+        self._answer()
+
+    def _answer(self) -> None:
+        if not self._pipe.poll(ANSWER_S):
+            raise LinksFailed("the links do not answer")
+        try:
+            self._pipe.recv()
+        except (EOFError, OSError) as error:
+            raise LinksFailed("the links have ended") from error
--- a/glenfold_lab/scale/control_plays.py
+++ b/glenfold_lab/scale/control_plays.py
@@ -9,12 +9,16 @@
 
 from glenfold_lab.observe import Told
 from glenfold_lab.scale.control_judge import Judge, Judgement, Outage
+from glenfold_lab.scale.control_links import Links
+from glenfold_lab.scale.control_processes import ControlProcesses
 from glenfold_lab.scale.control_source import Source
+from glenfold_lab.scale.control_topology import SOURCE
 from glenfold_lab.scale.hollow_fleet import HollowFleet
 
 LOOK_S = 0.05
 PATIENCE_S = 40.0  # for all watchers to have a revision
 START_PATIENCE_S = 600.0  # for all to have read the whole list
+ZONE = 3  # whose servers a burst is about
 AFTER_S = 2.5  # a line that comes once more, or is silent, shows by then
 
 
@@ -42,14 +46,19 @@
 
 @dataclass(slots=True)
 class Stage:
-    """What a play acts on. `pids`: tells the control processes by name, the source among them."""
+    """What a play acts on. `control`, `links`: where there are any."""
 
     source: Source
     fleet: HollowFleet
-    pids: Callable[[], dict[str, int]]
+    control: ControlProcesses | None = None
+    links: Links | None = None
     chance: random.Random = field(default_factory=lambda: random.Random(1))
     revision: int = 1
 
+    def pids(self) -> dict[str, int]:
+        """Of the source and of all control processes that run."""
+        return {SOURCE: self.source.pid} | (self.control.pids() if self.control is not None else {})
+
     def publish(self, servers: Sequence[int], state: Told) -> None:
         self.revision = self.source.publish(servers, state)
 
@@ -166,6 +175,60 @@
     return play
 
 
+def killed(name: str, again_s: float) -> Play:
+    """A control process is killed in the middle of a zone's burst, and starts again so much later."""
+
+    def play(stage: Stage) -> dict[str, Outage]:
+        assert stage.control is not None
+        servers = stage.source.zone(ZONE)
+        for server in servers:
+            stage.publish([server], Told.DRAINING)
+            if server == servers[len(servers) // 2]:
+                stage.control.kill([name])
+        time.sleep(again_s)
+        stage.control.start([name])
+        for server in servers:
+            stage.publish([server], Told.READY)
+        return {}
+
+    return play
+
+
+def layer_restarted(layer: int, orderly: bool, gap_s: float) -> Play:
+    """All control processes of a layer are restarted at once, by SIGTERM or SIGKILL, while a server drains
+    every `gap_s`."""
+
+    def play(stage: Stage) -> dict[str, Outage]:
+        assert stage.control is not None
+        names = [process.name for process in stage.control.topology.layer(layer)]
+        steady(2, gap_s)(stage)
+        if orderly:
+            stage.control.end(names)
+        else:
+            stage.control.kill(names)
+        stage.publish([stage.chance.randrange(stage.source.servers)], Told.DRAINING)
+        stage.control.start(names)
+        steady(6, gap_s)(stage)
+        return {}
+
+    return play
+
+
+def cut(region: str, seconds: float, changes: int) -> Play:
+    """Nothing passes the region's border for so long, while servers drain."""
+
+    def play(stage: Stage) -> dict[str, Outage]:
+        assert stage.links is not None
+        began = time.monotonic()
+        stage.links.hold(region, True)
+        steady(changes, seconds / changes)(stage)
+        time.sleep(max(0.0, began + seconds - time.monotonic()))
+        stage.links.hold(region, False)
+        return {region: Outage(round(began * 1e6), round(time.monotonic() * 1e6))}
+
+    return play
+
+
 # ---- what processes use ----
 
 
--- a/glenfold_lab/scale/control_slopes.py
+++ b/glenfold_lab/scale/control_slopes.py
@@ -7,18 +7,18 @@
 from glenfold_lab.scale import control_plays as plays
 from glenfold_lab.scale.control_plays import PlayResult, Stage, Usage
 from glenfold_lab.scale.control_source import Source
-from glenfold_lab.scale.control_topology import flat
+from glenfold_lab.scale.control_topology import SOURCE, flat
 from glenfold_lab.scale.hollow_fleet import FleetPlan, HollowFleet
 from glenfold_lab.scale.measurements import Point
 
-AGENT = "source"
 MOST_OPENING = 64  # the agent's backlog
 WATCHERS_A_PROCESS = 850
 CALLS_SPREAD_S = 1.0  # over which relays spread their calls after a fault; longer for more relays
-CHANGES = 6
+CHANGES = 4
 GAP_S = 2.94  # 29,000 changes a day
+FAST_CHANGES = 8
+FAST_GAP_S = 1.5  # too soon for empty lines between them
 IDLE_S = 6.0
-ZONE = 3
 SILENT_S = 4.0
 
 Tell = Callable[[PlayResult], None]
@@ -47,7 +47,7 @@
         groups = flat(size.watchers).groups(source.address)
         plan = FleetPlan(groups, CALLS_SPREAD_S, MOST_OPENING, seed)
         with HollowFleet(plan, processes_for(size.watchers)) as fleet:
-            stage = Stage(source, fleet, lambda: {AGENT: source.pid}, random.Random(seed))
+            stage = Stage(source, fleet, chance=random.Random(seed))
             points = [
                 Point(f"control.agent.{name}", unit, size.dimension, size.value, value, repeat, seed)
                 for name, unit, value in _values(stage, tell)
@@ -58,9 +58,9 @@
 def _values(stage: Stage, tell: Tell) -> Iterator[tuple[str, str, float]]:
     """Name, unit and value of each measurement."""
     watchers = stage.fleet.watchers
-    before = plays.usage_now(stage.pids())[AGENT]
+    before = plays.usage_now(stage.pids())[SOURCE]
     yield "start", "s", stage.begin()
-    after = plays.usage_now(stage.pids())[AGENT]
+    after = plays.usage_now(stage.pids())[SOURCE]
     yield "start.cpu", "ms a watcher", (after.cpu_s - before.cpu_s) / watchers * 1e3
     first = stage.fleet.collect()
     yield "whole_list.bytes", "B", sum(log.bytes_read for one in first for log in one.logs) / watchers
@@ -68,7 +68,7 @@
     def perform(name: str, play: plays.Play) -> tuple[PlayResult, Usage]:
         result = plays.perform(name, stage, play)
         tell(result)
-        return result, result.usage[AGENT]
+        return result, result.usage[SOURCE]
 
     result, usage = perform("idle", plays.idle(IDLE_S))
     yield "idle.cpu", "share of a core", usage.cpu_s / result.length_s
@@ -76,11 +76,14 @@
     yield "empty_line.cpu", "us a watcher", empty_line_s * 1e6
     yield "memory", "MB", usage.memory_mb
     result, usage = perform("steady", plays.steady(CHANGES, GAP_S))
+    yield from _in_force("steady.", result)
+    yield "steady.cpu", "share of a core", usage.cpu_s / result.length_s
+    result, usage = perform("fast", plays.steady(FAST_CHANGES, FAST_GAP_S))
     changes_s = usage.cpu_s - empty_line_s * result.judgement.empty_lines
-    yield "change.cpu", "us a watcher", changes_s / (CHANGES * watchers) * 1e6
-    yield "change.bytes", "B", result.judgement.bytes_mean * result.length_s / CHANGES
-    yield from _in_force("", result)
-    result, usage = perform("burst", plays.burst(ZONE, apart=False))
+    yield "change.cpu", "us a watcher", changes_s / (FAST_CHANGES * watchers) * 1e6
+    yield "change.bytes", "B", result.judgement.bytes_mean * result.length_s / FAST_CHANGES
+    yield from _in_force("fast.", result)
+    result, usage = perform("burst", plays.burst(plays.ZONE, apart=False))
     yield "burst.bytes", "B", float(result.judgement.most_bytes)
     yield from _in_force("burst.", result)
     result, usage = perform("return", plays.return_at_once(0.0, forget=False))
--- a/glenfold_lab/scale/control_topology.py
+++ b/glenfold_lab/scale/control_topology.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from glenfold.config import Address
+from glenfold_lab.scale.control_links import LinkPlan
 from glenfold_lab.scale.hollow_fleet import WatcherGroup
 
 SOURCE = "source"
@@ -32,10 +33,23 @@
     region: str
 
 
+@dataclass(frozen=True, slots=True)
+class Link:
+    """Another address of `target`, a process or `SOURCE`, which a cut of the region holds back."""
+
+    name: str
+    address: Address
+    target: str
+    region: str
+
+
 @dataclass(frozen=True, slots=True)
 class Topology:
+    """Names of parents are those of processes, links, or `SOURCE`."""
+
     processes: tuple[ControlProcess, ...]
     watchers: tuple[Watchers, ...]
+    links: tuple[Link, ...] = ()
 
     def groups(self, source: Address) -> tuple[WatcherGroup, ...]:
         """The watchers' groups, named by their regions."""
@@ -46,7 +60,12 @@
         )
 
     def addresses(self, source: Address) -> dict[str, Address]:
-        return {SOURCE: source} | {process.name: process.address for process in self.processes}
+        processes = {process.name: process.address for process in self.processes}
+        return {SOURCE: source} | processes | {link.name: link.address for link in self.links}
+
+    def link_plans(self, source: Address) -> list[LinkPlan]:
+        addresses = self.addresses(source)
+        return [LinkPlan(link.address, addresses[link.target], link.region) for link in self.links]
 
     def layer(self, number: int) -> list[ControlProcess]:
         return [process for process in self.processes if process.layer == number]
@@ -59,22 +78,32 @@
 
 def two_layers(watchers: int, regions: int, zones: int) -> Topology:
     """source -> a replica in each region -> one in each zone -> watchers. A zone's replica prefers its own
-    region's, then the next region's; a watcher its own zone's replica, then the next one of its region."""
-    addresses = iter(free_addresses(regions + zones))
-    region_names = [f"region-{n}" for n in range(regions)]
-    processes = [ControlProcess(name, next(addresses), (SOURCE,), "", name, layer=1) for name in region_names]
-    zone_region = [n * regions // zones for n in range(zones)]
-    for zone, region in enumerate(zone_region):
-        parents = tuple(region_names[(region + n) % regions] for n in range(min(2, regions)))
-        name = f"zone-{zone}"
-        processes.append(ControlProcess(name, next(addresses), parents, name, region_names[region], layer=2))
+    region's, then the next region's; a watcher its own zone's replica, then the next one of its region. What
+    crosses a region's border goes over its links."""
+    addresses = iter(free_addresses(3 * regions + zones))
+    names = [f"region-{n}" for n in range(regions)]
+    to_source = [Link(f"{SOURCE}@{name}", next(addresses), SOURCE, name) for name in names]
+    others = [names[(n + 1) % regions] for n in range(regions)]
+    to_next = [
+        Link(f"{other}@{name}", next(addresses), other, name)
+        for name, other in zip(names, others, strict=True)
+        if other != name
+    ]
+    processes = [
+        ControlProcess(name, next(addresses), (link.name,), "", name, layer=1)
+        for name, link in zip(names, to_source, strict=True)
+    ]
+    region_of = [n * regions // zones for n in range(zones)]
     groups = []
-    for zone, region in enumerate(zone_region):
-        near = [n for n in range(zones) if zone_region[n] == region]
+    for zone, region in enumerate(region_of):
+        parents = (names[region], *(link.name for link in to_next if link.region == names[region]))
+        name = f"zone-{zone}"
+        processes.append(ControlProcess(name, next(addresses), parents, name, names[region], layer=2))
+        near = [n for n in range(zones) if region_of[n] == region]
         order = near[near.index(zone) :] + near[: near.index(zone)]
         count = len(range(zone, watchers, zones))
-        groups.append(Watchers(count, tuple(f"zone-{n}" for n in order), region_names[region]))
-    return Topology(tuple(processes), tuple(groups))
+        groups.append(Watchers(count, tuple(f"zone-{n}" for n in order), names[region]))
+    return Topology(tuple(processes), tuple(groups), (*to_source, *to_next))
 
 
 def free_addresses(count: int) -> list[Address]:
--- a/tests/glenfold_lab/scale/test_control.py
+++ b/tests/glenfold_lab/scale/test_control.py
@@ -255,8 +255,8 @@
     addresses = topology.addresses(("127.0.0.1", 9))
     assert sum(one.count for one in topology.watchers) == 3400
     assert len(topology.layer(1)) == 4 and len(topology.layer(2)) == 14
-    assert len(set(addresses.values())) == 19
-    assert all(one.parents == (SOURCE,) for one in topology.layer(1))
+    assert len(set(addresses.values())) == 1 + 18 + 8
+    assert all(one.parents == (f"{SOURCE}@{one.name}",) for one in topology.layer(1))
     assert all(len(one.parents) == 2 and one.parents[0] == one.region for one in topology.layer(2))
     assert all(len(set(one.parents)) == len(one.parents) >= 3 for one in topology.watchers)
 
@@ -271,7 +271,7 @@
     with Source(SERVERS) as source:
         plan = FleetPlan(flat(WATCHERS).groups(source.address), spread_s=0.2, most_opening=32, seed=1)
         with HollowFleet(plan, 2) as fleet:
-            stage = Stage(source, fleet, lambda: {SOURCE: source.pid})
+            stage = Stage(source, fleet)
             stage.begin()
             yield stage
 
