--- a/glenfold_lab/scale/control_command.py
+++ b/glenfold_lab/scale/control_command.py
@@ -1,14 +1,17 @@
 """`glenfold lab scale control`: thousands of hollow relays that follow lists and changes."""
 
 import subprocess
-from dataclasses import asdict
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from pathlib import Path
 
 import click
 from rich.console import Console
 
-from glenfold_lab.scale import control_slopes
+from glenfold_lab.scale import control_replicas, control_slopes
+from glenfold_lab.scale.control_links import LinksFailed
 from glenfold_lab.scale.control_plays import PlayFailed, PlayResult
+from glenfold_lab.scale.control_processes import NotReady
 from glenfold_lab.scale.control_slopes import Size
 from glenfold_lab.scale.control_source import SourceFailed
 from glenfold_lab.scale.hollow_fleet import FleetFailed
@@ -16,6 +19,10 @@
 
 DEFAULT_SERVERS = 1024
 DEFAULT_WATCHERS = 340
+FAILURES = (FleetFailed, SourceFailed, PlayFailed, LinksFailed, NotReady)
+ROOT = Path(__file__).parents[2]
+
+Tell = Callable[[PlayResult], None]
 
 
 @click.command("control")
@@ -31,6 +38,24 @@
     multiple=True,
     help=f"Servers in the list, once for each size, with {DEFAULT_WATCHERS} hollow relays.",
 )
+@click.option(
+    "--replicas",
+    is_flag=True,
+    help="Under two layers of control replicas, in place of one agent that all follow.",
+)
+@click.option(
+    "--play",
+    "plays",
+    type=click.Choice(list(control_replicas.PLAYS)),
+    multiple=True,
+    help="With --replicas: only these, in this order.  [default: all]",
+)
+@click.option(
+    "--program",
+    type=click.Path(exists=True, file_okay=False, path_type=Path),
+    default=ROOT,
+    help="With --replicas: the checkout whose replicas run.  [default: this one]",
+)
 @click.option("--repeats", type=click.IntRange(1, 10), default=3, show_default=True, help="Of each size.")
 @click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True, help="Of the first repeat.")
 @click.option(
@@ -40,58 +65,106 @@
     help="Where the results go; points of other sizes in that file stay.",
 )
 def command(
-    watchers: tuple[int, ...], servers: tuple[int, ...], repeats: int, seed: int, out: Path | None
+    watchers: tuple[int, ...],
+    servers: tuple[int, ...],
+    replicas: bool,
+    plays: tuple[str, ...],
+    program: Path,
+    repeats: int,
+    seed: int,
+    out: Path | None,
 ) -> None:
-    """Measure what one agent that all relays follow costs, and how late they hear.
+    """Measure what the control side costs under hollow relays, and how late they hear of changes.
 
-    Exit status: 0 measured, 1 a run failed, 2 the words are at fault."""
+    Exit status: 0 measured, 1 a bound was exceeded or a run failed, 2 the words are at fault."""
+    console = Console(soft_wrap=True)
     sizes = [Size("watchers", count, DEFAULT_SERVERS) for count in watchers]
     sizes += [Size("servers", DEFAULT_WATCHERS, count) for count in servers]
     if not sizes:
         raise click.UsageError("--watchers or --servers says what is measured")
-    console = Console()
+    if (plays or program != ROOT) and not replicas:
+        raise click.UsageError("--play and --program go with --replicas")
+    broken: list[str] = []
+
+    def tell(result: PlayResult) -> None:
+        faults = control_replicas.broken(result) if replicas else []
+        _tell(result, faults, console)
+        broken.extend(f"{result.name}: {fault}" for fault in faults)
+
     for repeat in range(1, repeats + 1):
         for size in sizes:
-            points = _measured(size, repeat, seed + repeat - 1, console)
+            console.print(f"{size.watchers} watchers, {size.servers} servers, repeat {repeat}")
+            at = seed + repeat - 1
+            with _failures():
+                if replicas:
+                    names = plays or tuple(control_replicas.PLAYS)
+                    points = control_replicas.measure(size, program, names, repeat, at, tell)
+                else:
+                    points = control_slopes.measure(size, repeat, at, tell)
             if out is not None:
-                _add(out, points)
+                _add(out, points, replicas, program)
+    if broken:
+        raise click.ClickException("exceeded: " + "; ".join(broken))
 
 
-def _measured(size: Size, repeat: int, seed: int, console: Console) -> list[Point]:
-    console.print(f"{size.watchers} watchers, {size.servers} servers, repeat {repeat}, seed {seed}")
+@contextmanager
+def _failures() -> Iterator[None]:
     try:
-        points = control_slopes.measure(size, repeat, seed, lambda result: _tell(result, console))
-    except (FleetFailed, SourceFailed, PlayFailed) as error:
+        yield
+    except FAILURES as error:
         raise click.ClickException(str(error)) from error
-    for point in points:
-        console.print(f"  {point.quantity}: {point.value:.6g} {point.unit}")
-    return points
 
 
-def _tell(result: PlayResult, console: Console) -> None:
-    console.print(f"  [bold]{result.name}[/] {result.length_s:.1f} s: {asdict(result.judgement)}")
+def _tell(result: PlayResult, faults: list[str], console: Console) -> None:
+    judged = result.judgement
+    waits = judged.in_force
+    console.print(
+        f"  [bold]{result.name}[/] {result.length_s:.1f} s, {judged.revisions} changes: in force "
+        f"{waits.p50_s:.3f} / {waits.p99_s:.3f} / {waits.max_s:.3f} s (50 % / 99 % / last); "
+        f"{judged.lost} lost, {judged.doubled} doubled, {judged.disagreeing} disagree; "
+        f"{judged.whole_lists} whole lists, {judged.connects} connects, {judged.refused} refused"
+    )
+    console.print(
+        f"    a watcher: {judged.bytes_mean:.0f} B/s, worst {judged.bytes_worst:.0f}, "
+        f"{judged.most_bytes} B in a second; hollow relays: {judged.fleet_cpu_s:.1f} s of CPU, "
+        f"longest turn {judged.turn_s:.2f} s; faults: {judged.faults or 'none'}"
+    )
     for name, usage in result.usage.items():
         console.print(f"    {name}: {usage.cpu_s:.2f} s of CPU, {usage.memory_mb:.0f} MB")
+    for fault in faults:
+        console.print(f"    [bold red]exceeded: {fault}[/]")
+
+
+# ---- the file of results ----
 
 
-def _add(out: Path, points: list[Point]) -> None:
+def _add(out: Path, points: list[Point], replicas: bool, program: Path) -> None:
     """A size that is measured again replaces what stood there."""
-    results = (
-        Results.load(out) if out.exists() else Results("control", "", "", Machine.here(), _conditions(), [])
-    )
+    run = "replica" if replicas else "control"
+    results = Results.load(out) if out.exists() else Results(run, "", "", Machine.here(), _conditions())
     new = {(point.quantity, point.dimension, point.size, point.repeat) for point in points}
-    results.points = [
+    kept = [
         point
         for point in results.points
         if (point.quantity, point.dimension, point.size, point.repeat) not in new
     ]
-    results.points += points
-    results.command = "glenfold lab scale control --watchers 340 --watchers 1000 --watchers 3400"
-    results.revision = _revision()
+    results.points = kept + points
+    results.command = _again(results.points, replicas)
+    results.revision = _revision(program)
     results.machine = Machine.here()
     results.save(out)
 
 
+def _again(points: list[Point], replicas: bool) -> str:
+    """The command that plays all of this again."""
+    sizes = sorted({(point.dimension, int(point.size)) for point in points}, reverse=True)
+    words = [f"--{dimension} {size}" for dimension, size in sizes]
+    repeats = max(point.repeat for point in points)
+    return " ".join(
+        ["glenfold lab scale control", *(["--replicas"] if replicas else []), *words, f"--repeats {repeats}"]
+    )
+
+
 def _conditions() -> dict[str, object]:
     return {
         "servers, where watchers vary": DEFAULT_SERVERS,
@@ -101,13 +174,9 @@
     }
 
 
-def _revision() -> str:
-    """The commit of the program."""
+def _revision(program: Path) -> str:
+    """The commit of the program measured."""
     done = subprocess.run(
-        ["git", "rev-parse", "--short", "HEAD"],
-        cwd=Path(__file__).parent,
-        capture_output=True,
-        text=True,
-        check=False,
+        ["git", "rev-parse", "--short", "HEAD"], cwd=program, capture_output=True, text=True, check=False
     )
     return done.stdout.strip()
--- a/glenfold_lab/scale/hollow_list.py
+++ b/glenfold_lab/scale/hollow_list.py
@@ -3,6 +3,7 @@
 
 import hashlib
 import json
+from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -11,6 +12,7 @@
 GONE = 0  # the stamp of a server that has been terminated
 MOST_LINES = 1024  # distinct lines kept by their bytes
 MOST_LINE_BYTES = 64 << 20  # of these together
+MOST_RECENT_ENTRIES = 1 << 20  # of states that are kept though no watcher may be in them
 
 
 class BadLine(Exception):
@@ -64,6 +66,8 @@
         self._bytes = 0
         self._count = 0
         self._nothing = ListState(0, {}, 0)
+        self._recent: deque[ListState] = deque()  # a watcher that is a few lines behind finds them here
+        self._recent_entries = 0
 
     def line(self, text: bytes) -> ListLine:
         """Raises BadLine."""
@@ -82,8 +86,15 @@
         if state is None:
             state = _applied(base, line)
             base.after[line.number] = state
+            self._keep_recent(state)
         return state
 
+    def _keep_recent(self, state: ListState) -> None:
+        self._recent.append(state)
+        self._recent_entries += len(state.stamps)
+        while self._recent_entries > MOST_RECENT_ENTRIES and len(self._recent) > 1:
+            self._recent_entries -= len(self._recent.popleft().stamps)
+
     def _read(self, text: bytes) -> ListLine:
         try:
             document = json.loads(text)
