Leave the count of who was told to agents that have relays, and obey Retry-After by parent

A hollow watcher that gets 503 goes on at its next parent, and returns no sooner than it was told; after 410 it asks for the whole list, as relays do.

--- a/glenfold_lab/scale/control_plays.py
+++ b/glenfold_lab/scale/control_plays.py
@@ -194,18 +194,39 @@
     return play
 
 
-def layer_restarted(layer: int, orderly: bool, gap_s: float) -> Play:
-    """All control processes of a layer are restarted at once, by SIGTERM or SIGKILL, while a server drains
-    every `gap_s`."""
+def layer_restarted(layer: int, gap_s: float) -> Play:
+    """All control processes of a layer get SIGTERM at once, and each starts again when it has ended."""
 
     def play(stage: Stage) -> dict[str, Outage]:
         assert stage.control is not None
-        names = [process.name for process in stage.control.topology.layer(layer)]
-        steady(2, gap_s)(stage)
-        if orderly:
-            stage.control.end(names)
-        else:
-            stage.control.kill(names)
+        stage.control.restart(_layer(stage, layer))
+        steady(6, gap_s)(stage)
+        return {}
+
+    return play
+
+
+def layer_in_turn(layer: int, gap_s: float) -> Play:
+    """The control processes of a layer are restarted by SIGTERM, the next one once the last serves again."""
+
+    def play(stage: Stage) -> dict[str, Outage]:
+        assert stage.control is not None
+        for name in _layer(stage, layer):
+            stage.control.restart([name])
+            stage.control.wait_until_ready([name])
+            steady(2, gap_s)(stage)
+        return {}
+
+    return play
+
+
+def layer_killed(layer: int, gap_s: float) -> Play:
+    """All control processes of a layer are killed at once and start again at once, while servers drain."""
+
+    def play(stage: Stage) -> dict[str, Outage]:
+        assert stage.control is not None
+        names = _layer(stage, layer)
+        stage.control.kill(names)
         stage.publish([stage.chance.randrange(stage.source.servers)], Told.DRAINING)
         stage.control.start(names)
         steady(6, gap_s)(stage)
@@ -214,6 +235,11 @@
     return play
 
 
+def _layer(stage: Stage, layer: int) -> list[str]:
+    assert stage.control is not None
+    return [process.name for process in stage.control.topology.layer(layer)]
+
+
 def cut(region: str, seconds: float, changes: int) -> Play:
     """Nothing passes the region's border for so long, while servers drain."""
 
--- a/glenfold_lab/scale/control_processes.py
+++ b/glenfold_lab/scale/control_processes.py
@@ -104,18 +104,20 @@
         for process in stopped:
             process.wait()
 
-    def end(self, names: Iterable[str]) -> None:
-        """By SIGTERM; by SIGKILL what is there after `END_S`."""
-        stopped = [self._running[name] for name in names]
-        for process in stopped:
+    def restart(self, names: Iterable[str]) -> None:
+        """SIGTERM to all at once; each starts again as soon as it has ended, by SIGKILL after `END_S`."""
+        left = {name: self._running[name] for name in names}
+        for process in left.values():
             process.send_signal(signal.SIGTERM)
         until = time.monotonic() + END_S
-        for process in stopped:
-            try:
-                process.wait(max(0.0, until - time.monotonic()))
-            except subprocess.TimeoutExpired:
-                process.kill()
-                process.wait()
+        while left:
+            if time.monotonic() > until:
+                self.kill(left)
+            ended = [name for name, process in left.items() if process.poll() is not None]
+            self.start(ended)
+            for name in ended:
+                del left[name]
+            time.sleep(LOOK_S)
 
     def wait_until_ready(self, names: Iterable[str]) -> None:
         """Until each serves a list. Raises NotReady."""
--- a/glenfold_lab/scale/control_replicas.py
+++ b/glenfold_lab/scale/control_replicas.py
@@ -20,6 +20,7 @@
 REGIONS, ZONES = 4, 14
 MEAN_GAP_S = 86_400 / 29_000  # between changes of the target
 FAST_GAP_S = 0.25
+LAYER_GAP_S = 0.5
 AGAIN_S = 3.0  # until one that was killed starts again
 CUT_S = 12.0
 RETURN_WITHIN_S = 0.0
@@ -34,9 +35,11 @@
     "scatter": plays.burst(plays.ZONE, apart=True),
     "killed": plays.killed("zone-3", AGAIN_S),
     "killed-region": plays.killed("region-0", AGAIN_S),
-    "layer": plays.layer_restarted(2, orderly=True, gap_s=0.5),
-    "layer-killed": plays.layer_restarted(2, orderly=False, gap_s=0.5),
-    "layer-region": plays.layer_restarted(1, orderly=False, gap_s=0.5),
+    "layer": plays.layer_restarted(2, LAYER_GAP_S),
+    "layer-in-turn": plays.layer_in_turn(2, LAYER_GAP_S),
+    "layer-killed": plays.layer_killed(2, LAYER_GAP_S),
+    "layer-region": plays.layer_restarted(1, LAYER_GAP_S),
+    "layer-region-killed": plays.layer_killed(1, LAYER_GAP_S),
     "cut": plays.cut("region-1", CUT_S, changes=4),
     "return": plays.return_at_once(RETURN_WITHIN_S, forget=False),
     "return-cold": plays.return_at_once(RETURN_WITHIN_S, forget=True),
--- a/glenfold_lab/scale/hollow_watcher.py
+++ b/glenfold_lab/scale/hollow_watcher.py
@@ -100,6 +100,7 @@
     ) -> None:
         self._parents = parents
         self._parent = 0
+        self._not_before = [0.0] * len(parents)  # which of them said so by Retry-After
         self._lists = lists
         self._deliveries = deliveries
         self._chunks = chunks
@@ -158,11 +159,19 @@
         words = str(fault)
         self.log.faults[words] = self.log.faults.get(words, 0) + 1
         self.phase = Phase.WAITING
-        self._parent = (self._parent + 1) % len(self._parents)
-        wait_s = self._backoff.again_s(fault.busy)
         if fault.retry_after_s:
             wait_s = fault.retry_after_s * self._chance.uniform(1.0, 1.5)
-        self.due_at = now + wait_s
+            self._not_before[self._parent] = now + wait_s
+        self.due_at = now + self._backoff.again_s(fault.busy and not fault.retry_after_s)
+        self._parent = self._next_parent()
+        self.due_at = max(self.due_at, self._not_before[self._parent])
+
+    def _next_parent(self) -> int:
+        """The next in order that may be called when the call is due, else the one that may be first."""
+        count = len(self._parents)
+        order = [(self._parent + n) % count for n in range(1, count + 1)]
+        free = [parent for parent in order if self._not_before[parent] <= self.due_at]
+        return free[0] if free else min(order, key=lambda parent: self._not_before[parent])
 
     def forget(self) -> None:
         """It starts anew and knows no list."""
@@ -197,6 +206,8 @@
 
     def _refusal(self, status: int, fields: dict[str, str]) -> Fault:
         if status != UNAVAILABLE:
+            if status < 500:
+                self.forget()  # as a relay, which takes it for a list that is none
             return Fault(f"status {status}")
         self.log.refused += 1
         after = fields.get("retry-after", "")
--- a/glenfold_lab/stands/agent.py
+++ b/glenfold_lab/stands/agent.py
@@ -124,7 +124,7 @@
     """One agent at one address, for one relay or shared by several; `serve` runs until it is cancelled.
 
     Whatever it holds counts as told to its relays, once it can be asked: when it was written to a watch, or
-    at once if none is open."""
+    at once if none is open. Without relays nothing is counted, which takes a look at every watch."""
 
     def __init__(
         self, relays: Sequence[int], host: str, holding: Holding, seen: Seen, clock: MachineClock
@@ -296,7 +296,7 @@
 
     def _count_as_told(self) -> None:
         """What every open watch has carried; all, if none is open."""
-        if self._found and not self.quiet:
+        if self.relays and self._found and not self.quiet:
             self._tell_upto(min(self._watches.values(), default=len(self.holding.sent)))
 
     def _tell_upto(self, count: int) -> None:
--- a/tests/glenfold_lab/scale/test_control.py
+++ b/tests/glenfold_lab/scale/test_control.py
@@ -204,14 +204,29 @@
     assert world.judged().sound and world.judged().connects == 2
 
 
-def test_a_refusal_is_obeyed(world: World) -> None:
-    world.watcher.connecting(0.0)
-    world.watcher.connected()
+def refuse(watcher: HollowWatcher, now: float, answer: bytes) -> None:
+    watcher.connecting(now)
+    watcher.connected()
     with pytest.raises(Fault) as caught:
-        world.watcher.received(b"HTTP/1.1 503 Busy\r\nRetry-After: 7\r\nContent-Length: 0\r\n\r\n", 0.0)
-    world.watcher.failed(caught.value, 0.0)
-    assert 7.0 <= world.watcher.due_at <= 10.5
-    assert world.watcher.log.refused == 1
+        watcher.received(b"HTTP/1.1 " + answer + b"\r\nContent-Length: 0\r\n\r\n", now)
+    watcher.failed(caught.value, now)
+
+
+def test_a_refusal_is_obeyed_at_the_parent_that_refused(world: World) -> None:
+    watcher = world.watcher
+    refuse(watcher, 0.0, b"503 Busy\r\nRetry-After: 7")
+    assert watcher.parent == PARENTS[1] and watcher.due_at < 2.0
+    refuse(watcher, 1.0, b"503 Busy\r\nRetry-After: 30")
+    assert watcher.parent == PARENTS[0] and 7.0 <= watcher.due_at <= 10.5
+    assert watcher.log.refused == 2
+
+
+def test_after_a_revision_is_refused_the_whole_list_is_asked_for(world: World) -> None:
+    world.connect()
+    world.watcher.failed(Fault("closed"), 0.0)
+    refuse(world.watcher, 1.0, b"410 Gone")
+    assert world.connect().startswith(b"GET /v1/servers?watch=1")
+    assert world.judged().whole_lists == 2
 
 
 def test_after_what_is_no_list_the_whole_list_is_asked_for(world: World) -> None:
