--- a/glenfold_lab/scale/control_command.py
+++ b/glenfold_lab/scale/control_command.py
@@ -9,17 +9,15 @@
 from rich.console import Console
 
 from glenfold_lab.scale import control_replicas, control_slopes
-from glenfold_lab.scale.control_links import LinksFailed
 from glenfold_lab.scale.control_plays import PlayFailed, PlayResult
 from glenfold_lab.scale.control_processes import NotReady
 from glenfold_lab.scale.control_slopes import Size
-from glenfold_lab.scale.control_source import SourceFailed
-from glenfold_lab.scale.hollow_fleet import FleetFailed
+from glenfold_lab.scale.driven_process import ProcessFailed
 from glenfold_lab.scale.measurements import Machine, Point, Results
 
 DEFAULT_SERVERS = 1024
 DEFAULT_WATCHERS = 340
-FAILURES = (FleetFailed, SourceFailed, PlayFailed, LinksFailed, NotReady)
+FAILURES = (ProcessFailed, PlayFailed, NotReady)
 ROOT = Path(__file__).parents[2]
 
 Tell = Callable[[PlayResult], None]
--- a/glenfold_lab/scale/control_judge.py
+++ b/glenfold_lab/scale/control_judge.py
@@ -54,6 +54,7 @@
     whole_lists: int = 0
     empty_lines: int = 0
     drains_heard: int = 0
+    bytes_read: int = 0
     bytes_mean: float = 0.0
     bytes_worst: float = 0.0
     most_bytes: int = 0
@@ -186,6 +187,7 @@
 
     def _add_bytes(self, result: Judgement, logs: Sequence[WatcherLog]) -> None:
         read = [log.bytes_read for log in logs]
+        result.bytes_read = sum(read)
         result.bytes_mean = sum(read) / max(1, len(read)) / self._length_s
         result.bytes_worst = max(read, default=0) / self._length_s
         result.most_bytes = max((log.most_in_window for log in logs), default=0)
--- a/glenfold_lab/scale/control_links.py
+++ b/glenfold_lab/scale/control_links.py
@@ -1,28 +1,20 @@
 """Links between regions: a process that passes bytes on, and can hold all of one region back, as a network
 that is cut off does: connections stay open, and nothing comes."""
 
-import multiprocessing
-import signal
 from collections.abc import Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field
 from multiprocessing.connection import Connection
-from multiprocessing.process import BaseProcess
 
 import trio
 
 from glenfold.config import Address
+from glenfold_lab.scale.driven_process import DrivenProcess
 from glenfold_lab.stands.sockets import SocketType, bind, end_now, take
 
 HOST = "127.0.0.1"
 BACKLOG = 256
 MOST_READ = 64 << 10
-ANSWER_S = 30.0
-JOIN_S = 5.0
-
-
-class LinksFailed(Exception):
-    """The process of the links has ended or does not answer."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,43 +109,23 @@
 
 
 def _work(pipe: Connection, plans: Sequence[LinkPlan]) -> None:
-    signal.signal(signal.SIGINT, signal.SIG_IGN)
     trio.run(_serve, pipe, plans)
 
 
 @dataclass(slots=True)
 class Links:
-    """The process, from outside; to be entered as a context."""
+    """The process, from outside; to be entered as a context. Every method raises ProcessFailed."""
 
     plans: Sequence[LinkPlan]
-    _pipe: Connection = field(init=False)
-    _process: BaseProcess = field(init=False)
+    _process: DrivenProcess = field(init=False)
 
     def __enter__(self) -> "Links":
-        context = multiprocessing.get_context("spawn")
-        self._pipe, there = context.Pipe()
-        self._process = context.Process(target=_work, args=(there, tuple(self.plans)), daemon=True)
-        self._process.start()
-        there.close()
-        self._answer()
+        self._process = DrivenProcess("the process of the links", _work, tuple(self.plans))
+        self._process.receive()
         return self
 
     def __exit__(self, *_: object) -> None:
-        self._pipe.close()
-        self._process.join(JOIN_S)
-        if self._process.is_alive():
-            self._process.kill()
-            self._process.join()
+        self._process.close()
 
     def hold(self, region: str, held: bool) -> None:
-        """Raises LinksFailed."""
-        self._pipe.send(Cut(region, held))
-        self._answer()
-
-    def _answer(self) -> None:
-        if not self._pipe.poll(ANSWER_S):
-            raise LinksFailed("the links do not answer")
-        try:
-            self._pipe.recv()
-        except (EOFError, OSError) as error:
-            raise LinksFailed("the links have ended") from error
+        self._process.ask(Cut(region, held))
--- a/glenfold_lab/scale/control_plays.py
+++ b/glenfold_lab/scale/control_plays.py
@@ -46,7 +46,8 @@
 
 @dataclass(slots=True)
 class Stage:
-    """What a play acts on. `control`, `links`: where there are any."""
+    """What a play acts on. `control`, `links`: where there are any. `after_s`: how much longer watchers are
+    heard once all have caught up."""
 
     source: Source
     fleet: HollowFleet
@@ -54,6 +55,7 @@
     links: Links | None = None
     chance: random.Random = field(default_factory=lambda: random.Random(1))
     revision: int = 1
+    after_s: float = AFTER_S
 
     def pids(self) -> dict[str, int]:
         """Of the source and of all control processes that run."""
@@ -92,7 +94,7 @@
     began = time.monotonic()
     outages = play(stage)
     stage.wait_for_all()
-    time.sleep(AFTER_S)
+    time.sleep(stage.after_s)
     ended = time.monotonic()
     pids = stage.pids()
     usage = _spent(before, pids_before, usage_now(pids), pids)
--- a/glenfold_lab/scale/control_source.py
+++ b/glenfold_lab/scale/control_source.py
@@ -1,18 +1,16 @@
 """The source of all revisions in a scale run: the lab's stand-in for discovery's agent, in a process of its
 own, which notes when it had each change and what was in it."""
 
-import multiprocessing
-import signal
 import time
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 from multiprocessing.connection import Connection
-from multiprocessing.process import BaseProcess
 
 import trio
 
 from glenfold.config import Address
 from glenfold_lab.observe import Told
+from glenfold_lab.scale.driven_process import DrivenProcess
 from glenfold_lab.scale.hollow_list import GONE, digest, stamp
 from glenfold_lab.stands.agent import Agent, Change, Entry, Holding
 from glenfold_lab.stands.moments import MachineClock
@@ -21,12 +19,6 @@
 HOST = "127.0.0.1"
 SITES = 14  # zones
 FIRST_REVISION = 1
-ANSWER_S = 60.0
-JOIN_S = 5.0
-
-
-class SourceFailed(Exception):
-    """The source has ended or does not answer."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -151,70 +143,41 @@
 
 
 def _work(pipe: Connection, servers: int) -> None:
-    signal.signal(signal.SIGINT, signal.SIG_IGN)
     trio.run(_serve, pipe, servers)
 
 
 @dataclass(slots=True)
 class Source:
-    """The process, from outside; to be entered as a context."""
+    """The process, from outside; to be entered as a context. Every method raises ProcessFailed."""
 
     servers: int
     address: Address = (HOST, 0)
-    pid: int = 0
-    _pipe: Connection = field(init=False)
-    _process: BaseProcess = field(init=False)
+    _process: DrivenProcess = field(init=False)
 
     def __enter__(self) -> "Source":
-        context = multiprocessing.get_context("spawn")
-        self._pipe, there = context.Pipe()
-        self._process = context.Process(target=_work, args=(there, self.servers), daemon=True)
-        self._process.start()
-        there.close()
-        self.pid = self._process.pid or 0
-        address = self._receive()
-        assert isinstance(address, tuple)
-        self.address = str(address[0]), int(address[1])
+        self._process = DrivenProcess("the source", _work, self.servers)
+        self.address = self._process.receive()
         return self
 
     def __exit__(self, *_: object) -> None:
-        self._pipe.close()
-        self._process.join(JOIN_S)
-        if self._process.is_alive():
-            self._process.kill()
-            self._process.join()
+        self._process.close()
+
+    @property
+    def pid(self) -> int:
+        return self._process.pid
 
     def publish(self, servers: Sequence[int], state: Told) -> int:
-        """The revision. Raises SourceFailed."""
-        revision = self._ask(Publish(tuple(servers), state))
-        assert isinstance(revision, int)
+        """The revision."""
+        revision: int = self._process.ask(Publish(tuple(servers), state))
         return revision
 
     def speak(self, speaks: bool) -> None:
-        """Raises SourceFailed."""
-        self._ask(Speak(speaks))
+        self._process.ask(Speak(speaks))
 
     def history(self) -> list[Revision]:
-        """Raises SourceFailed."""
-        history = self._ask(History())
-        assert isinstance(history, list)
+        history: list[Revision] = self._process.ask(History())
         return history
 
     def zone(self, zone: int) -> list[int]:
         """The servers of a zone, by number."""
         return [n for n in range(self.servers) if n * SITES // self.servers == zone]
-
-    def _ask(self, command: Publish | Speak | History) -> object:
-        try:
-            self._pipe.send(command)
-        except OSError as error:
-            raise SourceFailed("the source has ended") from error
-        return self._receive()
-
-    def _receive(self) -> object:
-        if not self._pipe.poll(ANSWER_S):
-            raise SourceFailed("the source does not answer")
-        try:
-            return self._pipe.recv()
-        except (EOFError, OSError) as error:
-            raise SourceFailed("the source has ended") from error
--- a/glenfold_lab/scale/hollow_fleet.py
+++ b/glenfold_lab/scale/hollow_fleet.py
@@ -5,21 +5,17 @@
 """
 
 import errno
-import multiprocessing
 import random
 import select
-import signal
 import socket
 import time
-from collections.abc import Sequence
 from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from multiprocessing.connection import Connection
-from multiprocessing.process import BaseProcess
-
-import psutil  # type: ignore[import-untyped]
+from typing import Any
 
 from glenfold.config import Address
+from glenfold_lab.scale.driven_process import DrivenProcess
 from glenfold_lab.scale.hollow_http import ChunkTable
 from glenfold_lab.scale.hollow_list import Lists
 from glenfold_lab.scale.hollow_watcher import (
@@ -33,12 +29,6 @@
 
 SWEEP_S = 0.05  # between two looks at who is due
 MOST_READ = 256 << 10
-ANSWER_S = 60.0  # for a process to answer
-JOIN_S = 5.0
-
-
-class FleetFailed(Exception):
-    """A process of hollow watchers has ended or does not answer."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -238,64 +228,42 @@
 
 
 def _work(pipe: Connection, plan: FleetPlan) -> None:
-    signal.signal(signal.SIGINT, signal.SIG_IGN)  # whoever started it ends it
     _Process(pipe, plan).run()
 
 
-@dataclass(slots=True)
-class _Worker:
-    process: BaseProcess
-    pipe: Connection
-
-
 @dataclass(slots=True)
 class HollowFleet:
-    """All processes of a plan; to be entered as a context."""
+    """All processes of a plan; to be entered as a context. Every method raises ProcessFailed."""
 
     plan: FleetPlan
     processes: int
-    _workers: list[_Worker] = field(default_factory=list)
+    _workers: list[DrivenProcess] = field(default_factory=list)
 
     def __enter__(self) -> "HollowFleet":
-        context = multiprocessing.get_context("spawn")
-        for n in range(self.processes):
-            here, there = context.Pipe()
-            process = context.Process(target=_work, args=(there, self._part(n)), daemon=True)
-            process.start()
-            there.close()
-            self._workers.append(_Worker(process, here))
+        self._workers = [
+            DrivenProcess("a process of hollow watchers", _work, self._part(n)) for n in range(self.processes)
+        ]
         return self
 
     def __exit__(self, *_: object) -> None:
         for worker in self._workers:
-            worker.pipe.close()
-        for worker in self._workers:
-            worker.process.join(JOIN_S)
-            if worker.process.is_alive():
-                worker.process.kill()
-                worker.process.join()
+            worker.close()
 
     @property
     def watchers(self) -> int:
         return sum(group.count for group in self.plan.groups)
 
     def look(self) -> Standing:
-        """Raises FleetFailed."""
-        found = [answer for answer in self._ask(Look()) if isinstance(answer, Standing)]
+        found: list[Standing] = self._ask(Look())
         return Standing(sum(one.watching for one in found), min(one.slowest for one in found))
 
     def drop(self, within_s: float, forget: bool = False) -> None:
-        """Raises FleetFailed."""
         self._ask(Drop(within_s, forget))
 
     def collect(self) -> list[Collected]:
-        """Of each process. Raises FleetFailed."""
-        return [answer for answer in self._ask(Collect()) if isinstance(answer, Collected)]
-
-    def memory_mb(self) -> float:
-        return float(
-            sum(psutil.Process(worker.process.pid).memory_info().rss for worker in self._workers) / 1e6
-        )
+        """Of each process."""
+        collected: list[Collected] = self._ask(Collect())
+        return collected
 
     def _part(self, n: int) -> FleetPlan:
         groups = tuple(
@@ -308,16 +276,7 @@
             seed=self.plan.seed + n,
         )
 
-    def _ask(self, command: Look | Drop | Collect) -> Sequence[Answer]:
-        try:
-            for worker in self._workers:
-                worker.pipe.send(command)
-            return [self._answer(worker) for worker in self._workers]
-        except (EOFError, OSError) as error:
-            raise FleetFailed("a process of hollow watchers has ended") from error
-
-    def _answer(self, worker: _Worker) -> Answer:
-        if not worker.pipe.poll(ANSWER_S):
-            raise FleetFailed("a process of hollow watchers does not answer")
-        answer: Answer = worker.pipe.recv()
-        return answer
+    def _ask(self, command: Look | Drop | Collect) -> list[Any]:
+        for worker in self._workers:
+            worker.send(command)
+        return [worker.receive() for worker in self._workers]
--- a/tests/glenfold_lab/scale/test_control.py
+++ b/tests/glenfold_lab/scale/test_control.py
@@ -6,13 +6,23 @@
 
 import pytest
 
+from glenfold.config import Address
 from glenfold.net.discovery import AGAIN_S, ASKING_S, LONGEST_SILENCE_S
 from glenfold_lab.observe import Told
 from glenfold_lab.scale import control_plays as plays
 from glenfold_lab.scale.control_judge import Judge, Judgement, Outage
+from glenfold_lab.scale.control_links import Links
 from glenfold_lab.scale.control_plays import Stage, perform
 from glenfold_lab.scale.control_source import Ledger, Source, listed_server
-from glenfold_lab.scale.control_topology import SOURCE, flat, two_layers
+from glenfold_lab.scale.control_topology import (
+    SOURCE,
+    Link,
+    Topology,
+    Watchers,
+    flat,
+    free_addresses,
+    two_layers,
+)
 from glenfold_lab.scale.hollow_fleet import Collected, FleetPlan, HollowFleet
 from glenfold_lab.scale.hollow_http import AnswerReader, BadAnswer, ChunkTable
 from glenfold_lab.scale.hollow_list import Lists
@@ -279,6 +289,7 @@
 # ---- on sockets ----
 
 WATCHERS = 60
+AFTER_S = 0.5
 
 
 @pytest.fixture(scope="module")
@@ -286,7 +297,7 @@
     with Source(SERVERS) as source:
         plan = FleetPlan(flat(WATCHERS).groups(source.address), spread_s=0.2, most_opening=32, seed=1)
         with HollowFleet(plan, 2) as fleet:
-            stage = Stage(source, fleet)
+            stage = Stage(source, fleet, after_s=AFTER_S)
             stage.begin()
             yield stage
 
@@ -307,7 +318,7 @@
     assert whole.whole_lists == whole.connects == WATCHERS
     assert burst.drains_heard == WATCHERS * SERVERS // 14
     # The whole list, two changes of one server and two heads, against two servers twice.
-    assert 0.5 < burst.bytes_mean * 2.5 / (whole.bytes_mean * 2.5) * 14 / 2 < 2
+    assert 0.5 < burst.bytes_read / whole.bytes_read * 14 / 2 < 2
 
 
 def test_watchers_resume_after_silence_without_a_whole_list(stage: Stage) -> None:
@@ -315,3 +326,23 @@
     assert judged.sound, judged
     assert judged.faults == {"silent while watching": WATCHERS}
     assert judged.whole_lists == 0 and judged.connects == WATCHERS
+
+
+def test_a_region_that_is_cut_off_joins_again_without_loss() -> None:
+    with Source(SERVERS) as source:
+        topology = cut_off_watchers(source.address)
+        plan = FleetPlan(topology.groups(source.address), spread_s=0.2, most_opening=32, seed=1)
+        with Links(topology.link_plans(source.address)) as links, HollowFleet(plan, 1) as fleet:
+            stage = Stage(source, fleet, links=links, after_s=AFTER_S)
+            stage.begin()
+            judged = perform("cut", stage, plays.cut("far", 3.0, changes=3)).judgement
+    assert judged.sound, judged
+    assert judged.whole_lists == 0 and judged.in_force.count == 3 * 20
+    assert judged.faults["silent while watching"] >= 10 and judged.connects >= 10
+
+
+def cut_off_watchers(source: Address) -> Topology:
+    """Half of the watchers are beyond a link."""
+    link = Link("source@far", free_addresses(1)[0], SOURCE, "far")
+    near, far = Watchers(10, (SOURCE,), "near"), Watchers(10, (link.name,), "far")
+    return Topology((), (near, far), (link,))
