--- a/glenfold_lab/commands/scale.py
+++ b/glenfold_lab/commands/scale.py
@@ -9,6 +9,8 @@
     for name, module, line in (
         ("lists", "lists_command", "real relays under lists of up to 10,240 servers"),
         ("connections", "connections_command", "what standing connections and their lines cost a relay"),
+        ("topics", "topics_command", "how many servers the largest topic's listeners end up at"),
+        ("capacity", "capacity_command", "the page of capacity, made from the results or checked"),
         ("control", "control_command", "thousands of hollow relays that follow lists and changes"),
     )
 }
--- /dev/null
+++ b/glenfold_lab/scale/capacity/slopes.py
@@ -0,0 +1,111 @@
+"""All measured quantities of the scale runs, by name, from the files of results."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Self
+
+from glenfold_lab.scale.capacity.estimates import Estimate
+from glenfold_lab.scale.measurements import Line, Point, Results, fit, medians, spread
+
+STRAIGHT = 0.15  # a line whose worst residual is larger is no straight line
+
+
+class NotMeasured(Exception):
+    """No file of results has that quantity, or not at enough sizes."""
+
+
+@dataclass(frozen=True, slots=True)
+class Quantity:
+    """One measured quantity: its points, and the run that gave them."""
+
+    name: str
+    unit: str
+    dimension: str
+    run: str
+    points: tuple[Point, ...]
+
+    @property
+    def sizes(self) -> tuple[float, ...]:
+        return tuple(medians(self.points))
+
+    @property
+    def largest(self) -> float:
+        return max(self.sizes)
+
+    @property
+    def repeats(self) -> int:
+        """Of the size that was played least often."""
+        counts = [sum(point.size == size for point in self.points) for size in self.sizes]
+        return min(counts)
+
+    @property
+    def spread(self) -> float:
+        return spread(self.points)
+
+    def line(self) -> Line:
+        """Raises NotMeasured for fewer than three sizes."""
+        try:
+            return fit(self.points)
+        except ValueError as error:
+            raise NotMeasured(f"{self.name}: {error}") from error
+
+
+class Slopes:
+    """Every quantity that was measured. A name that two runs measured is refused: which one would hold?"""
+
+    def __init__(self, runs: Iterable[Results]) -> None:
+        self.runs = tuple(runs)
+        self.quantities: dict[str, Quantity] = {}
+        for run in self.runs:
+            for name in dict.fromkeys(point.quantity for point in run.points):
+                self._add(name, run)
+
+    @classmethod
+    def load(cls, folder: Path) -> Self:
+        """From each file of results in that folder. Raises ValueError for one that is none."""
+        return cls(Results.load(path) for path in sorted(folder.glob("*.json")))
+
+    def _add(self, name: str, run: Results) -> None:
+        if name in self.quantities:
+            raise ValueError(f"{name} stands in {self.quantities[name].run} and in {run.run}")
+        points = tuple(run.of(name))
+        self.quantities[name] = Quantity(name, points[0].unit, points[0].dimension, run.run, points)
+
+    def quantity(self, name: str) -> Quantity:
+        """Raises NotMeasured."""
+        if name not in self.quantities:
+            raise NotMeasured(f"nothing has measured {name}")
+        return self.quantities[name]
+
+    def at(self, name: str, size: Estimate | float) -> Estimate:
+        """The line's value at that size, or the median measured if it was measured at just that size."""
+        quantity, wanted = self.quantity(name), _plain(size)
+        measured = medians(quantity.points)
+        value = measured.get(wanted.value)
+        if value is None:
+            value = quantity.line().at(wanted.value)
+        return self._estimate(quantity, value, wanted)
+
+    def slope(self, name: str, size: Estimate | float) -> Estimate:
+        """What one more of the dimension costs; `size`: up to which it is used."""
+        quantity = self.quantity(name)
+        return self._estimate(quantity, quantity.line().slope, _plain(size))
+
+    def intercept(self, name: str) -> Estimate:
+        """What the line starts from, at size 0."""
+        quantity = self.quantity(name)
+        return self._estimate(quantity, quantity.line().intercept, Estimate(0.0))
+
+    def typical(self, name: str) -> Estimate:
+        """The median at the largest size measured, for what does not grow with size."""
+        quantity = self.quantity(name)
+        return self._estimate(quantity, medians(quantity.points)[quantity.largest], Estimate(0.0))
+
+    def _estimate(self, quantity: Quantity, value: float, size: Estimate) -> Estimate:
+        beyond = max(size.extrapolation, size.value / quantity.largest)
+        return Estimate(value, frozenset({quantity.name}) | size.measured, size.assumed, beyond)
+
+
+def _plain(size: Estimate | float) -> Estimate:
+    return size if isinstance(size, Estimate) else Estimate(float(size))
