Place a group larger than a push server's connections in parts, where the file asks for it

Change: glenfold/rules/group_parts.py counts a group's members here and gives the decisions a part of it as the group, a power of two of parts that follows from the group's share of what this relay holds; no message between relays. The decisions are untouched, and so is the platform's relay, which loads none of it. A group that grows moves half of each part's new clients, nobody who stands.

--- a/glenfold/config/operators.py
+++ b/glenfold/config/operators.py
@@ -71,6 +71,7 @@
             names=names_of(told),
             cores=limits.cores,
             known=self._known(),
+            split_groups=self.terms.settings.rules.split_groups,
         )
 
     def _known(self) -> dict[str, Any]:
--- a/glenfold/config/platform.py
+++ b/glenfold/config/platform.py
@@ -62,6 +62,7 @@
     names: Names
     cores: float = 1.0  # the part of a core that this process may use
     known: dict[str, Any] = field(default_factory=dict)  # in discovery's form; checked where that is read
+    split_groups: bool = False  # whether a large group is placed in parts
     faults: tuple[Fault, ...] = ()  # in the settings, where a default stands for what they say
 
 
--- a/glenfold/config/terms.py
+++ b/glenfold/config/terms.py
@@ -79,6 +79,7 @@
     cold_s: Length = 23.0
     fall_multiple: Annotated[float, Meta(ge=1, le=1000)] = 3.0
     fall_s: Length = 3.0
+    split_groups: bool = False
 
 
 class Settings(Table, frozen=True):
--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -11,7 +11,7 @@
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import trio
 
@@ -31,6 +31,9 @@
 from glenfold.net.sockets import SocketType, queued
 from linnetspread import interface as i
 
+if TYPE_CHECKING:
+    from glenfold.rules.group_parts import GroupParts
+
 CALLS_PER_S = 10.0  # that all relays together may ask of one discovery, where each call costs it time
 LOOK_S = 0.1  # between two looks at how many connections stand, before their clients move
 
@@ -72,6 +75,8 @@
         destinations = DestinationSet(config.names)
         self.life = Life()
         self.relay = Relay(config, clock, decisions, destinations, counters)
+        if config.split_groups:
+            self.relay.group_parts = group_parts()
         self.inbound = Inbound(self.relay)
         self.discovery = Discovery(
             config.discovery,
@@ -244,6 +249,13 @@
         return Reloaded(waits=tuple(waiting))
 
 
+def group_parts() -> "GroupParts":
+    """Loaded here, as most relays place every group as one."""
+    from glenfold.rules.group_parts import GroupParts
+
+    return GroupParts()
+
+
 def calls_spread_s(settings: i.Settings) -> float:
     """Where the list must be asked for, one service answers all relays in turn: those who wait too long there
     have asked in vain, yet cost it as much, so a fleet that asks at once may be told nothing for good."""
--- a/glenfold/destinations.py
+++ b/glenfold/destinations.py
@@ -88,6 +88,11 @@
         """Whether there has been any list at all, be it an empty or an old one."""
         return self._heard > 0
 
+    @property
+    def count(self) -> int:
+        """Servers that are listed and have not gone."""
+        return len(self._known)
+
     def servers(self) -> tuple[i.ListedServer, ...]:
         """As they were listed last."""
         return tuple(known.line for known in self._known.values())
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -6,7 +6,8 @@
 from collections import Counter
 from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from typing import TYPE_CHECKING
 
 import trio
 
@@ -22,6 +23,9 @@
 from glenfold.net.sockets import SocketType, finish, hung_up, receive_now, send, without_delay
 from linnetspread import interface as i
 
+if TYPE_CHECKING:
+    from glenfold.rules.group_parts import GroupParts  # loaded only where it is switched on
+
 BACKLOG = 1024
 INBOX = 16  # incidents of one request
 FIRST_LINE_S = 2.0  # from the accept to a whole first line, PING included; 3 s are promised
@@ -46,6 +50,7 @@
     standing: dict[Passage, float] = field(default_factory=dict)  # oldest first; the worth of each
     ready: trio.Event = field(default_factory=trio.Event)  # to go at the usual pace: PING waits for it
     answers_end: float = math.inf  # finite once it has been told to stop
+    group_parts: "GroupParts | None" = None  # None: every group is placed as one
     _patience: set[trio.CancelScope] = field(default_factory=set)  # of the requests without their answer
 
     @property
@@ -53,6 +58,20 @@
         """Some client has not had its answer yet, or stands and has not been told to move."""
         return bool(self.standing or self.unanswered or self.unheard)
 
+    @contextmanager
+    def grouped(self, event: i.Request) -> Iterator[i.Request]:
+        """The request as the decisions are told of it: a member of a part, where its group is a large one. It
+        counts as a member of its group until the end of the block."""
+        if self.group_parts is None:
+            yield event
+            return
+        servers = self.destinations.count
+        part = self.group_parts.take(event.group, event.key, len(self.ids), servers)
+        try:
+            yield replace(event, group=part)
+        finally:
+            self.group_parts.release(event.group)
+
     def end_by(self, moment: float) -> None:
         """Who still waits by then gets a final answer, however much longer it would."""
         self.answers_end = moment
@@ -298,6 +317,10 @@
         self._call: OutboundCall | None = None
 
     async def run(self) -> None:
+        with self._relay.grouped(self._event) as self._event:
+            await self._run()
+
+    async def _run(self) -> None:
         relay = self._relay
         relay.ids[self._first.id] += 1
         relay.counters.taken += 1
--- a/glenfold_lab/scale/topics.py
+++ b/glenfold_lab/scale/topics.py
@@ -9,8 +9,9 @@
 import time
 from collections import Counter
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
+from glenfold.rules.group_parts import GroupParts
 from linnetspread import interface as i
 from linnetspread.choice import Balancer
 
@@ -79,9 +80,11 @@
     return random.Random(value).getrandbits(64) | 1
 
 
-def place_all(fleet: Fleet, seed: int) -> Spread:
-    """Every client of one relay comes once and is accepted by the server that was chosen for it."""
+def place_all(fleet: Fleet, seed: int, split: bool = False) -> Spread:
+    """Every client of one relay comes once and is accepted by the server that was chosen for it. `split`:
+    large groups are placed in parts."""
     chance = random.Random(seed)
+    parts = GroupParts()
     balancer = Balancer(settings(fleet), seed)
     balancer.handle(1, ready_list(fleet.servers, seed))
     arrivals = list(requests(fleet, chance))
@@ -89,7 +92,10 @@
     began = time.process_time()
     for arrival in arrivals:
         now += STEP_US
-        for action in balancer.handle(now, arrival):
+        group = arrival.group
+        if split:
+            group = parts.take(group, arrival.key, len(balancer.held), fleet.servers)
+        for action in balancer.handle(now, replace(arrival, group=group)):
             if isinstance(action, i.Attempt):
                 balancer.handle(now, i.Established(arrival.request, 1, action.server, SETUP_US))
                 held[action.server] += arrival.group == TOPIC
--- a/glenfold_lab/scale/topics_command.py
+++ b/glenfold_lab/scale/topics_command.py
@@ -23,12 +23,13 @@
     return found.stdout.strip() or "unknown"
 
 
-def points(spread: Spread, listeners: int, repeat: int) -> list[Point]:
+def points(spread: Spread, listeners: int, repeat: int, split: bool) -> list[Point]:
     """What one play measured, by the number of the topic's listeners in the fleet."""
+    prefix = "topic.split" if split else "topic"
     values = (
-        ("topic.busiest_over_mean", "times", spread.busiest_over_mean),
-        ("topic.servers", "servers", float(spread.servers)),
-        ("topic.placement.cpu", "us", spread.cpu_us),
+        (f"{prefix}.busiest_over_mean", "times", spread.busiest_over_mean),
+        (f"{prefix}.servers", "servers", float(spread.servers)),
+        (f"{prefix}.placement.cpu", "us", spread.cpu_us),
     )
     return [
         Point(quantity, unit, "listeners", listeners, value, repeat, seed=repeat)
@@ -36,10 +37,10 @@
     ]
 
 
-def measure(listeners: int, repeat: int) -> list[Point]:
+def measure(listeners: int, repeat: int, split: bool) -> list[Point]:
     """One play; the repeat is its seed."""
     fleet = Fleet(TARGET.relays, TARGET.servers, TARGET.connections, TARGET.groups, listeners)
-    return points(place_all(fleet, repeat), listeners, repeat)
+    return points(place_all(fleet, repeat, split), listeners, repeat, split)
 
 
 @click.command("topics")
@@ -48,12 +49,18 @@
     "--out", type=click.Path(path_type=Path, dir_okay=False, writable=True), help="File of results."
 )
 def command(processes: int, out: Path | None) -> None:
-    """Give the real decisions of one relay its part of 210 million connections and of one topic.
+    """Give the real decisions of one relay its part of 210 million connections and of one topic, with every
+    group placed as one and with large groups in parts.
 
     Exit status: 0 measured, 2 the words are at fault.
     """
     results = Results("topics", COMMAND, revision(), Machine.here(), vars_of(TARGET))
-    plays = [(listeners, repeat) for listeners in LISTENERS for repeat in range(1, REPEATS + 1)]
+    plays = [
+        (listeners, repeat, split)
+        for split in (False, True)
+        for listeners in LISTENERS
+        for repeat in range(1, REPEATS + 1)
+    ]
     with ProcessPoolExecutor(processes) as pool:
         for found in pool.map(measure, *zip(*plays, strict=True)):
             results.points += found
