--- a/glenfold_lab/stands/agent.py
+++ b/glenfold_lab/stands/agent.py
@@ -142,6 +142,7 @@
         self._told = 0  # of `holding.sent`, how much counts as told
         self._found = True  # at its present address
         self.quiet = False
+        self.sent_bytes = 0  # to all relays
         self._nursery: trio.Nursery | None = None
         self._accepting = trio.CancelScope()
 
@@ -287,7 +288,9 @@
             await self._news.wait()
 
     async def _send(self, connection: h11.Connection, sock: SocketType, *events: h11.Event) -> None:
-        await take(sock, b"".join(connection.send(event) or b"" for event in events))
+        data = b"".join(connection.send(event) or b"" for event in events)
+        await take(sock, data)
+        self.sent_bytes += len(data)
 
     def _wake(self) -> None:
         news, self._news = self._news, trio.Event()
--- a/glenfold_lab/stands/relays.py
+++ b/glenfold_lab/stands/relays.py
@@ -97,6 +97,13 @@
     def running(self) -> bool:
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def process_id(self) -> int:
+        """Of its present process. Raises NotReady if there has been none."""
+        if self._process is None:
+            raise NotReady(f"{self.name} was not started")
+        return self._process.pid
+
     @property
     def log(self) -> Path:
         return self._folder / "log"
