--- a/glenfold_lab/scale/list_agent.py
+++ b/glenfold_lab/scale/list_agent.py
@@ -35,14 +35,16 @@
 
 
 async def serve(requests: Requests) -> None:
-    begin = await requests.next()
+    if (begin := await requests.next()) is None:
+        return
     assert isinstance(begin, Begin)
     agent = Agent((), HOST, Holding(begin.seq, begin.entries), Seen(), MachineClock())
     async with trio.open_nursery() as nursery:
         await nursery.start(agent.serve)
         requests.answer(agent.address)
-        while True:
-            _answer(agent, requests, await requests.next())
+        while (request := await requests.next()) is not None:
+            _answer(agent, requests, request)
+        nursery.cancel_scope.cancel()
 
 
 def _answer(agent: Agent, requests: Requests, request: object) -> None:
--- a/glenfold_lab/scale/loop_watch.py
+++ b/glenfold_lab/scale/loop_watch.py
@@ -84,13 +84,13 @@
 
 
 async def serve(requests: Requests) -> None:
-    while True:
-        begin = await requests.next()
+    while (begin := await requests.next()) is not None:
         assert isinstance(begin, WatchLoops)
         watch = LoopWatch(begin.relays)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(watch.run)
             requests.answer(True)
-            assert isinstance(await requests.next(), TellStops)
+            end = await requests.next()
+            assert end is None or isinstance(end, TellStops)
             nursery.cancel_scope.cancel()
         requests.answer(watch.stops())
--- a/glenfold_lab/scale/point_table.py
+++ b/glenfold_lab/scale/point_table.py
@@ -15,7 +15,7 @@
     for point in points:
         by_quantity.setdefault((point.quantity, point.unit), []).append(point)
     table = Table(title=title)
-    table.add_column("quantity")
+    table.add_column("quantity", no_wrap=True)
     table.add_column("unit")
     for size in sizes:
         table.add_column(f"{size:,.0f}", justify="right")
--- a/glenfold_lab/scale/relay_lists.py
+++ b/glenfold_lab/scale/relay_lists.py
@@ -23,7 +23,7 @@
 from glenfold_lab.scale.list_costs import Follower
 from glenfold_lab.scale.measurements import Point
 from glenfold_lab.scale.placement_probe import PlacementProbe, PushServers
-from glenfold_lab.scale.server_lists import FIRST_SEQ, SETTINGS, ChangeScript, ServerFleet
+from glenfold_lab.scale.server_lists import FIRST_SEQ, SETTINGS, ZONES, ChangeScript, ServerFleet
 from glenfold_lab.scale.worker import Worker
 from glenfold_lab.stands.agent import Change, Entry, whole_list
 from glenfold_lab.stands.lateness import percentile
@@ -127,7 +127,7 @@
         self._script = ChangeScript()
         drawn = ServerFleet.drawn(servers, seed)
         finder = KeyFinder(drawn, seed)
-        other_zones = range(LOST_LINE_BY_LINE + 1, 14)
+        other_zones = range(LOST_LINE_BY_LINE + 1, ZONES)
         self._drained = [finder.watched(other_zones) for _ in range(terms.changes)]
         self._in_lost = finder.watched([LOST_AT_ONCE])
         self._in_lost_line_by_line = finder.watched([LOST_LINE_BY_LINE])
@@ -271,7 +271,9 @@
         zone = self._fleet.zone(LOST_LINE_BY_LINE)
         ordered = sorted(zone, key=lambda entry: entry.host == watched.entry.host)
         changes = [self._script.change([entry], Told.GONE) for entry in ordered]
+        before = self._used_s()
         await self._burst("relay.zone_lines", watched, *changes)
+        self._add("relay.zone_lines.cpu", "ms", (self._used_s() - before) * MS)
 
     async def _burst(self, quantity: str, watched: Watched, *changes: Change) -> None:
         async with self._loops_watched(quantity):
--- a/glenfold_lab/scale/worker.py
+++ b/glenfold_lab/scale/worker.py
@@ -4,6 +4,7 @@
 import multiprocessing
 import signal
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from multiprocessing.connection import Connection
 from typing import Self
 
@@ -47,17 +48,21 @@
 
 
 class Requests:
-    """The worker's end: each request is to be answered before the next one is read."""
+    """The worker's end: each request is to be answered before the next one is read. No request is None."""
 
     def __init__(self, pipe: Connection) -> None:
         self._pipe = pipe
 
     async def next(self) -> object:
-        """Raises EOFError once the parent has closed the pipe or ended."""
-        return await _receive(self._pipe)
+        """None once the parent has closed the pipe or ended."""
+        try:
+            return await _receive(self._pipe)
+        except (EOFError, ConnectionResetError):
+            return None
 
     def answer(self, message: object) -> None:
-        self._pipe.send(message)
+        with suppress(BrokenPipeError):  # the parent has ended, which `next` tells
+            self._pipe.send(message)
 
 
 async def _receive(pipe: Connection) -> object:
@@ -69,7 +74,4 @@
 def _work(pipe: Connection, serve: Callable[[Requests], Awaitable[None]]) -> None:
     signal.signal(signal.SIGINT, signal.SIG_IGN)  # it ends with its pipe
     gc.disable()  # a collection would look like a stop of what is measured
-    try:
-        trio.run(serve, Requests(pipe))
-    except* (EOFError, BrokenPipeError):
-        pass
+    trio.run(serve, Requests(pipe))
