--- a/glenfold_lab/scale/lists_command.py
+++ b/glenfold_lab/scale/lists_command.py
@@ -66,11 +66,12 @@
 
 
 def measured(sizes: tuple[int, ...], repeats: int, seed: int, terms: Terms) -> Iterator[list[Point]]:
-    """Repeats outermost: what the machine does meanwhile then befalls all sizes."""
+    """Each repeat draws other servers. Repeats outermost: what the machine does meanwhile befalls all sizes."""
     for repeat, size in product(range(1, repeats + 1), sizes):
-        yield in_own_process(size, seed, repeat)
+        drawn = seed + repeat - 1
+        yield in_own_process(size, drawn, repeat)
         if terms.relays:
-            yield with_relays(size, seed, repeat, terms)
+            yield with_relays(size, drawn, repeat, terms)
 
 
 @click.command("lists")
@@ -84,7 +85,9 @@
     help="Servers in the list; once for each size.",
 )
 @click.option("--repeats", type=click.IntRange(1, 20), default=3, show_default=True)
-@click.option("--seed", default=1, show_default=True, help="Draws the servers and their changes.")
+@click.option(
+    "--seed", default=1, show_default=True, help="Of the first repeat; it draws servers and changes."
+)
 @click.option(
     "--relays",
     type=click.IntRange(0, 10),
