--- a/glenfold_lab/scale/list_costs.py
+++ b/glenfold_lab/scale/list_costs.py
@@ -27,11 +27,6 @@
 STEP_US = 1_000  # between two events there
 LOOK_US = 1_000_000  # so often a placement counts the fleet again
 WAIT_US = 2_000_000  # that a client waits for its answer
-WHOLE_LISTS = 3  # taken in for one time
-REPLACEMENTS = 20  # of one server each, for one time
-PLACEMENTS = 1_000
-RECOUNTS = 20
-KEYS_PER_SERVER = 50
 REFERENCE_STEPS = 1_000_000
 NUMBERS = 1 << 32  # of servers: distinct values
 MB = 1e6
@@ -75,6 +70,21 @@
     return time.process_time() - began, result
 
 
+@dataclass(frozen=True, slots=True)
+class Effort:
+    """How often each thing is done for one time: whole lists taken in, servers replaced one by one, requests
+    placed, placements that count the fleet again, and keys drawn for each server."""
+
+    whole_lists: int = 3
+    replacements: int = 20
+    placements: int = 1_000
+    recounts: int = 20
+    keys_per_server: int = 50
+
+
+FULL_EFFORT = Effort()
+
+
 @dataclass(slots=True)
 class TakeIn:
     """CPU seconds of one document: read as JSON, taken in by the destination set, and by the decisions."""
@@ -92,6 +102,9 @@
         self.destinations_s += other.destinations_s
         self.decisions_s += other.decisions_s
 
+    def over(self, count: int) -> "TakeIn":
+        return TakeIn(self.parse_s / count, self.destinations_s / count, self.decisions_s / count)
+
 
 class Follower:
     """What a relay holds of a list, and what it does with a document, without sockets."""
@@ -113,28 +126,26 @@
         return self.balancer.handle(self.now_us, event)
 
 
-class Mean:
-    """Mean take-in costs of documents."""
-
-    def __init__(self, follower: Follower) -> None:
-        self._follower = follower
-
-    def of(self, texts: Iterable[bytes]) -> TakeIn:
-        total, count = TakeIn(), 0
-        for text in texts:
-            total.add(self._follower.take(text))
-            count += 1
-        return TakeIn(total.parse_s / count, total.destinations_s / count, total.decisions_s / count)
+def mean(costs: Iterable[TakeIn]) -> TakeIn:
+    total, count = TakeIn(), 0
+    for cost in costs:
+        total.add(cost)
+        count += 1
+    return total.over(count)
 
 
 class ListCosts:
-    """All points of one fleet, gathered as they are measured."""
+    """All points of one fleet, gathered as they are measured. `new_follower` makes what is measured."""
 
-    def __init__(self, servers: int, seed: int, repeat: int) -> None:
+    def __init__(
+        self, servers: int, seed: int, repeat: int, effort: Effort, new_follower: Callable[[], Follower]
+    ) -> None:
         self.points: list[Point] = []
         self._servers = servers
         self._seed = seed
         self._repeat = repeat
+        self._effort = effort
+        self._new_follower = new_follower
         self._fleet = ServerFleet.drawn(servers, seed)
         self._holding = Holding(1, self._fleet.entries)
         self._script = ChangeScript()
@@ -162,7 +173,7 @@
 
     def _memory(self) -> Follower:
         """Of a follower that has taken in the whole list; the document is not kept."""
-        follower, text = Follower(), self._holding.whole()
+        follower, text = self._new_follower(), self._holding.whole()
         taken = allocated_mb(lambda: follower.destinations.read(json.loads(text)))
         self._add("destinations.memory", "MB", taken)
         servers = i.ServerList(i.ListKind.FULL, 1, follower.destinations.servers())
@@ -173,21 +184,17 @@
         """Each is taken in by a process that knows nothing yet, as after a start."""
         text = self._holding.whole()
         self._add("list.bytes", "KB", len(text) / KB)
-        first = TakeIn()
-        for _ in range(WHOLE_LISTS):
-            first.add(Follower().take(text))
-        share = 1 / WHOLE_LISTS
-        mean = TakeIn(first.parse_s * share, first.destinations_s * share, first.decisions_s * share)
-        self._add_take_in("list", mean)
-        again = Mean(follower).of([text] * WHOLE_LISTS)
+        times = range(self._effort.whole_lists)
+        self._add_take_in("list", mean(self._new_follower().take(text) for _ in times))
+        again = mean(follower.take(text) for _ in times)
         self._add("list_again.cpu", "ms", again.total_s * MS)
 
     def _one_change(self, follower: Follower) -> None:
-        entries = self._draws.sample(self._fleet.entries, REPLACEMENTS)
+        entries = self._draws.sample(self._fleet.entries, self._effort.replacements)
         changes = [change for entry in entries for change in self._script.replacement(entry)]
         lines = [change.line() for change in changes]
         self._add("change.bytes", "bytes", sum(map(len, lines)) / len(lines))
-        self._add_take_in("change", Mean(follower).of(lines))
+        self._add_take_in("change", mean(map(follower.take, lines)))
 
     def _lost_zone(self, follower: Follower) -> None:
         """A zone's servers end in one change, and start again in one."""
@@ -198,15 +205,16 @@
         self._add("zone_return.cpu", "ms", follower.take(back.line()).total_s * MS)
 
     def _placements(self, follower: Follower) -> None:
+        placements, recounts = self._effort.placements, self._effort.recounts
         placed_s = 0.0
-        for number in range(1, PLACEMENTS + 1):
+        for number in range(1, placements + 1):
             placed_s += self._placement(follower, number)
-        self._add("placement.cpu", "us", placed_s / PLACEMENTS * US)
+        self._add("placement.cpu", "us", placed_s / placements * US)
         recounted_s = 0.0
-        for number in range(PLACEMENTS + 1, PLACEMENTS + RECOUNTS + 1):
+        for number in range(placements + 1, placements + recounts + 1):
             follower.now_us += LOOK_US
             recounted_s += self._placement(follower, number)
-        self._add("placement_recount.cpu", "us", recounted_s / RECOUNTS * US)
+        self._add("placement_recount.cpu", "us", recounted_s / recounts * US)
 
     def _placement(self, follower: Follower, number: int) -> float:
         """CPU seconds of one request's decision; then it is over."""
@@ -227,11 +235,11 @@
         self._add("map.busiest_over_mean", "ratio", max(owned.values()) * len(owned) / buckets)
         self._add("map.servers_without_keys", "servers", sum(not count for count in owned.values()))
         keys = dict.fromkeys(owned, 0)
-        for _ in range(KEYS_PER_SERVER * len(owned)):
+        for _ in range(self._effort.keys_per_server * len(owned)):
             server = follower.balancer.anchor.lookup(self._draws.getrandbits(64), 0)
             assert server is not None
             keys[server] += 1
-        self._add("map.drawn_busiest_over_mean", "ratio", max(keys.values()) / KEYS_PER_SERVER)
+        self._add("map.drawn_busiest_over_mean", "ratio", max(keys.values()) / self._effort.keys_per_server)
         self._add("map.drawn_servers_without_keys", "servers", sum(not count for count in keys.values()))
 
 
@@ -243,6 +251,12 @@
     return 1 - alone
 
 
-def measure(servers: int, seed: int, repeat: int) -> list[Point]:
+def measure(
+    servers: int,
+    seed: int,
+    repeat: int,
+    effort: Effort = FULL_EFFORT,
+    new_follower: Callable[[], Follower] = Follower,
+) -> list[Point]:
     """Everything for one size, in this process."""
-    return ListCosts(servers, seed, repeat).measure()
+    return ListCosts(servers, seed, repeat, effort, new_follower).measure()
--- a/glenfold_lab/scale/lists_command.py
+++ b/glenfold_lab/scale/lists_command.py
@@ -66,7 +66,7 @@
 
 
 def measured(sizes: tuple[int, ...], repeats: int, seed: int, terms: Terms) -> Iterator[list[Point]]:
-    """Each repeat draws other servers. Repeats outermost: what the machine does meanwhile befalls all sizes."""
+    """Each repeat draws other servers. Repeats are outermost: a busy minute then befalls all sizes."""
     for repeat, size in product(range(1, repeats + 1), sizes):
         drawn = seed + repeat - 1
         yield in_own_process(size, drawn, repeat)
--- a/glenfold_lab/scale/relay_lists.py
+++ b/glenfold_lab/scale/relay_lists.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, replace
 from os import sysconf
 from pathlib import Path
+from statistics import median
 from typing import Any
 
 import trio
@@ -39,7 +40,6 @@
 CHANGE_GAP_S = 86_400 / CHANGES_A_DAY
 PACE_GAP_S = 0.2  # between changes whose CPU time is measured
 IN_FORCE_S = 150.0  # the longest wait for a change
-SETTLE_S = 1.0  # after a relay is ready, and around a burst
 LOST_AT_ONCE, LOST_LINE_BY_LINE = 0, 1  # zones
 LINE_BY_LINE_RELAYS = 2  # at the most: each is busy with a core's whole time
 PAGE = sysconf("SC_PAGE_SIZE")
@@ -56,11 +56,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Terms:
-    """Of one play. `idle_s`: how long the relays are left alone. `paced`: servers replaced while CPU time is
-    measured. `seconds`: how long changes come at the target's mean rate."""
+    """Of one play. `idle_s`: how long the relays are left alone. `settle_s`: after the starts, and around a
+    burst. `paced`: servers replaced while CPU time is measured. `seconds`: for how long changes come at the
+    target's mean rate."""
 
     relays: int = 3
     idle_s: float = 6.0
+    settle_s: float = 1.0
     paced: int = 10
     seconds: float = 24.0
 
@@ -152,13 +154,13 @@
                 nursery.start_soon(self._push_servers.serve)
                 await self._starts("relay.ready", whole_list(FIRST_SEQ, self._fleet.entries))
                 await self._starts("relay.ready_without_list", {})
-                await trio.sleep(SETTLE_S)
-                self._add("relay.memory", "MB", max(map(resident_mb, self._processes())))
+                await trio.sleep(self._terms.settle_s)
+                self._add("relay.list.memory", "MB", max(map(resident_mb, self._processes())))
                 await self._paced_changes()
                 await self._mean_rate()
                 await self._zone_lost_at_once()
                 await self._zone_lost_line_by_line()
-                self._add("relay.memory_after", "MB", resident_mb(self._relays[0].process_id))
+                self._add("relay.list.memory_after", "MB", resident_mb(self._relays[0].process_id))
                 self._add("probe.astray", "requests", self._astray)
                 self._add("probe.unserved", "requests", self._probe.unserved)
                 nursery.cancel_scope.cancel()
@@ -212,7 +214,8 @@
             spans.append(time.monotonic() - began)
             used.append(cpu_s(relay.process_id))
         sent = await self._sent_bytes() - sent
-        self._add_spans(quantity, spans)
+        self._add(quantity, "s", median(spans))
+        self._add(f"{quantity}.max", "s", max(spans))
         self._add(f"{quantity}.cpu", "ms", sum(used) / len(used) * MS)
         self._add(f"{quantity}.bytes", "KB", sent / len(self._relays) / KB)
 
@@ -231,7 +234,7 @@
         for change in changes:
             await self._take(change)
             await trio.sleep(PACE_GAP_S)
-        await trio.sleep(SETTLE_S)
+        await trio.sleep(self._terms.settle_s)
         used = self._used_s() - before - idle_share * (time.monotonic() - began)
         sent = await self._sent_bytes() - sent
         self._add("relay.change.cpu", "ms", used / len(changes) * MS)
@@ -260,7 +263,7 @@
         await self._burst("relay.zone_change", self._in_lost, self._script.change(zone, Told.GONE))
         before = self._used_s()
         await self._take(self._script.change(zone, Told.READY))
-        await trio.sleep(SETTLE_S + self._terms.idle_s / 2)
+        await trio.sleep(self._terms.settle_s + self._terms.idle_s / 2)
         self._add("relay.zone_return.cpu", "ms", (self._used_s() - before) * MS)
 
     async def _zone_lost_line_by_line(self) -> None:
@@ -277,9 +280,9 @@
 
     async def _burst(self, quantity: str, watched: Watched, *changes: Change) -> None:
         async with self._loops_watched(quantity):
-            await trio.sleep(SETTLE_S)
+            await trio.sleep(self._terms.settle_s)
             spans = await self._until_in_force(watched, *changes)
-            await trio.sleep(SETTLE_S)
+            await trio.sleep(self._terms.settle_s)
         self._add_spans(f"{quantity}.in_force", spans)
 
     def _listed(self, watched: Watched) -> Entry:
