--- /dev/null
+++ b/glenfold_lab/scale/connections_run.py
@@ -0,0 +1,283 @@
+"""What standing connections, their lines and deliveries cost one real relay, measured from outside it.
+
+A relay grows through the sizes, from the smallest to the largest, and at each one is measured without a line,
+under deliveries from the push servers, under lines of all clients, and under lines that hardly any answer
+follows. At the largest size deliveries come at rising rates. Each repeat has a relay of its own.
+"""
+
+import math
+import os
+import resource
+import time
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import trio
+
+from glenfold.config import Room
+from glenfold_lab.scale.hollow_clients import Clients, CountLost, Hear, Heard, Open, Opened, Talk, Talked
+from glenfold_lab.scale.hollow_process import HollowFailed, HollowProcess, Schedule
+from glenfold_lab.scale.hollow_servers import Deliver, Delivered, Listen, PushServers
+from glenfold_lab.scale.measured_relay import MeasuredRelay, measured_relay
+from glenfold_lab.scale.measurements import Point
+from glenfold_lab.stands.places import SERVERS, Net
+from linnetspread.choice import mix
+
+LINE_GAP_S = 2.0  # between the lines of one client
+LEAD_S = 0.2  # from an order to the first moment of its schedule
+DELIVERY_RATE = 2_000.0  # a second, at each size
+SPEAKERS = 100  # connections that say lines which hardly any answer follows
+SPEECH_RATE = 2_000.0  # of their lines, a second together
+ASK_EVERY = 10  # of these lines, one that is answered: a relay moves a client whose line nothing follows
+SETTLE_S = 1.5  # from the last set-up to the first measurement
+FULL = 0.95  # of a core, run or waited for: the relay has no more to give
+MOST_LOST = 0  # standing connections that a sound run may lose
+ROUND = 100  # the largest size that descriptors allow is cut down to a multiple of it
+
+
+REFERENCE_STEPS = 100_000
+
+
+def reference_ms() -> float:
+    """Processor time of a fixed piece of work. It grows where others share the core's caches and threads, so
+    it tells how far the processor times measured beside it are those of a calm machine."""
+    began, value = time.thread_time_ns(), 1
+    for _ in range(REFERENCE_STEPS):
+        value = mix(value)
+    return (time.thread_time_ns() - began) / 1e6
+
+
+class RunFailed(Exception):
+    """A run that measured something else than it was to."""
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """`window_s`: the length of each measurement. `rates`: deliveries a second, rising."""
+
+    sizes: tuple[int, ...]
+    rates: tuple[float, ...]
+    repeats: int = 3
+    window_s: float = 4.0
+    push_servers: int = 20
+    seed: int = 1
+
+
+def descriptor_limit() -> int:
+    """That of any process which this one starts."""
+    return resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+
+
+def reachable(sizes: Sequence[int], descriptors: int) -> tuple[int, ...]:
+    """The sizes that a relay with so many descriptors can hold; the largest of them in place of all those
+    that it cannot."""
+    most = Room.within(descriptors, math.inf).taken // ROUND * ROUND
+    return tuple(sorted({min(size, most) for size in sizes}))
+
+
+@dataclass(frozen=True, slots=True)
+class Spent:
+    """Of a relay, over `seconds`: how long it ran, and how long it waited for a core that others had."""
+
+    seconds: float
+    ran_s: float
+    waited_s: float
+
+    @property
+    def share(self) -> float:
+        return self.ran_s / self.seconds
+
+    @property
+    def busy(self) -> float:
+        """The part of the time in which it had work."""
+        return (self.ran_s + self.waited_s) / self.seconds
+
+
+@dataclass(slots=True)
+class Stopwatch:
+    relay: MeasuredRelay
+    began: float = 0.0
+    before: tuple[float, float] = (0.0, 0.0)
+
+    def start(self) -> "Stopwatch":
+        self.began, self.before = time.monotonic(), self.relay.processor_s()
+        return self
+
+    def read(self) -> Spent:
+        ran, waited = self.relay.processor_s()
+        return Spent(time.monotonic() - self.began, ran - self.before[0], waited - self.before[1])
+
+
+@dataclass(slots=True)
+class Repeat:
+    """One relay through all sizes. `loads`: the machine's load average at each of them."""
+
+    plan: Plan
+    number: int
+    relay: MeasuredRelay
+    servers: HollowProcess
+    clients: HollowProcess
+    tell: Callable[[str], None]
+    points: list[Point] = field(default_factory=list)
+    loads: list[float] = field(default_factory=list)
+    full: bool = False
+    _silent_share: float = 0.0  # of a core, of the standing connections when nobody says anything
+
+    async def measure(self) -> None:
+        self._add("relay.memory.empty", "kB", "connections", 0, self.relay.memory_kb())
+        self._silent_share = (await self._rest()).share
+        self._add("relay.empty.cpu", "ms/s", "connections", 0, 1000 * self._silent_share)
+        standing = 0
+        for size in self.plan.sizes:
+            await self._grow(standing, size)
+            await self._at(size)
+            standing = size
+        for rate in self.plan.rates:
+            await self._deliver_at(rate, standing)
+        if (lost := await self.clients.order(CountLost())) != MOST_LOST:
+            raise RunFailed(f"{lost} standing connections were lost")
+
+    def _add(self, quantity: str, unit: str, dimension: str, size: float, value: float) -> None:
+        self.points.append(Point(quantity, unit, dimension, size, value, self.number, self.plan.seed))
+        self.tell(f"repeat {self.number}: {quantity} at {size:,.0f} {dimension}: {value:,.3f} {unit}")
+
+    # ---- what is measured at one size ----
+
+    async def _grow(self, standing: int, size: int) -> None:
+        silent_before = self._silent_share
+        watch = Stopwatch(self.relay).start()
+        seed = self.plan.seed * 1_000 + self.number * 100 + len(self.loads)
+        opened = await self.clients.order(Open(self.relay.listen, size - standing, seed))
+        spent = watch.read()
+        assert isinstance(opened, Opened)
+        await trio.sleep(SETTLE_S)
+        self._add("relay.connection.memory", "kB", "connections", size, self.relay.memory_kb())
+        self._silent_share = (await self._rest()).share
+        standing_s = spent.seconds * (silent_before + self._silent_share) / 2
+        self._add("relay.connection.silent.cpu", "ms/s", "connections", size, 1000 * self._silent_share)
+        set_up_ms = 1000 * (spent.ran_s - standing_s) / (size - standing + opened.again)
+        self._add("relay.connection.setup.cpu", "ms", "connections", size, set_up_ms)
+
+    async def _rest(self) -> Spent:
+        watch = Stopwatch(self.relay).start()
+        await trio.sleep(self.plan.window_s)
+        return watch.read()
+
+    async def _at(self, size: int) -> None:
+        self._add("machine.reference.cpu", "ms", "connections", size, reference_ms())
+        delivery_us = await self._deliveries(size)
+        await self._lines(size)
+        await self._speech(size, delivery_us)
+        self.loads.append(os.getloadavg()[0])
+
+    async def _deliveries(self, size: int) -> float:
+        heard, _, spent = await self._deliver(DELIVERY_RATE)
+        cost_us = self._cost_us(spent, heard.count)
+        self._add("relay.delivery.cpu", "us", "connections", size, cost_us)
+        return cost_us
+
+    async def _lines(self, size: int) -> None:
+        """Every client says a line every two seconds, and has it back."""
+        talked, spent = await self._talk(size / LINE_GAP_S, size, 1)
+        line_us = self._cost_us(spent, talked.sent)
+        self._add("relay.line.cpu", "us", "connections", size, line_us)
+        standing = 1000 * self._silent_share + line_us / 1000 * size / LINE_GAP_S
+        self._add("relay.connection.standing.cpu", "ms/s", "connections", size, standing)
+
+    async def _speech(self, size: int, delivery_us: float) -> None:
+        talked, spent = await self._talk(SPEECH_RATE, min(size, SPEAKERS), ASK_EVERY)
+        up_us = self._cost_us(spent, talked.sent) - delivery_us * talked.answered / talked.sent
+        self._add("relay.line.up.cpu", "us", "connections", size, up_us)
+
+    def _cost_us(self, spent: Spent, count: int) -> float:
+        """Of each of so many, beyond what the connections cost by standing."""
+        return 1e6 * (spent.ran_s - self._silent_share * spent.seconds) / count
+
+    async def _talk(self, rate: float, speakers: int, ask_every: int) -> tuple[Talked, Spent]:
+        order = Talk(self._schedule(rate), speakers, ask_every)
+        await _until(order.schedule.begin)
+        watch = Stopwatch(self.relay).start()
+        talked = await self.clients.order(order)
+        spent = watch.read()
+        assert isinstance(talked, Talked)
+        if talked.answered != talked.asked:
+            raise RunFailed(f"of {talked.asked} lines that ask, {talked.answered} were answered")
+        return talked, spent
+
+    def _schedule(self, rate: float) -> Schedule:
+        return Schedule(time.monotonic() + LEAD_S, rate, round(rate * self.plan.window_s))
+
+    # ---- deliveries at rising rates ----
+
+    async def _deliver_at(self, rate: float, size: int) -> None:
+        """Deliveries at this rate, unless the core was full at a lower one."""
+        if self.full:
+            return
+        heard, delivered, spent = await self._deliver(rate)
+        for quantity, unit, value in (
+            ("relay.delivery.p50", "ms", heard.p50_ms),
+            ("relay.delivery.p99", "ms", heard.p99_ms),
+            ("relay.delivery.achieved", "deliveries/s", heard.within / self.plan.window_s),
+            ("relay.delivery.core", "core", spent.share),
+            ("relay.delivery.busy", "core", spent.busy),
+            ("relay.delivery.cpu_at_rate", "us", self._cost_us(spent, heard.within)),
+            ("hollow.delivery.late.p99", "ms", delivered.late_p99_ms),
+        ):
+            self._add(quantity, unit, "deliveries_per_s", rate, value)
+        self.full = spent.busy >= FULL
+        if self.full:
+            per_core = heard.within / spent.ran_s
+            self._add("relay.delivery.full_core", "deliveries/s", "connections", size, per_core)
+
+    async def _deliver(self, rate: float) -> tuple[Heard, Delivered, Spent]:
+        """What the relay spent is that of the schedule's length."""
+        schedule = self._schedule(rate)
+        answers: dict[type, object] = {}
+
+        async def ask(process: HollowProcess, order: object) -> None:
+            answer = await process.order(order)
+            answers[type(answer)] = answer
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, self.clients, Hear(schedule))
+            nursery.start_soon(ask, self.servers, Deliver(schedule, self.plan.seed))
+            await _until(schedule.begin)
+            watch = Stopwatch(self.relay).start()
+            await _until(schedule.end)
+            spent = watch.read()
+        heard, delivered = answers[Heard], answers[Delivered]
+        assert isinstance(heard, Heard) and isinstance(delivered, Delivered)
+        if delivered.full or heard.count > delivered.count:
+            raise RunFailed(f"of {delivered.count} deliveries {delivered.full} found no room")
+        return heard, delivered, spent
+
+
+async def _until(moment: float) -> None:
+    await trio.sleep(max(0.0, moment - time.monotonic()))
+
+
+@asynccontextmanager
+async def _hollow() -> AsyncIterator[tuple[HollowProcess, HollowProcess]]:
+    """Push servers and clients, gone with the block."""
+    processes = HollowProcess(PushServers), HollowProcess(Clients)
+    try:
+        yield processes
+    finally:
+        for process in processes:
+            process.end()
+
+
+async def repeat(plan: Plan, number: int, folder: Path, tell: Callable[[str], None]) -> Repeat:
+    """Raises HollowFailed or RunFailed if it measured something else than it was to."""
+    net = Net()
+    async with _hollow() as (servers, clients):
+        hosts = tuple(net.host(SERVERS, place) for place in range(plan.push_servers))
+        addresses = await servers.order(Listen(hosts))
+        if not isinstance(addresses, list):
+            raise HollowFailed("the push servers told no addresses")
+        async with measured_relay(folder, addresses, descriptor_limit()) as relay:
+            one = Repeat(plan, number, relay, servers, clients, tell)
+            await one.measure()
+            return one
--- a/glenfold_lab/stands/relays.py
+++ b/glenfold_lab/stands/relays.py
@@ -97,6 +97,12 @@
     def running(self) -> bool:
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def pid(self) -> int:
+        """Of its process, which has to have been started."""
+        assert self._process is not None
+        return self._process.pid
+
     @property
     def log(self) -> Path:
         return self._folder / "log"
