Bound what connections cost a relay by a reference work done beside it

Processor times here vary twofold with what shares the cores, and a trial failed for two faults of the hollow side: two lines that came in one piece were answered once, and a window shorter than the relay's watch for silence saw no wake of it. Each line that asks is answered, silence is measured over whole periods, and costs are compared in steps of a fixed work; a run over a bound ends with status 1.

--- a/glenfold_lab/scale/connections_command.py
+++ b/glenfold_lab/scale/connections_command.py
@@ -11,6 +11,7 @@
 
 from glenfold_lab.scale import connections_run as run
 from glenfold_lab.scale import placement_cost
+from glenfold_lab.scale.connection_bounds import exceeded
 from glenfold_lab.scale.hollow_process import HollowFailed
 from glenfold_lab.scale.measurements import Machine, Results, fit, medians
 
@@ -47,7 +48,7 @@
 @click.option("--members", type=Numbers(), default=MEMBERS, show_default=True, help="Of one group.")
 @click.option("--repeats", type=click.IntRange(1, 9), default=3, show_default=True)
 @click.option(
-    "--window", "window_s", type=click.FloatRange(0.5, 60), default=4.0, show_default=True, help="Seconds."
+    "--window", "window_s", type=click.FloatRange(0.5, 60), default=3.6, show_default=True, help="Seconds."
 )
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
 @click.option(
@@ -64,10 +65,10 @@
 ) -> None:
     """Let one real relay hold connections, and measure its memory and processor time.
 
-    Exit status: 0 measured, 1 the run failed, 2 the words are at fault.
+    Exit status: 0 measured, 1 the run failed or a bound is exceeded, 2 the words are at fault.
     """
     descriptors = run.descriptor_limit()
-    plan = run.Plan(run.reachable(sizes, descriptors), rates, repeats, window_s, seed=seed)
+    plan = run.Plan(run.reachable(sizes, descriptors), rates, repeats, window_s, window_s, seed=seed)
     words = ["--sizes", _joined(sizes), "--rates", _joined(rates), "--members", _joined(members)]
     words += ["--repeats", str(repeats), "--window", f"{window_s:g}", "--seed", str(seed)]
     results = Results(
@@ -89,6 +90,8 @@
     results.save(out)
     for row in table(results):
         click.echo(row)
+    if over := list(exceeded(results)):
+        raise click.ClickException("; ".join(over))
 
 
 def _repeat(plan: run.Plan, number: int, results: Results) -> list[float]:
@@ -108,8 +111,7 @@
         "push_servers": plan.push_servers,
         "window_s": plan.window_s,
         "line_gap_s": run.LINE_GAP_S,
-        "line_rate": run.LINE_RATE,
-        "delivery_rate": run.DELIVERY_RATE,
+        "line_rate": plan.line_rate,
         "rising_rates_at": plan.sizes[0],
         "load_averages": [list(one) for one in loads],
         "placement_servers": placement_cost.SERVERS,
--- a/glenfold_lab/scale/connections_run.py
+++ b/glenfold_lab/scale/connections_run.py
@@ -10,7 +10,7 @@
 import os
 import resource
 import time
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Iterator, Sequence
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -18,22 +18,20 @@
 import trio
 
 from glenfold.config import Room
+from glenfold_lab.scale.connection_bounds import REFERENCE
 from glenfold_lab.scale.hollow_clients import Clients, CountLost, Hear, Heard, Open, Opened, Talk, Talked
 from glenfold_lab.scale.hollow_process import HollowFailed, HollowProcess, Schedule
 from glenfold_lab.scale.hollow_servers import Deliver, Delivered, Listen, PushServers
 from glenfold_lab.scale.measured_relay import MeasuredRelay, measured_relay
 from glenfold_lab.scale.measurements import Point
+from glenfold_lab.scale.reference_work import Reference
 from glenfold_lab.stands.places import SERVERS, Net
 from glenfold_lab.stands.relays import NotReady
 from glenfold_lab.stands.sockets import Address
-from linnetspread.choice import mix
 
 LINE_GAP_S = 2.0  # between the lines of one client
-LEAD_S = 0.2  # from an order to the first moment of its schedule
-DELIVERY_RATE = 1_000.0  # a second, at each size
-LINE_RATE = 500.0  # of lines with their answers, a second together
+LEAD_S = 0.1  # from an order to the first moment of its schedule
 SPEAKERS = 50  # connections that say lines which hardly any answer follows
-SPEECH_RATE = 1_000.0  # of their lines, a second together
 ASK_EVERY = 10  # of these lines, one that is answered: a relay moves a client whose line nothing follows
 FULL = 0.95  # of a core, run or waited for: the relay has no more to give
 MOST_SILENT = 0.7  # of a core, for what comes on top of silent connections to be told apart from them
@@ -41,32 +39,23 @@
 ROUND = 100  # the largest size that descriptors allow is cut down to a multiple of it
 
 
-REFERENCE_STEPS = 100_000
-
-
-def reference_ms() -> float:
-    """Processor time of a fixed piece of work. It grows where others share the core's caches and threads, so
-    it tells how far the processor times measured beside it are those of a calm machine."""
-    began, value = time.thread_time_ns(), 1
-    for _ in range(REFERENCE_STEPS):
-        value = mix(value)
-    return (time.thread_time_ns() - began) / 1e6
-
-
 class RunFailed(Exception):
     """A run that measured something else than it was to."""
 
 
 @dataclass(frozen=True, slots=True)
 class Plan:
-    """`window_s`: the length of each measurement; `settle_s`: from the last set-up to the first of
-    them. `rates`: deliveries a second, rising."""
+    """window_s: length of each measurement, but rest_s of that without a line: whole periods of the relay's
+    watch for silence, 1.2 s. settle_s: from the last set-up to the first measurement. rates: deliveries a
+    second, rising. line_rate: deliveries, and lines that go up, a second at each size."""
 
     sizes: tuple[int, ...]
     rates: tuple[float, ...]
     repeats: int = 3
-    window_s: float = 4.0
+    window_s: float = 3.6
+    rest_s: float = 3.6
     settle_s: float = 1.5
+    line_rate: float = 1_000.0
     push_servers: int = 20
     seed: int = 1
 
@@ -126,11 +115,18 @@
     servers: HollowProcess
     clients: HollowProcess
     tell: Callable[[str], None]
+    reference: Reference = field(default_factory=Reference)
     points: list[Point] = field(default_factory=list)
     loads: list[float] = field(default_factory=list)
     _silent: Spent = Spent(1.0, 0.0, 0.0)  # on standing connections when nobody says anything
 
     async def measure(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.reference.run)
+            await self._measure()
+            nursery.cancel_scope.cancel()
+
+    async def _measure(self) -> None:
         self._add("relay.memory.empty", "kB", "connections", 0, self.relay.memory_kb())
         self._silent = await self._rest()
         self._add("relay.empty.cpu", "ms/s", "connections", 0, 1000 * self._silent.share)
@@ -139,6 +135,7 @@
             await self._grow(standing, size)
             if self._silent.share < MOST_SILENT:
                 await self._at(size)
+            self._add(REFERENCE, "us", "connections", size, self.reference.step_us())
             self.loads.append(os.getloadavg()[0])
             if not standing:
                 await self._rising(size)
@@ -171,31 +168,30 @@
 
     async def _rest(self) -> Spent:
         watch = Stopwatch(self.relay).start()
-        await trio.sleep(self.plan.window_s)
+        await trio.sleep(self.plan.rest_s)
         return watch.read()
 
     async def _at(self, size: int) -> None:
-        self._add("machine.reference.cpu", "ms", "connections", size, reference_ms())
         delivery_us = await self._deliveries(size)
         await self._lines(size)
         await self._speech(size, delivery_us)
 
     async def _deliveries(self, size: int) -> float:
-        heard, _, spent = await self._deliver(DELIVERY_RATE)
-        cost_us = self._cost_us(spent, heard.count)
+        heard, _, spent = await self._deliver(self.plan.line_rate)
+        cost_us = self._cost_us(spent, heard.within)
         self._add("relay.delivery.cpu", "us", "connections", size, cost_us)
         return cost_us
 
     async def _lines(self, size: int) -> None:
         """Lines of all clients in turn, each of which comes back."""
-        talked, spent = await self._talk(LINE_RATE, size, 1)
+        talked, spent = await self._talk(self.plan.line_rate / 2, size, 1)
         line_us = self._cost_us(spent, talked.sent)
         self._add("relay.line.cpu", "us", "connections", size, line_us)
         standing = 1000 * self._silent.share + line_us / 1000 * size / LINE_GAP_S
         self._add("relay.connection.standing.cpu", "ms/s", "connections", size, standing)
 
     async def _speech(self, size: int, delivery_us: float) -> None:
-        talked, spent = await self._talk(SPEECH_RATE, min(size, SPEAKERS), ASK_EVERY)
+        talked, spent = await self._talk(self.plan.line_rate, min(size, SPEAKERS), ASK_EVERY)
         up_us = self._cost_us(spent, talked.sent) - delivery_us * talked.answered / talked.sent
         self._add("relay.line.up.cpu", "us", "connections", size, up_us)
 
@@ -293,7 +289,16 @@
             failures, others = group.split((HollowFailed, NotReady, RunFailed))
             if others or failures is None:
                 raise
-            raise RunFailed("; ".join(str(error) for error in failures.exceptions)) from group
+            raise RunFailed("; ".join(_words(failures))) from group
+
+
+def _words(group: BaseExceptionGroup[BaseException]) -> Iterator[str]:
+    """What each error says, in whatever nursery it was."""
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _words(error)
+        else:
+            yield str(error)
 
 
 async def _listening(servers: HollowProcess, count: int) -> list[Address]:
--- a/glenfold_lab/scale/hollow_servers.py
+++ b/glenfold_lab/scale/hollow_servers.py
@@ -75,8 +75,8 @@
         sock = self.sockets[number]
         try:
             data = sock.recv(CHUNK)
-            if data.endswith(ASK):
-                sock.send(ASK)
+            if asked := data.count(ASK):
+                sock.send(ASK * asked)
             elif data.startswith(FIRST):
                 sock.send(UP)
         except OSError:
