Test the bounds on what connections cost, with a relay that exceeds them

A small run with 100, 200 and 400 connections holds all bounds; a relay whose lines look at all connections, and whose connections keep something for each other, exceeds those on memory and on deliveries.

--- /dev/null
+++ b/tests/glenfold_lab/scale/test_connections.py
@@ -0,0 +1,156 @@
+"""A small run of connections through a real relay: bounds on its slopes, and that they can be exceeded."""
+
+import sys
+from collections.abc import Callable
+from dataclasses import replace
+from pathlib import Path
+
+import click
+import pytest
+import trio
+from click.testing import CliRunner
+
+from glenfold.net.passing import SILENT_S
+from glenfold_lab.scale import connections_run as run
+from glenfold_lab.scale import placement_cost
+from glenfold_lab.scale.connection_bounds import MEMORY, REFERENCE, STEPS, exceeded
+from glenfold_lab.scale.connections_command import Numbers, command
+from glenfold_lab.scale.hollow_process import Schedule
+from glenfold_lab.scale.measurements import Machine, Point, Results, medians
+
+ROOT = Path(__file__).parents[3]
+SMALL = run.Plan((100, 200, 400), (), 1, window_s=0.3, rest_s=SILENT_S, settle_s=0.1, line_rate=1_500.0)
+# A relay in which a line looks at all connections, and a connection keeps something for each other one.
+MUTANT = """#!{python}
+import runpy, sys
+del sys.argv[1:]
+sys.path.insert(0, {root!r})
+from glenfold.lines import LineTracker
+from glenfold.net.passing import Passage
+standing, feed, begin = [], LineTracker.feed, Passage.__init__
+
+def look_at_all(self, data):
+    for _ in range(6):
+        [passage.over for passage in standing]
+    return feed(self, data)
+
+def keep_for_all(self, *given):
+    begin(self, *given)
+    standing.append(self)
+    self.kept = bytearray(300 * len(standing))
+
+LineTracker.feed, Passage.__init__ = look_at_all, keep_for_all
+runpy.run_module("glenfold", run_name="__main__")
+"""
+
+
+def measured(plan: run.Plan, folder: Path) -> Results:
+    results = Results("connections", "a test", "", Machine.here())
+    trio.run(run.repeat, plan, 1, folder, results.points.append)
+    return results
+
+
+def test_no_slope_of_a_relay_exceeds_its_bound(tmp_path: Path) -> None:
+    results = measured(SMALL, tmp_path)
+    assert list(exceeded(results)) == []
+    assert list(medians(results.of("relay.line.cpu"))) == list(SMALL.sizes)
+
+
+def test_a_relay_that_looks_at_all_connections_exceeds_them(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    mutant = tmp_path / "mutant"
+    mutant.write_text(MUTANT.format(python=sys.executable, root=str(ROOT)))
+    mutant.chmod(0o700)
+    monkeypatch.setattr(sys, "executable", str(mutant))
+    plan = replace(SMALL, rest_s=0.1)  # what silent connections cost is not what it changes
+    over = [words.partition(":")[0] for words in exceeded(measured(plan, tmp_path))]
+    assert MEMORY in over
+    assert "relay.delivery.cpu" in over
+
+
+# ---- the bounds themselves ----
+
+
+def sound() -> Results:
+    """A run well within all bounds."""
+    points = [Point(REFERENCE, "us", "connections", size, 0.5) for size in (100, 200, 400)]
+    for size in (100, 200, 400):
+        points.append(Point(MEMORY, "kB", "connections", size, 30_000 + 28 * size))
+        points.append(Point("relay.connection.setup.cpu", "ms", "connections", size, 1.6))
+        points.append(Point("relay.connection.silent.cpu", "ms/s", "connections", size, 0.1 * size))
+        for quantity in ("relay.delivery.cpu", "relay.line.cpu", "relay.line.up.cpu"):
+            points.append(Point(quantity, "us", "connections", size, 120.0))
+    return Results("connections", "", "", Machine.here(), points=points)
+
+
+def changed(quantity: str, change: Callable[[Point], float]) -> list[str]:
+    """What is over its bound once that quantity is changed so in a sound run."""
+    results = sound()
+    results.points = [
+        Point(p.quantity, p.unit, p.dimension, p.size, change(p)) if p.quantity == quantity else p
+        for p in results.points
+    ]
+    return list(exceeded(results))
+
+
+def test_a_sound_run_exceeds_nothing() -> None:
+    assert list(exceeded(sound())) == []
+
+
+@pytest.mark.parametrize("quantity", STEPS)
+def test_each_cost_has_a_bound_on_its_size_and_on_its_growth(quantity: str) -> None:
+    assert f"{quantity}: " in changed(quantity, lambda p: p.value * 6)[0]
+    assert "grows from" in changed(quantity, lambda p: p.value * p.size / 180)[0]
+
+
+def test_memory_has_a_bound_on_its_slope_and_on_its_curve() -> None:
+    assert "kB a connection" in changed(MEMORY, lambda p: 30_000 + 40 * p.size)[0]
+    assert "off a straight line" in changed(MEMORY, lambda p: 3_000 + p.size**2 / 20)[0]
+
+
+def test_a_slow_machine_is_no_fault_of_the_relay() -> None:
+    results = sound()
+    slower = {quantity: 3.0 for quantity in (REFERENCE, *STEPS)}
+    results.points = [
+        Point(p.quantity, p.unit, p.dimension, p.size, p.value * slower.get(p.quantity, 1.0))
+        for p in results.points
+    ]
+    assert list(exceeded(results)) == []
+
+
+# ---- its parts ----
+
+
+def test_sizes_beyond_the_descriptors_become_the_largest_that_they_allow() -> None:
+    assert run.reachable((1_000, 5_000, 20_000), descriptors=20_000) == (1_000, 5_000, 9_900)
+    assert run.reachable((1_000, 5_000, 20_000), descriptors=100_000) == (1_000, 5_000, 20_000)
+
+
+def test_a_schedule_says_what_should_have_gone() -> None:
+    schedule = Schedule(begin=10.0, rate=100.0, count=50)
+    assert [schedule.due(moment) for moment in (9.0, 10.0, 10.011, 99.0)] == [0, 1, 2, 50]
+    assert schedule.moment(10) == pytest.approx(10.1)
+    assert schedule.end == pytest.approx(10.5)
+
+
+def test_a_placement_in_a_sparse_fleet_costs_by_what_is_held_and_in_a_dense_one_does_not() -> None:
+    held = 500, 8_000
+    sparse = [
+        placement_cost.placement_us(placement_cost.holding(count, 100, placement_cost.SPARSE_QUOTA), 20)
+        for count in held
+    ]
+    dense = [
+        placement_cost.placement_us(placement_cost.holding(count, 100, placement_cost.DENSE_QUOTA), 20)
+        for count in held
+    ]
+    assert sparse[1] > 2 * sparse[0]
+    assert dense[1] < 2 * dense[0]
+
+
+def test_numbers_have_to_rise() -> None:
+    assert Numbers().convert("1,20,300", None, None) == (1, 20, 300)
+    for faulty in ("", "a", "0,1", "5,5", "9,1"):
+        with pytest.raises(click.BadParameter):
+            Numbers().convert(faulty, None, None)
+    assert CliRunner().invoke(command, ["--sizes", "3,2"]).exit_code == 2
