Tell a large group apart from a quarter of a connection a server on, not from a whole one

Change: the count of members is bound by its own deviation; only below 0.25 connections a server does nothing follow from it.

--- a/glenfold/rules/group_parts.py
+++ b/glenfold/rules/group_parts.py
@@ -11,7 +11,7 @@
 
 MASK = (1 << 64) - 1
 GOLDEN = 0x9E3779B97F4A7C15  # odd; spreads consecutive numbers over 64 bits
-LEAST_ROOM = 1.0  # connections of a server here; with fewer, the decisions give groups homes of their own
+LEAST_ROOM = 0.25  # connections of a server here; with fewer, what is held says nothing of a group's size
 PARTS_A_ROOM = 4  # so small that a part does not crowd out the server's other connections
 DEVIATIONS = 3.0  # by which a count may exceed its expectation without being taken for more
 
--- a/tests/rules/test_group_parts.py
+++ b/tests/rules/test_group_parts.py
@@ -30,8 +30,8 @@
         (101, 71.0, 1),  # 70.9 for certain
         (102, 71.0, 8),  # 71.7
         (353, 6.0, 256),  # 1.2 million listeners among 210 million connections at 10,240 servers
-        (353, 0.99, 1),  # with less than one connection of a server here the decisions spread groups
-        (353, 1.0, 2048),
+        (353, 0.24, 1),  # so few of a server here that a count says nothing
+        (353, 0.25, 8192),
     ],
 )
 def test_a_group_gets_parts_by_its_size(members: int, room: float, expected: int) -> None:
