--- a/glenfold_lab/scale/capacity/context.py
+++ b/glenfold_lab/scale/capacity/context.py
@@ -97,9 +97,9 @@
         return self.sizes.changes_per_s() * self.change_bytes()
 
     def control_memory(self) -> Estimate:
-        """Bytes that the list costs a relay: with it and without."""
-        with_list = self.slopes.at("relay.list.memory", self.servers)
-        return (with_list - self.slopes.intercept("relay.list.memory")) * MB
+        """Bytes that the list costs a relay: the decisions' map and the destination set."""
+        decisions = self.slopes.at("decisions.memory", self.servers)
+        return (decisions + self.slopes.at("destinations.memory", self.servers)) * MB
 
     def seconds_on_the_line(self, amount: Estimate) -> Estimate:
         """At the rate that a relay may spend on control."""
--- a/glenfold_lab/scale/capacity/events.py
+++ b/glenfold_lab/scale/capacity/events.py
@@ -138,14 +138,14 @@
     Row(
         "until in force, from one service for all relays, measured",
         "s",
-        "control.agent.burst.max",
-        lambda c: c.slopes.at("control.agent.burst.max", c.size.relays),
+        "control.agent.burst.in_force.max",
+        lambda c: c.slopes.at("control.agent.burst.in_force.max", c.size.relays, "watchers"),
     ),
     Row(
         "until in force, through replicas, measured",
         "s",
-        "replica.burst.max",
-        lambda c: c.slopes.typical("replica.burst.max"),
+        "replica.burst.in_force.max",
+        lambda c: c.slopes.typical("replica.burst.in_force.max"),
     ),
 )
 
@@ -179,8 +179,8 @@
     Row(
         "until in force everywhere, through replicas, measured",
         "s",
-        "replica.steady.max",
-        lambda c: c.slopes.typical("replica.steady.max"),
+        "replica.steady.in_force.max",
+        lambda c: c.slopes.typical("replica.steady.in_force.max"),
     ),
 )
 
--- a/glenfold_lab/scale/capacity/roles.py
+++ b/glenfold_lab/scale/capacity/roles.py
@@ -37,7 +37,9 @@
     ),
     Row("processor time, all of these", "cores", "their sum", lambda c: c.relay_cores()),
     Row("memory with its connections", "GB", "relay.connection.memory", lambda c: c.connection_memory(), GB),
-    Row("memory of the list", "MB", "relay.list.memory less its start", lambda c: c.control_memory(), MB),
+    Row(
+        "memory of the list", "MB", "decisions.memory + destinations.memory", lambda c: c.control_memory(), MB
+    ),
     Row(
         "processor time, changes of the list",
         "% of a core",
@@ -54,7 +56,13 @@
         lambda c: c.seconds_on_the_line(c.list_bytes()),
     ),
     Row(
-        "longest stop of the loop, a whole list",
+        "stop of the loop, a whole list",
+        "ms",
+        "list.cpu",
+        lambda c: c.slopes.at("list.cpu", c.servers),
+    ),
+    Row(
+        "longest stop of the loop, changes at the mean rate",
         "ms",
         "relay.loop_stop.max",
         lambda c: c.slopes.at("relay.loop_stop.max", c.servers),
--- a/glenfold_lab/scale/capacity/slopes.py
+++ b/glenfold_lab/scale/capacity/slopes.py
@@ -52,35 +52,37 @@
 
 
 class Slopes:
-    """Every quantity that was measured. A name that two runs measured is refused: which one would hold?"""
+    """Every quantity that was measured, by its name and what was varied. One that two runs measured is
+    refused: which one would hold?"""
 
     def __init__(self, runs: Iterable[Results]) -> None:
         self.runs = tuple(runs)
-        self.quantities: dict[str, Quantity] = {}
+        self.quantities: dict[tuple[str, str], Quantity] = {}
         for run in self.runs:
-            for name in dict.fromkeys(point.quantity for point in run.points):
-                self._add(name, run)
+            for name, dimension in dict.fromkeys((point.quantity, point.dimension) for point in run.points):
+                self._add(name, dimension, run)
 
     @classmethod
     def load(cls, folder: Path) -> Self:
         """From each file of results in that folder. Raises ValueError for one that is none."""
         return cls(Results.load(path) for path in sorted(folder.glob("*.json")))
 
-    def _add(self, name: str, run: Results) -> None:
-        if name in self.quantities:
-            raise ValueError(f"{name} stands in {self.quantities[name].run} and in {run.run}")
-        points = tuple(run.of(name))
-        self.quantities[name] = Quantity(name, points[0].unit, points[0].dimension, run.run, points)
+    def _add(self, name: str, dimension: str, run: Results) -> None:
+        if known := self.quantities.get((name, dimension)):
+            raise ValueError(f"{name} stands in {known.run} and in {run.run}")
+        points = tuple(point for point in run.of(name) if point.dimension == dimension)
+        self.quantities[name, dimension] = Quantity(name, points[0].unit, dimension, run.run, points)
 
-    def quantity(self, name: str) -> Quantity:
-        """Raises NotMeasured."""
-        if name not in self.quantities:
-            raise NotMeasured(f"nothing has measured {name}")
-        return self.quantities[name]
+    def quantity(self, name: str, dimension: str | None = None) -> Quantity:
+        """`dimension`: None takes the first that was varied. Raises NotMeasured."""
+        for (measured, varied), quantity in self.quantities.items():
+            if measured == name and dimension in (None, varied):
+                return quantity
+        raise NotMeasured(f"nothing has measured {name}" + (f" by {dimension}" if dimension else ""))
 
-    def at(self, name: str, size: Estimate | float) -> Estimate:
+    def at(self, name: str, size: Estimate | float, dimension: str | None = None) -> Estimate:
         """The line's value at that size, or the median measured if it was measured at just that size."""
-        quantity, wanted = self.quantity(name), _plain(size)
+        quantity, wanted = self.quantity(name, dimension), _plain(size)
         measured = medians(quantity.points)
         value = measured.get(wanted.value)
         if value is None:
--- a/glenfold_lab/scale/capacity/verdicts.py
+++ b/glenfold_lab/scale/capacity/verdicts.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from glenfold_lab.scale.capacity.context import KB, MB, Context
+from glenfold_lab.scale.capacity.context import KB, MB, MS, Context
 from glenfold_lab.scale.capacity.estimates import Estimate, rounded
 from glenfold_lab.scale.capacity.tables import Formula, described, evaluated, markdown
 
@@ -56,7 +56,7 @@
 
 
 def deliveries_share(context: Context) -> Estimate:
-    return context.slopes.typical("relay.deliveries.most") / context.deliveries
+    return context.slopes.typical("relay.delivery.full_core") / context.deliveries
 
 
 def topic_share(context: Context) -> Estimate:
@@ -80,12 +80,31 @@
 
 
 def burst_service_share(context: Context) -> Estimate:
-    burst = context.slopes.at("control.agent.burst.max", context.size.relays)
+    burst = context.slopes.at("control.agent.burst.in_force.max", context.size.relays, "watchers")
     return context.given("in_force_s") / burst
 
 
 def change_service_share(context: Context) -> Estimate:
-    return context.given("in_force_s") / context.slopes.at("control.agent.in_force.max", context.size.relays)
+    slowest = context.slopes.at("control.agent.steady.in_force.max", context.size.relays, "watchers")
+    return context.given("in_force_s") / slowest
+
+
+def return_seconds(context: Context) -> Estimate:
+    """Until one service has given every relay a whole list: what it takes at the measured number of servers,
+    times the bytes of a list of the target's size."""
+    start = context.slopes.at("control.agent.start.cpu", context.size.relays, "watchers")
+    measured_list = context.slopes.typical("control.agent.whole_list.bytes")
+    return start * MS * context.size.relays * context.list_bytes() / measured_list
+
+
+def return_share(context: Context) -> Estimate:
+    return context.given("ready_s") / return_seconds(context)
+
+
+def lines_burst_share(context: Context) -> Estimate:
+    """A zone's servers, each in a change of its own, taken in by one relay."""
+    take_in = context.servers_in_a_zone * context.change_seconds()
+    return context.given("in_force_s") / take_in
 
 
 def control_cores_share(context: Context) -> Estimate:
@@ -103,7 +122,7 @@
 
 def loop_share(context: Context) -> Estimate:
     """A line may be held back for a second at the most (the protocol's figure)."""
-    return context.given("longest_hold_s") * KB / context.slopes.at("relay.loop_stop.max", context.servers)
+    return context.given("longest_hold_s") * 1000.0 / context.slopes.at("list.cpu", context.servers)
 
 
 def ready_share(context: Context) -> Estimate:
@@ -160,6 +179,18 @@
         burst_line_share,
         "a smaller form of a change",
     ),
+    Line(
+        "the same, a change for each server of a zone, at a relay",
+        "processor time of a change of one server",
+        lines_burst_share,
+        "a cheaper take-in, or changes taken together",
+    ),
+    Line(
+        "all relays come back at once: ready within 10 s, one service",
+        "processor time of a whole list for each relay",
+        return_share,
+        "replicas of control",
+    ),
     Line(
         "the same, if settings are meant",
         "settings wait for a restart",
@@ -180,7 +211,7 @@
     Line("the same, on the relay's side", "time until PONG, on loopback", ready_share, "a faster take-in"),
     Line(
         "no line held back for over 1 s while a list is taken in",
-        "the longest stop of the loop",
+        "processor time of a whole list, which stops the loop",
         loop_share,
         "a take-in in parts",
     ),
