--- a/glenfold_lab/stands/agent.py
+++ b/glenfold_lab/stands/agent.py
@@ -124,7 +124,7 @@
     """One agent at one address, for one relay or shared by several; `serve` runs until it is cancelled.
 
     Whatever it holds counts as told to its relays, once it can be asked: when it was written to a watch, or
-    at once if none is open."""
+    at once if none is open. Without relays nothing is counted, which takes a look at every watch."""
 
     def __init__(
         self, relays: Sequence[int], host: str, holding: Holding, seen: Seen, clock: MachineClock
@@ -274,7 +274,8 @@
             self._watches[sock] = carried
             self._count_as_told()
             still_until = trio.current_time() + STILL_S
-            await self._something_new(still_until)
+            if self.quiet or carried == len(self.holding.sent):  # more may have come while it was writing
+                await self._something_new(still_until)
             if self.quiet:
                 continue
             lines, carried = self.holding.sent[carried:], len(self.holding.sent)
@@ -298,7 +299,7 @@
 
     def _count_as_told(self) -> None:
         """What every open watch has carried; all, if none is open."""
-        if self._found and not self.quiet:
+        if self.relays and self._found and not self.quiet:
             self._tell_upto(min(self._watches.values(), default=len(self.holding.sent)))
 
     def _tell_upto(self, count: int) -> None:
