Split the fleet's decisions into a package of ten modules with one job each

rules/fleet.py held settings, state, messages, the life of one instance, recovery and rolls in one class of 46 methods. It is now the package rules/fleet/: terms, state, incidents, effects, context, lifecycle, recovery, roll, roll_progress, and fleet, which dispatches. Names are imported from their module; the tests change in names alone.

--- a/glenfold/daemon/keep.py
+++ b/glenfold/daemon/keep.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from glenfold.daemon.owned import boot
-from glenfold.rules.fleet import State
+from glenfold.rules.fleet.state import State
 
 FORMAT = 1
 
--- a/glenfold/daemon/supervisor.py
+++ b/glenfold/daemon/supervisor.py
@@ -23,7 +23,27 @@
 from glenfold.daemon.logfiles import LogFiles
 from glenfold.daemon.owned import Owned, name_of
 from glenfold.logs import EVENTS
-from glenfold.rules import fleet as f
+from glenfold.rules.fleet.effects import AllDown, Effect, Kill, Refuse, Reload, Replace, Start, Stop, Tell
+from glenfold.rules.fleet.fleet import Fleet
+from glenfold.rules.fleet.incidents import (
+    BeginRoll,
+    CallOffRoll,
+    Command,
+    ContinueRoll,
+    Down,
+    Ended,
+    Incident,
+    NewTerms,
+    Release,
+    ReloadAll,
+    Resumed,
+    Seen,
+    Served,
+    Spawned,
+    StateLost,
+)
+from glenfold.rules.fleet.state import Instance, Phase, Roll
+from glenfold.rules.fleet.terms import Terms
 from glenfold.rules.service import Shares, Window
 
 LOOK_S = 0.2  # from one look at an instance to the next
@@ -91,7 +111,7 @@
 class Order:
     """`controls`: the control socket of each instance."""
 
-    terms: f.Terms
+    terms: Terms
     controls: Mapping[str, Path]
     accept: Callable[[], None]
 
@@ -128,7 +148,7 @@
             state, again, fault = self._keep.load()
             if fault:
                 log.state_unread(fault=fault)
-            self._fleet = f.Fleet(order.terms, state, random.random)
+            self._fleet = Fleet(order.terms, state, random.random)
             self._window = Window(order.terms.window_s)
             log.supervises(instances=len(order.terms.instances), folder=self.place.folder)
             async with trio.open_nursery() as nursery:
@@ -141,14 +161,14 @@
 
     # ---- incidents and effects ----
 
-    def on(self, incident: f.Incident) -> str | None:
+    def on(self, incident: Incident) -> str | None:
         """Why it was refused, if it was."""
         effects = self._fleet.on(incident, time.monotonic())
         if fault := self._save():
-            effects += self._fleet.on(f.StateLost(fault), time.monotonic())
+            effects += self._fleet.on(StateLost(fault), time.monotonic())
         refused = None
         for effect in effects:
-            if isinstance(effect, f.Refuse):
+            if isinstance(effect, Refuse):
                 refused = effect.reason
             else:
                 self._perform(effect)
@@ -167,19 +187,19 @@
         self._save_failed = False
         return None
 
-    def _perform(self, effect: f.Effect) -> None:
+    def _perform(self, effect: Effect) -> None:
         match effect:
-            case f.Start(name) | f.Replace(name):
+            case Start(name) | Replace(name):
                 self._start(name)
-            case f.Stop(_, process):
+            case Stop(_, process):
                 self._signal(process, signal.SIGTERM)
-            case f.Kill(_, process):
+            case Kill(_, process):
                 self._signal(process, signal.SIGKILL)
-            case f.Reload(_, process):
+            case Reload(_, process):
                 self._signal(process, signal.SIGHUP)
-            case f.Tell(event, fields):
+            case Tell(event, fields):
                 EVENTS[event](**fields)
-            case f.AllDown():
+            case AllDown():
                 self._nursery.cancel_scope.cancel()
 
     def _signal(self, process: str, number: int) -> None:
@@ -195,11 +215,11 @@
             finally:
                 os.close(output)
         except OSError as error:
-            self.on(f.Ended(name, None, f"it could not be started: {error}"))
+            self.on(Ended(name, None, f"it could not be started: {error}"))
             return
         self._started.add(owned.process)
         self._watch(name, owned)
-        self.on(f.Spawned(name, owned.process))
+        self.on(Spawned(name, owned.process))
 
     def _watch(self, name: str, owned: Owned) -> None:
         self._owned[owned.process] = owned
@@ -210,12 +230,12 @@
         how = await owned.end()
         del self._owned[owned.process], self._instance_of[owned.process]
         self._started.discard(owned.process)
-        self.on(f.Ended(name, owned.process, how))
+        self.on(Ended(name, owned.process, how))
 
     async def _pass_time(self) -> None:
         while True:
             now = time.monotonic()
-            self.on(f.Served(self._window.shares(now)))
+            self.on(Served(self._window.shares(now)))
             self._woken = trio.Event()
             with trio.move_on_after(min(LOOK_S, max(0.0, self._fleet.next_at() - now))):
                 await self._woken.wait()
@@ -251,7 +271,7 @@
         async with trio.open_nursery() as nursery:
             for name in self._fleet.state.instances:
                 nursery.start_soon(find, name)
-        self.on(f.Resumed(frozenset(self._owned), answering, again))
+        self.on(Resumed(frozenset(self._owned), answering, again))
 
     async def _heard(self, name: str) -> str | None:
         """The process that answers for that name, if it is watched: one that is met for the first time is
@@ -302,13 +322,13 @@
         self._window.read(
             time.monotonic(), name, process, status.get("counters", {}), started_here=process in self._started
         )
-        self.on(f.Seen(name, process, status.get("state") in ("ready", "reloading")))
+        self.on(Seen(name, process, status.get("state") in ("ready", "reloading")))
 
     def _silent(self, name: str) -> None:
         one = self._fleet.state.instances.get(name)
-        if one is not None and one.process is not None and one.phase is f.Phase.READY:
+        if one is not None and one.process is not None and one.phase is Phase.READY:
             log.silent(name=name)
-            self.on(f.Seen(name, one.process, False))
+            self.on(Seen(name, one.process, False))
 
     # ---- commands ----
 
@@ -320,26 +340,26 @@
                 most_out = more.get("most_out")
                 if most_out is not None and type(most_out) is not int:
                     return {"refused": "most_out is not a number"}
-                return self._with_file(f.BeginRoll(most_out))
+                return self._with_file(BeginRoll(most_out))
             case {"ask": "continue"}:
-                return self._with_file(f.ContinueRoll())
+                return self._with_file(ContinueRoll())
             case {"ask": "reload"}:
-                return self._with_file(f.ReloadAll())
+                return self._with_file(ReloadAll())
             case {"ask": "call-off"}:
-                return self._done(f.CallOffRoll())
+                return self._done(CallOffRoll())
             case {"ask": "release", **more}:
-                return self._done(f.Release(more.get("name")))
+                return self._done(Release(more.get("name")))
             case {"ask": "down"}:
-                return self._done(f.Down())
+                return self._done(Down())
         return {"refused": "no such question"}
 
-    def _done(self, command: f.Command) -> dict[str, Any]:
-        self.on(f.Served(self._window.shares(time.monotonic())))  # a roll is judged by what is true now
+    def _done(self, command: Command) -> dict[str, Any]:
+        self.on(Served(self._window.shares(time.monotonic())))  # a roll is judged by what is true now
         refused = self.on(command)
         log.commanded(command=type(command).__name__, outcome=refused or "done")
         return {"refused": refused} if refused else {"done": True, "rolls": self._fleet.state.rolls}
 
-    def _with_file(self, command: f.Command) -> dict[str, Any]:
+    def _with_file(self, command: Command) -> dict[str, Any]:
         """The file is read anew where the command brings it to instances; a faulty one changes nothing."""
         if self._fleet.why_not(command):
             return self._done(command)
@@ -351,11 +371,11 @@
             return {"refused": str(error), "file": True}
         self._window.length_s = order.terms.window_s
         self._controls.update(order.controls)  # those that are gone still have to be seen to stop
-        self.on(f.NewTerms(order.terms))
+        self.on(NewTerms(order.terms))
         return self._done(command)
 
     def reload(self) -> None:
-        self._with_file(f.ReloadAll())
+        self._with_file(ReloadAll())
 
     def status(self) -> dict[str, Any]:
         state, now = self._fleet.state, time.monotonic()
@@ -370,7 +390,7 @@
             "state_saved": not self._save_failed,
         }
 
-    def _status_of(self, name: str, one: f.Instance, now: float) -> dict[str, Any]:
+    def _status_of(self, name: str, one: Instance, now: float) -> dict[str, Any]:
         told = self._looks.get(name, Look(0.0)).status
         pid = int(one.process.partition(":")[0]) if one.process else None
         return {
@@ -392,7 +412,7 @@
     return {"asked": shares.asked, "refused": shares.refused, "unanswered": shares.unanswered}
 
 
-def _status_of_roll(roll: f.Roll | None, now: float) -> dict[str, Any] | None:
+def _status_of_roll(roll: Roll | None, now: float) -> dict[str, Any] | None:
     if roll is None:
         return None
     return {
--- /dev/null
+++ b/glenfold/rules/fleet/context.py
@@ -0,0 +1,35 @@
+"""What the parts of one fleet share: settings, state, last measurement of service, pending effects."""
+
+from collections.abc import Callable
+
+from glenfold.rules.fleet.effects import Effect, Tell
+from glenfold.rules.fleet.state import State
+from glenfold.rules.fleet.terms import Terms
+from glenfold.rules.service import Shares
+
+
+class Context:
+    """`draw` returns random numbers in [0, 1)."""
+
+    def __init__(self, terms: Terms, state: State, draw: Callable[[], float]) -> None:
+        self.terms = terms
+        self.state = state
+        self.draw = draw
+        self.service: Shares | None = None
+        self._effects: list[Effect] = []
+
+    def emit(self, effect: Effect) -> None:
+        self._effects.append(effect)
+
+    def tell(self, event: str, **fields: object) -> None:
+        """Emits a log event."""
+        self.emit(Tell(event, fields))
+
+    def take_effects(self) -> list[Effect]:
+        """Returns the pending effects and removes them."""
+        effects, self._effects = self._effects, []
+        return effects
+
+    def is_wanted(self, name: str) -> bool:
+        """Whether the instance is to run: it is in the settings and the fleet is not going down."""
+        return name in self.terms.instances and not self.state.down
--- /dev/null
+++ b/glenfold/rules/fleet/fleet.py
@@ -0,0 +1,181 @@
+"""The entry point of the decisions: incidents go in, effects come out."""
+
+from collections.abc import Callable
+
+from glenfold.rules.fleet.context import Context
+from glenfold.rules.fleet.effects import AllDown, Effect, Refuse, Reload
+from glenfold.rules.fleet.incidents import (
+    BeginRoll,
+    CallOffRoll,
+    Command,
+    ContinueRoll,
+    Down,
+    Ended,
+    Incident,
+    NewTerms,
+    Passed,
+    Release,
+    ReloadAll,
+    Resumed,
+    Seen,
+    Served,
+    Spawned,
+    StateLost,
+)
+from glenfold.rules.fleet.lifecycle import Lifecycle
+from glenfold.rules.fleet.recovery import Recovery
+from glenfold.rules.fleet.roll import RollControl
+from glenfold.rules.fleet.roll_progress import RollProgress
+from glenfold.rules.fleet.state import Instance, Phase, State
+from glenfold.rules.fleet.terms import Terms
+
+RELOAD_DURING_ROLL = (
+    "a roll is running, and each instance that it starts goes by the file as it was when"
+    " the roll began; wait for its end or call it off"
+)
+
+
+class Fleet:
+    """`state` is changed in place. `draw` returns random numbers in [0, 1)."""
+
+    def __init__(self, terms: Terms, state: State, draw: Callable[[], float]) -> None:
+        self.state = state
+        self._context = Context(terms, state, draw)
+        self._roll = RollControl(self._context)
+        self._lifecycle = Lifecycle(self._context, self._roll)
+        self._recovery = Recovery(self._context, self._roll, self._lifecycle)
+        self._roll_progress = RollProgress(self._context, self._roll, self._lifecycle)
+        for name in terms.instances:
+            state.instances.setdefault(name, Instance())
+
+    def on(self, incident: Incident, now: float) -> list[Effect]:
+        """Applies the incident, and whatever else is due at `now`; returns the effects in their order."""
+        self._apply(incident, now)
+        self._advance(now)
+        return self._context.take_effects()
+
+    def next_at(self) -> float:
+        """The time of the next scheduled start, if no incident comes in before; infinity if there is none."""
+        due = [one.due_at for one in self.state.instances.values() if one.phase is Phase.DUE]
+        return max(min(due), self._earliest_start()) if due else float("inf")
+
+    def why_not(self, command: Command) -> str | None:
+        """Why the command would be refused now; None if it would be accepted."""
+        roll = self.state.roll
+        match command:
+            case BeginRoll():
+                return self._roll.refusal(self._most_out(command))
+            case ContinueRoll() if roll is None or roll.running:
+                return "no roll is stopped"
+            case CallOffRoll() if roll is None:
+                return "there is no roll"
+            case Release(name) if not self._held(name):
+                return f"{name} is not held" if name else "no instance is held"
+            case ReloadAll() if roll and roll.running:
+                return RELOAD_DURING_ROLL
+        return None
+
+    def _apply(self, incident: Incident, now: float) -> None:
+        match incident:
+            case Resumed():
+                self._recovery.resume(incident, now)
+            case NewTerms(terms):
+                self._apply_terms(terms, now)
+            case Spawned():
+                self._lifecycle.spawned(incident)
+            case Seen():
+                self._lifecycle.seen(incident, now)
+            case Ended():
+                self._lifecycle.ended(incident, now)
+            case Served(shares):
+                self._context.service = shares
+            case StateLost(reason):
+                self._roll.stop(f"the state can't be saved: {reason}")
+            case Passed():
+                pass
+            case _:
+                self._execute(incident, now)
+
+    def _execute(self, command: Command, now: float) -> None:
+        if reason := self.why_not(command):
+            self._context.emit(Refuse(reason))
+            return
+        match command:
+            case BeginRoll():
+                self._roll.begin(self._most_out(command), now)
+            case ContinueRoll():
+                self._roll.continue_stopped()
+            case CallOffRoll():
+                self._roll.call_off()
+            case Release(name):
+                self._release(name, now)
+            case ReloadAll():
+                self._reload()
+            case Down():
+                self._take_down(now)
+
+    def _most_out(self, command: BeginRoll) -> int:
+        return self._context.terms.most_out if command.most_out is None else command.most_out
+
+    def _held(self, name: str | None) -> list[Instance]:
+        return [
+            instance
+            for of, instance in self.state.instances.items()
+            if instance.phase is Phase.HELD and name in (None, of)
+        ]
+
+    def _release(self, name: str | None, now: float) -> None:
+        for instance in self._held(name):
+            instance.forget_exits()
+            instance.schedule(now, now)
+
+    def _reload(self) -> None:
+        for name, instance in self.state.instances.items():
+            if instance.process is not None and instance.phase in (Phase.READY, Phase.UNREADY):
+                self._context.emit(Reload(name, instance.process))
+
+    def _take_down(self, now: float) -> None:
+        if self.state.roll:
+            self._roll.call_off()
+        self.state.down = True
+        for name, instance in self.state.instances.items():
+            self._lifecycle.retire(name, instance, now)
+
+    def _apply_terms(self, terms: Terms, now: float) -> None:
+        """Schedules new instances, and stops those that are no longer in the settings."""
+        self._context.terms = terms
+        for name in terms.instances:
+            if name not in self.state.instances:
+                self.state.instances[name] = Instance(since=now, due_at=now)
+        for name, instance in list(self.state.instances.items()):
+            if name not in terms.instances and instance.phase is not Phase.STOPPING:
+                self._lifecycle.retire(name, instance, now)
+                self._lifecycle.remove_unwanted(name, instance)
+
+    def _advance(self, now: float) -> None:
+        """Does what is due at `now`: kills, steps of the roll, and starts."""
+        for name, instance in self.state.instances.items():
+            self._lifecycle.kill_overdue(name, instance, now)
+            self._lifecycle.check_successor(name, instance, now)
+        self._roll_progress.advance(now)
+        self._start_due(now)
+        if self.state.down and self._all_down():
+            self._context.emit(AllDown())
+
+    def _start_due(self, now: float) -> None:
+        due = sorted(
+            (instance.due_at, name)
+            for name, instance in self.state.instances.items()
+            if instance.phase is Phase.DUE and instance.due_at <= now
+        )
+        for _, name in due:
+            if now < self._earliest_start():
+                break
+            self._lifecycle.start(name, self.state.instances[name], now)
+
+    def _earliest_start(self) -> float:
+        return self.state.last_start + self._context.terms.stagger_s
+
+    def _all_down(self) -> bool:
+        instances = self.state.instances.values()
+        return all(instance.phase is Phase.DOWN and not instance.leaving for instance in instances)
--- a/tests/daemon/supervising.py
+++ b/tests/daemon/supervising.py
@@ -16,7 +16,7 @@
 from glenfold.daemon.ask import NoAnswer, ask
 from glenfold.daemon.logfiles import LogFiles
 from glenfold.daemon.supervisor import Order, Orders, Place, Supervisor
-from glenfold.rules.fleet import Terms
+from glenfold.rules.fleet.terms import Terms
 
 supervisor_module.LOOK_S = 0.05
 FAKE = str(Path(__file__).with_name("fake_instance.py"))
--- a/tests/daemon/test_supervisor.py
+++ b/tests/daemon/test_supervisor.py
@@ -16,7 +16,7 @@
 
 from glenfold.daemon import keep, owned
 from glenfold.daemon.supervisor import AlreadyRuns
-from glenfold.rules import fleet as f
+from glenfold.rules.fleet.state import Instance, Phase, State
 
 NAMES = ("s-1", "s-2", "s-3")
 in_trio = supervising.in_trio
@@ -115,8 +115,8 @@
             assert there is not None
             stale = f"{stranger.pid}:{int(there.partition(':')[2]) - 7}"
             assert owned.Owned.find(stale) is None
-            one = f.Instance(phase=f.Phase.STOPPING, since=0.0, process=stale, kill_at=0.0)
-            kept = keep.Kept(keep.FORMAT, owned.boot(), f.State({"s-1": one}))
+            one = Instance(phase=Phase.STOPPING, since=0.0, process=stale, kill_at=0.0)
+            kept = keep.Kept(keep.FORMAT, owned.boot(), State({"s-1": one}))
             (folder / "state.json").write_bytes(msgspec.json.encode(kept))
             async with supervised(folder, ("s-1",)):
                 await status_when(folder, all_ready)
@@ -170,10 +170,10 @@
 
 def test_state_is_whole_whenever_writing_breaks_off(folder: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     kept = keep.Keep(folder / "state.json")
-    kept.save(f.State(rolls=1))
+    kept.save(State(rolls=1))
     monkeypatch.setattr("os.fsync", full)
     with pytest.raises(OSError):
-        kept.save(f.State(rolls=2))
+        kept.save(State(rolls=2))
     state, again, fault = keep.Keep(folder / "state.json").load()
     assert state.rolls == 1 and again and fault is None and time.monotonic() > state.last_start
 
--- a/tests/rules/test_fleet_rules.py
+++ b/tests/rules/test_fleet_rules.py
@@ -11,7 +11,27 @@
 
 from glenfold.daemon import fleet_events  # noqa: F401  # registers what is told
 from glenfold.logs import EVENTS
-from glenfold.rules import fleet as f
+from glenfold.rules.fleet.effects import Effect, Kill, Refuse, Replace, Start, Stop, Tell
+from glenfold.rules.fleet.fleet import Fleet
+from glenfold.rules.fleet.incidents import (
+    BeginRoll,
+    CallOffRoll,
+    Command,
+    ContinueRoll,
+    Down,
+    Ended,
+    Incident,
+    NewTerms,
+    Passed,
+    Release,
+    ReloadAll,
+    Resumed,
+    Seen,
+    Served,
+    Spawned,
+)
+from glenfold.rules.fleet.state import Phase, State
+from glenfold.rules.fleet.terms import Terms
 from glenfold.rules.service import Shares, Window
 
 NAMES = ("a", "b", "c", "d")
@@ -21,7 +41,7 @@
 class Machine:
     """Processes, and one supervisor at a time; every effect is checked against what is allowed."""
 
-    def __init__(self, terms: f.Terms) -> None:
+    def __init__(self, terms: Terms) -> None:
         self.terms, self.now = terms, 1000.0
         self.running: dict[str, str] = {}  # process: instance
         self.ready: set[str] = set()
@@ -31,18 +51,18 @@
         self.asked_for: Counter[str] = Counter()  # starts that a command may bring about
         self.own_out: set[str] = set()
         self.service = WELL
-        self.events: list[f.Tell] = []
+        self.events: list[Tell] = []
         self.refused = ""
-        self.fleet = f.Fleet(terms, f.State(), lambda: 0.5)
+        self.fleet = Fleet(terms, State(), lambda: 0.5)
         self.made = 0
         self.killed: list[str] = []  # and not yet seen to have ended
         self.within = 0
 
-    def on(self, incident: f.Incident, carry_out: int = 1000) -> None:
+    def on(self, incident: Incident, carry_out: int = 1000) -> None:
         """`carry_out`: the supervisor is killed after so many effects."""
         held = self.held()
         todo = self.fleet.on(incident, self.now)
-        if isinstance(incident, f.Release):
+        if isinstance(incident, Release):
             held &= self.held()
         self.within += 1
         for effect in todo[:carry_out]:
@@ -52,30 +72,30 @@
             self.end(self.killed.pop(), "killed")
 
     def held(self) -> set[str]:
-        return {name for name, one in self.fleet.state.instances.items() if one.phase is f.Phase.HELD}
+        return {name for name, one in self.fleet.state.instances.items() if one.phase is Phase.HELD}
 
-    def carry_out(self, effect: f.Effect, held: set[str]) -> None:
+    def carry_out(self, effect: Effect, held: set[str]) -> None:
         match effect:
-            case f.Start(name):
+            case Start(name):
                 assert name not in held
                 assert name not in self.running.values(), "two processes of one name"
                 self.starts.append((self.now, name))
-                self.on(f.Spawned(name, self.spawn(name)))
-            case f.Replace(name):
+                self.on(Spawned(name, self.spawn(name)))
+            case Replace(name):
                 self.own_out.add(name)
-                self.on(f.Spawned(name, self.spawn(name)))
-            case f.Stop(name, process):
+                self.on(Spawned(name, self.spawn(name)))
+            case Stop(name, process):
                 assert self.running[process] == name
                 self.told.add(process)
                 self.ready.discard(process)
                 if not self.fleet.state.down:
                     self.own_out.add(name)
-            case f.Kill(_, process):
+            case Kill(_, process):
                 self.killed.append(process)
-            case f.Tell():
+            case Tell():
                 assert set(effect.fields) == set(EVENTS[effect.event].fields)
                 self.events.append(effect)
-            case f.Refuse(reason):
+            case Refuse(reason):
                 self.refused = reason
         roll = self.fleet.state.roll
         assert not roll or not roll.running or len(self.own_out) <= roll.most_out
@@ -96,7 +116,7 @@
         if self.answering[name] == process:
             del self.answering[name]
             self.answering.update((of, other) for other, of in self.running.items() if of == name)
-        self.on(f.Ended(name, process, how))
+        self.on(Ended(name, process, how))
 
     def be_ready(self, process: str) -> None:
         if process in self.told:
@@ -114,8 +134,8 @@
     def look(self, carry_out: int = 1000) -> None:
         for name, process in list(self.answering.items()):
             if process in self.running:
-                self.on(f.Seen(name, process, process in self.ready))
-        self.on(f.Served(self.service), carry_out)
+                self.on(Seen(name, process, process in self.ready))
+        self.on(Served(self.service), carry_out)
 
     def later(self, seconds: float) -> None:
         self.now += seconds
@@ -123,9 +143,9 @@
 
     def supervisor_dies(self) -> None:
         """All that is left of it is what it saved."""
-        state = msgspec.json.decode(msgspec.json.encode(self.fleet.state), type=f.State)
-        self.fleet = f.Fleet(self.terms, state, lambda: 0.5)
-        self.on(f.Resumed(frozenset(self.running), dict(self.answering)))
+        state = msgspec.json.decode(msgspec.json.encode(self.fleet.state), type=State)
+        self.fleet = Fleet(self.terms, state, lambda: 0.5)
+        self.on(Resumed(frozenset(self.running), dict(self.answering)))
 
     def calm(self, seconds: int) -> None:
         """Everything that starts gets ready, everything that is told to stop does."""
@@ -145,7 +165,7 @@
     def told_of(self, event: str) -> list[dict[str, object]]:
         return [one.fields for one in self.events if one.event == event]
 
-    def phases(self) -> set[f.Phase]:
+    def phases(self) -> set[Phase]:
         return {one.phase for one in self.fleet.state.instances.values()}
 
 
@@ -164,7 +184,7 @@
 class FleetModel(RuleBasedStateMachine):
     @initialize(take_over=st.booleans(), stagger_s=st.sampled_from([0.0, 0.4]))
     def begin(self, take_over: bool, stagger_s: float) -> None:
-        self.machine = Machine(f.Terms(NAMES, stagger_s=stagger_s, loop_ends=4, take_over=take_over))
+        self.machine = Machine(Terms(NAMES, stagger_s=stagger_s, loop_ends=4, take_over=take_over))
         self.machine.calm(10)
 
     @rule(seconds=st.sampled_from([0.1, 1.0, 6.0, 40.0, 80.0]))
@@ -193,10 +213,10 @@
         self.machine.service = shares
 
     @rule(
-        command=st.sampled_from([f.ContinueRoll(), f.CallOffRoll(), f.Release(), f.ReloadAll()])
-        | st.builds(f.BeginRoll, st.integers(1, 3))
+        command=st.sampled_from([ContinueRoll(), CallOffRoll(), Release(), ReloadAll()])
+        | st.builds(BeginRoll, st.integers(1, 3))
     )
-    def command(self, command: f.Command) -> None:
+    def command(self, command: Command) -> None:
         self.machine.asked_for.update(NAMES)
         self.machine.on(command)
 
@@ -213,11 +233,11 @@
         check_no_storm(self.machine)
         self.machine.service = WELL
         self.machine.calm(600)
-        assert self.machine.phases() <= {f.Phase.READY, f.Phase.HELD}
+        assert self.machine.phases() <= {Phase.READY, Phase.HELD}
         assert self.machine.fleet.state.roll is None or self.machine.stopped()
-        self.machine.on(f.Down())
+        self.machine.on(Down())
         self.machine.calm(200)
-        assert not self.machine.running and self.machine.phases() == {f.Phase.DOWN}
+        assert not self.machine.running and self.machine.phases() == {Phase.DOWN}
 
 
 FleetModel.TestCase.settings = settings(
@@ -227,15 +247,15 @@
 
 
 def ready_machine(**terms: object) -> Machine:
-    machine = Machine(f.Terms(NAMES, **terms))  # type: ignore[arg-type]
+    machine = Machine(Terms(NAMES, **terms))  # type: ignore[arg-type]
     machine.calm(10)
-    assert machine.phases() == {f.Phase.READY}
+    assert machine.phases() == {Phase.READY}
     return machine
 
 
 def rolling_machine(most_out: int = 1, **terms: object) -> Machine:
     machine = ready_machine(**terms)
-    machine.on(f.BeginRoll(most_out))
+    machine.on(BeginRoll(most_out))
     return machine
 
 
@@ -244,16 +264,16 @@
     for _ in range(3):
         machine.end(machine.answering["a"])
         machine.now += 2
-        machine.on(f.Passed())
+        machine.on(Passed())
     assert [fields["name"] for fields in machine.told_of("fleet.held")] == ["a"]
     starts = len(machine.starts)
     machine.calm(500)
     assert len(machine.starts) == starts
-    machine.on(f.BeginRoll())
+    machine.on(BeginRoll())
     assert machine.refused == "not ready: a (held)"
-    machine.on(f.Release("a"))
+    machine.on(Release("a"))
     machine.calm(2)
-    assert machine.phases() == {f.Phase.READY}
+    assert machine.phases() == {Phase.READY}
 
 
 def test_the_wait_before_a_restart_doubles_and_is_the_shortest_again_after_long_service() -> None:
@@ -263,7 +283,7 @@
         machine.end(machine.answering["a"])
         waited = machine.fleet.next_at() - machine.now
         machine.now = machine.fleet.next_at()
-        machine.on(f.Passed())
+        machine.on(Passed())
         return round(waited, 6)
 
     assert [wait() for _ in range(5)] == [1, 2, 4, 5, 5]
@@ -276,10 +296,10 @@
     take_over: bool,
 ) -> None:
     machine = ready_machine(take_over=take_over)
-    machine.on(f.BeginRoll(), carry_out=0)
+    machine.on(BeginRoll(), carry_out=0)
     machine.supervisor_dies()
     first = {"a1", "b2", "c3", "d4"}
-    machine.on(f.ReloadAll())
+    machine.on(ReloadAll())
     assert "a roll is running" in machine.refused
     machine.calm(8)
     machine.service = BADLY
@@ -288,9 +308,9 @@
     machine.service = WELL
     machine.calm(60)
     assert first & set(machine.running)
-    machine.on(f.BeginRoll())
+    machine.on(BeginRoll())
     assert "continue it or call it off" in machine.refused
-    machine.on(f.ContinueRoll())
+    machine.on(ContinueRoll())
     machine.calm(60)
     assert machine.fleet.state.roll is None and not first & set(machine.running)
     assert machine.told_of("fleet.roll_done")[0]["instances"] == 4
@@ -311,7 +331,7 @@
     machine = ready_machine()
     machine.service = before
     machine.look()
-    machine.on(f.BeginRoll())
+    machine.on(BeginRoll())
     machine.service = then
     machine.calm(100)
     assert machine.stopped() == stopped and bool(machine.fleet.state.roll) == bool(stopped)
@@ -325,10 +345,10 @@
 ) -> None:
     machine = ready_machine(backoff_s=backoff_s, most_backoff_s=500.0)
     machine.end(machine.answering["a"])
-    machine.on(f.BeginRoll(2))
+    machine.on(BeginRoll(2))
     assert [machine.running[process] for process in machine.told] == ["b"]
     machine.calm(100)
-    assert machine.stopped() == stopped and (machine.phases() == {f.Phase.READY}) == (stopped is None)
+    assert machine.stopped() == stopped and (machine.phases() == {Phase.READY}) == (stopped is None)
     assert all(machine.fleet.state.instances[name].starts == 2 for name in ("b", "c", "d"))
 
 
@@ -356,8 +376,8 @@
 
 def test_a_successor_on_its_way_counts_as_out_after_its_roll_was_called_off() -> None:
     machine = rolling_machine(take_over=True)
-    machine.on(f.CallOffRoll())
-    machine.on(f.BeginRoll(1))
+    machine.on(CallOffRoll())
+    machine.on(BeginRoll(1))
     assert machine.refused == "not ready: a (ready, being replaced)"
 
 
@@ -371,14 +391,14 @@
 
 def test_new_terms_start_what_is_new_and_stop_what_is_gone() -> None:
     machine = ready_machine()
-    machine.on(f.NewTerms(f.Terms(("a", "e"))))
+    machine.on(NewTerms(Terms(("a", "e"))))
     machine.calm(5)
     assert sorted(machine.running.values()) == ["a", "e"] == sorted(machine.fleet.state.instances)
 
 
 def test_on_a_machine_started_anew_a_roll_is_stopped_and_old_moments_mean_nothing() -> None:
     machine = rolling_machine()
-    machine.fleet.on(f.Resumed(frozenset(), {}, again=False), 5.0)
+    machine.fleet.on(Resumed(frozenset(), {}, again=False), 5.0)
     assert machine.stopped() == "the machine was started anew"
     assert all(one.starts == 2 for one in machine.fleet.state.instances.values())
 
