Rename the package glenfold_lab.stands to glenfold_lab.stand_ins, and change nothing else

"Stands" was a house word; the stand-ins for push servers, discovery, the front and clients are what the package holds.

--- a/benchmarks/load_tool.py
+++ b/benchmarks/load_tool.py
@@ -28,16 +28,16 @@
 from glenfold_lab.load.offer import Offer
 from glenfold_lab.load.result import LoadResult, summarize, window_us
 from glenfold_lab.results import Distribution
-from glenfold_lab.stands.crew import RemotePart, remote
-from glenfold_lab.stands.keeper import Keeper
-from glenfold_lab.stands.lateness import percentile
-from glenfold_lab.stands.moments import SECOND_US, MachineClock
-from glenfold_lab.stands.part import Part, Share, Times
-from glenfold_lab.stands.places import RELAYS, Net, Places
-from glenfold_lab.stands.relays import Limits, RelayProcess, ended_in_the_end, free_address
-from glenfold_lab.stands.script import draw
-from glenfold_lab.stands.seen import Seen
-from glenfold_lab.stands.told import settings_json
+from glenfold_lab.stand_ins.crew import RemotePart, remote
+from glenfold_lab.stand_ins.keeper import Keeper
+from glenfold_lab.stand_ins.lateness import percentile
+from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
+from glenfold_lab.stand_ins.part import Part, Share, Times
+from glenfold_lab.stand_ins.places import RELAYS, Net, Places
+from glenfold_lab.stand_ins.relays import Limits, RelayProcess, ended_in_the_end, free_address
+from glenfold_lab.stand_ins.script import draw
+from glenfold_lab.stand_ins.seen import Seen
+from glenfold_lab.stand_ins.told import settings_json
 
 COUNT = 20  # of relays, and of push servers
 WORKERS = 2
--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -30,13 +30,13 @@
 import click
 import trio
 
-from glenfold_lab.stands.agent import Agent, Entry, Holding, whole_list
-from glenfold_lab.stands.lateness import percentile
-from glenfold_lab.stands.moments import MachineClock
-from glenfold_lab.stands.ping import Ping, ping
-from glenfold_lab.stands.relays import free_address
-from glenfold_lab.stands.seen import Seen
-from glenfold_lab.stands.sockets import Address, bind, take, written
+from glenfold_lab.stand_ins.agent import Agent, Entry, Holding, whole_list
+from glenfold_lab.stand_ins.lateness import percentile
+from glenfold_lab.stand_ins.moments import MachineClock
+from glenfold_lab.stand_ins.ping import Ping, ping
+from glenfold_lab.stand_ins.relays import free_address
+from glenfold_lab.stand_ins.seen import Seen
+from glenfold_lab.stand_ins.sockets import Address, bind, take, written
 
 SERVERS = 16
 CLIENTS = 100
--- a/benchmarks/takeover.py
+++ b/benchmarks/takeover.py
@@ -28,8 +28,8 @@
 from glenfold_lab.checker import Checker
 from glenfold_lab.observe import Capacity, Final, Over, Recorder, Told, replay
 from glenfold_lab.spec import Rules
-from glenfold_lab.stands.relays import ROOT, free_address
-from glenfold_lab.stands.sockets import Address, written
+from glenfold_lab.stand_ins.relays import ROOT, free_address
+from glenfold_lab.stand_ins.sockets import Address, written
 
 NAME = "cardiff-1"
 SERVER = 1
--- a/glenfold_lab/commands/demo.py
+++ b/glenfold_lab/commands/demo.py
@@ -8,10 +8,10 @@
 
 from glenfold_lab import scenario
 from glenfold_lab.reports import live
-from glenfold_lab.stands.crew import PartFailed
-from glenfold_lab.stands.places import TooLarge
-from glenfold_lab.stands.relays import NotReady
-from glenfold_lab.stands.run import play_on_sockets, shortened
+from glenfold_lab.stand_ins.crew import PartFailed
+from glenfold_lab.stand_ins.places import TooLarge
+from glenfold_lab.stand_ins.relays import NotReady
+from glenfold_lab.stand_ins.run import play_on_sockets, shortened
 
 DAY = Path(__file__).with_name("demo.toml")
 SHORTEST_S = 5.0
--- a/glenfold_lab/load/talk.py
+++ b/glenfold_lab/load/talk.py
@@ -20,8 +20,8 @@
 
 
 class Moments(Protocol):
-    """The clock of the clients, as `stands.moments.MachineClock` is one. At what `to_trio` gives for a moment
-    `now_us` must have reached it: a client woken too early would only go to sleep again."""
+    """The clock of the clients, as `stand_ins.moments.MachineClock` is one. At what `to_trio` gives for a
+    moment `now_us` must have reached it: a client woken too early would only go to sleep again."""
 
     def now_us(self) -> int: ...
 
--- a/glenfold_lab/reports/live.py
+++ b/glenfold_lab/reports/live.py
@@ -11,7 +11,7 @@
 from glenfold_lab.reports.terms import RULES
 from glenfold_lab.results import RunResult
 from glenfold_lab.spec import Scenario
-from glenfold_lab.stands.run import OnSecond, Snapshot
+from glenfold_lab.stand_ins.run import OnSecond, Snapshot
 
 MOST_ROWS = 30  # of the newest seconds
 NOTES = {
--- a/glenfold_lab/stands/agent.py
+++ b/glenfold_lab/stand_ins/agent.py
@@ -14,9 +14,9 @@
 import trio
 
 from glenfold_lab.observe import Told
-from glenfold_lab.stands.moments import MachineClock
-from glenfold_lab.stands.seen import Seen
-from glenfold_lab.stands.sockets import Address, SocketType, bind, end_now, take
+from glenfold_lab.stand_ins.moments import MachineClock
+from glenfold_lab.stand_ins.seen import Seen
+from glenfold_lab.stand_ins.sockets import Address, SocketType, bind, end_now, take
 
 BACKLOG = 64
 CHUNK = 16 * 1024
--- a/glenfold_lab/stands/bad_clients.py
+++ b/glenfold_lab/stand_ins/bad_clients.py
@@ -5,10 +5,10 @@
 
 import trio
 
-from glenfold_lab.stands.clients import Crowd
-from glenfold_lab.stands.moments import SECOND_US
-from glenfold_lab.stands.ping import Ping, ping
-from glenfold_lab.stands.sockets import SocketType, finish, take
+from glenfold_lab.stand_ins.clients import Crowd
+from glenfold_lab.stand_ins.moments import SECOND_US
+from glenfold_lab.stand_ins.ping import Ping, ping
+from glenfold_lab.stand_ins.sockets import SocketType, finish, take
 
 WITHIN_US = 3 * SECOND_US
 SLACK_US = 50_000
--- a/glenfold_lab/stands/clients.py
+++ b/glenfold_lab/stand_ins/clients.py
@@ -24,12 +24,12 @@
 from glenfold_lab.model.population import Drawn
 from glenfold_lab.observe import End, Final
 from glenfold_lab.spec import Scenario
-from glenfold_lab.stands.front import SocketFront
-from glenfold_lab.stands.moments import SECOND_US, MachineClock
-from glenfold_lab.stands.seal import Seal
-from glenfold_lab.stands.seen import Seen
-from glenfold_lab.stands.service import Second, Served, Stretch
-from glenfold_lab.stands.sockets import SocketType, end_now, finish, take
+from glenfold_lab.stand_ins.front import SocketFront
+from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
+from glenfold_lab.stand_ins.seal import Seal
+from glenfold_lab.stand_ins.seen import Seen
+from glenfold_lab.stand_ins.service import Second, Served, Stretch
+from glenfold_lab.stand_ins.sockets import SocketType, end_now, finish, take
 from linnetspread.choice import SEEDS, mix
 
 CHUNK = 4096
--- a/glenfold_lab/stands/crew.py
+++ b/glenfold_lab/stand_ins/crew.py
@@ -10,9 +10,9 @@
 import trio
 
 from glenfold_lab.load.crew import descriptors
-from glenfold_lab.stands.part import Part, Report, Times
-from glenfold_lab.stands.places import Places
-from glenfold_lab.stands.service import Second
+from glenfold_lab.stand_ins.part import Part, Report, Times
+from glenfold_lab.stand_ins.places import Places
+from glenfold_lab.stand_ins.service import Second
 
 
 class PartFailed(Exception):
--- a/glenfold_lab/stands/daemons.py
+++ b/glenfold_lab/stand_ins/daemons.py
@@ -21,11 +21,11 @@
 
 from glenfold.daemon.ask import NoAnswer, ask
 from glenfold_lab.spec import Scenario
-from glenfold_lab.stands.moments import MachineClock
-from glenfold_lab.stands.ping import Ping, ping
-from glenfold_lab.stands.relays import ROOT
-from glenfold_lab.stands.seen import Seen
-from glenfold_lab.stands.sockets import Address, written
+from glenfold_lab.stand_ins.moments import MachineClock
+from glenfold_lab.stand_ins.ping import Ping, ping
+from glenfold_lab.stand_ins.relays import ROOT
+from glenfold_lab.stand_ins.seen import Seen
+from glenfold_lab.stand_ins.sockets import Address, written
 
 NAME = "fleet"
 LOOK_S = 0.02
--- a/glenfold_lab/stands/fleet.py
+++ b/glenfold_lab/stand_ins/fleet.py
@@ -22,21 +22,21 @@
 from glenfold_lab.observe import Record, Watcher
 from glenfold_lab.results import Happened, RunResult
 from glenfold_lab.spec import Scenario
-from glenfold_lab.stands.agent import Agent, Holding
-from glenfold_lab.stands.clients import Client
-from glenfold_lab.stands.crew import RemotePart, remote
-from glenfold_lab.stands.daemons import Daemons, ended_in_the_end, operators_file
-from glenfold_lab.stands.judge import Judge
-from glenfold_lab.stands.moments import SECOND_US, MachineClock
-from glenfold_lab.stands.outcome import Outcome
-from glenfold_lab.stands.part import Part, Report, Share, Times, end_of
-from glenfold_lab.stands.places import AGENTS, RELAYS, SERVERS, Net, Places
-from glenfold_lab.stands.push_server import PushServer
-from glenfold_lab.stands.relays import free_address
-from glenfold_lab.stands.script import Script, draw
-from glenfold_lab.stands.seen import Seen
-from glenfold_lab.stands.service import Second
-from glenfold_lab.stands.sockets import SocketType
+from glenfold_lab.stand_ins.agent import Agent, Holding
+from glenfold_lab.stand_ins.clients import Client
+from glenfold_lab.stand_ins.crew import RemotePart, remote
+from glenfold_lab.stand_ins.daemons import Daemons, ended_in_the_end, operators_file
+from glenfold_lab.stand_ins.judge import Judge
+from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
+from glenfold_lab.stand_ins.outcome import Outcome
+from glenfold_lab.stand_ins.part import Part, Report, Share, Times, end_of
+from glenfold_lab.stand_ins.places import AGENTS, RELAYS, SERVERS, Net, Places
+from glenfold_lab.stand_ins.push_server import PushServer
+from glenfold_lab.stand_ins.relays import free_address
+from glenfold_lab.stand_ins.script import Script, draw
+from glenfold_lab.stand_ins.seen import Seen
+from glenfold_lab.stand_ins.service import Second
+from glenfold_lab.stand_ins.sockets import SocketType
 from glenfold_lab.streams import Streams
 
 BEGIN_US = SECOND_US // 2  # from the relays' being ready to the first client
--- a/glenfold_lab/stands/front.py
+++ b/glenfold_lab/stand_ins/front.py
@@ -13,9 +13,9 @@
 from glenfold_lab.model.front import Front
 from glenfold_lab.model.posts import FRONT_TOLD_S
 from glenfold_lab.spec import Range
-from glenfold_lab.stands.moments import SECOND_US, MachineClock
-from glenfold_lab.stands.ping import Ping, ping
-from glenfold_lab.stands.sockets import Address
+from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
+from glenfold_lab.stand_ins.ping import Ping, ping
+from glenfold_lab.stand_ins.sockets import Address
 
 FIND_S = 0.05  # between two looks for a relay that is not admitted
 CHECK_S = 0.5  # and at one that is
--- a/glenfold_lab/stands/keeper.py
+++ b/glenfold_lab/stand_ins/keeper.py
@@ -6,12 +6,12 @@
 
 from glenfold_lab.model.draw import value
 from glenfold_lab.results import Happened
-from glenfold_lab.stands.agent import whole_list
-from glenfold_lab.stands.moments import SECOND_US, MachineClock
-from glenfold_lab.stands.places import Places, Wording
-from glenfold_lab.stands.relays import RelayProcess
-from glenfold_lab.stands.script import Deed, Script
-from glenfold_lab.stands.seen import Seen
+from glenfold_lab.stand_ins.agent import whole_list
+from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
+from glenfold_lab.stand_ins.places import Places, Wording
+from glenfold_lab.stand_ins.relays import RelayProcess
+from glenfold_lab.stand_ins.script import Deed, Script
+from glenfold_lab.stand_ins.seen import Seen
 from glenfold_lab.streams import Streams
 
 LOOK_S = 0.05  # between two looks whether all still run
--- a/glenfold_lab/stands/outcome.py
+++ b/glenfold_lab/stand_ins/outcome.py
@@ -11,13 +11,13 @@
 from glenfold_lab.observe import Record, Watcher, Watchers, replay
 from glenfold_lab.results import Happened, RunResult, Series, Verdict
 from glenfold_lab.spec import Scenario
-from glenfold_lab.stands.judge import SLACK_US
-from glenfold_lab.stands.lateness import MOST_MS, percentile
-from glenfold_lab.stands.moments import SECOND_US
-from glenfold_lab.stands.part import Report
-from glenfold_lab.stands.script import Script
-from glenfold_lab.stands.seen import Seen
-from glenfold_lab.stands.service import figures
+from glenfold_lab.stand_ins.judge import SLACK_US
+from glenfold_lab.stand_ins.lateness import MOST_MS, percentile
+from glenfold_lab.stand_ins.moments import SECOND_US
+from glenfold_lab.stand_ins.part import Report
+from glenfold_lab.stand_ins.script import Script
+from glenfold_lab.stand_ins.seen import Seen
+from glenfold_lab.stand_ins.service import figures
 
 MOST_KEPT = 100  # verdicts
 
--- a/glenfold_lab/stands/part.py
+++ b/glenfold_lab/stand_ins/part.py
@@ -22,19 +22,19 @@
 from glenfold_lab.model.world import LAST_ANSWERS_US
 from glenfold_lab.observe import Capacity, Record
 from glenfold_lab.spec import Scenario
-from glenfold_lab.stands.agent import Agent, Holding
-from glenfold_lab.stands.bad_clients import BadClients
-from glenfold_lab.stands.clients import Client, Crowd, clients_of
-from glenfold_lab.stands.front import SocketFront
-from glenfold_lab.stands.lateness import STEP_S, Lateness
-from glenfold_lab.stands.moments import SECOND_US, MachineClock
-from glenfold_lab.stands.places import AGENTS, SERVERS, Net, Places, Wording
-from glenfold_lab.stands.push_server import PushServer
-from glenfold_lab.stands.push_states import ClassWork, Holder
-from glenfold_lab.stands.script import Deed, Script, draw
-from glenfold_lab.stands.seal import Seal
-from glenfold_lab.stands.seen import Seen
-from glenfold_lab.stands.service import Floats, Second, Served
+from glenfold_lab.stand_ins.agent import Agent, Holding
+from glenfold_lab.stand_ins.bad_clients import BadClients
+from glenfold_lab.stand_ins.clients import Client, Crowd, clients_of
+from glenfold_lab.stand_ins.front import SocketFront
+from glenfold_lab.stand_ins.lateness import STEP_S, Lateness
+from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
+from glenfold_lab.stand_ins.places import AGENTS, SERVERS, Net, Places, Wording
+from glenfold_lab.stand_ins.push_server import PushServer
+from glenfold_lab.stand_ins.push_states import ClassWork, Holder
+from glenfold_lab.stand_ins.script import Deed, Script, draw
+from glenfold_lab.stand_ins.seal import Seal
+from glenfold_lab.stand_ins.seen import Seen
+from glenfold_lab.stand_ins.service import Floats, Second, Served
 from glenfold_lab.streams import Streams
 
 STEP_US = SECOND_US // 4  # of the population, drawn at a time
--- a/glenfold_lab/stands/ping.py
+++ b/glenfold_lab/stand_ins/ping.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from glenfold_lab.stands.sockets import Address, take
+from glenfold_lab.stand_ins.sockets import Address, take
 
 WAIT_S = 1.0
 
--- a/glenfold_lab/stands/places.py
+++ b/glenfold_lab/stand_ins/places.py
@@ -6,9 +6,9 @@
 from dataclasses import dataclass, field
 
 from glenfold_lab.model.listing import versions
-from glenfold_lab.stands.agent import Change, Entry
-from glenfold_lab.stands.script import News, Script
-from glenfold_lab.stands.sockets import Address, written
+from glenfold_lab.stand_ins.agent import Change, Entry
+from glenfold_lab.stand_ins.script import News, Script
+from glenfold_lab.stand_ins.sockets import Address, written
 
 SERVERS, AGENTS, RELAYS = range(3)
 BLOCKS = 60  # of three nets each, for the runs on one machine
--- a/glenfold_lab/stands/push_server.py
+++ b/glenfold_lab/stand_ins/push_server.py
@@ -11,9 +11,9 @@
 from glenfold_lab.model.servers.calls import TICK_US
 from glenfold_lab.model.servers.server import Stage
 from glenfold_lab.observe import Over
-from glenfold_lab.stands.moments import SECOND_US, MachineClock
-from glenfold_lab.stands.push_states import Conversation, Ending, Fault, Holder, Phase
-from glenfold_lab.stands.sockets import Address, SocketType, begin_connect, bind, end_now, finish, take
+from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
+from glenfold_lab.stand_ins.push_states import Conversation, Ending, Fault, Holder, Phase
+from glenfold_lab.stand_ins.sockets import Address, SocketType, begin_connect, bind, end_now, finish, take
 
 BACKLOG = 1024
 CHUNK = 16 * 1024
--- a/glenfold_lab/stands/push_states.py
+++ b/glenfold_lab/stand_ins/push_states.py
@@ -18,9 +18,9 @@
 from glenfold_lab.model.servers.store import Store
 from glenfold_lab.model.wire import Call
 from glenfold_lab.observe import Capacity, End, Over
-from glenfold_lab.stands.moments import SECOND_US
-from glenfold_lab.stands.seal import NotSent, Seal
-from glenfold_lab.stands.seen import Seen
+from glenfold_lab.stand_ins.moments import SECOND_US
+from glenfold_lab.stand_ins.seal import NotSent, Seal
+from glenfold_lab.stand_ins.seen import Seen
 
 END = b"\r\n"
 MAX_LINE = 4096
--- a/glenfold_lab/stands/relays.py
+++ b/glenfold_lab/stand_ins/relays.py
@@ -22,10 +22,10 @@
 import trio
 
 import glenfold
-from glenfold_lab.stands.moments import MachineClock
-from glenfold_lab.stands.ping import Ping, ping
-from glenfold_lab.stands.seen import Seen
-from glenfold_lab.stands.sockets import Address, bind, written
+from glenfold_lab.stand_ins.moments import MachineClock
+from glenfold_lab.stand_ins.ping import Ping, ping
+from glenfold_lab.stand_ins.seen import Seen
+from glenfold_lab.stand_ins.sockets import Address, bind, written
 
 READY_S = 30.0  # for a relay to answer its first PING
 LOOK_S = 0.02  # between two tries to reach one that starts
--- a/glenfold_lab/stands/service.py
+++ b/glenfold_lab/stand_ins/service.py
@@ -7,7 +7,7 @@
 import numpy as np
 from numpy.typing import NDArray
 
-from glenfold_lab.stands.moments import SECOND_US
+from glenfold_lab.stand_ins.moments import SECOND_US
 
 Floats = NDArray[np.float64]
 
--- a/tests/glenfold_lab/standing.py
+++ b/tests/glenfold_lab/standing.py
@@ -23,13 +23,13 @@
 from glenfold_lab.model.servers.server import Server
 from glenfold_lab.observe import Capacity, Over
 from glenfold_lab.spec import Zones
-from glenfold_lab.stands.agent import Agent, Change, Entry, Holding
-from glenfold_lab.stands.moments import MachineClock
-from glenfold_lab.stands.push_server import PushServer
-from glenfold_lab.stands.push_states import ClassWork, Holder
-from glenfold_lab.stands.seal import Seal
-from glenfold_lab.stands.seen import Seen
-from glenfold_lab.stands.sockets import written
+from glenfold_lab.stand_ins.agent import Agent, Change, Entry, Holding
+from glenfold_lab.stand_ins.moments import MachineClock
+from glenfold_lab.stand_ins.push_server import PushServer
+from glenfold_lab.stand_ins.push_states import ClassWork, Holder
+from glenfold_lab.stand_ins.seal import Seal
+from glenfold_lab.stand_ins.seen import Seen
+from glenfold_lab.stand_ins.sockets import written
 from glenfold_lab.streams import Streams
 
 SEAL = Seal(b"a run's secret")
--- a/tests/glenfold_lab/test_demo.py
+++ b/tests/glenfold_lab/test_demo.py
@@ -10,8 +10,8 @@
 from glenfold_lab.commands import demo
 from glenfold_lab.reports import live
 from glenfold_lab.results import RunResult, Verdict
-from glenfold_lab.stands.relays import NotReady
-from glenfold_lab.stands.run import RelayNow, Snapshot
+from glenfold_lab.stand_ins.relays import NotReady
+from glenfold_lab.stand_ins.run import RelayNow, Snapshot
 
 BROKEN = Verdict("move", 5, 7, None, 1, ("4.0 s: [bold]told relay 1", "4.5 s: cut"))
 
--- a/tests/glenfold_lab/test_mutants.py
+++ b/tests/glenfold_lab/test_mutants.py
@@ -8,7 +8,7 @@
 from glenfold_lab.model.relays import CALL_UP, Relay
 from glenfold_lab.observe import End, Final, Over, Record, Told, replay
 from glenfold_lab.spec import Clients, Fault, Relays, RequestClass, Rules, Scenario, Servers
-from glenfold_lab.stands.judge import SLACK_US, Judge
+from glenfold_lab.stand_ins.judge import SLACK_US, Judge
 from linnetspread import Balancer
 
 SEED = 4
--- a/tests/glenfold_lab/test_play.py
+++ b/tests/glenfold_lab/test_play.py
@@ -8,7 +8,7 @@
 
 from glenfold_lab.results import RunResult
 from glenfold_lab.spec import Clients, Fault, Front, Relays, RequestClass, Scenario, Servers
-from glenfold_lab.stands.run import Snapshot, TooLarge, play_on_sockets, scaled, shortened
+from glenfold_lab.stand_ins.run import Snapshot, TooLarge, play_on_sockets, scaled, shortened
 
 DAY = Scenario(
     format=1,
--- a/tests/glenfold_lab/test_stand_in_agent.py
+++ b/tests/glenfold_lab/test_stand_in_agent.py
@@ -9,8 +9,8 @@
 from standing import World, play
 
 from glenfold_lab.observe import Told
-from glenfold_lab.stands.agent import Change, Holding
-from glenfold_lab.stands.sockets import end_now
+from glenfold_lab.stand_ins.agent import Change, Holding
+from glenfold_lab.stand_ins.sockets import end_now
 
 
 def gone(world: World, n: int) -> tuple[int, int]:
--- a/tests/glenfold_lab/test_stand_in_front.py
+++ b/tests/glenfold_lab/test_stand_in_front.py
@@ -6,9 +6,9 @@
 import trio
 import trio.testing
 
-from glenfold_lab.stands.front import SocketFront
-from glenfold_lab.stands.moments import MachineClock
-from glenfold_lab.stands.relays import free_address
+from glenfold_lab.stand_ins.front import SocketFront
+from glenfold_lab.stand_ins.moments import MachineClock
+from glenfold_lab.stand_ins.relays import free_address
 
 ADDRESS = "127.9.4.1"
 
--- a/tests/glenfold_lab/test_stand_in_judge.py
+++ b/tests/glenfold_lab/test_stand_in_judge.py
@@ -5,7 +5,7 @@
 import pytest
 
 from glenfold_lab.observe import End, Record, Told
-from glenfold_lab.stands.judge import Judge
+from glenfold_lab.stand_ins.judge import Judge
 
 S = 1_000_000
 STOOD: list[Record] = [("relay_up", (0, 0)), ("taken", (1, 7, 0, 2 * S, 0))]
--- a/tests/glenfold_lab/test_stand_in_mutants.py
+++ b/tests/glenfold_lab/test_stand_in_mutants.py
@@ -11,11 +11,11 @@
 from glenfold_lab.observe import replay
 from glenfold_lab.results import Verdict
 from glenfold_lab.spec import Clients, Fault, Relays, RequestClass, Scenario, ServerList, Servers
-from glenfold_lab.stands.judge import SLACK_US, Judge
-from glenfold_lab.stands.moments import MachineClock
-from glenfold_lab.stands.part import Part, Share, Times, end_of
-from glenfold_lab.stands.places import Net, Places
-from glenfold_lab.stands.service import Second
+from glenfold_lab.stand_ins.judge import SLACK_US, Judge
+from glenfold_lab.stand_ins.moments import MachineClock
+from glenfold_lab.stand_ins.part import Part, Share, Times, end_of
+from glenfold_lab.stand_ins.places import Net, Places
+from glenfold_lab.stand_ins.service import Second
 
 DAY = Scenario(
     format=1,
--- a/tests/glenfold_lab/test_stand_in_servers.py
+++ b/tests/glenfold_lab/test_stand_in_servers.py
@@ -10,12 +10,12 @@
 from standing import World, holder, play
 
 from glenfold_lab.observe import Over
-from glenfold_lab.stands import push_server
-from glenfold_lab.stands.moments import MachineClock
-from glenfold_lab.stands.push_server import PushServer
-from glenfold_lab.stands.push_states import Fault
-from glenfold_lab.stands.seen import Seen
-from glenfold_lab.stands.sockets import SocketType, take
+from glenfold_lab.stand_ins import push_server
+from glenfold_lab.stand_ins.moments import MachineClock
+from glenfold_lab.stand_ins.push_server import PushServer
+from glenfold_lab.stand_ins.push_states import Fault
+from glenfold_lab.stand_ins.seen import Seen
+from glenfold_lab.stand_ins.sockets import SocketType, take
 
 
 @pytest.mark.parametrize(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -14,8 +14,8 @@
 
 from benchmarks import fleet as day
 from glenfold_lab import spec
-from glenfold_lab.stands.daemons import Daemons
-from glenfold_lab.stands.fleet import Course, Played, play_fleet
+from glenfold_lab.stand_ins.daemons import Daemons
+from glenfold_lab.stand_ins.fleet import Course, Played, play_fleet
 
 SMALL = spec.Scenario(
     format=1,
