Rename the lab's crews and posts: worker_pool, remote_part, relay_hosts

load/crew.py is load/worker_pool.py, stand_ins/crew.py is stand_ins/remote_part.py, and model/posts.py with Post and Posts is model/relay_hosts.py with RelayHost and RelayHosts; their docstrings say what they are.

--- a/benchmarks/load_tool.py
+++ b/benchmarks/load_tool.py
@@ -23,18 +23,18 @@
 
 from glenfold.config import Address
 from glenfold_lab import spec
-from glenfold_lab.load import crew, plan, terms
+from glenfold_lab.load import plan, terms, worker_pool
 from glenfold_lab.load.echo import echoes
 from glenfold_lab.load.offer import Offer
 from glenfold_lab.load.result import LoadResult, summarize, window_us
 from glenfold_lab.results import Distribution
-from glenfold_lab.stand_ins.crew import RemotePart, remote
 from glenfold_lab.stand_ins.keeper import Keeper
 from glenfold_lab.stand_ins.lateness import percentile
 from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
 from glenfold_lab.stand_ins.part import Part, Share, Times
 from glenfold_lab.stand_ins.places import RELAYS, Net, Places
 from glenfold_lab.stand_ins.relays import Limits, RelayProcess, ended_in_the_end, free_address
+from glenfold_lab.stand_ins.remote_part import RemotePart, remote
 from glenfold_lab.stand_ins.script import draw
 from glenfold_lab.stand_ins.seen import Seen
 from glenfold_lab.stand_ins.told import settings_json
@@ -90,7 +90,7 @@
     def measure(self, targets: Sequence[Address], seed: int) -> LoadResult:
         offer = self.offer(targets)
         clients, length_us = plan.draw(offer.terms, seed, len(targets)), plan.length_us(offer.terms)
-        reports = crew.offer_all(offer, clients, WORKERS, lambda: False)
+        reports = worker_pool.offer_all(offer, clients, WORKERS, lambda: False)
         return summarize(seed, offer, clients, length_us, reports, LATE_US, False)
 
 
@@ -99,7 +99,7 @@
     """What is started inside stays off the cores that the load's workers take after it."""
     process = psutil.Process()
     cores = process.cpu_affinity()
-    own = {core for some in crew.cores_for(WORKERS) for core in some}
+    own = {core for some in worker_pool.cores_for(WORKERS) for core in some}
     process.cpu_affinity([core for core in cores if core not in own] or cores)
     try:
         yield
--- a/glenfold_lab/commands/demo.py
+++ b/glenfold_lab/commands/demo.py
@@ -8,9 +8,9 @@
 
 from glenfold_lab import scenario
 from glenfold_lab.reports import live
-from glenfold_lab.stand_ins.crew import PartFailed
 from glenfold_lab.stand_ins.places import TooLarge
 from glenfold_lab.stand_ins.relays import NotReady
+from glenfold_lab.stand_ins.remote_part import PartFailed
 from glenfold_lab.stand_ins.run import play_on_sockets, shortened
 
 DAY = Path(__file__).with_name("demo.toml")
--- a/glenfold_lab/commands/load.py
+++ b/glenfold_lab/commands/load.py
@@ -22,7 +22,7 @@
 
 from glenfold.config import Address, read_address
 from glenfold.located import BadFile, Located
-from glenfold_lab.load import crew, echo, plan, terms
+from glenfold_lab.load import echo, plan, terms, worker_pool
 from glenfold_lab.load.offer import Offer
 from glenfold_lab.load.result import ENDED_EARLY, LoadResult, summarize, window_us
 from glenfold_lab.results import Distribution
@@ -172,7 +172,7 @@
     order = Order(asked, seed, workers, most_open, round(late_ms * 1000), out == "-")
     try:
         result = _self_test(order) if self_test else _measure(order, targets)
-    except crew.LoadFailed as error:
+    except worker_pool.LoadFailed as error:
         raise click.ClickException(str(error)) from error
     _tell(result, out)
     if result.marks:
@@ -231,7 +231,7 @@
 
 def _self_test(order: Order) -> LoadResult:
     all_cores = psutil.Process().cpu_affinity()
-    own = {core for cores in crew.cores_for(order.workers) for core in cores}
+    own = {core for cores in worker_pool.cores_for(order.workers) for core in cores}
     others = [core for core in all_cores if core not in own]
     with echo.echoes(order.workers, others or all_cores) as targets:
         return _measure(order, targets)
@@ -247,7 +247,7 @@
             show()
             return stopped()
 
-        reports = crew.offer_all(offer, clients, order.workers, look)
+        reports = worker_pool.offer_all(offer, clients, order.workers, look)
         return summarize(order.seed, offer, clients, length_us, reports, order.late_us, stopped())
 
 
--- a/glenfold_lab/commands/play.py
+++ b/glenfold_lab/commands/play.py
@@ -9,9 +9,9 @@
 
 from glenfold_lab import scenario as scenarios
 from glenfold_lab.results import RunResult, Verdict
-from glenfold_lab.stand_ins.crew import PartFailed
 from glenfold_lab.stand_ins.places import TooLarge
 from glenfold_lab.stand_ins.relays import NotReady
+from glenfold_lab.stand_ins.remote_part import PartFailed
 from glenfold_lab.stand_ins.run import Snapshot, play_on_sockets, scaled
 
 SHOWN = (
--- a/glenfold_lab/load/echo.py
+++ b/glenfold_lab/load/echo.py
@@ -15,7 +15,7 @@
 
 from glenfold.config import Address
 from glenfold.lines import END, MAX_LINE
-from glenfold_lab.load.crew import descriptors
+from glenfold_lab.load.worker_pool import descriptors
 
 BACKLOG = 4096
 UP = b"UP echo" + END
--- a/glenfold_lab/load/result.py
+++ b/glenfold_lab/load/result.py
@@ -5,10 +5,10 @@
 import msgspec
 
 from glenfold.config import Address
-from glenfold_lab.load.crew import Report
 from glenfold_lab.load.offer import Offer
 from glenfold_lab.load.plan import SECOND_US, Clients
 from glenfold_lab.load.tally import Tally
+from glenfold_lab.load.worker_pool import Report
 from glenfold_lab.results import Distribution
 
 FORMAT = 1
--- a/glenfold_lab/load/crew.py
+++ b/glenfold_lab/load/worker_pool.py
@@ -1,7 +1,7 @@
-"""The worker processes of a load: each has a slice of the plan, and its own core where there are enough.
+"""The worker processes of a load generator. Each runs a slice of the plan, on its own core where possible.
 
-Over its pipe a worker says `Ready`, hears the moment of the start on the machine's clock, and sends what it
-measured. Anything more that it hears (also the end of the pipe) ends it early.
+On its pipe a worker sends `Ready`, receives the start time on the machine's clock, and sends a `Report`. A
+further message to it, or the end of the pipe, stops it early.
 """
 
 import fcntl
@@ -35,12 +35,12 @@
 
 
 class LoadFailed(Exception):
-    """A worker broke off without a result."""
+    """A worker process ended without a result, or did not end in time."""
 
 
 @dataclass(frozen=True, slots=True)
 class Ready:
-    pass
+    """A worker waits for the start time."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,14 +65,16 @@
     """Plays the plan over so many processes; `stopped` is asked now and then, and ends it early.
 
     Raises LoadFailed."""
-    crew = _Crew(offer, clients, workers)
+    pool = _WorkerPool(offer, clients, workers)
     try:
-        return crew.run(stopped)
+        return pool.run(stopped)
     finally:
-        crew.end()
+        pool.end()
 
 
-class _Crew:
+class _WorkerPool:
+    """Starts the workers; `end` has to be called whatever happens."""
+
     def __init__(self, offer: Offer, clients: Clients, workers: int) -> None:
         context = multiprocessing.get_context("spawn")
         last_start = int(clients["start_us"].max()) if len(clients) else 0
--- a/glenfold_lab/model/actor_faults.py
+++ b/glenfold_lab/model/actor_faults.py
@@ -5,7 +5,7 @@
 from glenfold_lab.model.clients import Clients
 from glenfold_lab.model.kernel import Kernel
 from glenfold_lab.model.machine_faults import PART, Due
-from glenfold_lab.model.posts import Posts
+from glenfold_lab.model.relay_hosts import RelayHosts
 from glenfold_lab.results import Happened
 from glenfold_lab.spec import Fault
 from glenfold_lab.streams import Streams
@@ -19,11 +19,11 @@
         faults: Sequence[Fault],
         streams: Streams,
         kernel: Kernel,
-        posts: Posts,
+        relay_hosts: RelayHosts,
         clients: Clients,
         note: Callable[[Happened], None],
     ) -> None:
-        self._kernel, self._posts, self._clients = kernel, posts, clients
+        self._kernel, self._relay_hosts, self._clients = kernel, relay_hosts, clients
         self._note = note
         kinds: dict[str, Callable[[Due], Happened]] = {
             "relay_crash": self._crash,
@@ -40,7 +40,7 @@
         self._note(happen(due))
 
     def _chosen(self, due: Due) -> list[int]:
-        return due.choose(range(len(self._posts)), due.count_of(len(self._posts)))
+        return due.choose(range(len(self._relay_hosts)), due.count_of(len(self._relay_hosts)))
 
     def _happened(self, due: Due, us: int, relays: Sequence[int] = ()) -> Happened:
         at = self._kernel.now - self._kernel.start
@@ -49,20 +49,20 @@
     def _crash(self, due: Due) -> Happened:
         struck = self._chosen(due)
         for relay in struck:
-            self._posts.crash(relay)
+            self._relay_hosts.crash(relay)
         return self._happened(due, 0, struck)
 
     def _restart(self, due: Due) -> Happened:
         """One by one."""
         struck = self._chosen(due)
         for turn, relay in enumerate(struck):
-            self._kernel.after(due.over * turn // len(struck), self._posts.restart, relay)
+            self._kernel.after(due.over * turn // len(struck), self._relay_hosts.restart, relay)
         return self._happened(due, due.over, struck)
 
     def _stall(self, due: Due) -> Happened:
         struck = self._chosen(due)
         for relay in struck:
-            self._posts.stall(relay, self._kernel.now + due.length)
+            self._relay_hosts.stall(relay, self._kernel.now + due.length)
         return self._happened(due, due.length, struck)
 
     def _reconnect(self, due: Due) -> Happened:
--- a/glenfold_lab/model/posts.py
+++ b/glenfold_lab/model/relay_hosts.py
@@ -1,4 +1,4 @@
-"""Where relays run: their processes die, start again, leave and stall, and the front hears of it late."""
+"""The hosts of the relays: processes crash, restart, leave and stall, and the front notices with a delay."""
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -22,9 +22,9 @@
 
 
 @dataclass(slots=True, eq=False)
-class Post:
-    """The machine of one relay. lost: clients whose connections wait for the front to send them elsewhere.
-    lives: how often its process has started; leaving: it has been told to stop."""
+class RelayHost:
+    """The host of one relay. relay: None while its process does not run. lives: how often the process has
+    started. leaving: the process was sent SIGTERM. lost: clients that reconnect when the front notices."""
 
     relay: Relay | None = None
     lives: int = 0
@@ -32,8 +32,8 @@
     lost: list[int] = field(default_factory=list)
 
 
-class Posts:
-    """All posts, by the number of their relay. `clients` is set before anything starts."""
+class RelayHosts:
+    """All hosts, by the number of their relay. `clients` has to be set before `start`."""
 
     clients: Clients
 
@@ -51,37 +51,37 @@
         self._scenario = scenario
         self._kernel, self._network, self._listing, self._watcher = kernel, network, listing, watcher
         self._front, self._make = front, make
-        self._posts = [Post() for _ in range(scenario.relays.count)]
-        self._seeds = [streams.of("relays", "seed", number) for number in range(len(self._posts))]
+        self._hosts = [RelayHost() for _ in range(scenario.relays.count)]
+        self._seeds = [streams.of("relays", "seed", number) for number in range(len(self._hosts))]
         self._waits = streams.of("relays", "waits")
         self._reshuffle = value(scenario.front.reshuffle, streams.of("front", "reshuffle"))
         self._changes = 0  # of the set of relays that the front knows
         network.on_change.append(self._zone_changed)
 
     def __len__(self) -> int:
-        return len(self._posts)
+        return len(self._hosts)
 
     def running(self, relay: int) -> Relay | None:
-        return self._posts[relay].relay
+        return self._hosts[relay].relay
 
     def reachable(self, relay: int) -> bool:
         return not self._network.relay_cut(relay)
 
     def start(self) -> None:
-        for number in range(len(self._posts)):
+        for number in range(len(self._hosts)):
             self._boot(number, 0)
 
     def _boot(self, number: int, lives: int) -> None:
         """Its process starts with the list that it had last, and answers PING at once."""
-        post = self._posts[number]
-        if post.lives != lives:
+        host = self._hosts[number]
+        if host.lives != lives:
             return
-        post.lives, post.leaving = lives + 1, False
-        relay = post.relay = self._make(number, int(self._seeds[number].integers(1 << 63)))
+        host.lives, host.leaving = lives + 1, False
+        relay = host.relay = self._make(number, int(self._seeds[number].integers(1 << 63)))
         self._listing.relay_up(number, relay.heard)
         self._watcher.relay_up(self._kernel.now, number)
         if self._front.admits(number):  # back before the front had noticed: its packets go there as before
-            self._find_relays(post)
+            self._find_relays(host)
         elif self.reachable(number):
             self._admit(number)
 
@@ -89,46 +89,46 @@
 
     def crash(self, number: int) -> None:
         """Killed at once; starts again after a while."""
-        self._posts[number].leaving = False
-        self._end(number, self._posts[number].lives)
+        self._hosts[number].leaving = False
+        self._end(number, self._hosts[number].lives)
 
     def restart(self, number: int) -> None:
         """SIGTERM: the front is told, and the process leaves when it has finished; then it starts again."""
-        post = self._posts[number]
-        if post.relay is None or post.leaving:
+        host = self._hosts[number]
+        if host.relay is None or host.leaving:
             return
-        post.leaving = True
-        lives = post.lives
+        host.leaving = True
+        lives = host.lives
         self._kernel.after(self._draw_us(FRONT_TOLD_S), self._taken_out, number, lives)
-        leave_at = post.relay.leave(lambda: self._end(number, lives))
+        leave_at = host.relay.leave(lambda: self._end(number, lives))
         self._kernel.at(leave_at + round(KILLED_S * SECOND_US), self._end, number, lives)
 
     def _taken_out(self, number: int, lives: int) -> None:
-        if self._posts[number].lives == lives and self._front.admits(number):
+        if self._hosts[number].lives == lives and self._front.admits(number):
             self._front.remove(number)
             self._set_changed(number)
 
     def _end(self, number: int, lives: int) -> None:
-        post = self._posts[number]
-        relay = post.relay
-        if relay is None or post.lives != lives:
+        host = self._hosts[number]
+        relay = host.relay
+        if relay is None or host.lives != lives:
             return
-        post.relay = None
+        host.relay = None
         self._watcher.relay_down(self._kernel.now, number)
         self._listing.relay_down(number)
-        post.lost += [
-            exchange.client for exchange in relay.die() if self.clients.lost_relay(exchange, post.leaving)
+        host.lost += [
+            exchange.client for exchange in relay.die() if self.clients.lost_relay(exchange, host.leaving)
         ]
         self._kernel.after(self._draw_us(self._scenario.relays.restart_s), self._boot, number, lives)
-        if post.leaving:  # the front knows
+        if host.leaving:  # the front knows
             self._front.remove(number)
-            self._find_relays(post)
+            self._find_relays(host)
         else:
             self._kernel.after(self._notice_us(), self._noticed, number, lives)
 
     def stall(self, number: int, until: int) -> None:
         """Its process stops, and then goes on; its machine still takes connections."""
-        relay = self._posts[number].relay
+        relay = self._hosts[number].relay
         if relay is not None:
             relay.stall(until)
 
@@ -142,21 +142,21 @@
 
     def _noticed(self, number: int, lives: int) -> None:
         """That the process of this life is dead, unless another has started meanwhile."""
-        post = self._posts[number]
-        if post.lives != lives or post.relay is not None:
+        host = self._hosts[number]
+        if host.lives != lives or host.relay is not None:
             return
         self._front.remove(number)
-        self._find_relays(post)
+        self._find_relays(host)
         self._set_changed(number)
 
-    def _find_relays(self, post: Post) -> None:
-        lost, post.lost = post.lost, []
+    def _find_relays(self, host: RelayHost) -> None:
+        lost, host.lost = host.lost, []
         self.clients.reach_relays(lost)
 
     def _admit(self, number: int) -> None:
         self._front.admit(number)
         self._set_changed(number)
-        self._find_relays(self._posts[number])
+        self._find_relays(self._hosts[number])
 
     def _set_changed(self, number: int) -> None:
         """Part of the connections of the zone's other relays land elsewhere, where packets pass through."""
@@ -164,10 +164,10 @@
         if not self._scenario.relays.pass_through or self._kernel.now == self._kernel.start:
             return
         zone, salt = self._network.zone_of(number), self._changes * SEEDS[0]
-        for other, post in enumerate(self._posts):
-            if other == number or post.relay is None or self._network.zone_of(other) != zone:
+        for other, host in enumerate(self._hosts):
+            if other == number or host.relay is None or self._network.zone_of(other) != zone:
                 continue
-            for exchange in post.relay.standing:
+            for exchange in host.relay.standing:
                 if mix(exchange.event.key + salt) < self._reshuffle * (1 << 64):
                     self.clients.goes_elsewhere(exchange)
 
@@ -181,19 +181,19 @@
                 self._kernel.after(self._notice_us(), self._cut_noticed, number)
 
     def _ready(self, number: int) -> bool:
-        return self._posts[number].relay is not None and not self._posts[number].leaving
+        return self._hosts[number].relay is not None and not self._hosts[number].leaving
 
     def _cut_noticed(self, number: int) -> None:
         """Its process runs on, but its clients' packets go elsewhere."""
-        post = self._posts[number]
+        host = self._hosts[number]
         if self.reachable(number) or not self._front.admits(number):
             return
         self._front.remove(number)
-        self._find_relays(post)
+        self._find_relays(host)
         self._set_changed(number)
-        if post.relay is not None:
-            for exchange in post.relay.standing:
+        if host.relay is not None:
+            for exchange in host.relay.standing:
                 self.clients.goes_elsewhere(exchange)
 
     def _of_zone(self, zone: int) -> Sequence[int]:
-        return [number for number in range(len(self._posts)) if self._network.zone_of(number) == zone]
+        return [number for number in range(len(self._hosts)) if self._network.zone_of(number) == zone]
--- a/glenfold_lab/model/world.py
+++ b/glenfold_lab/model/world.py
@@ -15,7 +15,7 @@
 from glenfold_lab.model.kernel import SECOND_US, Kernel
 from glenfold_lab.model.machinery import Machinery
 from glenfold_lab.model.population import Population
-from glenfold_lab.model.posts import Posts
+from glenfold_lab.model.relay_hosts import RelayHosts
 from glenfold_lab.model.relay_settings import Costs, settings_of
 from glenfold_lab.model.relays import Relay, Surroundings
 from glenfold_lab.observe import Watcher, Watchers
@@ -75,21 +75,21 @@
         self.tally = Tally(self)
         self.watcher = Watchers(self.checker, self.measures, self.tally, *watchers)
         self.machinery = Machinery(scenario, self._streams, self.kernel, self.watcher)
-        self.clients, self.posts = self._actors()
+        self.clients, self.relay_hosts = self._actors()
         ActorFaults(
             scenario.faults,
             self._streams,
             self.kernel,
-            self.posts,
+            self.relay_hosts,
             self.clients,
             self.machinery.happened.append,
         )
 
-    def _actors(self) -> tuple[Clients, Posts]:
+    def _actors(self) -> tuple[Clients, RelayHosts]:
         scenario, streams, machinery = self.scenario, self._streams, self.machinery
         network, terms = machinery.network, machinery.terms
         front = Front([network.zone_of(number) for number in range(scenario.relays.count)])
-        posts = Posts(
+        relay_hosts = RelayHosts(
             scenario,
             streams,
             self.kernel,
@@ -100,7 +100,7 @@
             lambda number, seed: Relay(number, settings[number], seed, around),
         )
         population = Population(scenario, terms, streams, self.kernel.start)
-        clients = posts.clients = Clients(
+        clients = relay_hosts.clients = Clients(
             scenario,
             population,
             streams,
@@ -110,20 +110,21 @@
             machinery.service,
             self.watcher,
             front,
-            posts,
+            relay_hosts,
         )
         around = Surroundings(
             self.kernel, machinery.servers, clients, self.watcher, Costs.of(scenario.relays, streams)
         )
         settings = [
-            settings_of(scenario, terms, number, network.zone_of(number)) for number in range(len(posts))
+            settings_of(scenario, terms, number, network.zone_of(number))
+            for number in range(len(relay_hosts))
         ]
-        return clients, posts
+        return clients, relay_hosts
 
     def start(self) -> None:
         """All processes run and have heard the list; nobody has a connection yet."""
         self.machinery.start()
-        self.posts.start()
+        self.relay_hosts.start()
 
     def run(self, progress: Progress | None) -> None:
         self.clients.start()
--- a/glenfold_lab/stand_ins/fleet.py
+++ b/glenfold_lab/stand_ins/fleet.py
@@ -24,7 +24,6 @@
 from glenfold_lab.spec import Scenario
 from glenfold_lab.stand_ins.agent import Agent, Holding
 from glenfold_lab.stand_ins.clients import Client
-from glenfold_lab.stand_ins.crew import RemotePart, remote
 from glenfold_lab.stand_ins.daemons import Daemons, ended_in_the_end, operators_file
 from glenfold_lab.stand_ins.judge import Judge
 from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
@@ -33,6 +32,7 @@
 from glenfold_lab.stand_ins.places import AGENTS, RELAYS, SERVERS, Net, Places
 from glenfold_lab.stand_ins.push_server import PushServer
 from glenfold_lab.stand_ins.relays import free_address
+from glenfold_lab.stand_ins.remote_part import RemotePart, remote
 from glenfold_lab.stand_ins.script import Script, draw
 from glenfold_lab.stand_ins.seen import Seen
 from glenfold_lab.stand_ins.service import Second
@@ -195,7 +195,7 @@
     when both it and the scenario's length are over, so is the history. crowds: see there. processes: for the
     stand-ins beside this one, an even number; 0: none. tables: merged into those of the operators' file.
 
-    Whatever it started has ended when it returns. Raises `daemons.NeverCame`, `crew.PartFailed`.
+    Whatever it started has ended when it returns. Raises `daemons.NeverCame`, `remote_part.PartFailed`.
     """
     run = _Run(day, seed, begin, goes, crowds or Crowds(), tables or {})
     with (
--- a/glenfold_lab/stand_ins/crew.py
+++ b/glenfold_lab/stand_ins/remote_part.py
@@ -1,4 +1,4 @@
-"""Parts in processes of their own: what `Part` does, asked over a pipe."""
+"""Runs a `Part` in a child process that is controlled over a pipe."""
 
 import gc
 import multiprocessing
@@ -9,18 +9,18 @@
 
 import trio
 
-from glenfold_lab.load.crew import descriptors
+from glenfold_lab.load.worker_pool import descriptors
 from glenfold_lab.stand_ins.part import Part, Report, Times
 from glenfold_lab.stand_ins.places import Places
 from glenfold_lab.stand_ins.service import Second
 
 
 class PartFailed(Exception):
-    """A process of stand-ins broke off without its report."""
+    """A process of stand-ins ended without its report."""
 
 
 class RemotePart:
-    """Played by another process, which ends with this one at the latest."""
+    """A `Part` in a child process, which ends with this process at the latest."""
 
     def __init__(self, part: Part) -> None:
         context = multiprocessing.get_context("spawn")
--- a/glenfold_lab/stand_ins/run.py
+++ b/glenfold_lab/stand_ins/run.py
@@ -23,7 +23,6 @@
 from glenfold_lab.observe import Watcher
 from glenfold_lab.results import Happened, RunResult
 from glenfold_lab.spec import Range, Scenario
-from glenfold_lab.stand_ins.crew import PartFailed, RemotePart, remote
 from glenfold_lab.stand_ins.judge import Judge
 from glenfold_lab.stand_ins.keeper import Keeper
 from glenfold_lab.stand_ins.lateness import Lateness, percentile
@@ -32,6 +31,7 @@
 from glenfold_lab.stand_ins.part import Part, Report, Share, Times, end_of
 from glenfold_lab.stand_ins.places import RELAYS, Net, Places, TooLarge
 from glenfold_lab.stand_ins.relays import Limits, NotReady, RelayProcess, ended_in_the_end, free_address
+from glenfold_lab.stand_ins.remote_part import PartFailed, RemotePart, remote
 from glenfold_lab.stand_ins.script import Script, draw
 from glenfold_lab.stand_ins.seen import Seen
 from glenfold_lab.stand_ins.service import Second
@@ -95,7 +95,7 @@
     the loop that plays. watchers: see all observations once it is over, as the checker does.
 
     Raises `TooLarge` where this machine has not the room, `relays.NotReady` where a relay does not come up,
-    `crew.PartFailed` where a process of stand-ins breaks off, KeyboardInterrupt at SIGINT and SIGTERM.
+    `remote_part.PartFailed` where a process of stand-ins breaks off, KeyboardInterrupt at SIGINT and SIGTERM.
     Whatever it started has ended when it returns.
     """
     if seconds is not None:
--- a/tests/glenfold_lab/test_load_command.py
+++ b/tests/glenfold_lab/test_load_command.py
@@ -17,7 +17,7 @@
 
 from glenfold.config import Address
 from glenfold_lab.commands.load import command
-from glenfold_lab.load import crew
+from glenfold_lab.load import worker_pool
 from glenfold_lab.load.echo import echo
 from glenfold_lab.load.offer import Offer
 from glenfold_lab.load.plan import draw
@@ -110,14 +110,14 @@
 
 def test_a_load_that_is_told_to_stop_gives_what_it_measured(relay: Relay) -> None:
     offer = Offer(LONG, [relay.address], 100, 60_000_000)
-    tally = crew.offer_all(offer, draw(LONG, 1, 1), 1, lambda: len(relay.met) >= 3)[0].tally
+    tally = worker_pool.offer_all(offer, draw(LONG, 1, 1), 1, lambda: len(relay.met) >= 3)[0].tally
     assert 3 <= tally.started.total() < 12_000
     assert tally.answers["up"].distribution().count == tally.standing
 
 
 def test_a_worker_that_breaks_off_ends_the_load() -> None:
-    with pytest.raises(crew.LoadFailed, match="worker 0 ended with status 1"):
-        crew.offer_all(Offer(LONG, [], 100, 60_000_000), draw(LONG, 1, 1), 1, lambda: False)
+    with pytest.raises(worker_pool.LoadFailed, match="worker 0 ended with status 1"):
+        worker_pool.offer_all(Offer(LONG, [], 100, 60_000_000), draw(LONG, 1, 1), 1, lambda: False)
 
 
 @pytest.mark.parametrize(
--- a/tests/glenfold_lab/test_load_offer.py
+++ b/tests/glenfold_lab/test_load_offer.py
@@ -9,7 +9,6 @@
 
 from glenfold.config import Address
 from glenfold.net.sockets import reset_on_close
-from glenfold_lab.load.crew import Report
 from glenfold_lab.load.echo import echo
 from glenfold_lab.load.offer import Load, Offer
 from glenfold_lab.load.plan import Clients, draw
@@ -17,6 +16,7 @@
 from glenfold_lab.load.talk import Stream
 from glenfold_lab.load.tally import Tally
 from glenfold_lab.load.terms import Arrivals, LoadClass, LoadPlan
+from glenfold_lab.load.worker_pool import Report
 from glenfold_lab.stand_ins.moments import MachineClock
 
 Server = Callable[[Stream], Awaitable[None]]
