--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,5 +2,7 @@
 
 from hypothesis import settings
 
+pytest_plugins = ["known_red"]
+
 settings.register_profile("same", derandomize=True, deadline=None, print_blob=False)
 settings.load_profile("same")
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,128 @@
+"""The list of tests that are known to fail: its rules, and that a run passes over these tests alone."""
+
+import known_red
+import pytest
+from known_red import FaultyList, KnownRed
+
+pytest_plugins = ["pytester"]
+
+TESTS = """
+import pytest
+def test_fails(): assert False
+def test_works(): pass
+@pytest.mark.parametrize("n", [1, 2])
+def test_each(n): assert n == 1
+"""
+
+
+def run(pytester: pytest.Pytester, listed: str | None, *args: str, tests: str = TESTS) -> pytest.RunResult:
+    """A run of pytest with these tests in tests/test_some.py; `listed` None: no file."""
+    folder = pytester.mkdir("tests")
+    (folder / "test_some.py").write_text(tests)
+    if listed is not None:
+        (pytester.path / known_red.FILE_NAME).write_text(listed)
+    return pytester.runpytest_inprocess("-p", "known_red", *args)
+
+
+def test_a_run_passes_over_listed_tests_alone_and_prints_them(pytester: pytest.Pytester) -> None:
+    listed = "tests/test_some.py::test_fails | no cause | 7\n\ntests/test_some.py::test_each[2] | odd | 8\n"
+    result = run(pytester, listed)
+    result.assert_outcomes(xfailed=2, passed=2)
+    assert result.ret == 0
+    result.stdout.fnmatch_lines(
+        [
+            "*known red, by KNOWN-RED.txt*",
+            "failed: tests/test_some.py::test_fails | no cause | 7",
+            "failed: tests/test_some.py::test_each[[]2] | odd | 8",
+        ]
+    )
+
+
+def test_an_unlisted_failure_still_fails_the_run(pytester: pytest.Pytester) -> None:
+    result = run(pytester, "tests/test_some.py::test_fails | no cause | 7\n")
+    result.assert_outcomes(xfailed=1, passed=2, failed=1)
+    assert result.ret == 1
+
+
+def test_without_the_file_nothing_is_expected_to_fail(pytester: pytest.Pytester) -> None:
+    result = run(pytester, None)
+    result.assert_outcomes(passed=2, failed=2)
+    result.stdout.no_fnmatch_line("*known red*")
+
+
+def test_a_listed_test_that_passes_is_named_and_does_not_fail_the_run(pytester: pytest.Pytester) -> None:
+    result = run(pytester, "tests/test_some.py::test_works | mended | 7\n", "-k", "works")
+    result.assert_outcomes(xpassed=1, deselected=3)
+    assert result.ret == 0
+    result.stdout.fnmatch_lines(["passed: tests/test_some.py::test_works | mended | 7"])
+
+
+@pytest.mark.parametrize("selection", [("tests/test_some.py::test_works",), ("-k", "works")])
+def test_a_listed_test_outside_the_selection_is_said_to_be_not_run(
+    pytester: pytest.Pytester, selection: tuple[str, ...]
+) -> None:
+    listed = "tests/test_some.py::test_fails | no cause | 7\n"
+    result = run(pytester, listed, *selection)
+    assert result.parseoutcomes()["passed"] == 1
+    assert result.ret == 0
+    result.stdout.fnmatch_lines(["not run: tests/test_some.py::test_fails | no cause | 7"])
+
+
+@pytest.mark.parametrize("option", ["--ignore=tests/test_some.py", "--ignore-glob=*/test_some.py"])
+def test_an_entry_in_a_file_that_is_left_out_is_not_an_error(pytester: pytest.Pytester, option: str) -> None:
+    result = run(pytester, "tests/test_some.py::test_fails | no cause | 7\n", option)
+    assert result.ret == pytest.ExitCode.NO_TESTS_COLLECTED
+    result.stdout.fnmatch_lines(["not run: tests/test_some.py::test_fails | no cause | 7"])
+
+
+@pytest.mark.parametrize(
+    "test, args",
+    [
+        ("tests/test_some.py::test_gone", ()),
+        ("tests/test_some.py::test_each", ()),  # it has parameters, so this is no test of its own
+        ("tests/test_some.py::test_gone", ("tests/test_some.py",)),
+        ("tests/test_some.py::test_gone", ("tests", "-k", "works")),
+        ("tests/test_gone.py::test_works", ("tests/test_some.py::test_works",)),
+    ],
+)
+def test_an_entry_for_a_test_that_does_not_exist_is_an_error(
+    pytester: pytest.Pytester, test: str, args: tuple[str, ...]
+) -> None:
+    result = run(pytester, f"{test} | no cause | 7\n", *args)
+    assert result.ret == pytest.ExitCode.USAGE_ERROR
+    result.stderr.fnmatch_lines([f"ERROR: KNOWN-RED.txt: no such test: {test}"])
+
+
+def test_a_file_that_cannot_be_imported_is_reported_as_that(pytester: pytest.Pytester) -> None:
+    result = run(pytester, "tests/test_some.py::test_fails | no cause | 7\n", tests="import no_such_module")
+    assert result.ret == pytest.ExitCode.INTERRUPTED
+    result.stdout.fnmatch_lines(["*No module named 'no_such_module'*"])
+
+
+def test_a_faulty_list_ends_the_run(pytester: pytest.Pytester) -> None:
+    result = run(pytester, "tests/test_some.py::test_fails\n")
+    assert result.ret == pytest.ExitCode.USAGE_ERROR
+    result.stderr.fnmatch_lines(["ERROR: KNOWN-RED.txt: line 1: not of the form test | cause | issue"])
+
+
+def test_three_entries_are_read_in_their_order() -> None:
+    entries = known_red.parse("a::b | c | 1\n\n a::c[x|y] | c d | 2 \na::d | e | 3\n")
+    first, second, third = entries
+    assert first == KnownRed("a::b", "c", "1")
+    assert second == KnownRed("a::c[x|y]", "c d", "2")
+    assert third == KnownRed("a::d", "e", "3")
+
+
+@pytest.mark.parametrize(
+    "text, fault",
+    [
+        ("".join(f"a::{n} | c | 1\n" for n in range(4)), "4 entries; 3 at most"),
+        ("a::b | c | 1\n\na::b | d | 2\n", "line 3: a::b is listed twice"),
+        ("a::b | c\n", "line 1: not of the form"),
+        ("a::b |  | 1\n", "line 1: not of the form"),
+        ("a::b | c | 1 | 2\n", "line 1: not of the form"),
+    ],
+)
+def test_a_fault_in_the_list_is_named(text: str, fault: str) -> None:
+    with pytest.raises(FaultyList, match=fault):
+        known_red.parse(text)
