Open private Unix sockets and identify their peers in one place, and name handshake in full

ask.py and takeover.py each had the same binding under a temporary name and the same reading of SO_PEERCRED; both are now daemon/private_socket.py, with a typed Peer. takeover.py and its tests say `handshake` in place of `h`.

--- a/glenfold/daemon/ask.py
+++ b/glenfold/daemon/ask.py
@@ -3,9 +3,7 @@
 Only this user can connect, and both sides have the kernel tell them whose process the other one is.
 """
 
-import os
 import socket
-import struct
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -13,6 +11,8 @@
 import msgspec
 import trio
 
+from glenfold.daemon import private_socket
+
 MOST_BYTES = 1 << 20
 MOST_QUESTION = 1 << 14
 MOST_ASKING = 16  # at once; of more the oldest gives way, as it has had its time
@@ -25,26 +25,19 @@
     """Nobody is there, it is another user's, or no whole answer came."""
 
 
-def peer(sock: trio.socket.SocketType | socket.socket) -> tuple[int, int]:
-    """Process id and user of the other end, as the kernel noted them when it connected or began to listen."""
-    size = struct.calcsize("3i")
-    pid, user, _ = struct.unpack("3i", sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, size))
-    return pid, user
-
-
 async def ask(path: Path, question: dict[str, Any], by: float) -> tuple[int, dict[str, Any]]:
     """Who answered, as its process id, and what. `by`: on trio's clock. Raises NoAnswer."""
     try:
         with trio.fail_at(by):
             stream = await trio.open_unix_socket(str(path))
             async with stream:
-                pid, user = peer(stream.socket)
-                if user != os.getuid():
+                peer = private_socket.peer(stream.socket)
+                if not peer.is_own_user:
                     raise NoAnswer(f"{path} is another user's")
                 await stream.send_all(msgspec.json.encode(question) + b"\n")
                 line = await _line(stream, MOST_BYTES)
                 answer: dict[str, Any] = msgspec.json.decode(line, type=dict[str, Any])
-                return pid, answer
+                return peer.pid, answer
     except trio.TooSlowError:
         raise NoAnswer(f"{path}: no answer in time") from None
     except (OSError, trio.BrokenResourceError, msgspec.DecodeError, RecursionError) as error:
@@ -62,20 +55,8 @@
 
 
 def open_private(path: Path) -> trio.SocketListener:
-    """Takes the place of whatever was there; nobody gets in before its mode is 0600. Raises OSError."""
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
-    own = path.with_name(f"{path.name}.{os.getpid()}")
-    try:
-        own.unlink(missing_ok=True)
-        sock.bind(str(own))
-        own.chmod(0o600)
-        sock.listen(MOST_ASKING)
-        own.rename(path)
-    except OSError:
-        sock.close()
-        own.unlink(missing_ok=True)
-        raise
-    return trio.SocketListener(trio.socket.from_stdlib_socket(sock))
+    """Listens for questions; see `private_socket.listen`. Raises OSError."""
+    return trio.SocketListener(private_socket.listen(path, socket.SOCK_STREAM, MOST_ASKING))
 
 
 async def _answer(stream: trio.SocketStream, answering: Answering) -> dict[str, Any]:
@@ -110,7 +91,7 @@
             except OSError:
                 await trio.sleep(AGAIN_S)
                 continue
-            if peer(stream.socket)[1] != os.getuid():
+            if not private_socket.peer(stream.socket).is_own_user:
                 await trio.aclose_forcefully(stream)
                 continue
             if len(asking) >= MOST_ASKING:
--- a/glenfold/daemon/takeover.py
+++ b/glenfold/daemon/takeover.py
@@ -17,7 +17,7 @@
 
 from glenfold import events
 from glenfold.config.platform import Address, written
-from glenfold.daemon import handshake as h
+from glenfold.daemon import handshake, private_socket
 from glenfold.daemon.life import State
 from glenfold.daemon.listeners import BadListener, check, resolved, sort_out, where
 from glenfold.daemon.process import Process
@@ -29,7 +29,7 @@
 MOST_BYTES = 1 << 16  # of one message
 INT = struct.calcsize("i")
 ENCODER = msgspec.json.Encoder()
-DECODER: msgspec.json.Decoder[h.Message] = msgspec.json.Decoder(h.Message)
+DECODER: msgspec.json.Decoder[handshake.Message] = msgspec.json.Decoder(handshake.Message)
 
 
 class Refused(Exception):
@@ -49,12 +49,6 @@
         return self.folder / f"{self.instance}.takeover"
 
 
-def same_user(sock: socket.socket) -> bool:
-    """Whether the other end's process runs as this user, as the kernel tells it."""
-    _, user, _ = struct.unpack("3i", sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 3 * INT))
-    return bool(user == os.getuid())
-
-
 class Channel:
     """Whole messages over a SOCK_SEQPACKET socket; only `incident` waits."""
 
@@ -64,7 +58,7 @@
         self._room = socket.CMSG_SPACE(most_descriptors * INT) if most_descriptors else 0
         self._deaf = False
 
-    def say(self, message: h.Message, descriptors: Sequence[int] = ()) -> None:
+    def say(self, message: handshake.Message, descriptors: Sequence[int] = ()) -> None:
         """Once it returns the message lies with the other side. Raises OSError."""
         rights = [(socket.SOL_SOCKET, socket.SCM_RIGHTS, struct.pack(f"{len(descriptors)}i", *descriptors))]
         self._sock.sendmsg([ENCODER.encode(message)], rights if descriptors else [], socket.MSG_NOSIGNAL)
@@ -75,14 +69,14 @@
         with suppress(OSError):
             self._sock.shutdown(socket.SHUT_RD)
 
-    def hear(self) -> tuple[h.Incident, list[int]] | None:
+    def hear(self) -> tuple[handshake.Incident, list[int]] | None:
         """The next message with its descriptors, which are whoever's calls to close; None: nothing yet."""
         try:
             data, rights, flags, _ = self._receive()
         except BlockingIOError:
             return None
         except OSError as error:
-            return h.Unsaid(error.strerror or str(error)), []
+            return handshake.Unsaid(error.strerror or str(error)), []
         descriptors = [
             descriptor
             for _, kind, held in rights
@@ -90,7 +84,7 @@
             for descriptor in struct.unpack(f"{len(held) // INT}i", held[: len(held) // INT * INT])
         ]
         if not data:
-            return None if self._deaf else (h.Gone(), [])
+            return None if self._deaf else (handshake.Gone(), [])
         try:
             if flags & socket.MSG_CTRUNC and self._room:
                 raise msgspec.DecodeError("too few descriptors are left to take what is passed")
@@ -99,7 +93,7 @@
             return DECODER.decode(data), descriptors
         except (msgspec.DecodeError, RecursionError) as error:
             close_all(descriptors)
-            return h.Unsaid(str(error)), []
+            return handshake.Unsaid(str(error)), []
 
     def _receive(self) -> tuple[bytes, list[tuple[int, int, bytes]], int, object]:
         flags = socket.MSG_DONTWAIT | socket.MSG_CMSG_CLOEXEC
@@ -108,15 +102,15 @@
         except ConnectionResetError:  # told once, when it closed on something unread; its words come behind
             return self._sock.recvmsg(MOST_BYTES, self._room, flags)
 
-    async def incident(self, due: float) -> tuple[h.Incident, list[int]]:
+    async def incident(self, due: float) -> tuple[handshake.Incident, list[int]]:
         while (heard := self.hear()) is None:
             if trio.current_time() >= due:
-                return h.Due(), []
+                return handshake.Due(), []
             try:
                 with trio.move_on_at(due):
                     await trio.lowlevel.wait_readable(self._sock)
             except trio.ClosedResourceError:  # this side has ended it meanwhile
-                return h.Gone(), []
+                return handshake.Gone(), []
         return heard
 
     def close(self) -> None:
@@ -152,10 +146,10 @@
     sock = await _connect(place.path, by)
     if sock is None:
         return None
-    if not same_user(sock):
+    if not private_socket.peer(sock).is_own_user:
         sock.close()
         raise Refused(f"{place.path} is another user's")
-    asking = TakeOver(Channel(sock, h.MOST_LISTENERS + 1), place, wants, by, passed)
+    asking = TakeOver(Channel(sock, handshake.MOST_LISTENERS + 1), place, wants, by, passed)
     try:
         return asking if await asking.offered() else None
     except BaseException:
@@ -206,28 +200,28 @@
         self._wants = list(wants)
         self._had = had
         self._passed: set[int] = set()  # of `listeners`, the descriptors of those that others have too
-        hello = h.Hello(h.FORMAT, place.instance, self._wants)
-        self._taker = h.Taker(hello, by, min(by, trio.current_time() + h.GREET_S))
+        hello = handshake.Hello(handshake.FORMAT, place.instance, self._wants)
+        self._taker = handshake.Taker(hello, by, min(by, trio.current_time() + handshake.GREET_S))
         self._process: Process | None = None
 
     async def offered(self) -> bool:
         self._perform(self._taker.begin())
-        while self._taker.state is h.Taking.ASKING:
+        while self._taker.state is handshake.Taking.ASKING:
             incident, descriptors = await self._channel.incident(self._taker.due)
-            if isinstance(incident, h.Offer):
+            if isinstance(incident, handshake.Offer):
                 incident = self._adopt(incident, descriptors)
             else:
                 close_all(descriptors)
             self._perform(self._taker.on(incident))
         if self.refused is not None:
             raise Refused(self.refused)
-        return self._taker.state is not h.Taking.OVER
+        return self._taker.state is not handshake.Taking.OVER
 
-    def _adopt(self, offer: h.Offer, descriptors: list[int]) -> h.Incident:
+    def _adopt(self, offer: handshake.Offer, descriptors: list[int]) -> handshake.Incident:
         """The sockets are this process's from here on, or all closed."""
         if len(descriptors) != len(offer.listeners) + offer.lock:
             close_all(descriptors)
-            return h.Unsaid("an offer came with other descriptors than it names")
+            return handshake.Unsaid("an offer came with other descriptors than it names")
         self.lock = descriptors.pop() if offer.lock else None
         self.listeners = [socket.socket(fileno=descriptor) for descriptor in descriptors]
         try:
@@ -235,7 +229,7 @@
                 check(sock)
             found = sort_out([*self.listeners, *self._had], self._wants)
         except BadListener as error:
-            return h.Unsaid(str(error))
+            return handshake.Unsaid(str(error))
         self.listeners = found.all
         self._passed = {sock.fileno() for sock in found.kept}
         events.takeover_offered(passed=where(found.kept), opened=where(found.opened), closed=offer.others)
@@ -251,36 +245,36 @@
             close_all(descriptors)
             self._perform(self._taker.on(incident))
         process.life.watches.remove(self._life)
-        return self._taker.state is h.Taking.OWNER
+        return self._taker.state is handshake.Taking.OWNER
 
     def _life(self, before: State, now: State) -> None:
         if now is State.READY:
-            self._perform(self._taker.on(h.Prepared()))
+            self._perform(self._taker.on(handshake.Prepared()))
         elif now in (State.DRAINING, State.FINISHING):
-            self._perform(self._taker.on(h.Stopping()))
+            self._perform(self._taker.on(handshake.Stopping()))
 
-    def _perform(self, effects: Sequence[h.Effect]) -> None:
+    def _perform(self, effects: Sequence[handshake.Effect]) -> None:
         for effect in effects:
             match effect:
-                case h.Say(message):
+                case handshake.Say(message):
                     self._say(message)
-                case h.Accept():
+                case handshake.Accept():
                     assert self._process is not None
                     self._process.accept()
-                case h.Own():
+                case handshake.Own():
                     events.takeover_done()
-                case h.GiveUp(reason):
+                case handshake.GiveUp(reason):
                     self._give_up(reason)
-                case h.Close():
+                case handshake.Close():
                     self._channel.close()
 
-    def _say(self, message: h.Message) -> None:
+    def _say(self, message: handshake.Message) -> None:
         try:
             self._channel.say(message)
         except OSError as error:
-            self._perform(self._taker.on(h.Unsaid(error.strerror or str(error))))
+            self._perform(self._taker.on(handshake.Unsaid(error.strerror or str(error))))
         else:
-            self._perform(self._taker.on(h.Said()))
+            self._perform(self._taker.on(handshake.Said()))
 
     def _give_up(self, reason: str) -> None:
         self.refused = reason
@@ -305,23 +299,6 @@
 # ---- the old process ---------------------------------------------------------------------------
 
 
-def open_private(path: Path) -> SocketType:
-    """Only this user can connect to it; it takes the place of whatever was there. Raises OSError."""
-    sock = socket.socket(socket.AF_UNIX, socket.SOCK_SEQPACKET)
-    own = path.with_name(f"{path.name}.{os.getpid()}")
-    try:
-        own.unlink(missing_ok=True)
-        sock.bind(str(own))
-        own.chmod(0o600)
-        sock.listen(MOST_ASKING)  # before this nobody gets in
-        own.rename(path)
-    except OSError:
-        sock.close()
-        own.unlink(missing_ok=True)
-        raise
-    return trio.socket.from_stdlib_socket(sock)
-
-
 class Keeper:
     """A companion: ends the take-over that this process began with, if it did, and then lets the next one
     take over from it. `lock`: the descriptor of the name's lock, which is passed on too. It is only ever to
@@ -333,14 +310,14 @@
         self.lock = lock if taken is None else taken.lock
         self._taken = taken
         self.serving = False  # whether the name is this process's, and the next one may ask
-        self._chosen: h.Giver | None = None
+        self._chosen: handshake.Giver | None = None
         self._asking = 0
 
     async def __call__(self, process: Process) -> None:
         if self._taken is not None and not await self._taken.complete(process):
             return
         try:
-            listener = open_private(self.place.path)
+            listener = private_socket.listen(self.place.path, socket.SOCK_SEQPACKET, MOST_ASKING)
         except OSError as error:
             events.takeover_unheard(error=error)
             return
@@ -358,7 +335,7 @@
                 await trio.sleep(AGAIN_S)
                 continue
             plain = socket.socket(fileno=sock.detach())
-            if self._asking >= MOST_ASKING or not same_user(plain):
+            if self._asking >= MOST_ASKING or not private_socket.peer(plain).is_own_user:
                 events.takeover_stranger()
                 plain.close()
                 continue
@@ -367,12 +344,12 @@
 
     async def _give(self, channel: Channel, process: Process) -> None:
         now = trio.current_time()
-        giver = h.Giver(self.place.instance, now + self.place.ready_s, now + h.GREET_S)
+        giver = handshake.Giver(self.place.instance, now + self.place.ready_s, now + handshake.GREET_S)
         giving = _Giving(channel, giver, process, self.lock)
         try:
             while not giver.over:
                 incident = await giving.incident()
-                if isinstance(incident, h.Hello):
+                if isinstance(incident, handshake.Hello):
                     giving.greet(incident, self._chosen is not None and self._chosen.chosen)
                     self._chosen = giver if giver.chosen else self._chosen
                 else:
@@ -385,22 +362,22 @@
 class _Giving:
     """One connection to a new process."""
 
-    def __init__(self, channel: Channel, giver: h.Giver, process: Process, lock: int | None) -> None:
+    def __init__(self, channel: Channel, giver: handshake.Giver, process: Process, lock: int | None) -> None:
         self._channel, self._giver, self._process, self._lock = channel, giver, process, lock
         self._passed: list[SocketType] = []
 
-    async def incident(self) -> h.Incident:
+    async def incident(self) -> handshake.Incident:
         incident, _ = await self._channel.incident(self._giver.due)
-        if isinstance(incident, h.Due) and self._giver.state is h.Giving.HANDING:
+        if isinstance(incident, handshake.Due) and self._giver.state is handshake.Giving.HANDING:
             # Taken counts if it was said before this: the new one would not know that it came too late.
             self._channel.deafen()
             incident, _ = self._channel.hear() or (incident, [])
         return incident
 
-    def greet(self, hello: h.Hello, taken: bool) -> None:
+    def greet(self, hello: handshake.Hello, taken: bool) -> None:
         places = {listener: written(listener.getsockname()) for listener in self._process.listeners}
         passed = [listener for listener, where in places.items() if where in hello.wants]
-        offer = h.Offer(
+        offer = handshake.Offer(
             [places[listener] for listener in passed],
             [where for listener, where in places.items() if listener not in passed],
             self._lock is not None,
@@ -408,28 +385,28 @@
         self._passed = passed
         self.perform(self._giver.greet(hello, offer, taken))
 
-    def perform(self, effects: Sequence[h.Effect]) -> None:
+    def perform(self, effects: Sequence[handshake.Effect]) -> None:
         for effect in effects:
             match effect:
-                case h.Say(message):
+                case handshake.Say(message):
                     self._say(message)
-                case h.Pause():
+                case handshake.Pause():
                     self._process.pause(self._passed)
-                case h.Resume():
+                case handshake.Resume():
                     self._process.accept()
-                case h.Retire():
+                case handshake.Retire():
                     events.takeover_retired()
                     self._process.handed_on = True
                     self._process.release(set(self._passed).intersection(self._process.listeners))
                     self._process.stop()
-                case h.Close(reason) if reason is not None:
+                case handshake.Close(reason) if reason is not None:
                     events.takeover_failed(reason=reason)
 
-    def _say(self, message: h.Message) -> None:
+    def _say(self, message: handshake.Message) -> None:
         lock = [] if self._lock is None else [self._lock]
         passed = [*(listener.fileno() for listener in self._passed), *lock]
         try:
-            self._channel.say(message, passed if isinstance(message, h.Offer) else ())
+            self._channel.say(message, passed if isinstance(message, handshake.Offer) else ())
         except OSError as error:
-            unsaid = h.Unsaid(error.strerror or str(error))
+            unsaid = handshake.Unsaid(error.strerror or str(error))
             self.perform(self._giver.on(unsaid, trio.current_time()))
--- a/tests/daemon/test_handshake.py
+++ b/tests/daemon/test_handshake.py
@@ -8,7 +8,35 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from glenfold.daemon import handshake as h
+from glenfold.daemon.handshake import (
+    FORMAT,
+    Abort,
+    Accept,
+    Close,
+    Due,
+    Effect,
+    Giver,
+    GiveUp,
+    Giving,
+    Gone,
+    Hello,
+    Incident,
+    Message,
+    Offer,
+    Pause,
+    Prepared,
+    Ready,
+    Resume,
+    Retire,
+    Retired,
+    Said,
+    Say,
+    Stopping,
+    Taken,
+    Taker,
+    Taking,
+    Unsaid,
+)
 
 WANTS = ["127.0.0.1:7000"]
 DEATHS = ("old dies", "new dies")
@@ -20,7 +48,7 @@
 class End:
     """One process: `inbox` is the kernel's, and outlives whoever wrote there."""
 
-    inbox: deque[h.Message] = field(default_factory=deque)
+    inbox: deque[Message] = field(default_factory=deque)
     alive: bool = True
     open: bool = True  # its end of the channel
     holds: bool = False
@@ -34,8 +62,8 @@
 class Pair:
     def __init__(self) -> None:
         self.old, self.new = End(holds=True, accepts=True), End()
-        self.giver = h.Giver("cardiff-1", until=inf, due=0.0)
-        self.taker = h.Taker(h.Hello(h.FORMAT, "cardiff-1", WANTS), until=0.0, due=0.0)
+        self.giver = Giver("cardiff-1", until=inf, due=0.0)
+        self.taker = Taker(Hello(FORMAT, "cardiff-1", WANTS), until=0.0, due=0.0)
         self.do(self.new, self.taker.begin())
 
     def step(self, name: str) -> None:
@@ -46,20 +74,25 @@
         elif what == "dies":
             end.die()
         elif what == "is late" and end.open and not end.inbox and other.open:
-            self.tell(end, h.Due())
+            self.tell(end, Due())
         elif not what and self.new.holds:
-            self.tell(self.new, h.Prepared() if name == "ready" else h.Stopping())
+            self.tell(self.new, Prepared() if name == "ready" else Stopping())
         assert self.old.holds or self.new.holds or not self.somebody_serves, "the queue of clients is lost"
 
     @property
     def somebody_serves(self) -> bool:
         return (
             self.old.alive
-            and self.giver.state is not h.Giving.RETIRED
+            and self.giver.state is not Giving.RETIRED
             or (
                 self.new.alive
                 and self.taker.state
-                in (h.Taking.PREPARING, h.Taking.ACCEPTING, h.Taking.CONFIRMING, h.Taking.OWNER)
+                in (
+                    Taking.PREPARING,
+                    Taking.ACCEPTING,
+                    Taking.CONFIRMING,
+                    Taking.OWNER,
+                )
             )
         )
 
@@ -67,37 +100,37 @@
         other = self.new if end is self.old else self.old
         if not end.open or not end.inbox and other.open:
             return False
-        incident: h.Incident = end.inbox.popleft() if end.inbox else h.Gone()
-        end.holds = end.holds or isinstance(incident, h.Offer)
+        incident: Incident = end.inbox.popleft() if end.inbox else Gone()
+        end.holds = end.holds or isinstance(incident, Offer)
         self.tell(end, incident)
         return True
 
-    def tell(self, end: End, incident: h.Incident) -> None:
+    def tell(self, end: End, incident: Incident) -> None:
         if end is self.new:
             self.do(end, self.taker.on(incident))
-        elif isinstance(incident, h.Hello):
-            self.do(end, self.giver.greet(incident, h.Offer(WANTS, [], True), taken=False))
+        elif isinstance(incident, Hello):
+            self.do(end, self.giver.greet(incident, Offer(WANTS, [], True), taken=False))
         else:
             self.do(end, self.giver.on(incident, 0.0))
 
-    def do(self, end: End, effects: list[h.Effect]) -> None:
+    def do(self, end: End, effects: list[Effect]) -> None:
         other = self.new if end is self.old else self.old
         for effect in effects:
             match effect:
-                case h.Say(message):
+                case Say(message):
                     if heard := other.open:
                         other.inbox.append(message)
                     if end is self.new or not heard:
-                        self.tell(end, h.Said() if heard else h.Unsaid("broken pipe"))
-                case h.Pause():
+                        self.tell(end, Said() if heard else Unsaid("broken pipe"))
+                case Pause():
                     end.accepts = False
-                case h.Resume() | h.Accept():
+                case Resume() | Accept():
                     assert end.holds
                     end.accepts = True
-                case h.Retire() | h.GiveUp():
+                case Retire() | GiveUp():
                     end.holds = end.accepts = False
-                    end.gave_up = isinstance(effect, h.GiveUp)
-                case h.Close():
+                    end.gave_up = isinstance(effect, GiveUp)
+                case Close():
                     end.open = False
 
     def settle(self) -> None:
@@ -113,32 +146,35 @@
         pair.step(step)
     pair.settle()
     old, new, giver, taker = pair.old, pair.new, pair.giver, pair.taker
-    if old.alive and giver.state is not h.Giving.RETIRED:
-        assert old.accepts and taker.state is not h.Taking.OWNER or new.accepts and not giver.over
+    if old.alive and giver.state is not Giving.RETIRED:
+        assert old.accepts and taker.state is not Taking.OWNER or new.accepts and not giver.over
     if not old.alive and new.holds:
-        assert new.accepts and taker.state is h.Taking.OWNER
+        assert new.accepts and taker.state is Taking.OWNER
     if old.alive and new.alive and not new.open:
         assert old.holds != new.holds and old.accepts != new.accepts  # never two owners, nothing left behind
     assert not (new.gave_up and (new.holds or not set(LATE) & set(steps)))
-    if giver.state is h.Giving.RETIRED:
-        assert not old.holds and (not new.alive or taker.state is h.Taking.OWNER)
+    if giver.state is Giving.RETIRED:
+        assert not old.holds and (not new.alive or taker.state is Taking.OWNER)
 
 
 @pytest.mark.parametrize(
     ("hello", "taken", "reason"),
     [
-        (h.Hello(h.FORMAT + 1, "cardiff-1", []), False, "format 2 is not 1"),
-        (h.Hello(h.FORMAT, "wrexham-1", []), False, "this is cardiff-1, not wrexham-1"),
-        (h.Hello(h.FORMAT, "cardiff-1", []), True, "another process is taking over"),
+        (Hello(FORMAT + 1, "cardiff-1", []), False, "format 2 is not 1"),
+        (Hello(FORMAT, "wrexham-1", []), False, "this is cardiff-1, not wrexham-1"),
+        (Hello(FORMAT, "cardiff-1", []), True, "another process is taking over"),
     ],
 )
-def test_who_may_not_take_over_is_told_why(hello: h.Hello, taken: bool, reason: str) -> None:
-    giver = h.Giver("cardiff-1", 30.0, 5.0)
-    assert giver.greet(hello, h.Offer([], [], False), taken) == [h.Say(h.Abort(reason)), h.Close(reason)]
+def test_who_may_not_take_over_is_told_why(hello: Hello, taken: bool, reason: str) -> None:
+    giver = Giver("cardiff-1", 30.0, 5.0)
+    assert giver.greet(hello, Offer([], [], False), taken) == [
+        Say(Abort(reason)),
+        Close(reason),
+    ]
     assert not giver.chosen and giver.over
 
 
-@pytest.mark.parametrize("message", [h.Ready(), h.Taken(), h.Retired(), h.Offer([], [], False)])
-def test_a_message_out_of_turn_ends_it_and_passes_nothing_on(message: h.Message) -> None:
-    effects = h.Giver("cardiff-1", 30.0, 5.0).on(message, 0.0)
-    assert [type(effect) for effect in effects] == [h.Say, h.Close]
+@pytest.mark.parametrize("message", [Ready(), Taken(), Retired(), Offer([], [], False)])
+def test_a_message_out_of_turn_ends_it_and_passes_nothing_on(message: Message) -> None:
+    effects = Giver("cardiff-1", 30.0, 5.0).on(message, 0.0)
+    assert [type(effect) for effect in effects] == [Say, Close]
--- a/tests/daemon/test_takeover.py
+++ b/tests/daemon/test_takeover.py
@@ -17,8 +17,7 @@
 import trio
 
 from glenfold.config.platform import written
-from glenfold.daemon import handshake as h
-from glenfold.daemon import listeners, takeover
+from glenfold.daemon import handshake, listeners, takeover
 from glenfold.daemon.life import State
 from glenfold.daemon.process import Process
 from glenfold.daemon.takeover import Channel, Keeper, Place, Refused, TakeOver, ask
@@ -183,8 +182,8 @@
 @relaying.scripted(house)
 async def test_a_new_one_that_dies_when_the_old_one_has_paused_gives_it_back(made: House) -> None:
     channel = Channel(await made.connect(), 8)
-    hello = h.Hello(h.FORMAT, "cardiff-1", made.wants)
-    for message, expected in ((hello, h.Offer), (h.Ready(), h.Retired)):
+    hello = handshake.Hello(handshake.FORMAT, "cardiff-1", made.wants)
+    for message, expected in ((hello, handshake.Offer), (handshake.Ready(), handshake.Retired)):
         channel.say(message)
         said, descriptors = await channel.incident(trio.current_time() + 5.0)
         assert isinstance(said, expected)
@@ -242,7 +241,7 @@
     with pytest.raises(Refused, match="in use"):
         await made.take_over(*listeners.where(others))
     made.life.process.listeners += [trio.socket.from_stdlib_socket(sock) for sock in others]
-    monkeypatch.setattr(h, "MOST_LISTENERS", 0)  # the kernel cuts off what there is no room for
+    monkeypatch.setattr(handshake, "MOST_LISTENERS", 0)  # the kernel cuts off what there is no room for
     with pytest.raises(Refused, match="too few descriptors are left to take what is passed"):
         await made.take_over(*listeners.where(others))
     assert [made.copies(), *map(copies, others)] == [1, 1, 1]
@@ -255,7 +254,7 @@
     monkeypatch.setattr(takeover.os, "getuid", lambda: 12345)
     with pytest.raises(Refused, match="another user's"):
         await made.take_over()
-    assert (await Channel(await made.connect()).incident(trio.current_time() + 5.0))[0] == h.Gone()
+    assert (await Channel(await made.connect()).incident(trio.current_time() + 5.0))[0] == handshake.Gone()
     await made.answers_all(3)
 
 
@@ -268,7 +267,7 @@
 async def test_what_is_no_message_is_refused_and_costs_nothing(made: House, data: bytes) -> None:
     with await made.connect() as sock, (made.place.folder / "stranger").open("w") as file:
         socket.send_fds(sock, [data], [file.fileno()])
-        assert isinstance((await Channel(sock).incident(trio.current_time() + 5.0))[0], h.Abort)
+        assert isinstance((await Channel(sock).incident(trio.current_time() + 5.0))[0], handshake.Abort)
         assert copies(file) == 1
     await made.answers_all(1)
 
@@ -282,21 +281,21 @@
 
 def test_what_was_said_before_the_other_side_stopped_listening_or_closed_is_heard(pair: Pair) -> None:
     old, new = pair
-    new.say(h.Taken())
+    new.say(handshake.Taken())
     old.deafen()
     with pytest.raises(BrokenPipeError):
-        new.say(h.Taken())
-    assert old.hear() == (h.Taken(), []) and old.hear() is None
-    old.say(h.Abort("late"))
+        new.say(handshake.Taken())
+    assert old.hear() == (handshake.Taken(), []) and old.hear() is None
+    old.say(handshake.Abort("late"))
     old._sock.close()
-    assert new.hear() == (h.Abort("late"), []) and new.hear() == (h.Gone(), [])
+    assert new.hear() == (handshake.Abort("late"), []) and new.hear() == (handshake.Gone(), [])
 
 
 def test_an_abort_is_heard_though_who_says_it_closed_on_something_unread(pair: Pair) -> None:
-    pair[1].say(h.Ready())
-    pair[0].say(h.Abort("late"))
+    pair[1].say(handshake.Ready())
+    pair[0].say(handshake.Abort("late"))
     pair[0]._sock.close()
-    assert pair[1].hear() == (h.Abort("late"), [])
+    assert pair[1].hear() == (handshake.Abort("late"), [])
 
 
 @pytest.mark.parametrize(
