--- a/glenfold/daemon/supervisor.py
+++ b/glenfold/daemon/supervisor.py
@@ -18,6 +18,7 @@
 import trio
 
 from glenfold.daemon import fleet_events as log
+from glenfold.daemon import fleet_status
 from glenfold.daemon.ask import NoAnswer, answer_all, ask, open_private
 from glenfold.daemon.keep import Keep
 from glenfold.daemon.logfiles import LogFiles
@@ -42,9 +43,9 @@
     Spawned,
     StateLost,
 )
-from glenfold.rules.fleet.state import Instance, Phase, Roll
+from glenfold.rules.fleet.state import Phase
 from glenfold.rules.fleet.terms import Terms
-from glenfold.rules.service import Shares, Window
+from glenfold.rules.service import Window
 
 LOOK_S = 0.2  # from one look at an instance to the next
 ANSWER_S = 1.0  # that an instance may take to answer
@@ -378,50 +379,12 @@
         self._with_file(ReloadAll())
 
     def status(self) -> dict[str, Any]:
-        state, now = self._fleet.state, time.monotonic()
-        return {
-            "supervisor": os.getpid(),
-            "instances": [self._status_of(name, one, now) for name, one in state.instances.items()],
-            "roll": _status_of_roll(state.roll, now),
-            "rolls": state.rolls,
-            "last_roll": state.last_roll,
-            "down": state.down,
-            "service": _shares(self._window.shares(now)),
-            "state_saved": not self._save_failed,
-        }
-
-    def _status_of(self, name: str, one: Instance, now: float) -> dict[str, Any]:
-        told = self._looks.get(name, Look(0.0)).status
-        pid = int(one.process.partition(":")[0]) if one.process else None
-        return {
-            "name": name,
-            "phase": one.phase.value,
-            "pid": pid,
-            "for_s": round(now - one.since, 1),
-            "state": told.get("state") if pid else None,
-            "starts": one.starts,
-            "ends": len(one.ends),
-            "replacing": one.replacing,
-            "leaving": len(one.leaving),
-            "last_end": one.how,
-            "counters": told.get("counters", {}) if pid else {},
-        }
-
-
-def _shares(shares: Shares) -> dict[str, float]:
-    return {"asked": shares.asked, "refused": shares.refused, "unanswered": shares.unanswered}
-
-
-def _status_of_roll(roll: Roll | None, now: float) -> dict[str, Any] | None:
-    if roll is None:
-        return None
-    return {
-        "running": roll.running,
-        "reason": roll.reason,
-        "out": roll.out,
-        "todo": roll.todo,
-        "done": roll.done,
-        "most_out": roll.most_out,
-        "for_s": round(now - roll.begun_at, 1),
-        "before": _shares(roll.before),
-    }
+        """The answer to the question `status`."""
+        now = time.monotonic()
+        return fleet_status.report(
+            self._fleet.state,
+            {name: look.status for name, look in self._looks.items()},
+            self._window.shares(now),
+            now,
+            state_saved=not self._save_failed,
+        )
