Name the lab's clock, relay settings and client messages plainly

stand_ins/moments.py is machine_clock.py and told.py is relay_settings.py, load/talk.py's protocol Moments is Clock, and the load's modules import the client's messages by name in place of an alias `c`. No change of behaviour; the tests differ in names and imports alone.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -32,7 +32,7 @@
 from glenfold_lab.observe import End, Final, Record
 from glenfold_lab.stand_ins.daemons import NAME, Daemons
 from glenfold_lab.stand_ins.fleet import Course, Crowds, Played, play_fleet
-from glenfold_lab.stand_ins.moments import SECOND_US
+from glenfold_lab.stand_ins.machine_clock import SECOND_US
 
 LENGTH_S = 62.0
 MASS_S = 2.0  # when the crowd comes
--- a/benchmarks/load_tool.py
+++ b/benchmarks/load_tool.py
@@ -30,14 +30,14 @@
 from glenfold_lab.results import Distribution
 from glenfold_lab.stand_ins.keeper import Keeper
 from glenfold_lab.stand_ins.lateness import percentile
-from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
+from glenfold_lab.stand_ins.machine_clock import SECOND_US, MachineClock
 from glenfold_lab.stand_ins.part import Part, Share, Times
 from glenfold_lab.stand_ins.places import RELAYS, Net, Places
+from glenfold_lab.stand_ins.relay_settings import settings_json
 from glenfold_lab.stand_ins.relays import Limits, RelayProcess, ended_in_the_end, free_address
 from glenfold_lab.stand_ins.remote_part import RemotePart, remote
 from glenfold_lab.stand_ins.script import draw
 from glenfold_lab.stand_ins.seen import Seen
-from glenfold_lab.stand_ins.told import settings_json
 
 COUNT = 20  # of relays, and of push servers
 WORKERS = 2
--- a/benchmarks/start.py
+++ b/benchmarks/start.py
@@ -32,7 +32,7 @@
 
 from glenfold_lab.stand_ins.agent import Agent, Entry, Holding, whole_list
 from glenfold_lab.stand_ins.lateness import percentile
-from glenfold_lab.stand_ins.moments import MachineClock
+from glenfold_lab.stand_ins.machine_clock import MachineClock
 from glenfold_lab.stand_ins.ping import Ping, ping
 from glenfold_lab.stand_ins.relays import free_address
 from glenfold_lab.stand_ins.seen import Seen
--- a/glenfold_lab/load/client.py
+++ b/glenfold_lab/load/client.py
@@ -1,6 +1,6 @@
 """One client's connection, without I/O: what comes in, and what has to be done about it.
 
-Moments are absolute microseconds on one clock that does not go back. The driver calls `on` with each
+Times are absolute microseconds on one clock that does not go back. The driver calls `on` with each
 incident, carries out the effects in their order, and gives `Due` when `due_us` has come.
 """
 
--- a/glenfold_lab/load/offer.py
+++ b/glenfold_lab/load/offer.py
@@ -6,9 +6,9 @@
 import trio
 
 from glenfold.config import Address
-from glenfold_lab.load import client as c
+from glenfold_lab.load.client import Answer, Answered, ClientState, News, Parted, Wish, open_line
 from glenfold_lab.load.plan import Clients
-from glenfold_lab.load.talk import Moments, Stream, connect_to, talk
+from glenfold_lab.load.talk import Clock, Stream, connect_to, talk
 from glenfold_lab.load.tally import Hearing, Tally
 from glenfold_lab.load.terms import LoadPlan
 
@@ -51,7 +51,7 @@
             yield Planned(*values)
 
 
-def wish(terms: LoadPlan, client: Planned, begin_us: int) -> c.Wish:
+def wish(terms: LoadPlan, client: Planned, begin_us: int) -> Wish:
     """begin_us: when the load starts, on the clients' clock."""
     figures: dict[str, str | int] = {"c": terms.classes[client.request_class].name}
     if terms.schemes:
@@ -60,14 +60,14 @@
     figures["g"] = f"{client.group:016x}"
     if client.again:
         figures["again"] = 1
-    line = c.open_line(client.ident, client.key, figures)
-    return c.Wish(line, client.wait_us, begin_us + client.end_us, client.line_gap_us)
+    line = open_line(client.ident, client.key, figures)
+    return Wish(line, client.wait_us, begin_us + client.end_us, client.line_gap_us)
 
 
 class Load:
     """One process's part of a load, which starts at `begin_us` of that clock."""
 
-    def __init__(self, offer: Offer, clock: Moments, begin_us: int, connect: ConnectTo = connect_to) -> None:
+    def __init__(self, offer: Offer, clock: Clock, begin_us: int, connect: ConnectTo = connect_to) -> None:
         self.tally = Tally()
         self._offer = offer
         self._clock = clock
@@ -117,15 +117,15 @@
         target = offer.targets[client.target]
         hearing = Hearing(tally, offer.terms.classes[client.request_class].name, client.target, window)
 
-        def tell(news: c.News) -> None:
+        def tell(news: News) -> None:
             hearing.hear(news)
-            if isinstance(news, c.Answered):
-                self._standing += news.answer is c.Answer.UP
+            if isinstance(news, Answered):
+                self._standing += news.answer is Answer.UP
                 self._one_answered()
-            elif isinstance(news, c.Parted):
+            elif isinstance(news, Parted):
                 self._standing -= 1
 
-        state = c.ClientState(wish(offer.terms, client, self._begin_us), intended_us, now_us)
+        state = ClientState(wish(offer.terms, client, self._begin_us), intended_us, now_us)
         try:
             await talk(state, lambda: self._connect(target), tell, self._clock)
         except OSError:
--- a/glenfold_lab/load/plan.py
+++ b/glenfold_lab/load/plan.py
@@ -51,7 +51,7 @@
 
 
 def _starts(arrivals: Arrivals, random: np.random.Generator) -> NDArray[np.int64]:
-    """Moments at which the sum of the rate so far reaches a count: whole ones, or drawn evenly."""
+    """Times at which the sum of the rate so far reaches a count: whole ones, or drawn evenly."""
     first, last = rates(arrivals)
     total = (first + last) / 2 * arrivals.for_s
     if arrivals.process == "poisson":
--- a/glenfold_lab/load/talk.py
+++ b/glenfold_lab/load/talk.py
@@ -9,19 +9,35 @@
 
 from glenfold.config import Address
 from glenfold.lines import MAX_LINE
-from glenfold_lab.load import client as c
-
-SEND_S = c.SILENT_US / 1e6  # a side that takes nothing for so long is not worth waiting for
+from glenfold_lab.load.client import (
+    SILENT_US,
+    Broken,
+    ClientState,
+    Close,
+    Connected,
+    Due,
+    Effect,
+    Finish,
+    Finished,
+    Heard,
+    Incident,
+    News,
+    Phase,
+    Send,
+    Unreachable,
+)
+
+SEND_S = SILENT_US / 1e6  # a side that takes nothing for so long is not worth waiting for
 NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 
 Stream = trio.abc.HalfCloseableStream
 Connect = Callable[[], Awaitable[Stream]]
-Tell = Callable[[c.News], None]
+Tell = Callable[[News], None]
 
 
-class Moments(Protocol):
-    """The clock of the clients, as `stand_ins.moments.MachineClock` is one. At what `to_trio` gives for a
-    moment `now_us` must have reached it: a client woken too early would only go to sleep again."""
+class Clock(Protocol):
+    """The clock of the clients, such as `stand_ins.machine_clock.MachineClock`. At the time that `to_trio`
+    gives for `at_us`, `now_us` is `at_us` or later: else a client would wake up too early and sleep again."""
 
     def now_us(self) -> int: ...
 
@@ -38,22 +54,22 @@
     return trio.SocketStream(sock)
 
 
-async def talk(state: c.ClientState, connect: Connect, tell: Tell, clock: Moments) -> None:
+async def talk(state: ClientState, connect: Connect, tell: Tell, clock: Clock) -> None:
     """From the connecting to the end; whatever the other side does, only this client's end comes of it.
 
     Raises OSError, before it has told anything, where this machine has no socket or port left for it."""
     stream = await _connected(connect, clock.to_trio(state.due_us))
     if stream is None:
-        for effect in state.on(c.Unreachable(), clock.now_us()):
-            if isinstance(effect, c.News):
+        for effect in state.on(Unreachable(), clock.now_us()):
+            if isinstance(effect, News):
                 tell(effect)
         return
-    incident: c.Incident = c.Connected()
+    incident: Incident = Connected()
     try:
         while True:
             for effect in state.on(incident, clock.now_us()):
                 await _carry_out(effect, stream, tell)
-            if state.phase is c.Phase.ENDED:
+            if state.phase is Phase.ENDED:
                 return
             incident = await _next(stream, clock.to_trio(state.due_us))
     finally:
@@ -70,14 +86,14 @@
     return None
 
 
-async def _carry_out(effect: c.Effect, stream: Stream, tell: Tell) -> None:
+async def _carry_out(effect: Effect, stream: Stream, tell: Tell) -> None:
     match effect:
-        case c.Send(data):
+        case Send(data):
             with trio.move_on_at(trio.current_time() + SEND_S):
                 await _unless_broken(stream.send_all(data))
-        case c.Finish():
+        case Finish():
             await _unless_broken(stream.send_eof())
-        case c.Close():
+        case Close():
             pass  # done by the stream's owner, as the states have ended
         case _:
             tell(effect)
@@ -89,11 +105,11 @@
         await sending
 
 
-async def _next(stream: Stream, until: float) -> c.Incident:
+async def _next(stream: Stream, until: float) -> Incident:
     with trio.move_on_at(until):
         try:
             data = await stream.receive_some(MAX_LINE)
         except trio.BrokenResourceError:
-            return c.Broken()
-        return c.Heard(bytes(data)) if data else c.Finished()
-    return c.Due()
+            return Broken()
+        return Heard(bytes(data)) if data else Finished()
+    return Due()
--- a/glenfold_lab/load/tally.py
+++ b/glenfold_lab/load/tally.py
@@ -6,7 +6,7 @@
 
 from hdrh.histogram import HdrHistogram  # type: ignore[import-untyped]
 
-from glenfold_lab.load import client as c
+from glenfold_lab.load.client import Answer, Answered, LineBack, LineSaid, News, Parted
 from glenfold_lab.results import Distribution
 
 GREATEST_US = 600_000_000  # what takes longer counts as this
@@ -100,21 +100,21 @@
         self._target = target
         self._window = window
 
-    def hear(self, news: c.News) -> None:
+    def hear(self, news: News) -> None:
         match news:
-            case c.Answered():
+            case Answered():
                 self._answered(news)
-            case c.LineBack(us):
+            case LineBack(us):
                 self._tally.lines.record(us)
-            case c.LineSaid(late_us):
+            case LineSaid(late_us):
                 self._tally.lines_late.record(late_us)
-            case c.Parted(parting, unanswered):
+            case Parted(parting, unanswered):
                 self._tally.partings[parting.value] += 1
                 self._tally.lines_unanswered += unanswered
 
-    def _answered(self, news: c.Answered) -> None:
+    def _answered(self, news: Answered) -> None:
         self._tally.answers[news.answer.value].record(news.us)
         self._tally.targets[self._target, news.answer.value] += 1
-        if news.answer is c.Answer.UP:
+        if news.answer is Answer.UP:
             self._tally.set_up[self._class].record(news.us)
             self._tally.windows[self._window].record(news.us)
--- a/glenfold_lab/load/worker_pool.py
+++ b/glenfold_lab/load/worker_pool.py
@@ -24,7 +24,7 @@
 from glenfold_lab.load.offer import Load, Offer
 from glenfold_lab.load.plan import Clients
 from glenfold_lab.load.tally import Tally
-from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
+from glenfold_lab.stand_ins.machine_clock import SECOND_US, MachineClock
 
 START_S = 0.3  # from the last worker's being ready to the start: time for all to hear of it
 READY_S = 60.0  # for a worker to be ready
--- a/glenfold_lab/stand_ins/agent.py
+++ b/glenfold_lab/stand_ins/agent.py
@@ -14,7 +14,7 @@
 import trio
 
 from glenfold_lab.observe import Told
-from glenfold_lab.stand_ins.moments import MachineClock
+from glenfold_lab.stand_ins.machine_clock import MachineClock
 from glenfold_lab.stand_ins.seen import Seen
 from glenfold_lab.stand_ins.sockets import Address, SocketType, bind, end_now, take
 
--- a/glenfold_lab/stand_ins/bad_clients.py
+++ b/glenfold_lab/stand_ins/bad_clients.py
@@ -6,7 +6,7 @@
 import trio
 
 from glenfold_lab.stand_ins.clients import Crowd
-from glenfold_lab.stand_ins.moments import SECOND_US
+from glenfold_lab.stand_ins.machine_clock import SECOND_US
 from glenfold_lab.stand_ins.ping import Ping, ping
 from glenfold_lab.stand_ins.sockets import SocketType, finish, take
 
--- a/glenfold_lab/stand_ins/clients.py
+++ b/glenfold_lab/stand_ins/clients.py
@@ -1,7 +1,7 @@
 """Clients on sockets: whom the model draws, with the habits that it draws, each living through its tries.
 
 What one connection does is `glenfold_lab.load.client`'s states; what a client does between two connections is
-here. Moments are microseconds of the machine's clock.
+here. Times are microseconds of the machine's clock.
 """
 
 import math
@@ -13,7 +13,28 @@
 import numpy as np
 import trio
 
-from glenfold_lab.load import client as c
+from glenfold_lab.load.client import (
+    SILENT_US,
+    Answer,
+    Answered,
+    Broken,
+    ClientState,
+    Connected,
+    Due,
+    Effect,
+    Finish,
+    Finished,
+    Heard,
+    Incident,
+    LineBack,
+    LineSaid,
+    Parted,
+    Parting,
+    Phase,
+    Send,
+    Unasked,
+    Wish,
+)
 from glenfold_lab.model.clients import (
     LINES_US,
     PACKETS_US,
@@ -25,7 +46,7 @@
 from glenfold_lab.observe import End, Final
 from glenfold_lab.spec import Scenario
 from glenfold_lab.stand_ins.front import SocketFront
-from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
+from glenfold_lab.stand_ins.machine_clock import SECOND_US, MachineClock
 from glenfold_lab.stand_ins.seal import Seal
 from glenfold_lab.stand_ins.seen import Seen
 from glenfold_lab.stand_ins.service import Second, Served, Stretch
@@ -36,11 +57,11 @@
 HELD_BACK_US = SECOND_US
 
 FINALS = {
-    c.Answer.UP: Final.UP,
-    c.Answer.BUSY: Final.BUSY,
-    c.Answer.ERROR: Final.ERROR,
-    c.Answer.CLOSED: Final.CLOSED,
-    c.Answer.RESET: Final.CLOSED,
+    Answer.UP: Final.UP,
+    Answer.BUSY: Final.BUSY,
+    Answer.ERROR: Final.ERROR,
+    Answer.CLOSED: Final.CLOSED,
+    Answer.RESET: Final.CLOSED,
 }
 SECOND_ANSWERS = {b"UP": Final.UP, b"BUSY": Final.BUSY, b"ERR": Final.ERROR}
 
@@ -269,8 +290,8 @@
         self._scope = trio.CancelScope()
         self._wait_us = crowd.habits.deadlines[client.kind]
         self.first_line = crowd.line(client, request, self._wait_us)
-        wish = c.Wish(self.first_line, self._wait_us + PATIENCE_US, client.until, LINES_US, b"QUIT\r\n")
-        self._state = c.ClientState(wish, self._began, self._began)
+        wish = Wish(self.first_line, self._wait_us + PATIENCE_US, client.until, LINES_US, b"QUIT\r\n")
+        self._state = ClientState(wish, self._began, self._began)
 
     def give_up(self, over: Over, how: End) -> None:
         """Its client leaves a standing connection, as its network does it: without a word."""
@@ -307,11 +328,11 @@
         crowd = self._crowd
         if not await self._connected(sock):
             return
-        incident: c.Incident = c.Connected()
+        incident: Incident = Connected()
         while True:
             for effect in self._state.on(incident, crowd.clock.now_us()):
                 await self._carry_out(effect, sock)
-            if self._state.phase is c.Phase.ENDED:
+            if self._state.phase is Phase.ENDED:
                 return
             incident = await self._next(sock)
 
@@ -327,35 +348,35 @@
         self._over = Over.UNREACHED
         return False
 
-    async def _next(self, sock: SocketType) -> c.Incident:
+    async def _next(self, sock: SocketType) -> Incident:
         with trio.move_on_at(self._crowd.clock.to_trio(self._state.due_us)):
             try:
                 data = await sock.recv(CHUNK)
             except OSError:
-                return c.Broken()
-            return c.Heard(data) if data else c.Finished()
-        return c.Due()
+                return Broken()
+            return Heard(data) if data else Finished()
+        return Due()
 
-    async def _carry_out(self, effect: c.Effect, sock: SocketType) -> None:
+    async def _carry_out(self, effect: Effect, sock: SocketType) -> None:
         match effect:
-            case c.Send(data):
+            case Send(data):
                 before = self._crowd.clock.now_us()
                 with suppress(OSError):  # its end is heard where it is read from
                     await take(sock, data)
-                if self._state.phase is c.Phase.ASKED:
+                if self._state.phase is Phase.ASKED:
                     self._taken(before)
-            case c.Finish():
+            case Finish():
                 finish(sock)
-            case c.Answered():
+            case Answered():
                 self._answered(effect)
-            case c.LineSaid(late):
+            case LineSaid(late):
                 if self.stretch is not None:
                     self.stretch.said(self._crowd.clock.now_us() - late)
-            case c.LineBack(_, answer):
+            case LineBack(_, answer):
                 self._back(answer)
-            case c.Unasked(line):
+            case Unasked(line):
                 self._unasked(line)
-            case c.Parted(parting, _):
+            case Parted(parting, _):
                 self._parted(parting)
 
     # ---- what it tells ----
@@ -367,12 +388,12 @@
         crowd.seen.taken(before, self.request, self.relay, deadline, self.client.kind)
         crowd.now.new += 1
 
-    def _answered(self, news: c.Answered) -> None:
+    def _answered(self, news: Answered) -> None:
         crowd, now = self._crowd, self._crowd.clock.now_us()
         crowd.now.answers[news.answer.value] += 1
         final = FINALS.get(news.answer)
         if final is None:
-            if news.answer is c.Answer.NONE:
+            if news.answer is Answer.NONE:
                 crowd.seen.left(now, self.request)
             return
         if final is Final.UP:
@@ -411,26 +432,26 @@
         if final is not None:
             self._crowd.seen.answered(self._crowd.clock.now_us(), self.request, final, None, 0)
 
-    def _parted(self, parting: c.Parting) -> None:
+    def _parted(self, parting: Parting) -> None:
         crowd, now = self._crowd, self._crowd.clock.now_us()
         self._stands_no_more()
         self._over = Over.ENDED
         match parting:
-            case c.Parting.LEFT:
+            case Parting.LEFT:
                 self._over = Over.DONE
                 crowd.seen.ended(now, self.request, End.CLIENT)
-            case c.Parting.MOVED:
+            case Parting.MOVED:
                 self._over = Over.MOVED
                 crowd.now.moves += 1
                 crowd.seen.ended(now, self.request, End.MOVED)
-            case c.Parting.SERVED:
+            case Parting.SERVED:
                 crowd.seen.ended(now, self.request, End.SERVED)
-            case c.Parting.SILENT:
-                crowd.seen.held_back(now, self.request, c.SILENT_US)
+            case Parting.SILENT:
+                crowd.seen.held_back(now, self.request, SILENT_US)
                 crowd.seen.ended(now, self.request, End.CLIENT)
-            case c.Parting.GARBLED:
+            case Parting.GARBLED:
                 crowd.seen.ended(now, self.request, End.CUT)
-            case c.Parting.CUT | c.Parting.RESET:
+            case Parting.CUT | Parting.RESET:
                 self._died = True
                 crowd.seen.unsaid(now, self.request)
 
--- a/glenfold_lab/stand_ins/daemons.py
+++ b/glenfold_lab/stand_ins/daemons.py
@@ -21,7 +21,7 @@
 
 from glenfold.daemon.ask import NoAnswer, ask
 from glenfold_lab.spec import Scenario
-from glenfold_lab.stand_ins.moments import MachineClock
+from glenfold_lab.stand_ins.machine_clock import MachineClock
 from glenfold_lab.stand_ins.ping import Ping, ping
 from glenfold_lab.stand_ins.relays import ROOT
 from glenfold_lab.stand_ins.seen import Seen
--- a/glenfold_lab/stand_ins/fleet.py
+++ b/glenfold_lab/stand_ins/fleet.py
@@ -26,7 +26,7 @@
 from glenfold_lab.stand_ins.clients import Client
 from glenfold_lab.stand_ins.daemons import Daemons, ended_in_the_end, operators_file
 from glenfold_lab.stand_ins.judge import Judge
-from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
+from glenfold_lab.stand_ins.machine_clock import SECOND_US, MachineClock
 from glenfold_lab.stand_ins.outcome import Outcome
 from glenfold_lab.stand_ins.part import Part, Report, Share, Times, end_of
 from glenfold_lab.stand_ins.places import AGENTS, RELAYS, SERVERS, Net, Places
@@ -133,7 +133,7 @@
 
 @dataclass(slots=True)
 class Course:
-    """What is at hand for whoever writes the course of a history. Moments that `note` keeps are told in the
+    """What is at hand for whoever writes the course of a history. Times that `note` keeps are told in the
     result."""
 
     daemons: Daemons
--- a/glenfold_lab/stand_ins/front.py
+++ b/glenfold_lab/stand_ins/front.py
@@ -13,7 +13,7 @@
 from glenfold_lab.model.front import Front
 from glenfold_lab.model.relay_hosts import FRONT_TOLD_S
 from glenfold_lab.spec import Range
-from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
+from glenfold_lab.stand_ins.machine_clock import SECOND_US, MachineClock
 from glenfold_lab.stand_ins.ping import Ping, ping
 from glenfold_lab.stand_ins.sockets import Address
 
--- a/glenfold_lab/stand_ins/judge.py
+++ b/glenfold_lab/stand_ins/judge.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from glenfold_lab.observe import End, Record, Told
-from glenfold_lab.stand_ins.moments import SECOND_US
+from glenfold_lab.stand_ins.machine_clock import SECOND_US
 
 SLACK_US = 50_000  # by which every time limit is extended on sockets
 ENDED_US = SECOND_US  # within which an end on one side is one on the other
--- a/glenfold_lab/stand_ins/keeper.py
+++ b/glenfold_lab/stand_ins/keeper.py
@@ -7,7 +7,7 @@
 from glenfold_lab.model.draw import value
 from glenfold_lab.results import Happened
 from glenfold_lab.stand_ins.agent import whole_list
-from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
+from glenfold_lab.stand_ins.machine_clock import SECOND_US, MachineClock
 from glenfold_lab.stand_ins.places import Places, Wording
 from glenfold_lab.stand_ins.relays import RelayProcess
 from glenfold_lab.stand_ins.script import Deed, Script
--- a/glenfold_lab/stand_ins/outcome.py
+++ b/glenfold_lab/stand_ins/outcome.py
@@ -13,7 +13,7 @@
 from glenfold_lab.spec import Scenario
 from glenfold_lab.stand_ins.judge import SLACK_US
 from glenfold_lab.stand_ins.lateness import MOST_MS, percentile
-from glenfold_lab.stand_ins.moments import SECOND_US
+from glenfold_lab.stand_ins.machine_clock import SECOND_US
 from glenfold_lab.stand_ins.part import Report
 from glenfold_lab.stand_ins.script import Script
 from glenfold_lab.stand_ins.seen import Seen
--- a/glenfold_lab/stand_ins/part.py
+++ b/glenfold_lab/stand_ins/part.py
@@ -27,7 +27,7 @@
 from glenfold_lab.stand_ins.clients import Client, Crowd, clients_of
 from glenfold_lab.stand_ins.front import SocketFront
 from glenfold_lab.stand_ins.lateness import STEP_S, Lateness
-from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
+from glenfold_lab.stand_ins.machine_clock import SECOND_US, MachineClock
 from glenfold_lab.stand_ins.places import AGENTS, SERVERS, Net, Places, Wording
 from glenfold_lab.stand_ins.push_server import PushServer
 from glenfold_lab.stand_ins.push_states import ClassWork, Holder
--- a/glenfold_lab/stand_ins/push_server.py
+++ b/glenfold_lab/stand_ins/push_server.py
@@ -11,7 +11,7 @@
 from glenfold_lab.model.servers.calls import TICK_US
 from glenfold_lab.model.servers.server import Stage
 from glenfold_lab.observe import Over
-from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
+from glenfold_lab.stand_ins.machine_clock import SECOND_US, MachineClock
 from glenfold_lab.stand_ins.push_states import Conversation, Ending, Fault, Holder, Phase
 from glenfold_lab.stand_ins.sockets import Address, SocketType, begin_connect, bind, end_now, finish, take
 
--- a/glenfold_lab/stand_ins/push_states.py
+++ b/glenfold_lab/stand_ins/push_states.py
@@ -1,7 +1,7 @@
 """One push server's side of the line protocol, without I/O: bytes and moments in, bytes and endings out.
 
 What its machine can do is the model's fluid (`glenfold_lab.model.servers.server`). It is stricter than the
-relays under test: a first line that no client sent is answered SYNTAX and told of. Moments are microseconds
+relays under test: a first line that no client sent is answered SYNTAX and told of. Times are microseconds
 of the machine's clock.
 """
 
@@ -18,7 +18,7 @@
 from glenfold_lab.model.servers.store import Store
 from glenfold_lab.model.wire import Call
 from glenfold_lab.observe import Capacity, End, Over
-from glenfold_lab.stand_ins.moments import SECOND_US
+from glenfold_lab.stand_ins.machine_clock import SECOND_US
 from glenfold_lab.stand_ins.seal import NotSent, Seal
 from glenfold_lab.stand_ins.seen import Seen
 
--- a/glenfold_lab/stand_ins/relays.py
+++ b/glenfold_lab/stand_ins/relays.py
@@ -22,7 +22,7 @@
 import trio
 
 import glenfold
-from glenfold_lab.stand_ins.moments import MachineClock
+from glenfold_lab.stand_ins.machine_clock import MachineClock
 from glenfold_lab.stand_ins.ping import Ping, ping
 from glenfold_lab.stand_ins.seen import Seen
 from glenfold_lab.stand_ins.sockets import Address, bind, written
--- a/glenfold_lab/stand_ins/run.py
+++ b/glenfold_lab/stand_ins/run.py
@@ -26,16 +26,16 @@
 from glenfold_lab.stand_ins.judge import Judge
 from glenfold_lab.stand_ins.keeper import Keeper
 from glenfold_lab.stand_ins.lateness import Lateness, percentile
-from glenfold_lab.stand_ins.moments import SECOND_US, MachineClock
+from glenfold_lab.stand_ins.machine_clock import SECOND_US, MachineClock
 from glenfold_lab.stand_ins.outcome import Outcome
 from glenfold_lab.stand_ins.part import Part, Report, Share, Times, end_of
 from glenfold_lab.stand_ins.places import RELAYS, Net, Places, TooLarge
+from glenfold_lab.stand_ins.relay_settings import settings_json
 from glenfold_lab.stand_ins.relays import Limits, NotReady, RelayProcess, ended_in_the_end, free_address
 from glenfold_lab.stand_ins.remote_part import PartFailed, RemotePart, remote
 from glenfold_lab.stand_ins.script import Script, draw
 from glenfold_lab.stand_ins.seen import Seen
 from glenfold_lab.stand_ins.service import Second
-from glenfold_lab.stand_ins.told import settings_json
 from glenfold_lab.streams import Streams
 
 BEGIN_US = SECOND_US // 2  # from the relays' being ready to the first client: for the fronts to admit them
--- a/glenfold_lab/stand_ins/script.py
+++ b/glenfold_lab/stand_ins/script.py
@@ -2,7 +2,7 @@
 with nobody connected. So the same scenario and seed strike the same servers at the same moments, with the
 same news on the same ways, in virtual time and on sockets.
 
-Moments are microseconds from the start of the history. Each process of a run draws the script by itself.
+Times are microseconds from the start of the history. Each process of a run draws the script by itself.
 """
 
 from collections.abc import Callable
--- a/glenfold_lab/stand_ins/service.py
+++ b/glenfold_lab/stand_ins/service.py
@@ -7,7 +7,7 @@
 import numpy as np
 from numpy.typing import NDArray
 
-from glenfold_lab.stand_ins.moments import SECOND_US
+from glenfold_lab.stand_ins.machine_clock import SECOND_US
 
 Floats = NDArray[np.float64]
 
@@ -28,7 +28,7 @@
 
 class Served:
     """Seconds of clients, by class and second of the history: `wanted`, and `served`, that is with a
-    connection whose lines came back within the aim. Moments are microseconds of one clock."""
+    connection whose lines came back within the aim. Times are microseconds of one clock."""
 
     def __init__(self, classes: int, start: int, length_us: int) -> None:
         shape = classes, -(-length_us // SECOND_US)
--- a/tests/glenfold_lab/standing.py
+++ b/tests/glenfold_lab/standing.py
@@ -24,7 +24,7 @@
 from glenfold_lab.observe import Capacity, Over
 from glenfold_lab.spec import Zones
 from glenfold_lab.stand_ins.agent import Agent, Change, Entry, Holding
-from glenfold_lab.stand_ins.moments import MachineClock
+from glenfold_lab.stand_ins.machine_clock import MachineClock
 from glenfold_lab.stand_ins.push_server import PushServer
 from glenfold_lab.stand_ins.push_states import ClassWork, Holder
 from glenfold_lab.stand_ins.seal import Seal
--- a/tests/glenfold_lab/test_load_client.py
+++ b/tests/glenfold_lab/test_load_client.py
@@ -4,16 +4,39 @@
 from hypothesis import strategies as st
 
 from glenfold.lines import parse_open
-from glenfold_lab.load import client as c
+from glenfold_lab.load.client import (
+    SILENT_US,
+    Answer,
+    Answered,
+    Broken,
+    ClientState,
+    Close,
+    Connected,
+    Due,
+    Finish,
+    Finished,
+    Heard,
+    Incident,
+    LineBack,
+    LineSaid,
+    Parted,
+    Parting,
+    Phase,
+    Send,
+    Unasked,
+    Unreachable,
+    Wish,
+    open_line,
+)
 
 MS = 1000
-WISH = c.Wish(b"OPEN 1 2 c=w,d=2000\r\n", 2_000 * MS, until_us=60_000 * MS, line_gap_us=2_000 * MS)
+WISH = Wish(b"OPEN 1 2 c=w,d=2000\r\n", 2_000 * MS, until_us=60_000 * MS, line_gap_us=2_000 * MS)
 
 
-def up(wish: c.Wish = WISH, at: int = 0) -> c.ClientState:
-    state = c.ClientState(wish, 0, 0)
-    state.on(c.Connected(), 0)
-    state.on(c.Heard(b"UP r\r\n"), at)
+def up(wish: Wish = WISH, at: int = 0) -> ClientState:
+    state = ClientState(wish, 0, 0)
+    state.on(Connected(), 0)
+    state.on(Heard(b"UP r\r\n"), at)
     return state
 
 
@@ -32,79 +55,79 @@
         b"x" * 5000,
     ]
 )
-FIRST = st.sampled_from([c.Connected(), c.Unreachable(), c.Due()])
-LATER = st.one_of(st.builds(c.Heard, PIECES), st.sampled_from([c.Finished(), c.Broken(), c.Due(), c.Due()]))
+FIRST = st.sampled_from([Connected(), Unreachable(), Due()])
+LATER = st.one_of(st.builds(Heard, PIECES), st.sampled_from([Finished(), Broken(), Due(), Due()]))
 WAIT = st.integers(0, 3_000 * MS)
 
 
 @given(st.tuples(FIRST, WAIT), st.lists(st.tuples(LATER, WAIT), max_size=40))
 def test_one_answer_then_at_most_one_end_and_nothing_after_it(
-    first: tuple[c.Incident, int], later: list[tuple[c.Incident, int]]
+    first: tuple[Incident, int], later: list[tuple[Incident, int]]
 ) -> None:
-    state, now, told = c.ClientState(WISH, 0, 0), 0, []
+    state, now, told = ClientState(WISH, 0, 0), 0, []
     for incident, wait in (first, *later):
         now += wait
         told += state.on(incident, now)
-    answers = [effect for effect in told if isinstance(effect, c.Answered)]
-    ends = [effect for effect in told if isinstance(effect, c.Parted)]
-    closes = [n for n, effect in enumerate(told) if isinstance(effect, c.Close)]
+    answers = [effect for effect in told if isinstance(effect, Answered)]
+    ends = [effect for effect in told if isinstance(effect, Parted)]
+    closes = [n for n, effect in enumerate(told) if isinstance(effect, Close)]
     assert len(answers) <= 1 and len(ends) <= 1 and len(closes) <= 1
-    assert not ends or answers[0].answer is c.Answer.UP
+    assert not ends or answers[0].answer is Answer.UP
     assert not closes or closes[0] == len(told) - 1
-    assert (state.phase is c.Phase.ENDED) == bool(closes)
+    assert (state.phase is Phase.ENDED) == bool(closes)
 
 
 @given(st.lists(st.sampled_from(["silent", "echo", "load"]), max_size=30))
 def test_waiting_alone_always_comes_to_an_end(replies: list[str]) -> None:
     state, now = up(), 0
     for reply in [*replies, *["echo"] * 200]:
-        if state.phase is c.Phase.ENDED:
+        if state.phase is Phase.ENDED:
             return
         assert state.due_us > now
         now = state.due_us
-        for effect in state.on(c.Due(), now):
-            if isinstance(effect, c.Send) and reply != "silent":
-                state.on(c.Heard(b"LOAD 3\r\n" if reply == "load" else effect.data), now)
+        for effect in state.on(Due(), now):
+            if isinstance(effect, Send) and reply != "silent":
+                state.on(Heard(b"LOAD 3\r\n" if reply == "load" else effect.data), now)
     raise AssertionError("it never ended")
 
 
 def test_a_line_counts_from_its_intended_moment_and_load_is_no_answer_to_it() -> None:
     state = up()
-    said = state.on(c.Due(), 2_500 * MS)
-    assert said == [c.Send(b"M 2000000\r\n"), c.LineSaid(500 * MS)]
-    back = state.on(c.Heard(b"LOAD 7\r\nM 2000000\r\nnews\r\n"), 2_600 * MS)
-    assert back == [c.LineBack(600 * MS, b"M 2000000"), c.Unasked(b"news")]
-    assert (state.phase, state.due_us) == (c.Phase.UP, 4_000 * MS)
+    said = state.on(Due(), 2_500 * MS)
+    assert said == [Send(b"M 2000000\r\n"), LineSaid(500 * MS)]
+    back = state.on(Heard(b"LOAD 7\r\nM 2000000\r\nnews\r\n"), 2_600 * MS)
+    assert back == [LineBack(600 * MS, b"M 2000000"), Unasked(b"news")]
+    assert (state.phase, state.due_us) == (Phase.UP, 4_000 * MS)
 
 
 def test_lines_that_are_overdue_are_all_said_and_each_counts() -> None:
-    effects = up().on(c.Due(), 7_000 * MS)
-    assert [e.late_us for e in effects if isinstance(e, c.LineSaid)] == [5_000 * MS, 3_000 * MS, 1_000 * MS]
+    effects = up().on(Due(), 7_000 * MS)
+    assert [e.late_us for e in effects if isinstance(e, LineSaid)] == [5_000 * MS, 3_000 * MS, 1_000 * MS]
 
 
 def test_a_server_that_never_answers_a_line_is_given_up_by_the_first_of_them() -> None:
     state = up()
-    while state.phase is not c.Phase.ENDED:
+    while state.phase is not Phase.ENDED:
         now = state.due_us
-        effects = state.on(c.Due(), now)
-    assert now == 2_000 * MS + c.SILENT_US
-    assert effects == [c.Parted(c.Parting.SILENT, 4), c.Close()]
+        effects = state.on(Due(), now)
+    assert now == 2_000 * MS + SILENT_US
+    assert effects == [Parted(Parting.SILENT, 4), Close()]
 
 
 def test_what_was_told_first_says_how_it_ended() -> None:
-    for word, parting in ((b"MOVE", c.Parting.MOVED), (b"BYE", c.Parting.SERVED)):
+    for word, parting in ((b"MOVE", Parting.MOVED), (b"BYE", Parting.SERVED)):
         state = up()
-        assert state.on(c.Heard(word + b"\r\n"), 10) == []
-        assert state.on(c.Broken(), 20) == [c.Parted(parting, 0), c.Close()]
+        assert state.on(Heard(word + b"\r\n"), 10) == []
+        assert state.on(Broken(), 20) == [Parted(parting, 0), Close()]
     left = up()
-    while not isinstance(left.on(c.Due(), left.due_us)[0], c.Finish):
-        left.on(c.Heard(b"M\r\n"), left.due_us)
-    assert left.on(c.Heard(b"MOVE\r\n"), left.due_us) == []
-    assert left.on(c.Due(), left.due_us) == [c.Parted(c.Parting.LEFT, 0), c.Close()]
+    while not isinstance(left.on(Due(), left.due_us)[0], Finish):
+        left.on(Heard(b"M\r\n"), left.due_us)
+    assert left.on(Heard(b"MOVE\r\n"), left.due_us) == []
+    assert left.on(Due(), left.due_us) == [Parted(Parting.LEFT, 0), Close()]
 
 
 def test_a_first_line_is_one_that_relays_read() -> None:
-    line = c.open_line(7, 0xAB, {"c": "watch", "t": "valleys", "d": 2000, "g": "5c0f", "again": 1})
+    line = open_line(7, 0xAB, {"c": "watch", "t": "valleys", "d": 2000, "g": "5c0f", "again": 1})
     first = parse_open(bytearray(line), len(line))
     assert (first.key, first.wait_ms, first.number(b"g", 16)) == (0xAB, 2000, 0x5C0F)
     assert first.flag(b"again")
--- a/tests/glenfold_lab/test_load_offer.py
+++ b/tests/glenfold_lab/test_load_offer.py
@@ -17,7 +17,7 @@
 from glenfold_lab.load.tally import Tally
 from glenfold_lab.load.terms import Arrivals, LoadClass, LoadPlan
 from glenfold_lab.load.worker_pool import Report
-from glenfold_lab.stand_ins.moments import MachineClock
+from glenfold_lab.stand_ins.machine_clock import MachineClock
 
 Server = Callable[[Stream], Awaitable[None]]
 TERMS = LoadPlan(
--- a/tests/glenfold_lab/test_stand_in_front.py
+++ b/tests/glenfold_lab/test_stand_in_front.py
@@ -7,7 +7,7 @@
 import trio.testing
 
 from glenfold_lab.stand_ins.front import SocketFront
-from glenfold_lab.stand_ins.moments import MachineClock
+from glenfold_lab.stand_ins.machine_clock import MachineClock
 from glenfold_lab.stand_ins.relays import free_address
 
 ADDRESS = "127.9.4.1"
--- a/tests/glenfold_lab/test_stand_in_mutants.py
+++ b/tests/glenfold_lab/test_stand_in_mutants.py
@@ -12,7 +12,7 @@
 from glenfold_lab.results import Verdict
 from glenfold_lab.spec import Clients, Fault, Relays, RequestClass, Scenario, ServerList, Servers
 from glenfold_lab.stand_ins.judge import SLACK_US, Judge
-from glenfold_lab.stand_ins.moments import MachineClock
+from glenfold_lab.stand_ins.machine_clock import MachineClock
 from glenfold_lab.stand_ins.part import Part, Share, Times, end_of
 from glenfold_lab.stand_ins.places import Net, Places
 from glenfold_lab.stand_ins.service import Second
--- a/tests/glenfold_lab/test_stand_in_servers.py
+++ b/tests/glenfold_lab/test_stand_in_servers.py
@@ -11,7 +11,7 @@
 
 from glenfold_lab.observe import Over
 from glenfold_lab.stand_ins import push_server
-from glenfold_lab.stand_ins.moments import MachineClock
+from glenfold_lab.stand_ins.machine_clock import MachineClock
 from glenfold_lab.stand_ins.push_server import PushServer
 from glenfold_lab.stand_ins.push_states import Fault
 from glenfold_lab.stand_ins.seen import Seen
--- a/tests/glenfold_lab/test_stand_in_terms.py
+++ b/tests/glenfold_lab/test_stand_in_terms.py
@@ -9,7 +9,7 @@
 from glenfold_lab import scenario
 from glenfold_lab.model.fleet import Fleet
 from glenfold_lab.model.relay_settings import settings_of
-from glenfold_lab.stand_ins.told import settings_json
+from glenfold_lab.stand_ins.relay_settings import settings_json
 from glenfold_lab.streams import Streams
 
 
