--- a/glenfold_lab/scale/connections_run.py
+++ b/glenfold_lab/scale/connections_run.py
@@ -25,9 +25,9 @@
 from glenfold_lab.scale.measured_relay import MeasuredRelay, measured_relay
 from glenfold_lab.scale.measurements import Point
 from glenfold_lab.scale.reference_work import Reference
-from glenfold_lab.stands.places import SERVERS, Net
-from glenfold_lab.stands.relays import NotReady
-from glenfold_lab.stands.sockets import Address
+from glenfold_lab.stand_ins.places import SERVERS, Net
+from glenfold_lab.stand_ins.relays import NotReady
+from glenfold_lab.stand_ins.sockets import Address
 
 LINE_GAP_S = 2.0  # between the lines of one client
 LEAD_S = 0.1  # from an order to the first moment of its schedule
--- a/glenfold_lab/scale/control_source.py
+++ b/glenfold_lab/scale/control_source.py
@@ -12,9 +12,9 @@
 from glenfold_lab.observe import Told
 from glenfold_lab.scale.driven_process import DrivenProcess
 from glenfold_lab.scale.hollow_list import GONE, digest, stamp
-from glenfold_lab.stands.agent import Agent, Change, Entry, Holding
-from glenfold_lab.stands.moments import MachineClock
-from glenfold_lab.stands.seen import Seen
+from glenfold_lab.stand_ins.agent import Agent, Change, Entry, Holding
+from glenfold_lab.stand_ins.machine_clock import MachineClock
+from glenfold_lab.stand_ins.seen import Seen
 
 HOST = "127.0.0.1"
 SITES = 14  # zones
--- a/glenfold_lab/scale/hollow_clients.py
+++ b/glenfold_lab/scale/hollow_clients.py
@@ -10,7 +10,7 @@
 from glenfold.lines import END
 from glenfold_lab.scale.hollow_process import HollowFailed, Peer, Schedule
 from glenfold_lab.scale.hollow_servers import ASK, SAY
-from glenfold_lab.stands.sockets import Address
+from glenfold_lab.stand_ins.sockets import Address
 
 CHUNK = 16 * 1024
 OPENING = 32  # clients that wait for their UP at once
--- a/glenfold_lab/scale/loop_watch.py
+++ b/glenfold_lab/scale/loop_watch.py
@@ -8,7 +8,7 @@
 import trio
 
 from glenfold_lab.scale.worker import Requests
-from glenfold_lab.stands.sockets import Address, take
+from glenfold_lab.stand_ins.sockets import Address, take
 
 PAUSE_S = 0.005  # from one answer to the next PING
 CONNECTION_S = 1.0  # a relay gives a client 2 s for its first request
--- a/glenfold_lab/scale/server_lists.py
+++ b/glenfold_lab/scale/server_lists.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from glenfold_lab.observe import Told
-from glenfold_lab.stands.agent import Change, Entry
+from glenfold_lab.stand_ins.agent import Change, Entry
 
 ZONES = 14  # of the target
 KINDS = "m1", "m2", "m3"
--- a/tests/glenfold_lab/scale/test_lists.py
+++ b/tests/glenfold_lab/scale/test_lists.py
@@ -17,7 +17,7 @@
 from glenfold_lab.scale.list_costs import Follower, TakeIn, allocated_mb
 from glenfold_lab.scale.relay_lists import Play, Terms
 from glenfold_lab.scale.server_lists import ChangeScript, ServerFleet
-from glenfold_lab.stands.agent import Holding
+from glenfold_lab.stand_ins.agent import Holding
 from linnetspread import Balancer
 from linnetspread import interface as i
 
--- a/tests/glenfold_lab/scale/test_scale_control.py
+++ b/tests/glenfold_lab/scale/test_scale_control.py
@@ -27,7 +27,7 @@
 from glenfold_lab.scale.hollow_http import AnswerReader, BadAnswer, ChunkTable
 from glenfold_lab.scale.hollow_list import Lists
 from glenfold_lab.scale.hollow_watcher import Deliveries, Fault, HollowWatcher, Phase
-from glenfold_lab.stands.agent import Change, Holding
+from glenfold_lab.stand_ins.agent import Change, Holding
 
 SERVERS = 28
 PARENTS = (("127.0.0.1", 1001), ("127.0.0.1", 1002))
