--- a/tests/glenfold_lab/scale/test_lists.py
+++ b/tests/glenfold_lab/scale/test_lists.py
@@ -6,6 +6,7 @@
 """
 
 import json
+from collections import Counter
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
@@ -14,7 +15,8 @@
 import trio
 
 from glenfold_lab.observe import Told
-from glenfold_lab.scale.list_costs import Follower, TakeIn, allocated_mb
+from glenfold_lab.scale.list_costs import Effort, Follower, TakeIn, allocated_mb, measure
+from glenfold_lab.scale.measurements import Results
 from glenfold_lab.scale.relay_lists import Play, Terms
 from glenfold_lab.scale.server_lists import ChangeScript, ServerFleet
 from glenfold_lab.stands.agent import Holding
@@ -30,6 +32,7 @@
 CHANGE_OF_LIST = 0.12  # of a whole list taken in for the first time: 0.04 today, 0.23 to 0.29 with the mutant
 KB_A_SERVER = 9.0  # 6.3 today, 12 with a second map
 BYTES_A_CHANGE = 20.0  # kept of each: 0 today, 200 if all were kept
+RESULTS = Path(__file__).parents[3] / "benchmarks" / "scale" / "lists.json"
 
 NewFollower = Callable[[], Follower]
 
@@ -213,3 +216,13 @@
     # Who knows the list asks for what came after it, and a change carries one server.
     assert measured["relay.ready.bytes"] < measured["relay.ready_without_list.bytes"] / 50
     assert measured["relay.change.bytes"] < measured["relay.ready_without_list.bytes"] * 1e3 / 50
+
+
+def test_the_committed_results_hold_each_quantity_at_three_sizes_with_three_repeats() -> None:
+    results = Results.load(RESULTS)
+    effort = Effort(whole_lists=1, replacements=1, placements=1, recounts=1, keys_per_server=1)
+    of_a_process = [point.quantity for point in measure(56, SEED, 1, effort)]
+    of_relays = ["relay.change.cpu", "relay.list.memory", "relay.ready", "relay.in_force.p99"]
+    for quantity in (*of_a_process, *of_relays):
+        repeats = Counter(point.size for point in results.of(quantity))
+        assert len(repeats) >= 3 and min(repeats.values()) >= 3, quantity
