Take silent connections off at the machine's pace of the moment

It is now scaled by the reference work done in both windows; lines come at twice the rate, at sizes whose silent connections take under 0.4 of a core. A core counts as full by what it ran or failed to deliver, no longer by its waits for others.

--- a/glenfold_lab/scale/connection_bounds.py
+++ b/glenfold_lab/scale/connection_bounds.py
@@ -30,6 +30,9 @@
         yield f"{MEMORY}: {line.worst_residual:.0%} off a straight line, over {CURVED:.0%}"
     for quantity, bound in STEPS.items():
         costs = steps(results, quantity)
+        if len(costs) < 2:
+            yield f"{quantity}: measured at fewer than two sizes"
+            continue
         if (middle := statistics.median(costs)) > bound:
             yield f"{quantity}: {middle:,.0f} steps of the reference work, over {bound:,}"
         if costs[-1] > GROWTH * costs[0]:
@@ -39,9 +42,8 @@
 def steps(results: Results, quantity: str) -> list[float]:
     """What it costs at each size, in steps of the reference work done beside it; a total by connection."""
     step_us = medians(results.of(REFERENCE))
-    points = results.of(quantity)
-    scale = MICROSECONDS[points[0].unit]
+    points = [point for point in results.points if point.quantity == quantity]
     return [
-        value * scale / step_us[size] / (size if points[0].unit == TOTAL else 1)
+        value * MICROSECONDS[points[0].unit] / step_us[size] / (size if points[0].unit == TOTAL else 1)
         for size, value in medians(points).items()
     ]
--- a/glenfold_lab/scale/connections_run.py
+++ b/glenfold_lab/scale/connections_run.py
@@ -33,8 +33,8 @@
 LEAD_S = 0.1  # from an order to the first moment of its schedule
 SPEAKERS = 50  # connections that say lines which hardly any answer follows
 ASK_EVERY = 4  # of these lines, one that is answered: a relay moves a client whose line nothing follows
-FULL = 0.95  # of a core, run or waited for: the relay has no more to give
-MOST_SILENT = 0.7  # of a core, for what comes on top of silent connections to be told apart from them
+FULL = 0.95  # of a core, or of what was to be delivered by then: the relay has no more to give
+MOST_SILENT = 0.4  # of a core, for what comes on top of silent connections to be told apart from them
 MOST_LOST = 0.01  # of the standing connections, and of the answers: a stall of a busy machine may cost some
 ROUND = 100  # the largest size that descriptors allow is cut down to a multiple of it
 
@@ -55,7 +55,7 @@
     window_s: float = 3.6
     rest_s: float = 3.6
     settle_s: float = 1.5
-    line_rate: float = 1_000.0
+    line_rate: float = 2_000.0
     push_servers: int = 20
     seed: int = 1
 
@@ -74,11 +74,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Spent:
-    """Of a relay, over `seconds`: how long it ran, and how long it waited for a core that others had."""
+    """Of a relay, over `seconds`: how long it ran, and how long it waited for a core that others had.
+    `step_us`: what a step of the reference work cost meanwhile."""
 
     seconds: float
     ran_s: float
     waited_s: float
+    step_us: float
 
     @property
     def share(self) -> float:
@@ -90,19 +92,21 @@
         return (self.ran_s + self.waited_s) / self.seconds
 
 
-@dataclass(slots=True)
 class Stopwatch:
-    relay: MeasuredRelay
-    began: float = 0.0
-    before: tuple[float, float] = (0.0, 0.0)
+    """Runs from its making on."""
 
-    def start(self) -> "Stopwatch":
-        self.began, self.before = time.monotonic(), self.relay.processor_s()
-        return self
+    def __init__(self, relay: MeasuredRelay, reference: Reference) -> None:
+        self._relay, self._reference = relay, reference
+        self._steps, self._steps_us = reference.steps, reference.spent_us
+        self._ran_s, self._waited_s = relay.processor_s()
+        self._began = time.monotonic()
 
     def read(self) -> Spent:
-        ran, waited = self.relay.processor_s()
-        return Spent(time.monotonic() - self.began, ran - self.before[0], waited - self.before[1])
+        seconds = time.monotonic() - self._began
+        ran_s, waited_s = self._relay.processor_s()
+        self._reference.work()  # one piece at least
+        step_us = (self._reference.spent_us - self._steps_us) / (self._reference.steps - self._steps)
+        return Spent(seconds, ran_s - self._ran_s, waited_s - self._waited_s, step_us)
 
 
 @dataclass(slots=True)
@@ -117,7 +121,7 @@
     take: Callable[[Point], None]
     reference: Reference = field(default_factory=Reference)
     loads: list[float] = field(default_factory=list)
-    _silent: Spent = Spent(1.0, 0.0, 0.0)  # on standing connections when nobody says anything
+    _silent: Spent = Spent(1.0, 0.0, 0.0, 1.0)  # on standing connections when nobody says anything
 
     async def measure(self) -> None:
         async with trio.open_nursery() as nursery:
@@ -131,10 +135,11 @@
         self._add("relay.empty.cpu", "ms/s", "connections", 0, 1000 * self._silent.share)
         standing = 0
         for size in self.plan.sizes:
+            whole = Stopwatch(self.relay, self.reference)
             await self._grow(standing, size)
             if self._silent.share < MOST_SILENT:
                 await self._at(size)
-            self._add(REFERENCE, "us", "connections", size, self.reference.step_us())
+            self._add(REFERENCE, "us", "connections", size, whole.read().step_us)
             self.loads.append(os.getloadavg()[0])
             if not standing:
                 await self._rising(size)
@@ -152,7 +157,7 @@
 
     async def _grow(self, standing: int, size: int) -> None:
         silent_before = self._silent.share
-        watch = Stopwatch(self.relay).start()
+        watch = Stopwatch(self.relay, self.reference)
         seed = self.plan.seed * 1_000 + self.number * 100 + len(self.loads)
         opened = await self.clients.order(Open(self.relay.listen, size - standing, seed))
         spent = watch.read()
@@ -168,7 +173,7 @@
             self._add("relay.connection.setup.cpu", "ms", "connections", size, set_up_ms)
 
     async def _rest(self) -> Spent:
-        watch = Stopwatch(self.relay).start()
+        watch = Stopwatch(self.relay, self.reference)
         await trio.sleep(self.plan.rest_s)
         return watch.read()
 
@@ -197,13 +202,14 @@
         self._add("relay.line.up.cpu", "us", "connections", size, up_us)
 
     def _cost_us(self, spent: Spent, count: int) -> float:
-        """Of each of so many, beyond what the connections cost by standing."""
-        return 1e6 * (spent.ran_s - self._silent.share * spent.seconds) / count
+        """Of each of so many, beyond what the connections cost by standing, at the machine's present pace."""
+        standing_s = self._silent.share * spent.seconds * spent.step_us / self._silent.step_us
+        return 1e6 * (spent.ran_s - standing_s) / count
 
     async def _talk(self, rate: float, speakers: int, ask_every: int) -> tuple[Talked, Spent]:
         order = Talk(self._schedule(rate), speakers, ask_every)
         await _until(order.schedule.begin)
-        watch = Stopwatch(self.relay).start()
+        watch = Stopwatch(self.relay, self.reference)
         talked = await self.clients.order(order)
         spent = watch.read()
         assert isinstance(talked, Talked)
@@ -234,7 +240,7 @@
             ("hollow.delivery.late.p99", "ms", delivered.late_p99_ms),
         ):
             self._add(quantity, unit, "deliveries_per_s", rate, value)
-        if spent.busy < FULL:
+        if spent.share < FULL and heard.within > FULL * delivered.count:
             return False
         self._add("relay.delivery.full_core", "deliveries/s", "connections", size, heard.within / spent.ran_s)
         return True
@@ -252,7 +258,7 @@
             nursery.start_soon(ask, self.clients, Hear(schedule))
             nursery.start_soon(ask, self.servers, Deliver(schedule, self.plan.seed))
             await _until(schedule.begin)
-            watch = Stopwatch(self.relay).start()
+            watch = Stopwatch(self.relay, self.reference)
             await _until(schedule.end)
             spent = watch.read()
         heard, delivered = answers[Heard], answers[Delivered]
--- a/glenfold_lab/scale/reference_work.py
+++ b/glenfold_lab/scale/reference_work.py
@@ -15,11 +15,11 @@
 
 
 class Reference:
-    """Does the work, piece by piece, for as long as `run` runs."""
+    """Does the work, piece by piece, for as long as `run` runs. `spent_us` and `steps`: of all so far."""
 
     def __init__(self) -> None:
-        self._spent_ns = 0
-        self._steps = 0
+        self.spent_us = 0.0
+        self.steps = 0
 
     async def run(self) -> None:
         while True:
@@ -30,13 +30,5 @@
         began, value = time.thread_time_ns(), 1
         for _ in range(STEPS):
             value = mix(value)
-        self._spent_ns += time.thread_time_ns() - began
-        self._steps += STEPS
-
-    def step_us(self) -> float:
-        """Processor time of a step since this was asked last."""
-        if not self._steps:
-            self.work()
-        cost = self._spent_ns / self._steps / 1000
-        self._spent_ns = self._steps = 0
-        return cost
+        self.spent_us += (time.thread_time_ns() - began) / 1000
+        self.steps += STEPS
--- a/tests/glenfold_lab/scale/test_connections.py
+++ b/tests/glenfold_lab/scale/test_connections.py
@@ -104,6 +104,12 @@
     assert "grows from" in changed(quantity, lambda p: p.value * p.size / 180)[0]
 
 
+def test_a_cost_that_was_not_measured_is_told() -> None:
+    results = sound()
+    results.points = [p for p in results.points if p.quantity != "relay.line.cpu"]
+    assert list(exceeded(results)) == ["relay.line.cpu: measured at fewer than two sizes"]
+
+
 def test_memory_has_a_bound_on_its_slope_and_on_its_curve() -> None:
     assert "kB a connection" in changed(MEMORY, lambda p: 30_000 + 40 * p.size)[0]
     assert "off a straight line" in changed(MEMORY, lambda p: 3_000 + p.size**2 / 20)[0]
