--- a/glenfold_lab/scale/capacity/context.py
+++ b/glenfold_lab/scale/capacity/context.py
@@ -68,9 +68,13 @@
     def delivery_cores(self) -> Estimate:
         return self.deliveries * self.slopes.typical("relay.delivery.cpu") * US
 
+    def silent_cores(self) -> Estimate:
+        """For connections on which nobody says a word: each is watched for a server that falls silent."""
+        return self.slopes.at("relay.connection.silent.cpu", self.connections) * MS
+
     def relay_cores(self) -> Estimate:
         """All that a relay does for its connections."""
-        return self.setup_cores() + self.client_line_cores() + self.delivery_cores()
+        return self.setup_cores() + self.silent_cores() + self.client_line_cores() + self.delivery_cores()
 
     def connection_memory(self) -> Estimate:
         """Bytes of a relay with its connections."""
--- a/glenfold_lab/scale/capacity/roles.py
+++ b/glenfold_lab/scale/capacity/roles.py
@@ -20,6 +20,12 @@
         lambda c: c.deliveries * c.assume("delivery_bytes"),
         MB,
     ),
+    Row(
+        "processor time, silent connections",
+        "cores",
+        "relay.connection.silent.cpu",
+        lambda c: c.silent_cores(),
+    ),
     Row(
         "processor time, clients' lines and their answers",
         "cores",
--- a/glenfold_lab/scale/capacity/slopes.py
+++ b/glenfold_lab/scale/capacity/slopes.py
@@ -5,6 +5,8 @@
 from pathlib import Path
 from typing import Self
 
+import numpy
+
 from glenfold_lab.scale.capacity.estimates import Estimate
 from glenfold_lab.scale.measurements import Line, Point, Results, fit, medians, spread
 
@@ -43,6 +45,14 @@
     def spread(self) -> float:
         return spread(self.points)
 
+    def between(self, size: float) -> float:
+        """At a size up to the largest one measured: between the medians of its neighbours. Below the smallest,
+        towards where the line starts."""
+        measured = medians(self.points)
+        if min(measured) > size:
+            measured = {0.0: max(0.0, self.line().intercept)} | measured
+        return float(numpy.interp(size, list(measured), list(measured.values())))
+
     def line(self) -> Line:
         """Raises NotMeasured for fewer than three sizes."""
         try:
@@ -81,14 +91,18 @@
         raise NotMeasured(f"nothing has measured {name}" + (f" by {dimension}" if dimension else ""))
 
     def at(self, name: str, size: Estimate | float, dimension: str | None = None) -> Estimate:
-        """The line's value at that size, or the median measured if it was measured at just that size."""
+        """Between the neighbours that were measured; beyond the largest, on the line."""
         quantity, wanted = self.quantity(name, dimension), _plain(size)
-        measured = medians(quantity.points)
-        value = measured.get(wanted.value)
-        if value is None:
-            value = quantity.line().at(wanted.value)
+        beyond = wanted.value > quantity.largest
+        value = quantity.line().at(wanted.value) if beyond else quantity.between(wanted.value)
         return self._estimate(quantity, value, wanted)
 
+    def largest_within(self, name: str, bound: float) -> Estimate:
+        """The largest size measured whose median is no more than that bound; 0 if there is none."""
+        quantity = self.quantity(name)
+        within = [size for size, value in medians(quantity.points).items() if value <= bound]
+        return self._estimate(quantity, max(within, default=0.0), Estimate(0.0))
+
     def slope(self, name: str, size: Estimate | float) -> Estimate:
         """What one more of the dimension costs; `size`: up to which it is used."""
         quantity = self.quantity(name)
--- a/glenfold_lab/scale/capacity/verdicts.py
+++ b/glenfold_lab/scale/capacity/verdicts.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from glenfold_lab.scale.capacity.context import KB, MB, MS, Context
-from glenfold_lab.scale.capacity.estimates import Estimate, rounded
+from glenfold_lab.scale.capacity.estimates import Estimate, least, rounded
 from glenfold_lab.scale.capacity.tables import Formula, described, evaluated, markdown
 
 PERCENT = 100.0
@@ -56,7 +56,8 @@
 
 
 def deliveries_share(context: Context) -> Estimate:
-    return context.slopes.typical("relay.delivery.full_core") / context.deliveries
+    in_time = context.slopes.largest_within("relay.delivery.p99", context.sizes.given["delivery_p99_ms"])
+    return least(context.slopes.typical("relay.delivery.full_core"), in_time) / context.deliveries
 
 
 def topic_share(context: Context) -> Estimate:
@@ -132,7 +133,7 @@
 LINES = (
     Line(
         "3,400 relays with 210 million connections",
-        "one relay is one core: clients' lines, deliveries, new connections",
+        "one relay is one core: watching connections, clients' lines, deliveries, set-ups",
         connections_share,
         "a leaner path, several cores",
     ),
--- a/tests/glenfold_lab/scale/test_capacity.py
+++ b/tests/glenfold_lab/scale/test_capacity.py
@@ -61,6 +61,23 @@
     assert far.extrapolation == pytest.approx(10)
 
 
+def test_between_sizes_neighbours_count_and_beyond_them_the_line() -> None:
+    bent = [
+        Point("list.cpu", "ms", "servers", size, value) for size, value in ((100, 10), (200, 10), (300, 40))
+    ]
+    slopes = Slopes([results(*bent)])
+    assert slopes.at("list.cpu", 250).value == pytest.approx(25)
+    assert slopes.at("list.cpu", 50).value == pytest.approx(5)  # the line starts below 0
+    assert slopes.at("list.cpu", 400).value == pytest.approx(50)
+
+
+def test_the_largest_size_within_a_bound_is_one_that_was_measured() -> None:
+    late = [Point("relay.delivery.p99", "ms", "deliveries_per_s", size, size / 10) for size in (1000, 2000)]
+    slopes = Slopes([results(*late)])
+    assert slopes.largest_within("relay.delivery.p99", 130).value == 1000
+    assert slopes.largest_within("relay.delivery.p99", 50).value == 0
+
+
 def test_what_was_not_measured_is_unknown_and_never_carried() -> None:
     sizes = Sizes.load(RESULTS / "sizes.toml")
     nothing = Context(sizes.target, sizes, Slopes([]))
