--- a/glenfold_lab/scale/capacity/slopes.py
+++ b/glenfold_lab/scale/capacity/slopes.py
@@ -46,8 +46,8 @@
         return spread(self.points)
 
     def between(self, size: float) -> float:
-        """At a size up to the largest one measured: between the medians of its neighbours. Below the smallest,
-        towards where the line starts."""
+        """At a size up to the largest one measured: between the medians of its neighbours. Below the
+        smallest, towards where the line starts."""
         measured = medians(self.points)
         if min(measured) > size:
             measured = {0.0: max(0.0, self.line().intercept)} | measured
