--- a/glenfold/rules/replication.py
+++ b/glenfold/rules/replication.py
@@ -41,8 +41,12 @@
         """A list or change that the follower has accepted as newer, in order."""
 
     def renew(self, renewed_at_s: float) -> None:
-        """The source said at that moment, of the local monotonic clock, that what is known holds; at the root
-        itself, below it through all parents."""
+        """The source said at that moment, of the local monotonic clock (trio's), that what is known holds; at
+        the root itself, below it through all parents."""
 
     def stale(self) -> None:
         """Nobody renews any more: what is known is served on with its age, and children get no renewals."""
+
+    def via(self, names: tuple[str, ...]) -> None:
+        """The replicas between the source and this one, the source's side first and this one's own name left
+        out, from now on: what the present parent named in VIA_FIELD. Empty: it follows the source itself."""
