--- /dev/null
+++ b/glenfold/rules/replication_history.py
@@ -0,0 +1,182 @@
+"""The bounded history of a list of servers, from which a watch resumes where it broke off. No I/O.
+
+Each entry and each change is encoded once; every watcher is sent the same bytes. A change is held as the HTTP
+chunk that carries its line, so nothing is left to be done for each watcher.
+"""
+
+import json
+from bisect import bisect_right
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from glenfold.destinations import HEALTH
+from glenfold.rules.replication import ListDocument, Position
+from linnetspread.interface import ServerState
+
+_ENCODER = json.JSONEncoder(separators=(",", ":"))
+_READY, _GONE = HEALTH[ServerState.READY], HEALTH[ServerState.GONE]
+
+
+class PastRevision(Exception):
+    """The history no longer goes back so far, or never was the one asked for: a whole list is needed."""
+
+
+class FutureRevision(Exception):
+    """The history has not come so far."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Entry:
+    """One server in discovery's form, encoded. `gone`: it says that the server has left."""
+
+    encoded: bytes
+    gone: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Change:
+    revision: int
+    chunk: bytes
+
+
+def http_chunk(data: bytes) -> bytes:
+    """`data`, which is not empty, as one chunk of a response with Transfer-Encoding: chunked."""
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def _document(revision: int, whole: bool, entries: Iterable[_Entry]) -> bytes:
+    kind = b"true" if whole else b"false"
+    hosts = b",".join(entry.encoded for entry in entries)
+    return b'{"seq":%d,"whole":%b,"hosts":[%b]}' % (revision, kind, hosts)
+
+
+class RevisionHistory:
+    """The list as it is, and the changes that led to it: at most `most_changes` of them, of together at most
+    `most_bytes`. Changes have indexes that only grow, also over the end of a history."""
+
+    def __init__(self, most_changes: int, most_bytes: int) -> None:
+        self._most_changes = most_changes
+        self._most_bytes = most_bytes
+        self._entries: dict[str, _Entry] = {}  # by host
+        self._changes: deque[_Change] = deque()
+        self._bytes = 0
+        self._since = 0  # the revision that the first of the changes leads on from
+        self._earlier_revisions = -1  # the highest that an earlier incarnation has reached
+        self._whole: bytes | None = None  # the list encoded, until it changes
+        self.position: Position | None = None
+        self.end_index = 0  # of the change that comes next
+
+    @property
+    def first_index(self) -> int:
+        """Of the oldest change that is still held."""
+        return self.end_index - len(self._changes)
+
+    @property
+    def held_bytes(self) -> int:
+        """Of the changes."""
+        return self._bytes
+
+    def add(self, document: ListDocument) -> None:
+        """Takes in a list or change that is later than all before. A whole list of the same incarnation is
+        held as the change that it makes. Raises ValueError for one that has no place here."""
+        if self.position is not None and document.position <= self.position:
+            raise ValueError(f"{document.position} is not later than {self.position}")
+        if self.position is None or document.position.incarnation != self.position.incarnation:
+            if not document.whole:
+                raise ValueError(f"a change to {document.position} has no list to lead on from")
+            self._begin(document)
+        else:
+            self._go_on(document)
+        self._whole = None
+
+    def _begin(self, document: ListDocument) -> None:
+        """Nobody can resume from an earlier incarnation."""
+        if self.position is not None:
+            self._earlier_revisions = max(self._earlier_revisions, self.position.revision)
+        self._changes.clear()
+        self._bytes = 0
+        self._entries = {host: entry for host, entry in _by_host(document).items() if not entry.gone}
+        self.position = document.position
+        self._since = document.position.revision
+
+    def _go_on(self, document: ListDocument) -> None:
+        told = _by_host(document)
+        changed = {host: entry for host, entry in told.items() if self._entries.get(host) != entry}
+        if document.whole:
+            changed |= {host: _as_gone(entry) for host, entry in self._entries.items() if host not in told}
+        for host, entry in changed.items():
+            if entry.gone:
+                self._entries.pop(host, None)
+            else:
+                self._entries[host] = entry
+        self.position = document.position
+        line = _document(document.position.revision, False, changed.values()) + b"\n"
+        self._hold(_Change(document.position.revision, http_chunk(line)))
+
+    def _hold(self, change: _Change) -> None:
+        self._changes.append(change)
+        self._bytes += len(change.chunk)
+        self.end_index += 1
+        while len(self._changes) > self._most_changes or self._bytes > self._most_bytes:
+            oldest = self._changes.popleft()
+            self._bytes -= len(oldest.chunk)
+            self._since = oldest.revision
+
+    def index_after(self, revision: int, incarnation: int | None = None) -> int:
+        """Of the first change that is later than this revision. `incarnation`: which one it counts in, None
+        if that was not said; a revision that an earlier incarnation has reached too may then be of that one.
+        Raises PastRevision and FutureRevision."""
+        if self.position is None:
+            raise PastRevision
+        if incarnation is None:
+            if revision > self.position.revision:
+                raise FutureRevision
+            if revision <= self._earlier_revisions:
+                raise PastRevision
+        elif Position(incarnation, revision) > self.position:
+            raise FutureRevision
+        elif incarnation != self.position.incarnation:
+            raise PastRevision
+        if revision < self._since:
+            raise PastRevision
+        return self.first_index + bisect_right(self._changes, revision, key=lambda change: change.revision)
+
+    def read(self, index: int, most_bytes: int) -> tuple[bytes, int]:
+        """The chunks from that index on, of together at most so many bytes but at least one, and the index
+        after them. Raises PastRevision."""
+        if index < self.first_index:
+            raise PastRevision
+        chunks: list[bytes] = []
+        size = 0
+        for place in range(index - self.first_index, len(self._changes)):
+            chunk = self._changes[place].chunk
+            if chunks and size + len(chunk) > most_bytes:
+                break
+            chunks.append(chunk)
+            size += len(chunk)
+        return b"".join(chunks), index + len(chunks)
+
+    def whole(self) -> bytes:
+        """The whole list as a document. Raises PastRevision before the first."""
+        if self.position is None:
+            raise PastRevision
+        if self._whole is None:
+            self._whole = _document(self.position.revision, True, self._entries.values())
+        return self._whole
+
+
+def _by_host(document: ListDocument) -> dict[str, _Entry]:
+    """Of a host that stands there twice the first counts, but that it leaves holds wherever it stands, as
+    relays read it. Who has no name can't be told apart, and is left out."""
+    found: dict[str, _Entry] = {}
+    for entry in document.entries:
+        host = entry.get("host")
+        if isinstance(host, str) and (host not in found or entry.get("health") != _READY):
+            found[host] = _Entry(_ENCODER.encode(dict(entry)).encode(), entry.get("health") == _GONE)
+    return found
+
+
+def _as_gone(entry: _Entry) -> _Entry:
+    left = json.loads(entry.encoded) | {"health": _GONE}
+    return _Entry(_ENCODER.encode(left).encode(), gone=True)
