Serve a replica's lists and watches to thousands of children over HTTP/1.1

One loop writes each change to all watches by a system call each, from bytes that all share; only a child that reads slowly has a task of its own, is cut when it takes nothing for a stated time or falls behind the history, and resumes. Connections without a request crowd out each other; children, answers under way and whole lists are bounded; 400, 404, 405, 410 and 503 with Retry-After are counted.

--- /dev/null
+++ b/benchmarks/replica/watchers.py
@@ -0,0 +1,133 @@
+"""What a change costs a replica a watcher: processor time of the serving process, by the number of watchers.
+
+    .venv/bin/python -m benchmarks.replica.watchers --watchers 500 1500 3400 --changes 50 --repeats 3
+
+The watchers are plain sockets in a process of their own, which reads what comes and closes nothing; the
+figures are of the serving process alone, in microseconds a watcher. `change` is one server's entry, about 150
+bytes; `renewal` is the empty line; `resume` is a watch from its connection to its response.
+"""
+
+import argparse
+import json
+import os
+import selectors
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+
+import trio
+
+from glenfold.config.replica import Limits
+from glenfold.replica.counters import ReplicaCounters
+from glenfold.replica.server import Server
+from glenfold.rules.replication import ListDocument, Position
+
+REQUEST = b"GET /v1/servers?watch=1&from=1 HTTP/1.1\r\nHost: a\r\n\r\n"
+WITHIN_S = 60.0
+
+
+def drain(port: int, count: int) -> None:
+    """The watchers: tells on standard output once all have their response, then how many bytes they read a
+    request on standard input."""
+    selector = selectors.DefaultSelector()
+    for _ in range(count):
+        sock = socket.create_connection(("127.0.0.1", port))
+        sock.sendall(REQUEST)
+        sock.setblocking(False)
+        selector.register(sock, selectors.EVENT_READ)
+    selector.register(sys.stdin, selectors.EVENT_READ)
+    read = 0
+    while True:
+        for key, _ in selector.select():
+            if key.fileobj is sys.stdin:
+                if not os.read(0, 1):
+                    return
+                print(read, flush=True)
+            elif isinstance(key.fileobj, socket.socket):
+                read += len(key.fileobj.recv(1 << 16))
+
+
+def entry(number: int, revision: int) -> dict[str, object]:
+    return {
+        "host": f"push-{number:05}.example",
+        "dial": f"127.0.0.1:{1024 + number}",
+        "site": "north-1",
+        "class": "m",
+        "block": number % 16,
+        "health": "in_service",
+        "share": 1.0 + revision,
+        "born_ms": 1_780_000_000_000 + number,
+    }
+
+
+async def measure(watchers: int, changes: int, servers: int) -> dict[str, float]:
+    counters = ReplicaCounters()
+    server = Server("north-1", Limits(children=watchers + 8, idle_connections=watchers), counters)
+    listener = trio.socket.socket()
+    await listener.bind(("127.0.0.1", 0))
+    listener.listen(4096)
+    port = listener.getsockname()[1]
+    figures: dict[str, float] = {}
+    whole = tuple(entry(n, 1) for n in range(servers))
+    server.publish(ListDocument(Position(0, 1), True, whole))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(server.serve, listener)
+        began_s = time.process_time()
+        program = [sys.executable, "-m", "benchmarks.replica.watchers", "--drain", str(port), str(watchers)]
+        reader = await trio.to_thread.run_sync(
+            lambda: subprocess.Popen(program, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        )
+        await until(lambda: counters.watches == watchers)
+        figures["resume"] = (time.process_time() - began_s) / watchers * 1e6
+
+        async def cost(step: Callable[[int], None], times: int, pause_s: float) -> float:
+            began_s = time.process_time()
+            for n in range(times):
+                step(n)
+                await trio.sleep(pause_s)
+            await trio.sleep(0.2)
+            return (time.process_time() - began_s) / times / watchers * 1e6
+
+        def publish(n: int) -> None:
+            server.publish(ListDocument(Position(0, n + 2), False, (entry(n % servers, n + 2),)))
+
+        figures["change"] = await cost(publish, changes, 0.1)
+        figures["renewal"] = await cost(lambda n: server.renew(trio.current_time()), 10, 0.6)
+        figures["renewals told"] = counters.renewals_told
+        assert reader.stdin is not None
+        reader.stdin.close()
+        reader.wait()
+        assert counters.cut_behind == counters.cut_blocked == counters.faults == 0
+        nursery.cancel_scope.cancel()
+    return figures
+
+
+async def until(true: Callable[[], bool]) -> None:
+    with trio.fail_after(WITHIN_S):
+        while not true():
+            await trio.sleep(0.05)
+
+
+def main() -> None:
+    how = argparse.RawDescriptionHelpFormatter
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=how)
+    parser.add_argument("--watchers", type=int, nargs="+", default=[500, 1500, 3400])
+    parser.add_argument("--changes", type=int, default=50)
+    parser.add_argument("--servers", type=int, default=1024)
+    parser.add_argument("--repeats", type=int, default=3)
+    parser.add_argument("--drain", type=int, nargs=2, metavar=("PORT", "COUNT"), help=argparse.SUPPRESS)
+    told = parser.parse_args()
+    if told.drain:
+        drain(*told.drain)
+        return
+    for watchers in told.watchers:
+        for _ in range(told.repeats):
+            figures = trio.run(measure, watchers, told.changes, told.servers)
+            rounded = {name: round(value, 2) for name, value in figures.items()}
+            print(json.dumps({"watchers": watchers, "us": rounded}), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/glenfold/net/sockets.py
+++ b/glenfold/net/sockets.py
@@ -33,7 +33,7 @@
         await send_pieces(sock, [memoryview(data)[sent:]])
 
 
-def send_now(sock: SocketType, data: bytes) -> int:
+def send_now(sock: SocketType, data: bytes | memoryview) -> int:
     """As much as the kernel takes without waiting, for callers that have no time for a turn of the loop each.
     trio's sockets do not block, and SIGPIPE is ignored."""
     try:
--- /dev/null
+++ b/glenfold/replica/watches.py
@@ -0,0 +1,200 @@
+"""The open watches of a replica: one loop writes each change to all of them.
+
+A watch holds an index into the shared history and what the kernel has not yet taken of the bytes that all
+share. Where the kernel takes all, a change costs one system call a watch; only for a watch whose child reads
+slowly there is a task that waits for it.
+"""
+
+from collections import deque
+from collections.abc import Callable
+
+import trio
+
+from glenfold.net.sockets import SocketType, reset_on_close, send_now
+from glenfold.replica import events
+from glenfold.replica.counters import ReplicaCounters
+from glenfold.rules.replication_history import PastRevision, RevisionHistory
+from glenfold.rules.replication_http import LAST_CHUNK, RENEWAL_CHUNK
+from glenfold.rules.replication_lease import Lease
+
+MOST_SENT_BYTES = 64 * 1024  # of joined changes in one call
+TURN_WATCHES = 128  # written to before others have a turn of the loop
+STEP_S = 0.02  # between two steps of ending all watches
+
+NOTHING = memoryview(b"")  # in place of the empty rest of a chunk, which it would keep
+
+Advance = Callable[["Watch"], bool]
+
+
+class Watch:
+    """One child that watches. `scope`: of the task that owns the socket and closes it. `index`: of the next
+    change in the history; `unsent`: of what came before, the rest that the kernel has not taken."""
+
+    __slots__ = ("sock", "scope", "incarnation", "index", "unsent", "waits")
+
+    def __init__(self, sock: SocketType, incarnation: int, index: int, head: bytes) -> None:
+        self.sock = sock
+        self.scope = trio.CancelScope()
+        self.incarnation = incarnation
+        self.index = index
+        self.unsent = memoryview(head)
+        self.waits = False  # a task waits for its child to read
+
+
+class Watches:
+    """`blocked_s`: a child that takes nothing for so long is cut. `run` serves until it is cancelled."""
+
+    def __init__(
+        self, history: RevisionHistory, lease: Lease, counters: ReplicaCounters, blocked_s: float
+    ) -> None:
+        self._history = history
+        self._lease = lease
+        self._counters = counters
+        self._blocked_s = blocked_s
+        self._open: dict[Watch, None] = {}  # oldest first
+        self._news = trio.Event()
+        self._written_to = (0, history.end_index)  # incarnation, index: all watches have it or wait for it
+        self._nursery: trio.Nursery | None = None
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    async def run(self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        async with trio.open_nursery() as self._nursery:
+            task_status.started()
+            while True:
+                await self._something_new()
+                await self._write_to_all()
+
+    def wake(self) -> None:
+        """There is a change or a renewal."""
+        self._news.set()
+
+    def open(self, watch: Watch) -> None:
+        """From now on it gets changes and renewals, after its head and what it has missed."""
+        self._open[watch] = None
+        self._counters.watches += 1
+        self._write(watch, self._advance)
+
+    def close(self, watch: Watch) -> None:
+        """Its socket is about to be closed."""
+        if watch in self._open:
+            del self._open[watch]
+            self._counters.watches_ended += 1
+
+    async def end_all(self, spread_s: float) -> None:
+        """In the order in which they came, evenly over that time, so that children don't all ask elsewhere at
+        once."""
+        left, began_s = deque(self._open), trio.current_time()
+        per_s = len(left) / max(spread_s, STEP_S)
+        ended = 0
+        while left:
+            due = 1 + int(per_s * (trio.current_time() - began_s))
+            while left and ended < due:
+                self._end(left.popleft())
+                ended += 1
+            await trio.sleep(STEP_S)
+
+    # ---- writing ----
+
+    async def _something_new(self) -> None:
+        due_at_s = None if self._history.position is None else self._lease.due_at_s()
+        with trio.move_on_at(float("inf") if due_at_s is None else due_at_s):
+            await self._news.wait()
+        self._news = trio.Event()
+
+    async def _write_to_all(self) -> None:
+        position = self._history.position
+        if position is None:
+            return
+        newest = (position.incarnation, self._history.end_index)
+        if newest != self._written_to:
+            self._written_to = newest
+            self._lease.line_went_out(trio.current_time())
+            await self._each(self._advance)
+        elif self._lease.take_renewal(trio.current_time()):
+            self._counters.renewals_told += 1
+            await self._each(self._renew)
+
+    async def _each(self, step: Advance) -> None:
+        for count, watch in enumerate(tuple(self._open), 1):
+            if watch in self._open and not watch.waits:
+                self._write(watch, step)
+            if count % TURN_WATCHES == 0:
+                await trio.lowlevel.checkpoint()
+
+    def _write(self, watch: Watch, step: Advance) -> None:
+        """Without waiting; what the kernel does not take is left to a task."""
+        assert self._nursery is not None
+        try:
+            done = step(watch)
+        except PastRevision:
+            self._counters.cut_behind += 1
+            self._cut(watch, "it fell behind the history")
+        except OSError:  # its child has gone
+            watch.scope.cancel()
+        else:
+            if not done:
+                watch.waits = True
+                self._nursery.start_soon(self._catch_up, watch)
+
+    def _advance(self, watch: Watch) -> bool:
+        """Writes what it has not got. False: the kernel does not take all of that now."""
+        position = self._history.position
+        while True:
+            if not self._flush(watch):
+                return False
+            if position is not None and watch.incarnation != position.incarnation:
+                self._end(watch)
+                return True
+            if watch.index >= self._history.end_index:
+                return True
+            chunks, watch.index = self._history.read(watch.index, MOST_SENT_BYTES)
+            watch.unsent = memoryview(chunks)
+
+    def _renew(self, watch: Watch) -> bool:
+        """The empty line, in its place behind what came before."""
+        if not self._advance(watch):
+            return False
+        watch.unsent = memoryview(RENEWAL_CHUNK)
+        return self._flush(watch)
+
+    def _flush(self, watch: Watch) -> bool:
+        sent = send_now(watch.sock, watch.unsent) if watch.unsent else 0
+        watch.unsent = watch.unsent[sent:] or NOTHING
+        return not watch.unsent
+
+    async def _catch_up(self, watch: Watch) -> None:
+        try:
+            while not self._advance(watch):
+                with trio.fail_after(self._blocked_s):
+                    await trio.lowlevel.wait_writable(watch.sock)
+        except trio.TooSlowError:
+            self._counters.cut_blocked += 1
+            self._cut(watch, f"its child took nothing for {self._blocked_s:g} s")
+        except PastRevision:
+            self._counters.cut_behind += 1
+            self._cut(watch, "it fell behind the history")
+        except (OSError, trio.ClosedResourceError):  # its child has gone
+            watch.scope.cancel()
+        finally:
+            watch.waits = False
+
+    # ---- endings ----
+
+    def _cut(self, watch: Watch, reason: str) -> None:
+        """In the middle of whatever it was being sent: the child takes no broken line for a change."""
+        events.watch_cut(reason=reason)
+        reset_on_close(watch.sock)
+        watch.scope.cancel()
+
+    def _end(self, watch: Watch) -> None:
+        """In order: the child goes on elsewhere from the revision that it has."""
+        if watch not in self._open:
+            return
+        try:
+            if not watch.unsent:
+                send_now(watch.sock, LAST_CHUNK)
+        except OSError:
+            pass
+        watch.scope.cancel()
--- /dev/null
+++ b/tests/replica/serving.py
@@ -0,0 +1,106 @@
+"""A replica's server in this process on an ephemeral loopback port, and children that a test scripts."""
+
+import json
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any
+
+import h11
+import trio
+
+from glenfold.config.replica import Limits
+from glenfold.replica.counters import ReplicaCounters
+from glenfold.replica.server import Server
+
+WITHIN_S = 10.0  # for what must happen; a fault shows as trio.TooSlowError
+
+
+@dataclass
+class Serving:
+    server: Server
+    counters: ReplicaCounters
+    port: int
+    scope: trio.CancelScope
+
+    async def connect(self) -> "ChildConnection":
+        return ChildConnection(await trio.open_tcp_stream("127.0.0.1", self.port))
+
+
+@asynccontextmanager
+async def serving(**limits: Any) -> AsyncIterator[Serving]:
+    counters = ReplicaCounters()
+    server = Server("north-1", Limits(**limits), counters, random.Random(7))
+    listener = trio.socket.socket()
+    await listener.bind(("127.0.0.1", 0))
+    listener.listen(512)
+    with trio.fail_after(3 * WITHIN_S):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(server.serve, listener)
+            with trio.CancelScope() as scope:
+                yield Serving(server, counters, listener.getsockname()[1], scope)
+            nursery.cancel_scope.cancel()
+
+
+class ChildConnection:
+    """One connection of a child, by h11's own reading. `lines` of a watch are documents; None is the empty
+    line."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.stream = stream
+        self.http = h11.Connection(h11.CLIENT)
+        self.lines: list[dict[str, Any] | None] = []
+        self._line = b""
+
+    async def ask(self, target: str, method: str = "GET", **fields: str) -> h11.Response:
+        if self.http.our_state is h11.DONE:
+            self.http.start_next_cycle()
+        headers = [("Host", "a"), *((name.replace("_", "-"), value) for name, value in fields.items())]
+        request = h11.Request(method=method, target=target, headers=headers)
+        await self.stream.send_all(self.http.send(request) + self.http.send(h11.EndOfMessage()))
+        response = await self.event()
+        assert isinstance(response, h11.Response)
+        return response
+
+    async def event(self) -> Any:
+        with trio.fail_after(WITHIN_S):
+            while (event := self.http.next_event()) is h11.NEED_DATA:
+                self.http.receive_data(await self.stream.receive_some(1 << 16))
+        return event
+
+    async def whole(self) -> dict[str, Any]:
+        """The body of a whole list."""
+        body = b""
+        while isinstance(event := await self.event(), h11.Data):
+            body += bytes(event.data)
+        assert isinstance(event, h11.EndOfMessage)
+        return dict(json.loads(body))
+
+    async def line(self) -> dict[str, Any] | None:
+        """The next one of a watch. Raises h11.RemoteProtocolError where it broke off, EOFError at its end."""
+        while not self.lines:
+            event = await self.event()
+            if not isinstance(event, h11.Data):
+                raise EOFError
+            *ended, self._line = (self._line + bytes(event.data)).split(b"\n")
+            self.lines += [json.loads(line) if line else None for line in ended]
+        return self.lines.pop(0)
+
+    async def closed(self) -> bytes:
+        """What else came until the other side closed or reset it."""
+        found = b""
+        with trio.fail_after(WITHIN_S):
+            try:
+                while data := await self.stream.receive_some(1 << 16):
+                    found += data
+            except trio.BrokenResourceError:
+                pass
+        return found
+
+
+async def until(true: Any) -> None:
+    """Polls, as counters have no event."""
+    with trio.fail_after(WITHIN_S):
+        while not true():
+            await trio.sleep(0.002)
--- /dev/null
+++ b/tests/replica/test_server.py
@@ -0,0 +1,448 @@
+"""A replica's server over real sockets: what children get, and what befalls those that misbehave."""
+
+import socket
+from contextlib import suppress
+
+import h11
+import pytest
+import trio
+from replica.serving import ChildConnection, Serving, serving, until
+from rules.listed import change, server, whole
+
+from glenfold.replica.watches import Watches
+
+
+def run(test):
+    """As a test in trio."""
+
+    def runs(*args):
+        trio.run(test, *args)
+
+    runs.__name__, runs.__doc__ = test.__name__, test.__doc__
+    return runs
+
+
+async def watching(one: Serving, revision: int = 0, **fields: str) -> ChildConnection:
+    child = await one.connect()
+    response = await child.ask(f"/v1/servers?watch=1&from={revision}", **fields)
+    assert response.status_code == 200
+    return child
+
+
+async def status(one: Serving, target: str, **more: str) -> tuple[int, dict[bytes, bytes]]:
+    child = await one.connect()
+    response = await child.ask(target, **more)
+    return response.status_code, dict(response.headers)
+
+
+@run
+async def test_a_relay_reads_the_list_and_then_watches_on_the_same_connection():
+    async with serving() as one:
+        one.server.publish(whole(5, 1, 2))
+        child = await one.connect()
+        assert (await child.ask("/v1/servers")).status_code == 200
+        assert await child.whole() == {"seq": 5, "whole": True, "hosts": [server(1), server(2)]}
+        assert (await child.ask("/v1/servers?watch=1&from=5")).status_code == 200
+        one.server.publish(change(6, server(3)))
+        assert await child.line() == {"seq": 6, "whole": False, "hosts": [server(3)]}
+
+
+@run
+async def test_answers_tell_incarnation_age_way_and_children():
+    async with serving() as one:
+        one.server.via(("top",))
+        one.server.publish(whole(5, 1, incarnation=3))
+        one.server.renew(trio.current_time() - 40.5)
+        watch = await watching(one, 5)
+        for target in ("/v1/servers", "/v1/servers?watch=1&from=5"):
+            _, fields = await status(one, target)
+            assert fields[b"glenfold-incarnation"] == b"3"
+            assert fields[b"age"] in (b"41", b"42")
+            assert fields[b"via"] == b"1.1 top, 1.1 north-1"
+            assert fields[b"glenfold-children"] == b"1"
+        await watch.stream.aclose()
+
+
+@run
+async def test_every_watcher_gets_every_change_once_and_in_order():
+    async with serving() as one:
+        one.server.publish(whole(0))
+        children = [await watching(one) for _ in range(40)]
+        for revision in range(1, 30):
+            one.server.publish(change(revision))
+            if revision % 7 == 0:
+                await trio.sleep(0)
+        for child in children:
+            assert [(await child.line())["seq"] for _ in range(29)] == list(range(1, 30))
+
+
+@run
+async def test_a_watch_resumes_from_its_revision_and_a_past_one_begins_with_the_whole_list():
+    async with serving(history_revisions=3) as one:
+        one.server.publish(whole(0))
+        for revision in range(1, 9):
+            one.server.publish(change(revision))
+        resumed, past = await watching(one, 6), await watching(one, 4)
+        assert [(await resumed.line())["seq"] for _ in range(2)] == [7, 8]
+        assert (await past.line()) == {"seq": 8, "whole": True, "hosts": [server(n) for n in range(1, 9)]}
+        one.server.publish(change(9))
+        assert (await resumed.line())["seq"] == (await past.line())["seq"] == 9
+
+
+@run
+async def test_an_empty_line_goes_out_only_when_the_source_renewed():
+    async with serving() as one:
+        one.server.publish(whole(0))
+        child = await watching(one)
+        one.server.renew(trio.current_time())
+        assert await child.line() is None
+        one.server.stale()
+        one.server.renew(trio.current_time() - 60.0)  # a parent that is cut off itself
+        with trio.move_on_after(0.7):
+            await child.line()
+            pytest.fail("a renewal that the source did not make")
+        one.server.publish(change(1))  # serving goes on, and the watch stood open
+        assert (await child.line())["seq"] == 1
+        one.server.renew(trio.current_time())
+        assert await child.line() is None
+        assert (one.counters.renewals_told, one.counters.stale) == (2, 1)
+
+
+@run
+async def test_a_stale_replica_answers_new_children_from_what_is_known_with_its_age():
+    async with serving() as one:
+        one.server.publish(whole(7, 1))
+        one.server.renew(trio.current_time() - 600.0)
+        one.server.stale()
+        code, fields = await status(one, "/v1/servers")
+        assert code == 200 and fields[b"age"] in (b"600", b"601")
+        code, fields = await status(one, "/v1/servers?watch=1&from=7")
+        assert code == 200 and fields[b"age"] in (b"600", b"601")
+
+
+@run
+async def test_another_incarnation_ends_all_watches_in_order():
+    async with serving() as one:
+        one.server.publish(whole(50, 1))
+        child = await watching(one, 50)
+        await until(lambda: one.counters.watches == 1)
+        one.server.publish(whole(50, 2, incarnation=1))
+        with pytest.raises(EOFError):
+            await child.line()
+        again = await watching(one, 50, Glenfold_Incarnation="0")
+        assert (await again.line())["hosts"] == [server(2)]
+        unnamed = await watching(one, 50)
+        assert (await unnamed.line())["hosts"] == [server(2)]
+
+
+@pytest.mark.parametrize(
+    "target, fields, expected, counter",
+    [
+        ("/v1/servers?watch=1&from=8", {}, 410, "future_revisions"),
+        ("/v1/servers?watch=1&from=x", {}, 400, "malformed"),
+        ("/v1/servers?watch=1", {"Content_Length": "3"}, 400, "malformed"),
+        ("/v1/server", {}, 404, "not_found"),
+        ("/v1/servers", {"method": "DELETE"}, 405, "wrong_method"),
+    ],
+)
+def test_bad_requests_have_their_status_are_counted_and_disturb_nobody(target, fields, expected, counter):
+    async def main():
+        async with serving() as one:
+            one.server.publish(whole(7, 1))
+            child = await watching(one, 7)
+            bad = await one.connect()
+            method = fields.pop("method", "GET")
+            request = h11.Request(
+                method=method,
+                target=target,
+                headers=[("Host", "a"), *((n.replace("_", "-"), v) for n, v in fields.items())],
+            )
+            await bad.stream.send_all(bad.http.send(request) + b"abc" * bool(fields))
+            assert (await bad.event()).status_code == expected
+            assert getattr(one.counters, counter) == 1
+            one.server.publish(change(8))
+            assert (await child.line())["seq"] == 8
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize(
+    "sent",
+    [
+        b"HELLO\r\n\r\n",
+        b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03" * 10 + b"\r\n\r\n",
+        b"GET /v1/servers HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 20_000,
+        b"GET /v1/servers HTTP/1.1\r\n" + b"X: y\r\n" * 5000,
+        b"GET /v1/servers?" + b"z" * 30_000,
+        b"GET /v1/servers HTTP/1.1\r\n\r\n",
+        b"GET /v1/servers HTTP/1.0\r\nHost: a\r\n\r\n",
+    ],
+)
+def test_what_is_no_request_or_too_long_is_answered_400(sent):
+    async def main():
+        async with serving() as one:
+            one.server.publish(whole(7, 1))
+            bad = await one.connect()
+            async with trio.open_nursery() as nursery:
+
+                async def send() -> None:
+                    with suppress(trio.BrokenResourceError):
+                        await bad.stream.send_all(sent)
+
+                nursery.start_soon(send)
+                assert (await bad.closed()).startswith(b"HTTP/1.1 400 ")
+            assert one.counters.malformed == 1
+
+    trio.run(main)
+
+
+@run
+async def test_before_the_first_list_children_are_told_to_come_again():
+    async with serving() as one:
+        for target in ("/v1/servers", "/v1/servers?watch=1&from=0"):
+            code, fields = await status(one, target)
+            assert code == 503 and int(fields[b"retry-after"]) >= 1
+        assert one.counters.not_ready == 2
+
+
+@run
+async def test_children_are_bounded_and_those_beyond_are_told_to_come_again():
+    async with serving(children=5) as one:
+        one.server.publish(whole(0))
+        children = [await watching(one) for _ in range(5)]
+        code, fields = await status(one, "/v1/servers?watch=1&from=0")
+        assert code == 503 and int(fields[b"retry-after"]) >= 1
+        assert one.counters.children_refused == 1
+        await children[0].stream.aclose()
+        await until(lambda: one.counters.watches_ended == 1)
+        await watching(one)
+        one.server.publish(change(1))
+        assert (await children[1].line())["seq"] == 1
+
+
+@run
+async def test_idle_connections_crowd_out_each_other_and_no_child():
+    async with serving(idle_connections=20, idle_s=60.0) as one:
+        one.server.publish(whole(0))
+        child = await watching(one)
+        idle = [await one.connect() for _ in range(150)]
+        await until(lambda: one.counters.idle_crowded_out == 130)
+        assert await idle[0].closed() == b""
+        one.server.publish(change(1))
+        assert (await child.line())["seq"] == 1
+        await watching(one)
+
+
+@run
+async def test_connections_without_a_whole_request_end_in_time_also_where_they_trickle():
+    async with serving(idle_s=0.3) as one:
+        one.server.publish(whole(0))
+        silent, trickling = await one.connect(), await one.connect()
+        await trickling.stream.send_all(b"GET /v1/ser")
+        assert await silent.closed() == b"" and await trickling.closed() == b""
+        assert one.counters.idle_closed == 2
+
+
+# ---- children that read slowly, and storms ----
+
+LARGE = [{**server(n), "note": "x" * 20_000} for n in range(10)]  # changes of 200 KB
+
+
+def small_window(one: Serving) -> trio.SocketStream:
+    """A child whose kernel takes little."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.connect(("127.0.0.1", one.port))
+    sock.setblocking(False)
+    return trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+
+
+def large(revision: int):
+    return change(revision, *({**entry, "share": float(revision)} for entry in LARGE))
+
+
+async def slow_child(one: Serving) -> ChildConnection:
+    slow = ChildConnection(small_window(one))
+    assert (await slow.ask("/v1/servers?watch=1&from=0")).status_code == 200
+    return slow
+
+
+async def read_to_the_cut(child: ChildConnection) -> list[int]:
+    """The revisions of whole lines; one that broke off is none."""
+    found = []
+    try:
+        while True:
+            found.append((await child.line())["seq"])
+    except (h11.RemoteProtocolError, trio.BrokenResourceError):
+        return found
+
+
+@run
+async def test_a_child_that_takes_nothing_is_cut_and_resumes_with_nothing_lost_or_doubled():
+    async with serving(blocked_s=0.3) as one:
+        one.server.publish(whole(0))
+        slow, steady = await slow_child(one), await watching(one)
+        for revision in range(1, 7):
+            one.server.publish(large(revision))
+            assert (await steady.line())["seq"] == revision
+        await until(lambda: one.counters.cut_blocked == 1)
+        got = await read_to_the_cut(slow)
+        assert got == list(range(1, len(got) + 1)) and len(got) < 6
+        again = await watching(one, got[-1] if got else 0)
+        assert [(await again.line())["seq"] for _ in range(6 - len(got))] == list(range(len(got) + 1, 7))
+        assert one.counters.watches_ended == 1
+
+
+@run
+async def test_a_child_that_falls_behind_the_history_is_cut_and_gets_the_whole_list():
+    async with serving(history_revisions=2, blocked_s=60.0) as one:
+        one.server.publish(whole(0))
+        slow, steady = await slow_child(one), await watching(one)
+        for revision in range(1, 12):
+            one.server.publish(large(revision))
+            assert (await steady.line())["seq"] == revision
+        got = await read_to_the_cut(slow)
+        assert one.counters.cut_behind == 1 and len(got) < 11
+        again = await watching(one, got[-1] if got else 0)
+        assert (await again.line())["whole"] is True
+
+
+@run
+async def test_a_child_that_reads_slowly_but_keeps_up_gets_all():
+    async with serving() as one:
+        one.server.publish(whole(0))
+        slow = await slow_child(one)
+        for revision in range(1, 6):
+            one.server.publish(large(revision))
+            await trio.sleep(0)
+        assert [(await slow.line())["seq"] for _ in range(5)] == [1, 2, 3, 4, 5]
+
+
+@run
+async def test_a_slow_child_is_told_of_renewals_only_behind_what_came_before():
+    async with serving() as one:
+        one.server.publish(whole(0))
+        slow = await slow_child(one)
+        one.server.publish(large(1))
+        await trio.sleep(0.05)
+        one.server.renew(trio.current_time())
+        await trio.sleep(0.6)
+        assert (await slow.line())["seq"] == 1
+        one.server.renew(trio.current_time())
+        assert await slow.line() is None
+
+
+@run
+async def test_in_a_storm_whole_lists_are_admitted_at_their_rate_while_watches_go_on():
+    async with serving(whole_lists_mb_per_s=0.5, whole_lists_at_once=4) as one:
+        entries = [{**server(n), "note": "x" * 1000} for n in range(100)]  # 100 KB
+        one.server.publish(whole(0))
+        one.server.publish(change(1, *entries))
+        watch = await watching(one, 1)
+        codes, waits = [], []
+
+        async def ask() -> None:
+            child = await one.connect()
+            response = await child.ask("/v1/servers")
+            codes.append(response.status_code)
+            if response.status_code == 200:
+                assert (await child.whole())["seq"] >= 1
+            else:
+                waits.append(int(dict(response.headers)[b"retry-after"]))
+
+        began_s = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for _ in range(120):
+                nursery.start_soon(ask)
+            for revision in range(2, 12):
+                one.server.publish(change(revision))
+                assert (await watch.line())["seq"] == revision
+        took_s = trio.current_time() - began_s
+        admitted = codes.count(200)
+        assert 1 <= admitted <= (0.5 * (1 << 20) * (1 + took_s)) / 100_000 + 1
+        assert codes.count(503) == len(waits) == 120 - admitted == one.counters.whole_lists_deferred
+        assert max(waits) >= 10 and len(set(waits)) >= 8  # 115 lists of 0.2 s each, by chance
+
+
+@run
+async def test_a_past_revision_is_admitted_as_any_whole_list():
+    async with serving(whole_lists_mb_per_s=0.01) as one:
+        entries = [{**server(n), "note": "x" * 1000} for n in range(100)]
+        one.server.publish(whole(5))
+        one.server.publish(change(6, *entries))
+        assert (await status(one, "/v1/servers"))[0] == 200
+        code, fields = await status(one, "/v1/servers?watch=1&from=1")
+        assert code == 503 and int(fields[b"retry-after"]) >= 1
+        assert (await status(one, "/v1/servers?watch=1&from=6"))[0] == 200
+
+
+def test_a_child_that_does_not_take_its_whole_list_gives_its_place_back(monkeypatch):
+    async def main():
+        async with serving(whole_lists_at_once=1) as one:
+            one.server.publish(whole(0))
+            one.server.publish(
+                change(1, *LARGE, *({**server(n), "note": "x" * 20_000} for n in range(10, 50)))
+            )
+            slow = ChildConnection(small_window(one))
+            await slow.ask("/v1/servers")
+            assert (await status(one, "/v1/servers"))[0] == 503
+            await until(lambda: one.counters.whole_lists_failed == 1)
+            assert (await status(one, "/v1/servers"))[0] == 200
+
+    monkeypatch.setattr("glenfold.replica.server.LIST_WITHIN_S", 0.2)
+    trio.run(main)
+
+
+# ---- ends ----
+
+
+@run
+async def test_at_its_end_watches_end_in_order_over_the_time_given_and_new_ones_are_refused():
+    async with serving() as one:
+        one.server.publish(whole(0))
+        children, ended = [await watching(one) for _ in range(40)], []
+
+        async def look(number: int, child: ChildConnection) -> None:
+            with pytest.raises(EOFError):
+                await child.line()
+            ended.append((trio.current_time(), number))
+
+        async with trio.open_nursery() as nursery:
+            for number, child in enumerate(children):
+                nursery.start_soon(look, number, child)
+            await trio.sleep(0)
+            began_s = trio.current_time()
+            nursery.start_soon(one.server.end_watches, 0.8)
+            await trio.sleep(0.1)
+            code, fields = await status(one, "/v1/servers?watch=1&from=0")
+            assert code == 503 and int(fields[b"retry-after"]) >= 1
+        moments = sorted(at_s - began_s for at_s, _ in ended)
+        assert moments[-1] >= 0.6 and moments[len(moments) // 2] >= 0.2
+        assert max(sum(at <= m < at + 0.1 for m in moments) for at in moments) <= 20
+
+
+@run
+async def test_a_replica_that_dies_in_mid_line_has_told_no_broken_change():
+    async with serving() as one:
+        one.server.publish(whole(0))
+        slow = await slow_child(one)
+        one.server.publish(large(1))
+        await trio.sleep(0.05)
+        one.scope.cancel()
+        assert await read_to_the_cut(slow) == []
+
+
+def test_the_watches_of_a_replica_hold_no_bytes_of_their_own_once_they_are_written():
+    """All share those of the history."""
+
+    async def main():
+        async with serving() as one:
+            one.server.publish(whole(0))
+            children = [await watching(one) for _ in range(10)]
+            one.server.publish(large(1))
+            for child in children:
+                assert (await child.line())["seq"] == 1
+            watches: Watches = one.server._watches
+            assert all(len(watch.unsent) == 0 and watch.unsent.obj == b"" for watch in watches._open)
+
+    trio.run(main)
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -18,6 +18,7 @@
 from glenfold.config import ConfigError
 from glenfold.daemon import fleet_events  # noqa: F401  # the page lists them, too
 from glenfold.daemon.platform import log_levels
+from glenfold.replica import events as replica_events  # noqa: F401  # as these
 from glenfold.rules.rate import RateLimit
 from linnetspread.interface import Outcome
 
