--- a/glenfold/config/platform.py
+++ b/glenfold/config/platform.py
@@ -21,6 +21,25 @@
         super().__init__(f"{key}: {fault}")
 
 
+@dataclass(frozen=True, slots=True)
+class Parent:
+    """A control replica, or discovery itself, that lists can be followed from. None: it is not said where it
+    stands."""
+
+    address: Address
+    zone: str | None = None
+    region: str | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Parents:
+    """Several to follow one of, and where the one that follows stands."""
+
+    parents: tuple[Parent, ...]
+    zone: str | None = None
+    region: str | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Names:
     """Where the settings list a name; the decisions know only its place."""
@@ -63,6 +82,7 @@
     cores: float = 1.0  # the part of a core that this process may use
     known: dict[str, Any] = field(default_factory=dict)  # in discovery's form; checked where that is read
     faults: tuple[Fault, ...] = ()  # in the settings, where a default stands for what they say
+    parents: Parents | None = None  # in place of `discovery`, which is the first of them then
 
 
 def read_address(text: str) -> Address:
--- a/glenfold/events.py
+++ b/glenfold/events.py
@@ -132,6 +132,16 @@
     """The list that the configuration gives for the start can't be read; the relay starts without one."""
 
 
+@event("parent.followed", "info", "lists are followed at {address}, renewed {age_s:.0f} s ago")
+def parent_followed(*, address: str, age_s: float) -> None:
+    """Where lists have several parents: this one is followed from now on."""
+
+
+@event("parent.refused", "warning", "parent {address} is passed over, {why}: {error!r}")
+def parent_refused(*, address: str, why: str, error: Exception) -> None:
+    """A parent failed, is behind, or can't be followed; told once for each kind of fault in a row."""
+
+
 # ---- decisions ----
 
 
--- a/glenfold/net/discovery.py
+++ b/glenfold/net/discovery.py
@@ -3,7 +3,6 @@
 import json
 import math
 import random
-import re
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import h11
@@ -13,6 +12,7 @@
 from glenfold.config import Address
 from glenfold.counters import Counters
 from glenfold.destinations import BadList, DestinationSet
+from glenfold.net.lists import LONGEST_LINE, Exchange, Objects
 from glenfold.rules.backoff import Backoff
 from linnetspread import interface as i
 
@@ -26,10 +26,7 @@
 AGAIN_S = 0.25  # before a call after a fault
 MOST_TIMES = 4.0  # of that and of the spread, after several calls in a row that were refused
 SOON_S = MISSED_S - max(LONGEST_SILENCE_S, ASKING_S) - BUSY_S - AGAIN_S  # what is left of that for a turn
-LONGEST_LINE = 4 << 20
 MOST_READ = 1 << 18
-STRING = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"')
-BRACKET = re.compile(rb"[][{}]")
 
 
 class Unavailable(Exception):
@@ -41,37 +38,6 @@
 ListHeard = Callable[[i.ServerList], Awaitable[None]]
 
 
-class Objects:
-    """A watch's JSON objects from its lines: one a line, or indented. Then it goes on to the line that closes
-    all its brackets. Each line is looked at once, however many an object has."""
-
-    def __init__(self) -> None:
-        self._begun: list[bytes] = []
-        self._open = bytearray()  # its brackets that no line has closed
-        self.size = 0  # bytes of the object that has begun
-
-    def take(self, line: bytes) -> bytes:
-        """The object that this line ends, or nothing. What can't become one is handed on as it is."""
-        if line.strip():
-            self._begun.append(line)
-            self.size += len(line)
-            if self._goes_on(STRING.sub(b"", line)):
-                return b""
-        text, self._begun, self.size = b"\n".join(self._begun), [], 0
-        self._open.clear()
-        return text  # after an empty line, which stands between objects, be it whole or not
-
-    def _goes_on(self, bare: bytes) -> bool:
-        if b'"' in bare or (self._open.endswith(b"{") and bare.lstrip().startswith(b"{")):
-            return False  # a string that no line ends, an object where a name should stand: it broke off
-        for bracket in BRACKET.findall(bare):
-            if bracket in b"[{":
-                self._open += bracket
-            else:
-                del self._open[-1:]
-        return bool(self._open)
-
-
 class Silence:
     """`until`: when an agent that has said nothing up to then counts as dead, though TCP is not."""
 
@@ -211,26 +177,15 @@
         self, connection: h11.Connection, stream: trio.SocketStream, target: str, silence: Silence
     ) -> AsyncIterator[bytes]:
         """Nothing once the answer has begun, then its body part by part."""
-        host = f"{self._address[0]}:{self._address[1]}"
-        request = h11.Request(method="GET", target=target, headers=[("Host", host)])
-        for part in (request, h11.EndOfMessage()):
-            await stream.send_all(connection.send(part) or b"")
-        while True:
-            event = connection.next_event()
-            if event is h11.NEED_DATA:
-                connection.receive_data(await silence.receive(stream))
-            elif isinstance(event, h11.Response):
-                if event.status_code >= 500:
-                    raise Unavailable(f"{target} answers {event.status_code}")
-                if event.status_code != 200:
-                    raise BadList(f"{target} answers {event.status_code}")
-                yield b""
-            elif isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            elif isinstance(event, h11.ConnectionClosed):
-                raise h11.RemoteProtocolError("discovery closed the connection")
+        exchange = Exchange(connection, stream)
+        response = await exchange.begin(self._address, target, silence.receive)
+        if response.status_code >= 500:
+            raise Unavailable(f"{target} answers {response.status_code}")
+        if response.status_code != 200:
+            raise BadList(f"{target} answers {response.status_code}")
+        yield b""
+        while (part := await exchange.part(silence.receive)) is not None:
+            yield part
 
     async def _take(self, text: bytes) -> None:
         try:
--- /dev/null
+++ b/glenfold/rules/greeting.py
@@ -0,0 +1,102 @@
+"""What the header of a parent's answer says of that parent, without I/O."""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from glenfold.rules.replication import (
+    AGE_FIELD,
+    CHILDREN_FIELD,
+    INCARNATION_FIELD,
+    VIA_FIELD,
+    VIA_PROTOCOL,
+)
+
+RETRY_AFTER_FIELD = "Retry-After"
+MOST_HOPS = 16  # replicas between the source and a child
+MOST_NUMBER = 1 << 63  # bound of incarnations, counts and ages in a header
+
+
+class BadGreeting(Exception):
+    """A header field of a replica can't be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class Greeting:
+    """`via`: the replicas from the source to the parent; none: the parent is the source. `incarnation`: None
+    if it names none. `age_s`: since the source last renewed, infinite if a replica was never renewed.
+    `retry_after_s`: None if it does not say."""
+
+    via: tuple[str, ...] = ()
+    incarnation: int | None = None
+    age_s: float = 0.0
+    children: int = 0
+    retry_after_s: float | None = None
+
+    @property
+    def source(self) -> bool:
+        return not self.via
+
+
+def read_greeting(fields: Iterable[tuple[bytes, bytes]]) -> Greeting:
+    """Field names count without their case. Raises BadGreeting."""
+    told: dict[str, str] = {}
+    for name, value in fields:
+        key, text = name.decode("latin-1").lower(), value.decode("latin-1")
+        told[key] = f"{told[key]}, {text}" if key in told else text
+    via = _via(told.get(VIA_FIELD.lower(), ""))
+    incarnation = _whole(told, INCARNATION_FIELD)
+    if via and incarnation is None:
+        incarnation = 0
+    age_s = _seconds(told, AGE_FIELD)
+    if age_s is None:
+        age_s = math.inf if via else 0.0
+    return Greeting(
+        via=via,
+        incarnation=incarnation,
+        age_s=age_s,
+        children=_whole(told, CHILDREN_FIELD) or 0,
+        retry_after_s=_retry_after(told),
+    )
+
+
+def _via(text: str) -> tuple[str, ...]:
+    if not text.strip():
+        return ()
+    names = []
+    for hop in text.split(","):
+        protocol, _, name = hop.strip().partition(" ")
+        if protocol != VIA_PROTOCOL or not name.strip():
+            raise BadGreeting(f"{VIA_FIELD}: {text[:80]!r} is no chain of replicas")
+        names.append(name.strip())
+    if len(names) > MOST_HOPS:
+        raise BadGreeting(f"{VIA_FIELD}: {len(names)} replicas; at most {MOST_HOPS}")
+    return tuple(names)
+
+
+def _whole(told: dict[str, str], field: str) -> int | None:
+    text = told.get(field.lower())
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdigit() and len(text) < 20 and int(text) < MOST_NUMBER):
+        raise BadGreeting(f"{field}: {text[:40]!r} is no whole number")
+    return int(text)
+
+
+def _seconds(told: dict[str, str], field: str) -> float | None:
+    text = told.get(field.lower())
+    if text is None:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError as error:
+        raise BadGreeting(f"{field}: {text[:40]!r} is no number of seconds") from error
+    if not 0.0 <= seconds < math.inf:
+        raise BadGreeting(f"{field}: {text[:40]!r} is no number of seconds")
+    return seconds
+
+
+def _retry_after(told: dict[str, str]) -> float | None:
+    """In its other form, a date, it says nothing here."""
+    text = told.get(RETRY_AFTER_FIELD.lower(), "")
+    return float(text) if text.isascii() and text.isdigit() and len(text) < 20 else None
--- /dev/null
+++ b/glenfold/rules/succession.py
@@ -0,0 +1,191 @@
+"""Which of the lists and changes that parents send is newer than what is known, without clock or I/O."""
+
+from collections.abc import Collection, Iterator, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from glenfold.config.platform import Address
+from glenfold.rules.replication import ListDocument, Position
+
+READY, DRAINING, GONE = "in_service", "terminating", "terminated"  # `health` in discovery's form
+LEAST_REMEMBERED = 1024  # servers that have left; more where the list is longer
+
+
+class Verdict(Enum):
+    """Why a document is not taken."""
+
+    REPEATED = "repeated"  # what is known holds
+    BEHIND = "behind"  # it is older than what is known
+    INCOMPLETE = "incomplete"  # a change on something that is not known: the whole list is needed
+
+
+@dataclass(frozen=True, slots=True)
+class Origin:
+    """Who sent a document. `incarnation`: None if it is a source that names none."""
+
+    address: Address
+    incarnation: int | None
+
+
+@dataclass(frozen=True, slots=True)
+class Received:
+    """A document as a parent sent it. `after`: the revision whose successor a change is, which the watch was
+    opened from or sent before; without meaning for a whole list."""
+
+    origin: Origin
+    revision: int
+    whole: bool
+    entries: tuple[Mapping[str, Any], ...]
+    after: int = 0
+
+
+class Succession:
+    """The later document of the source wins, by incarnation, then by revision, whoever passes it on.
+
+    A source that names no incarnation and whose revisions go back has begun a new history: that gets the
+    next incarnation, so that children know it for newer. Only the parent that told what is known may begin
+    one, or any once that parent is no longer among those to be followed: a lower number from another is that
+    of a source that lags.
+
+    Who drained or left does not come back by a history with lower revisions than it left in, unless it has
+    started again since."""
+
+    def __init__(self) -> None:
+        self.position: Position | None = None
+        self._origin: Address | None = None  # who told what is known
+        self._assumed = False  # the incarnation of `position` is not known yet
+        self._unsound: Address | None = None  # who has to send the whole list before any change
+        self._started: dict[str, int] = {}  # by the host of each listed server
+        self._left: dict[str, tuple[Position, int]] = {}  # where it left, and the start it left after
+        self._longest = 0
+
+    @property
+    def incarnation(self) -> int | None:
+        """None where it is not known."""
+        return None if self.position is None or self._assumed else self.position.incarnation
+
+    def distrust(self, origin: Origin) -> None:
+        """It sent a change that can't be read, or one on something unknown."""
+        self._unsound = origin.address
+
+    def resume(self, revision: int) -> None:
+        """An earlier process knew that revision, of a history that the first parent to answer names."""
+        self.position, self._assumed = Position(0, revision), True
+
+    def release(self, followed: Collection[Address]) -> None:
+        """These alone are followed from now on."""
+        if self._origin not in followed:
+            self._origin = None
+
+    def needs_whole(self, origin: Origin, gone: bool) -> bool:
+        """Whether a watch from the revision known would not do there. `gone`: it answered 410."""
+        known = self.position
+        if known is None or origin.address == self._unsound:
+            return True
+        if origin.incarnation is None:
+            return gone or (origin.address != self._origin and not self._assumed)
+        return gone if self._assumed else origin.incarnation > known.incarnation
+
+    def behind(self, origin: Origin, gone: bool) -> bool:
+        """Whether the parent is known to have older lists only."""
+        known = self.position
+        if known is None or self._assumed or origin.incarnation is None:
+            return False
+        return origin.incarnation < known.incarnation or (gone and origin.incarnation == known.incarnation)
+
+    def resumed(self, origin: Origin) -> None:
+        """A watch from the revision known was taken there."""
+        if self._assumed and self.position is not None:
+            self.position = Position(origin.incarnation or 0, self.position.revision)
+            self._assumed, self._origin = False, origin.address
+
+    def judge(self, received: Received) -> ListDocument | Verdict:
+        """The document to be taken and passed on, which is then what is known; or why it is not."""
+        position = self._position(received)
+        verdict = position if isinstance(position, Verdict) else self._refused(received, position)
+        if verdict is Verdict.INCOMPLETE:
+            self.distrust(received.origin)
+        elif received.whole and received.origin.address == self._unsound:
+            self._unsound = None
+        if verdict is not None or isinstance(position, Verdict):
+            return verdict or Verdict.BEHIND
+        entries = tuple(self._entries(received, position))
+        self.position, self._origin, self._assumed = position, received.origin.address, False
+        return ListDocument(position, received.whole, entries)
+
+    def _position(self, received: Received) -> Position | Verdict:
+        known, incarnation, revision = self.position, received.origin.incarnation, received.revision
+        if incarnation is not None:
+            return Position(incarnation, revision)
+        if known is None:
+            return Position(0, revision)
+        moved = self._origin is None and received.whole
+        if revision > known.revision or (revision == known.revision and not moved):
+            return Position(known.incarnation, revision)
+        if self._origin not in (None, received.origin.address):
+            return Verdict.BEHIND
+        return Position(known.incarnation + 1, revision) if received.whole else Verdict.INCOMPLETE
+
+    def _refused(self, received: Received, position: Position) -> Verdict | None:
+        known = self.position
+        if known is None or self._assumed or position.incarnation > known.incarnation:
+            return None if received.whole else Verdict.INCOMPLETE
+        if position.incarnation < known.incarnation:
+            return Verdict.BEHIND
+        if not received.whole and (received.after > known.revision or position.revision < received.after):
+            return Verdict.INCOMPLETE
+        if position.revision == known.revision:
+            return Verdict.REPEATED
+        if position.revision < known.revision:
+            return Verdict.BEHIND if received.whole else Verdict.REPEATED
+        return None
+
+    def _entries(self, received: Received, position: Position) -> Iterator[Mapping[str, Any]]:
+        named = set()
+        for entry in received.entries:
+            host = entry.get("host")
+            if not isinstance(host, str):
+                yield entry
+                continue
+            named.add(host)
+            yield self._noted(host, entry, position)
+        if received.whole:
+            for host in self._started.keys() - named:
+                self._leaves(host, position, self._started.pop(host))
+        self._longest = max(self._longest, len(self._started))
+        while len(self._left) > max(LEAST_REMEMBERED, self._longest):
+            del self._left[next(iter(self._left))]
+
+    def _noted(self, host: str, entry: Mapping[str, Any], position: Position) -> Mapping[str, Any]:
+        started, health = _started(entry), entry.get("health")
+        if health == GONE:
+            self._started.pop(host, None)
+        else:
+            self._started[host] = started
+        if health in (DRAINING, GONE):
+            self._leaves(host, position, started)
+        elif host in self._left:
+            left_at, left_after = self._left[host]
+            if started <= left_after and _not_so_far(position, left_at):
+                return {**entry, "health": DRAINING}
+            del self._left[host]
+        return entry
+
+    def _leaves(self, host: str, position: Position, started: int) -> None:
+        left_at, left_after = self._left.pop(host, (position, started))
+        if _not_so_far(position, left_at):
+            position = left_at
+        self._left[host] = position, max(started, left_after)
+
+
+def _not_so_far(position: Position, left_at: Position) -> bool:
+    """Whether a later history has lower revisions yet than that in which a server left."""
+    return left_at.incarnation < position.incarnation and position.revision < left_at.revision
+
+
+def _started(entry: Mapping[str, Any]) -> int:
+    try:
+        return int(entry.get("born_ms", 0))
+    except (TypeError, ValueError, OverflowError):
+        return 0
--- /dev/null
+++ b/tests/replica/stand_in_parent.py
@@ -0,0 +1,228 @@
+"""Parents to be followed, on loopback sockets: a source or a replica of it, that a test moves by hand."""
+
+import json
+import random
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+import trio.testing
+from relaying import entry, read_line
+
+from glenfold.config.platform import Parent
+from glenfold.replica.follower import Follower
+from glenfold.rules.parent_choice import ParentChoice
+from glenfold.rules.replication import ListDocument, Position
+from glenfold.rules.succession import Succession
+
+RENEWED_EVERY_S = 2.0
+
+
+class StandInParent:
+    """`via`: the replicas up to it, itself included; none: it is the source. `renewing`: an empty line goes
+    out every 2 s. `answers`: what its next calls get in place of an answer, None for a usual one."""
+
+    def __init__(
+        self,
+        *via: str,
+        incarnation: int | None = None,
+        revision: int = 1,
+        hosts: tuple[str, ...] = ("s-1",),
+        zone: str | None = None,
+        region: str | None = None,
+        children: int = 0,
+        renewing: bool = True,
+        age_s: float = 0.0,
+    ) -> None:
+        self.via, self.incarnation, self.revision = via, incarnation, revision
+        self.hosts: dict[str, dict[str, Any]] = {host: entry(host) for host in hosts}
+        self.zone, self.region, self.children, self.renewing = zone, region, children, renewing
+        self.history: list[tuple[int, list[dict[str, Any]]]] = []
+        self.oldest = revision
+        self.renewed_at_s = -age_s
+        self.asked: list[tuple[float, str]] = []
+        self.answers: list[bytes | None] = []
+        self.watches: list[trio.SocketStream] = []
+        self.port = 0
+        self._scope = trio.CancelScope()
+
+    @property
+    def place(self) -> Parent:
+        return Parent(("127.0.0.1", self.port), self.zone, self.region)
+
+    async def listen(self, nursery: trio.Nursery) -> None:
+        listener = trio.socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        await listener.bind(("127.0.0.1", self.port))
+        listener.listen(512)
+        self.port = listener.getsockname()[1]
+        self._scope = trio.CancelScope()
+        nursery.start_soon(self._serve, trio.SocketListener(listener))
+
+    async def _serve(self, listener: trio.SocketListener) -> None:
+        with self._scope:
+            async with listener, trio.open_nursery() as nursery:
+                nursery.start_soon(trio.serve_listeners, self._answer, [listener])
+                nursery.start_soon(self._renew)
+
+    def kill(self) -> None:
+        """All its connections are reset, and new ones refused."""
+        for stream in self.watches:
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.watches.clear()
+        self._scope.cancel()
+
+    # ---- what it tells ----
+
+    async def change(self, *entries: dict[str, Any], revision: int | None = None) -> None:
+        self.revision = self.revision + 1 if revision is None else revision
+        for one in entries:
+            self.hosts[one["host"]] = one
+            if one["health"] == "terminated":
+                del self.hosts[one["host"]]
+        self.history.append((self.revision, list(entries)))
+        await self.say(self._object(self.revision, False, list(entries)))
+
+    async def say(self, text: bytes, whole_chunk: bool = True) -> None:
+        """To all who watch. Without the whole chunk, more must come."""
+        for stream in list(self.watches):
+            size = len(text) if whole_chunk else 2 * len(text)
+            try:
+                await stream.send_all(b"%x\r\n%s" % (size, text) + b"\r\n" * whole_chunk)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self.watches.remove(stream)
+
+    async def renew(self) -> None:
+        self.renewed_at_s = trio.current_time()
+        await self.say(b"\n")
+
+    async def _renew(self) -> None:
+        while True:
+            if self.renewing:
+                await self.renew()
+            await trio.sleep(RENEWED_EVERY_S)
+
+    @staticmethod
+    def _object(revision: int, whole: bool, entries: list[dict[str, Any]]) -> bytes:
+        return json.dumps({"seq": revision, "whole": whole, "hosts": entries}).encode() + b"\n"
+
+    # ---- its calls ----
+
+    def head(self, status: str, *fields: str) -> bytes:
+        lines = [f"HTTP/1.1 {status}", *fields]
+        if self.incarnation is not None:
+            lines.append(f"Glenfold-Incarnation: {self.incarnation}")
+        if self.via:
+            lines.append("Via: " + ", ".join(f"1.1 {name}" for name in self.via))
+            lines.append(f"Age: {max(0.0, trio.current_time() - self.renewed_at_s):.3f}")
+            lines.append(f"Glenfold-Children: {self.children or len(self.watches)}")
+        return "\r\n".join([*lines, "", ""]).encode()
+
+    async def _answer(self, stream: trio.SocketStream) -> None:
+        while (line := await read_line(stream)).startswith(b"GET"):
+            while await read_line(stream) != b"\r\n":
+                pass
+            target = line.split()[1].decode()
+            self.asked.append((trio.current_time(), target))
+            told = self.answers.pop(0) if self.answers else None
+            if told is not None:
+                await stream.send_all(told)
+                if told.endswith(b"\r\n\r\n"):
+                    return
+            elif "watch" not in target:
+                body = self._object(self.revision, True, list(self.hosts.values()))
+                await stream.send_all(self.head("200 OK", f"Content-Length: {len(body)}") + body)
+            else:
+                await self._watch(stream, int(target.rpartition("=")[2]))
+
+    async def _watch(self, stream: trio.SocketStream, after: int) -> None:
+        if after > self.revision:
+            await stream.send_all(self.head("410 Gone", "Content-Length: 0"))
+            return
+        text = self.head("200 OK", "Transfer-Encoding: chunked")
+        if after < self.oldest:
+            changes = [self._object(self.revision, True, list(self.hosts.values()))]
+        else:
+            changes = [self._object(at, False, told) for at, told in self.history if at > after]
+        for change in changes:
+            text += b"%x\r\n%s\r\n" % (len(change), change)
+        await stream.send_all(text)
+        self.watches.append(stream)
+        with trio.move_on_after(float("inf")):
+            await stream.receive_some()
+        if stream in self.watches:
+            self.watches.remove(stream)
+
+
+class Recorder:
+    """A publisher that keeps what it is told, with its moments."""
+
+    def __init__(self) -> None:
+        self.documents: list[tuple[float, ListDocument]] = []
+        self.renewals: list[tuple[float, float]] = []  # when told, and the moment told
+        self.stale_at_s: list[float] = []
+        self.chains: list[tuple[str, ...]] = []
+        self.told = trio.Condition()
+
+    @property
+    def positions(self) -> list[Position]:
+        return [document.position for _, document in self.documents]
+
+    def publish(self, document: ListDocument) -> None:
+        self.documents.append((trio.current_time(), document))
+
+    def renew(self, renewed_at_s: float) -> None:
+        self.renewals.append((trio.current_time(), renewed_at_s))
+
+    def stale(self) -> None:
+        self.stale_at_s.append(trio.current_time())
+
+    def via(self, names: tuple[str, ...]) -> None:
+        self.chains.append(names)
+
+    async def until(self, revision: int) -> float:
+        """When that revision was published."""
+        while True:
+            for at_s, document in self.documents:
+                if document.position.revision == revision:
+                    return at_s
+            await trio.sleep(0.01)
+
+
+class Child:
+    """A follower with what it publishes. `random_seed`: of its waits."""
+
+    def __init__(
+        self,
+        *parents: StandInParent,
+        zone: str | None = None,
+        region: str | None = None,
+        random_seed: int = 1,
+        name: str | None = None,
+    ) -> None:
+        places = tuple(parent.place for parent in parents)
+        self.published = Recorder()
+        self.choice = ParentChoice(places, zone, region, random.Random(random_seed))
+        self.succession = Succession()
+        self.follower = Follower(self.choice, self.succession, self.published, name)
+
+    def parent(self) -> Parent | None:
+        return None if self.follower.watch is None else self.follower.watch.parent
+
+    async def until_at(self, parent: StandInParent) -> float:
+        while self.parent() != parent.place:
+            await trio.sleep(0.01)
+        return trio.current_time()
+
+
+def play(script: Callable[[trio.Nursery], Awaitable[None]]) -> None:
+    """Runs it on a clock that jumps, and ends all that it started."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            await script(nursery)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.01))
