Run a control replica: glenfold replica FILE, from its file to SIGTERM

The process joins the follower of parents with the server: SIGHUP reads the file again (parents and logging at once, the rest is told as waiting for a restart, a faulty file changes nothing), SIGUSR1 logs counters, SIGTERM ends watches one after the other over shutdown.spread_s. The platform's run line loads nothing of it, which its test now looks at too.

--- a/glenfold/__main__.py
+++ b/glenfold/__main__.py
@@ -8,7 +8,7 @@
 
 def main() -> int:
     """Without words the relay of the platform; all else is the command line's. Each loads only its own."""
-    if sys.argv[1:2] in ([], ["run"]):  # a relay, which they would end while it does not heed them: they wait
+    if sys.argv[1:2] in ([], ["run"], ["replica"]):  # they would end it while it does not heed them yet
         signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP, signal.SIGUSR1))
     if len(sys.argv) > 1 or "_GLENFOLD_COMPLETE" in os.environ:  # a shell's completion asks without words
         try:
--- a/glenfold/cli/main.py
+++ b/glenfold/cli/main.py
@@ -11,6 +11,7 @@
     "config": ("glenfold.cli.config", "what an operators' file amounts to"),
     "drain": ("glenfold.cli.drain", "have an instance finish what it has taken, and end"),
     "fleet": ("glenfold.cli.fleet", "the instances of one operators' file, and their supervisor"),
+    "replica": ("glenfold.cli.replica", "a control replica, which passes discovery's lists on to many"),
     "reload": ("glenfold.cli.reload", "have instances read their file again"),
     "run": ("glenfold.cli.run", "one instance, until it is told to stop"),
     "status": ("glenfold.cli.status", "how instances stand"),
--- a/glenfold/config/replica.py
+++ b/glenfold/config/replica.py
@@ -11,7 +11,7 @@
 
 from msgspec import Meta
 
-from glenfold.config.platform import Address, read_address
+from glenfold.config.platform import Address, Parent, read_address
 from glenfold.config.tables import Faults, Reading, Table
 from glenfold.config.terms import AddressText, Length, Logging, Name
 from glenfold.located import BadFile, Key, read_text, scan
@@ -31,7 +31,7 @@
     region: Name | None = None
 
 
-class Parent(Table, frozen=True):
+class ParentTable(Table, frozen=True):
     address: AddressText
     zone: Name | None = None
     region: Name | None = None
@@ -55,7 +55,7 @@
 class Terms(Table, frozen=True):
     format: Literal[1]
     replica: Replica
-    parents: Annotated[tuple[Parent, ...], Meta(min_length=1, max_length=64)]
+    parents: Annotated[tuple[ParentTable, ...], Meta(min_length=1, max_length=64)]
     limits: Limits = Limits()
     shutdown: Shutdown = Shutdown()
     logging: Logging = Logging()
@@ -64,6 +64,10 @@
     def listen(self) -> Address:
         return read_address(self.replica.listen)
 
+    @property
+    def followed(self) -> tuple[Parent, ...]:
+        return tuple(Parent(read_address(one.address), one.zone, one.region) for one in self.parents)
+
 
 def read(path: str | Path) -> Terms:
     """Raises Faults: all that is amiss with the file, and with this machine for it."""
--- a/glenfold/replica/counters.py
+++ b/glenfold/replica/counters.py
@@ -21,7 +21,7 @@
     future_revisions: int = 0  # 410
     idle_closed: int = 0  # connections without a whole request in time
     idle_crowded_out: int = 0  # of connections without a whole request, closed earlier for want of room
-    documents: int = 0  # lists and changes published
+    published: int = 0  # lists and changes to children
     incarnations: int = 0  # histories begun
     renewals: int = 0  # by the source
     renewals_told: int = 0  # to all children: an empty line each
--- a/glenfold/replica/server.py
+++ b/glenfold/replica/server.py
@@ -72,7 +72,7 @@
     def publish(self, document: ListDocument) -> None:
         before = self._history.position
         self._history.add(document)
-        self._counters.documents += 1
+        self._counters.published += 1
         if before is None or before.incarnation != document.position.incarnation:
             self._counters.incarnations += 1
             events.history_begun(
--- a/tests/replica/serving.py
+++ b/tests/replica/serving.py
@@ -63,8 +63,8 @@
         assert isinstance(response, h11.Response)
         return response
 
-    async def event(self) -> Any:
-        with trio.fail_after(WITHIN_S):
+    async def event(self, within_s: float = WITHIN_S) -> Any:
+        with trio.fail_after(within_s):
             while (event := self.http.next_event()) is h11.NEED_DATA:
                 self.http.receive_data(await self.stream.receive_some(1 << 16))
         return event
@@ -77,10 +77,10 @@
         assert isinstance(event, h11.EndOfMessage)
         return dict(json.loads(body))
 
-    async def line(self) -> dict[str, Any] | None:
+    async def line(self, within_s: float = WITHIN_S) -> dict[str, Any] | None:
         """The next one of a watch. Raises h11.RemoteProtocolError where it broke off, EOFError at its end."""
         while not self.lines:
-            event = await self.event()
+            event = await self.event(within_s)
             if not isinstance(event, h11.Data):
                 raise EOFError
             *ended, self._line = (self._line + bytes(event.data)).split(b"\n")
--- a/tests/replica/test_server.py
+++ b/tests/replica/test_server.py
@@ -6,8 +6,8 @@
 import h11
 import pytest
 import trio
-from replica.serving import ChildConnection, Serving, serving, until
 from rules.listed import change, server, whole
+from serving import ChildConnection, Serving, serving, until
 
 from glenfold.replica.watches import Watches
 
--- /dev/null
+++ b/tests/replica/test_tree.py
@@ -0,0 +1,134 @@
+"""Replicas behind replicas in one process, on a clock that jumps: what children are told, and when."""
+
+import math
+import socket
+from typing import Any
+
+import pytest
+import trio
+from relaying import entry
+from serving import ChildConnection
+from stand_in_parent import StandInParent, play
+
+from glenfold.config.replica import Limits, ParentTable, Replica, Shutdown, Terms
+from glenfold.daemon.replica import ReplicaProcess
+from glenfold.rules.source_lease import LEASE_S
+
+
+class Layer:
+    """A replica that follows these ports."""
+
+    def __init__(self, name: str, *parents: int, **limits: Any) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.port = self.listener.getsockname()[1]
+        terms = Terms(
+            format=1,
+            replica=Replica(name=name, listen=f"127.0.0.1:{self.port}"),
+            parents=tuple(ParentTable(address=f"127.0.0.1:{port}") for port in parents),
+            limits=Limits(**limits),
+            shutdown=Shutdown(spread_s=1.0),
+        )
+        self.process = ReplicaProcess(trio.Path("none"), terms)  # type: ignore[arg-type]
+        self.scope = trio.CancelScope()
+
+    async def run(self) -> None:
+        self.listener.setblocking(False)
+        with self.scope:
+            await self.process.run(self.listener)
+
+    async def watch(self, revision: int) -> ChildConnection:
+        """Once it has that revision."""
+        while True:
+            child = ChildConnection(await trio.open_tcp_stream("127.0.0.1", self.port))
+            if (await child.ask(f"/v1/servers?watch=1&from={revision}")).status_code == 200:
+                return child
+            await child.stream.aclose()
+            await trio.sleep(0.1)
+
+
+async def seen(child: ChildConnection, until_s: float) -> list[dict[str, Any] | None]:
+    """The lines that come up to that moment."""
+    lines = []
+    with trio.move_on_at(until_s):
+        while True:
+            lines.append(await child.line(math.inf))
+    return lines
+
+
+async def begun(nursery: trio.Nursery, layers: int) -> tuple[StandInParent, list[Layer], ChildConnection]:
+    source = StandInParent(revision=41)
+    await source.listen(nursery)
+    found: list[Layer] = []
+    for number in range(layers):
+        found.append(Layer(f"r-{number}", found[-1].port if found else source.port))
+        nursery.start_soon(found[-1].run)
+    child = await found[-1].watch(41)
+    assert await child.line() is None
+    return source, found, child
+
+
+@pytest.mark.parametrize("layers", [1, 3])
+def test_renewals_come_at_the_sources_own_pace_through_all_layers(layers):
+    async def script(nursery: trio.Nursery) -> None:
+        _, _, child = await begun(nursery, layers)
+        moments = [trio.current_time()]
+        while moments[-1] < moments[0] + 20:
+            assert await child.line() is None
+            moments.append(trio.current_time())
+        assert max(b - a for a, b in zip(moments, moments[1:], strict=False)) <= 2.5
+        assert len(moments) <= 13
+
+    play(script)
+
+
+@pytest.mark.parametrize("layers", [1, 3])
+def test_a_source_that_is_cut_off_leaves_all_layers_silent_and_serving(layers):
+    """No layer makes a renewal up; who asks is answered with an age that grows."""
+
+    async def script(nursery: trio.Nursery) -> None:
+        source, found, child = await begun(nursery, layers)
+        source.kill()
+        killed_at_s = trio.current_time()
+        assert await seen(child, killed_at_s + 60.0) in ([], [None])
+        beside = ChildConnection(await trio.open_tcp_stream("127.0.0.1", found[-1].port))
+        fields = dict((await beside.ask("/v1/servers")).headers)
+        assert 58 <= int(fields[b"age"]) <= 64
+        assert (await beside.whole())["hosts"] == [entry("s-1")]
+        assert all(layer.process.counters["stale"] == 1 for layer in found)
+
+    play(script)
+
+
+def test_a_silent_source_is_no_renewal_however_often_replicas_ask_each_other():
+    """Two replicas that may follow each other: once the source is gone, neither keeps the other fresh."""
+
+    async def script(nursery: trio.Nursery) -> None:
+        source = StandInParent(revision=41)
+        await source.listen(nursery)
+        first = Layer("first", source.port)
+        second = Layer("second", source.port, first.port)
+        nursery.start_soon(first.run)
+        nursery.start_soon(second.run)
+        child = await second.watch(41)
+        source.kill()
+        gone_at_s = trio.current_time()
+        lines = await seen(child, gone_at_s + 30.0)
+        assert lines.count(None) <= 2
+        assert await seen(child, gone_at_s + 60.0) == []
+        assert second.process.counters["stale"] == 1
+
+    play(script)
+
+
+def test_after_a_cut_children_hear_what_they_missed_and_renewals_again():
+    async def script(nursery: trio.Nursery) -> None:
+        source, _, child = await begun(nursery, 2)
+        source.kill()
+        await seen(child, trio.current_time() + 3 * LEASE_S)
+        await source.change(entry("s-2"))
+        await source.listen(nursery)
+        lines: list[dict[str, Any] | None] = []
+        while {"seq": 42, "whole": False, "hosts": [entry("s-2")]} not in lines or lines[-1] is not None:
+            lines.append(await child.line(math.inf))
+
+    play(script)
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -20,8 +20,13 @@
 sys.argv = ["glenfold"]
 from glenfold.__main__ import main
 status = main()
+kept_out_parts = ("glenfold.replica", "glenfold.rules.replication", "glenfold.config.replica", "glenfold.cli")
 kept_out = {"click", "rich", "msgspec", "numpy", "hdrhistogram", "matplotlib", "jinja2", "psutil", "tomlkit"}
-print(status, sorted(name for name in sys.modules if name.split(".")[0] in kept_out | {"glenfold_lab"}))
+print(
+    status,
+    sorted(name for name in sys.modules if name.split(".")[0] in kept_out | {"glenfold_lab"}),
+    sorted(name for name in sys.modules if name.startswith(kept_out_parts)),
+)
 """
 
 
@@ -32,7 +37,7 @@
 
 def test_without_words_it_is_the_platforms_relay_and_imports_nothing_of_the_command_line():
     done = run("-c", PLATFORM)
-    assert done.stdout == "2 []\n"
+    assert done.stdout == "2 [] []\n"
     assert "LB_CONFIG" in done.stderr
 
 
