Tell operators of control replicas, and show that faults put into the serving side are caught

docs/operators/replica.md with each key, counter, fault and the roll-out; its keys are checked against the file's tables and its example runs as shown. The bound of idle connections is 4,096, so that a storm of returns does not crowd itself out.

Nine mutants (lease made up, lease of any age, history without bound, whole lists all admitted, waits without jitter, waits not spread, watches that all end at once, a late resume, a renewal within a change) are caught.

--- a/glenfold/config/replica.py
+++ b/glenfold/config/replica.py
@@ -39,7 +39,7 @@
 
 class Limits(Table, frozen=True):
     children: Annotated[int, Meta(ge=1, le=65_536)] = 4096
-    idle_connections: Annotated[int, Meta(ge=1, le=65_536)] = 1024
+    idle_connections: Annotated[int, Meta(ge=1, le=65_536)] = 4096
     idle_s: Length = 10.0
     blocked_s: Length = 5.0
     history_revisions: Annotated[int, Meta(ge=1, le=1_000_000)] = 4096
--- a/glenfold/rules/replication_lease.py
+++ b/glenfold/rules/replication_lease.py
@@ -6,6 +6,7 @@
 
 FRESH_S = 2.5  # a watch that says nothing for longer counts as dead; so does a renewal that is older
 LEAST_GAP_S = 0.5  # between two lines, where the later one says nothing but that the list holds
+SAME_WORD_S = 0.1  # a renewal so soon after a change came with it, and that line has told of it
 
 
 class Lease:
@@ -23,7 +24,8 @@
             return False
         self._renewed_at_s = renewed_at_s
         if now_s <= renewed_at_s + FRESH_S:
-            self._untold = True
+            came_with_line = renewed_at_s <= self._last_line_at_s + SAME_WORD_S
+            self._untold = self._untold or self.stale or not came_with_line
             self.stale = False
         return True
 
--- /dev/null
+++ b/tests/replica/test_replica_mutants.py
@@ -0,0 +1,121 @@
+"""Faults put into the serving side of a replica: the tests catch each of them."""
+
+import random
+
+import pytest
+import test_server
+from rules import test_replication_admission as admission_tests
+from rules import test_replication_history as history_tests
+from rules import test_replication_lease as lease_tests
+
+from glenfold.replica.watches import Watches
+from glenfold.rules.replication_admission import WholeListAdmission
+from glenfold.rules.replication_history import RevisionHistory
+from glenfold.rules.replication_lease import Lease
+
+CAUGHT = (AssertionError, BaseExceptionGroup, pytest.fail.Exception)
+
+
+def caught(*tests):
+    for test in tests:
+        with pytest.raises(CAUGHT):
+            test()
+
+
+def test_a_lease_that_is_passed_on_though_the_source_did_not_renew(monkeypatch):
+    """A timer of the replica's own, as an agent has."""
+    monkeypatch.setattr(Lease, "due_at_s", lambda self: self._last_line_at_s + 0.5)
+    monkeypatch.setattr(Lease, "take_renewal", lambda self, now_s: not self.line_went_out(now_s))
+    caught(
+        lease_tests.test_who_is_stale_tells_nothing_and_ages,
+        lease_tests.test_an_empty_line_goes_out_once_for_each_renewal,
+        test_server.test_an_empty_line_goes_out_only_when_the_source_renewed,
+    )
+
+
+def test_a_lease_that_is_passed_on_however_old_it_is(monkeypatch):
+    monkeypatch.setattr("glenfold.rules.replication_lease.FRESH_S", float("inf"))
+    caught(
+        lease_tests.test_one_that_became_old_while_it_waited_is_not_passed_on,
+        test_server.test_an_empty_line_goes_out_only_when_the_source_renewed,
+    )
+
+
+def test_a_history_that_is_not_bounded(monkeypatch):
+    def hold(self, change):
+        self._changes.append(change)
+        self._bytes += len(change.chunk)
+        self.end_index += 1
+
+    monkeypatch.setattr(RevisionHistory, "_hold", hold)
+    caught(
+        history_tests.test_the_history_is_bounded_by_count,
+        history_tests.test_the_history_is_bounded_by_bytes_also_where_one_change_is_too_large,
+        test_server.test_a_watch_resumes_from_its_revision_and_a_past_one_begins_with_the_whole_list,
+    )
+
+
+def test_whole_lists_that_are_all_admitted(monkeypatch):
+    monkeypatch.setattr(WholeListAdmission, "admit", lambda self, now_s, size: True)
+    caught(
+        admission_tests.test_no_window_holds_more_bytes_than_the_rate_allows,
+        admission_tests.test_answers_under_way_are_bounded_and_one_that_ends_makes_room,
+        test_server.test_in_a_storm_whole_lists_are_admitted_at_their_rate_while_watches_go_on,
+        test_server.test_a_past_revision_is_admitted_as_any_whole_list,
+    )
+
+
+def test_waits_without_jitter(monkeypatch):
+    monkeypatch.setattr(random.Random, "uniform", lambda self, least, most: most)
+    caught(
+        admission_tests.test_two_replicas_spread_alike_children_differently,
+    )
+
+
+def test_waits_that_are_not_spread(monkeypatch):
+    monkeypatch.setattr(WholeListAdmission, "retry_after_s", lambda self, now_s, size: 1)
+    caught(
+        admission_tests.test_those_who_wait_are_spread_over_the_time_that_they_all_need,
+        test_server.test_in_a_storm_whole_lists_are_admitted_at_their_rate_while_watches_go_on,
+    )
+
+
+def test_watches_that_all_end_at_once(monkeypatch):
+    async def end_all(self, spread_s):
+        for watch in tuple(self._open):
+            self._end(watch)
+
+    monkeypatch.setattr(Watches, "end_all", end_all)
+    caught(test_server.test_at_its_end_watches_end_in_order_over_the_time_given_and_new_ones_are_refused)
+
+
+def test_a_resumed_watch_that_begins_one_change_late(monkeypatch):
+    index_after = RevisionHistory.index_after
+
+    def late(self, revision, incarnation=None):
+        return min(self.end_index, 1 + index_after(self, revision, incarnation))
+
+    monkeypatch.setattr(RevisionHistory, "index_after", late)
+    caught(history_tests.test_a_watch_resumes_after_its_revision_also_where_revisions_skip)
+
+
+def test_a_renewal_in_the_middle_of_a_change(monkeypatch):
+    """Sent without a look at what came before."""
+
+    def renew(self, watch):
+        from glenfold.net.sockets import send_now
+        from glenfold.rules.replication_http import RENEWAL_CHUNK
+
+        send_now(watch.sock, RENEWAL_CHUNK)
+        return True
+
+    each = Watches._each
+
+    async def all_of_them(self, step):
+        for watch in self._open:
+            watch.waits = False
+        await each(self, step)
+
+    monkeypatch.setattr(Watches, "_renew", renew)
+    monkeypatch.setattr(Watches, "_each", all_of_them)
+    caught(test_server.test_a_slow_child_is_told_of_renewals_only_behind_what_came_before)
--- /dev/null
+++ b/tests/replica/test_replica_page.py
@@ -0,0 +1,97 @@
+"""The operators' page on replicas: complete, true bounds and defaults, and its example as it is shown."""
+
+import re
+import socket
+import subprocess
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+
+import msgspec
+import pytest
+import trio
+from config.file_page import cells, examples, rows, tables
+from serving import ChildConnection
+from stand_in_parent import StandInParent
+
+from glenfold.config.replica import Terms, read
+from glenfold.config.tables import Table
+from glenfold.replica.counters import ReplicaCounters
+from glenfold.rules.parent_choice import Refusal
+
+ROOT = Path(__file__).parents[2]
+PAGE = (ROOT / "docs/operators/replica.md").read_text()
+WITHIN_S = 20.0
+
+
+@pytest.mark.parametrize("heading, kind", list(tables(Terms)))
+def test_each_key_has_its_row_with_unit_bounds_and_default(heading: str, kind: type[Table]) -> None:
+    assert rows(PAGE, heading) == {field.name: cells(field) for field in msgspec.structs.fields(kind)}
+
+
+def test_no_section_tells_of_a_table_that_is_not_there() -> None:
+    assert sorted(re.findall(r"\n(### `\[+.+)", PAGE)) == sorted(heading for heading, _ in tables(Terms))
+
+
+def test_each_counter_is_told() -> None:
+    section = PAGE[PAGE.index("| counter |") : PAGE.index("## What goes wrong")]
+    told = re.findall(r"`(\w+)`", "".join(line.split("|")[1] for line in section.splitlines() if "|" in line))
+    of_parents = ["documents", "parents_followed", *(f"parents_{why.value}" for why in Refusal)]
+    assert told == [*ReplicaCounters().plain(), *of_parents]
+
+
+def test_the_example_gives_what_it_shows(tmp_path: Path) -> None:
+    """With other ports, as those of the page may be taken."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            source = StandInParent(revision=41)
+            await source.listen(nursery)
+            ports = {"7000": str(source.port)}
+            for port in ("7101", "7102"):
+                with socket.create_server(("127.0.0.1", 0)) as sock:
+                    ports[port] = str(sock.getsockname()[1])
+            started = []
+            try:
+                for name, text in examples(PAGE):
+                    (tmp_path / name).write_text(re.sub(r"(?<=:)7\d\d\d", lambda at: ports[at[0]], text))
+                    assert read(tmp_path / name)
+                    program = [sys.executable, "-m", "glenfold", "replica", str(tmp_path / name)]
+                    started.append(subprocess.Popen(program, cwd=ROOT, stderr=subprocess.DEVNULL))
+                    await serves(int(ports["7101"]))
+                await looked_at(int(ports["7102"]))
+            finally:
+                for process in started:
+                    process.kill()
+                    process.wait()
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+async def looked_at(port: int) -> None:
+    shown = re.search(r"```\nHTTP/1.1 200 OK\n(.*?)```", PAGE, re.S)
+    assert shown is not None
+    names = [line.partition(":")[0] for line in shown[1].splitlines()]
+    via = re.search(r"Via: (.+)", shown[1])
+    assert via is not None
+    child, fields = await serves(port)
+    assert list(fields) == names and fields["Via"] == via[1] and int(fields["Age"]) <= 3
+    assert (await child.whole())["seq"] == 41
+    watch = ChildConnection(await trio.open_tcp_stream("127.0.0.1", port))
+    assert (await watch.ask("/v1/servers?watch=1&from=41")).status_code == 200
+    assert await watch.line() is None
+
+
+async def serves(port: int) -> tuple[ChildConnection, dict[str, str]]:
+    """Once it answers with a list; and the header fields of that."""
+    began_s = time.monotonic()
+    while time.monotonic() < began_s + WITHIN_S:
+        with suppress(OSError):
+            child = ChildConnection(await trio.open_tcp_stream("127.0.0.1", port))
+            response = await child.ask("/v1/servers")
+            if response.status_code == 200:
+                return child, {name.decode().title(): value.decode() for name, value in response.headers}
+        await trio.sleep(0.05)
+    raise TimeoutError(f"nobody serves a list at {port}")
--- a/tests/replica/test_server.py
+++ b/tests/replica/test_server.py
@@ -29,6 +29,11 @@
     return child
 
 
+async def hears_nothing(child: ChildConnection, for_s: float) -> None:
+    with trio.move_on_after(for_s):
+        pytest.fail(f"nobody told {await child.line()}")
+
+
 async def status(one: Serving, target: str, **more: str) -> tuple[int, dict[bytes, bytes]]:
     child = await one.connect()
     response = await child.ask(target, **more)
@@ -94,13 +99,13 @@
     async with serving() as one:
         one.server.publish(whole(0))
         child = await watching(one)
+        one.server.renew(trio.current_time() - 60.0)  # heard of by a parent that is cut off itself
+        await hears_nothing(child, 0.2)
         one.server.renew(trio.current_time())
         assert await child.line() is None
+        await hears_nothing(child, 0.7)
         one.server.stale()
-        one.server.renew(trio.current_time() - 60.0)  # a parent that is cut off itself
-        with trio.move_on_after(0.7):
-            await child.line()
-            pytest.fail("a renewal that the source did not make")
+        await hears_nothing(child, 0.2)
         one.server.publish(change(1))  # serving goes on, and the watch stood open
         assert (await child.line())["seq"] == 1
         one.server.renew(trio.current_time())
--- a/tests/rules/test_replication_admission.py
+++ b/tests/rules/test_replication_admission.py
@@ -15,7 +15,10 @@
     return WholeListAdmission(RATE, at_once, children, random.Random(seed))
 
 
-@given(st.lists(st.sampled_from([0.0, 0.001, 0.05, 0.4, 3.0]), max_size=200))
+GAPS = st.sampled_from([0.0, 0.001, 0.01, 0.02, 0.4])
+
+
+@given(st.lists(GAPS, min_size=40, max_size=200))
 def test_no_window_holds_more_bytes_than_the_rate_allows(gaps):
     one, now_s, admitted = admission(), 0.0, []
     for gap in gaps:
--- a/tests/rules/test_replication_history.py
+++ b/tests/rules/test_replication_history.py
@@ -4,7 +4,7 @@
 import random
 
 import pytest
-from listed import Child, change, lines, server, whole
+from rules.listed import Child, change, lines, server, whole
 
 from glenfold.rules.replication import ListDocument, Position
 from glenfold.rules.replication_history import FutureRevision, PastRevision, RevisionHistory
--- a/tests/rules/test_replication_lease.py
+++ b/tests/rules/test_replication_lease.py
@@ -32,6 +32,18 @@
     assert one.take_renewal(10.0 + LEAST_GAP_S)
 
 
+def test_the_renewal_that_came_with_a_change_needs_no_empty_line_unless_it_is_the_first():
+    one = Lease()
+    one.line_went_out(10.0)  # of a parent that was not renewed itself
+    one.renew(10.01, 10.01)
+    assert one.take_renewal(10.0 + LEAST_GAP_S)
+    one.line_went_out(12.0)
+    one.renew(12.01, 12.01)
+    assert one.due_at_s() is None
+    one.renew(14.0, 14.0)
+    assert one.take_renewal(14.0)
+
+
 def test_who_is_stale_tells_nothing_and_ages():
     one = Lease()
     assert one.age_s(5.0) is None
