Force each hard case of following several parents on loopback sockets

29 tests on a clock that jumps: a dead replica's children, loops, stale parents, a cut and its reunion, revisions that go back or skip, parents that differ, broken lines, faulty lists and headers, 503, moved parents. A look at others that finds all of them passed over no longer looks again every 10 ms.

--- a/glenfold/replica/follower.py
+++ b/glenfold/replica/follower.py
@@ -215,32 +215,37 @@
         home_at_s = trio.current_time() + self._choice.home_look_s()
         while True:
             now_s = trio.current_time()
-            parents: list[Parent] = []
-            if not watch.silent(now_s):
-                if now_s >= home_at_s:
-                    home_at_s = now_s + self._choice.home_look_s()
-                    parents = self._choice.nearer(watch.parent, now_s)
-            elif watch.leave_at_s == float("inf"):
-                watch.leave_at_s = now_s + self._choice.leave_s(watch.call.greeting.children)
-            elif now_s >= watch.leave_at_s:
-                others = self._choice.in_turn(now_s)
-                parents = sorted(others, key=lambda parent: parent == watch.parent)
-            if parents and (found := await self._look(parents, watch)) is not None:
-                if found.parent in self._choice.parents:  # else they were moved meanwhile
-                    self._next = found
-                    scope.cancel()
-                    return
+            if watch.silent(now_s):
+                parents = self._instead(watch, now_s)
+            elif now_s >= home_at_s:
+                home_at_s = now_s + self._choice.home_look_s()
+                parents = self._choice.nearer(watch.parent, now_s)
+            else:
+                parents = []
+            found = await self._look(parents, watch)
+            if found is not None and found.parent in self._choice.parents:  # not moved meanwhile
+                self._next = found
+                scope.cancel()
+                return
+            if found is not None:
                 self._close(found.call)
-            if parents and watch.silent(trio.current_time()):
-                watch.leave_at_s = trio.current_time() + self._choice.slow_look_s()
-            await self._until_next_look(watch, home_at_s)
-
-    async def _until_next_look(self, watch: Watch, home_at_s: float) -> None:
-        now_s = trio.current_time()
-        if watch.silent(now_s):
-            await trio.sleep_until(max(now_s + SETTLE_S, watch.leave_at_s))
-        else:
-            await trio.sleep_until(max(now_s, min(watch.said_at_s + SILENCE_S, home_at_s)) + SETTLE_S)
+            await trio.sleep_until(max(trio.current_time(), self._next_look_s(watch, home_at_s)) + SETTLE_S)
+
+    def _instead(self, watch: Watch, now_s: float) -> list[Parent]:
+        """Those to be asked now that it is silent, itself last: it may have lost this connection alone."""
+        if watch.leave_at_s == float("inf"):
+            watch.leave_at_s = now_s + self._choice.leave_s(watch.call.greeting.children)
+        if now_s < watch.leave_at_s:
+            return []
+        watch.leave_at_s = now_s + self._choice.slow_look_s()
+        parents = self._choice.in_turn(now_s)
+        return sorted(parents, key=lambda parent: parent == watch.parent)
+
+    @staticmethod
+    def _next_look_s(watch: Watch, home_at_s: float) -> float:
+        if watch.silent(trio.current_time()):
+            return watch.leave_at_s if watch.leave_at_s < float("inf") else 0.0
+        return min(watch.said_at_s + SILENCE_S, home_at_s)
 
     async def _look(self, parents: list[Parent], held: Watch | None = None) -> Watch | None:
         """The first of them that is fresh; else the least old, if that is better than what is held."""
--- a/tests/replica/stand_in_parent.py
+++ b/tests/replica/stand_in_parent.py
@@ -5,6 +5,7 @@
 import socket
 import struct
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from typing import Any
 
 import trio
@@ -47,6 +48,8 @@
         self.watches: list[trio.SocketStream] = []
         self.port = 0
         self._scope = trio.CancelScope()
+        self._down = trio.Event()
+        self._sending = trio.Lock()
 
     @property
     def place(self) -> Parent:
@@ -58,7 +61,7 @@
         await listener.bind(("127.0.0.1", self.port))
         listener.listen(512)
         self.port = listener.getsockname()[1]
-        self._scope = trio.CancelScope()
+        self._scope, self._down = trio.CancelScope(), trio.Event()
         nursery.start_soon(self._serve, trio.SocketListener(listener))
 
     async def _serve(self, listener: trio.SocketListener) -> None:
@@ -66,13 +69,15 @@
             async with listener, trio.open_nursery() as nursery:
                 nursery.start_soon(trio.serve_listeners, self._answer, [listener])
                 nursery.start_soon(self._renew)
+        self._down.set()
 
-    def kill(self) -> None:
+    async def kill(self) -> None:
         """All its connections are reset, and new ones refused."""
         for stream in self.watches:
             stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.watches.clear()
         self._scope.cancel()
+        await self._down.wait()
 
     # ---- what it tells ----
 
@@ -87,12 +92,11 @@
 
     async def say(self, text: bytes, whole_chunk: bool = True) -> None:
         """To all who watch. Without the whole chunk, more must come."""
-        for stream in list(self.watches):
-            size = len(text) if whole_chunk else 2 * len(text)
-            try:
-                await stream.send_all(b"%x\r\n%s" % (size, text) + b"\r\n" * whole_chunk)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                self.watches.remove(stream)
+        size = len(text) if whole_chunk else 2 * len(text)
+        async with self._sending:
+            for stream in list(self.watches):
+                with suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+                    await stream.send_all(b"%x\r\n%s" % (size, text) + b"\r\n" * whole_chunk)
 
     async def renew(self) -> None:
         self.renewed_at_s = trio.current_time()
@@ -121,6 +125,10 @@
         return "\r\n".join([*lines, "", ""]).encode()
 
     async def _answer(self, stream: trio.SocketStream) -> None:
+        with suppress(trio.BrokenResourceError):
+            await self._answer_all(stream)
+
+    async def _answer_all(self, stream: trio.SocketStream) -> None:
         while (line := await read_line(stream)).startswith(b"GET"):
             while await read_line(stream) != b"\r\n":
                 pass
@@ -150,7 +158,7 @@
             text += b"%x\r\n%s\r\n" % (len(change), change)
         await stream.send_all(text)
         self.watches.append(stream)
-        with trio.move_on_after(float("inf")):
+        with suppress(trio.BrokenResourceError):
             await stream.receive_some()
         if stream in self.watches:
             self.watches.remove(stream)
@@ -164,7 +172,7 @@
         self.renewals: list[tuple[float, float]] = []  # when told, and the moment told
         self.stale_at_s: list[float] = []
         self.chains: list[tuple[str, ...]] = []
-        self.told = trio.Condition()
+        self._news = trio.Event()
 
     @property
     def positions(self) -> list[Position]:
@@ -172,15 +180,26 @@
 
     def publish(self, document: ListDocument) -> None:
         self.documents.append((trio.current_time(), document))
+        self._pulse()
 
     def renew(self, renewed_at_s: float) -> None:
         self.renewals.append((trio.current_time(), renewed_at_s))
 
     def stale(self) -> None:
         self.stale_at_s.append(trio.current_time())
+        self._pulse()
 
     def via(self, names: tuple[str, ...]) -> None:
         self.chains.append(names)
+        self._pulse()
+
+    def _pulse(self) -> None:
+        self._news.set()
+        self._news = trio.Event()
+
+    async def news(self) -> None:
+        """Until it is told anything but a renewal."""
+        await self._news.wait()
 
     async def until(self, revision: int) -> float:
         """When that revision was published."""
@@ -188,7 +207,7 @@
             for at_s, document in self.documents:
                 if document.position.revision == revision:
                     return at_s
-            await trio.sleep(0.01)
+            await self.news()
 
 
 class Child:
@@ -211,12 +230,23 @@
     def parent(self) -> Parent | None:
         return None if self.follower.watch is None else self.follower.watch.parent
 
+    async def until_any(self) -> None:
+        while self.parent() is None:
+            await self.published.news()
+
     async def until_at(self, parent: StandInParent) -> float:
         while self.parent() != parent.place:
-            await trio.sleep(0.01)
+            await self.published.news()
         return trio.current_time()
 
 
+def jump(seconds: float) -> None:
+    """All that falls due within them falls due at once."""
+    clock = trio.lowlevel.current_clock()
+    assert isinstance(clock, trio.testing.MockClock)
+    clock.jump(seconds)
+
+
 def play(script: Callable[[trio.Nursery], Awaitable[None]]) -> None:
     """Runs it on a clock that jumps, and ends all that it started."""
 
--- a/tests/replica/test_follower.py
+++ b/tests/replica/test_follower.py
@@ -2,11 +2,13 @@
 
 from typing import Any
 
+import pytest
 import trio
 from relaying import entry
-from stand_in_parent import Child, StandInParent, play
+from stand_in_parent import Child, StandInParent, jump, play
 
 from glenfold.replica.parent_watch import PATH
+from glenfold.rules.parent_choice import SOONEST_HOME_S
 from glenfold.rules.replication import Position
 from glenfold.rules.source_lease import LEASE_S, SILENCE_S
 
@@ -52,11 +54,10 @@
         await started(nursery, one, other)
         child = Child(one, other)
         nursery.start_soon(child.follower.follow)
-        while child.parent() is None:
-            await trio.sleep(0.01)
+        await child.until_any()
         first, second = (one, other) if child.parent() == one.place else (other, one)
         await trio.sleep(1)
-        first.kill()
+        await first.kill()
         killed_at_s = trio.current_time()
         await second.change(entry("s-2"))
         assert await child.published.until(42) < killed_at_s + 4
@@ -80,3 +81,383 @@
         assert child.published.stale_at_s == []
 
     play(script)
+
+
+async def entered(nursery: trio.Nursery, child: Child, parent: StandInParent) -> None:
+    """Its first parent, and a moment more, so that what follows is no part of the start."""
+    nursery.start_soon(child.follower.follow)
+    await child.until_at(parent)
+    await trio.sleep(1)
+
+
+def test_the_children_of_a_dead_replica_spread_over_the_others_and_over_time() -> None:
+    """Each resumes from what it knows, and is told a change within 4 s of the death."""
+
+    async def script(nursery: trio.Nursery) -> None:
+        dead, *others = parents = [
+            replica("r-1", zone="cardiff", children=250),
+            *(replica(f"r-{n}", zone="wrexham") for n in (2, 3)),
+        ]
+        await started(nursery, *parents)
+        children = [Child(*parents, zone="cardiff", random_seed=seed) for seed in range(40)]
+        for child in children:
+            nursery.start_soon(child.follower.follow)
+        for child in children:
+            await child.until_at(dead)
+        await trio.sleep(1)
+        dead_at_s = trio.current_time()
+        await dead.kill()
+        for other in others:
+            await other.change(entry("s-2"))
+        told = [await child.published.until(2) for child in children]
+        assert max(told) < dead_at_s + 4
+        asked = sorted(at_s - dead_at_s for other in others for at_s, _ in other.asked)
+        assert asked[-1] - asked[0] > 1.0
+        assert max(sum(at_s <= one < at_s + 0.2 for one in asked) for at_s in asked) <= 12
+        assert len(asked) == 40 and all(len(other.asked) >= 10 for other in others)
+        assert set(watched(others[0]) + watched(others[1])) == {1}
+
+    play(script)
+
+
+def test_a_parent_that_follows_this_replica_is_refused() -> None:
+    async def script(nursery: trio.Nursery) -> None:
+        loop, sound = StandInParent("r-1", "me", "r-2", incarnation=0, zone="cardiff"), replica("r-3")
+        await started(nursery, loop, sound)
+        child = Child(loop, sound, zone="cardiff", name="me")
+        await entered(nursery, child, sound)
+        await sound.kill()
+        await trio.sleep(20)
+        assert child.parent() is None or child.parent() == sound.place
+        assert child.follower.counters()["parents_loop"] > 1
+        assert child.published.chains == [("r-3",)]
+
+    play(script)
+
+
+def test_only_what_the_source_renewed_renews() -> None:
+    """A stale parent answers, sends what it has in memory and keeps the watch open: none of it counts."""
+
+    async def script(nursery: trio.Nursery) -> None:
+        stale = replica("r-1", 41, renewing=False, age_s=100.0)
+        await started(nursery, stale)
+        child = Child(stale)
+        nursery.start_soon(child.follower.follow)
+        await child.published.until(41)
+        await child.until_at(stale)
+        await trio.sleep(1)
+        await stale.change(entry("s-2"))  # it was told by one that is as stale
+        await child.published.until(42)
+        await trio.sleep(10)
+        assert child.follower.renewed_at_s == pytest.approx(-100, abs=0.1)
+        assert max(moment for _, moment in child.published.renewals) < -99
+        stale.renewing = True
+        await trio.sleep(3)
+        assert trio.current_time() - child.follower.renewed_at_s < 2.5
+
+    play(script)
+
+
+def test_changes_of_a_parent_that_is_renewed_renew_without_empty_lines() -> None:
+    async def script(nursery: trio.Nursery) -> None:
+        parent = replica()
+        await started(nursery, parent)
+        child = Child(parent)
+        await entered(nursery, child, parent)
+        parent.renewing = False
+        for _ in range(10):
+            await trio.sleep(1)
+            await parent.change(entry("s-2"))
+        await trio.sleep(0.1)
+        assert trio.current_time() - child.follower.renewed_at_s < 0.5
+        assert child.published.stale_at_s == [] and child.follower.counters()["parents_followed"] == 1
+
+    play(script)
+
+
+def test_the_lease_ends_six_seconds_after_the_source_renewed_it_last() -> None:
+    async def script(nursery: trio.Nursery) -> None:
+        parent = replica()
+        await started(nursery, parent)
+        child = Child(parent)
+        await entered(nursery, child, parent)
+        await trio.sleep(20)
+        assert child.published.stale_at_s == []
+        parent.renewing = False
+        await trio.sleep(20)
+        assert child.published.stale_at_s == [pytest.approx(parent.renewed_at_s + LEASE_S, abs=0.1)]
+
+    play(script)
+
+
+def test_where_all_are_stale_nobody_goes_round() -> None:
+    """Without the source each child stays where it is, asks the others slowly, and is told as soon as one of
+    them, whichever it is, is renewed."""
+
+    async def script(nursery: trio.Nursery) -> None:
+        parents = [replica(f"r-{n}", 41) for n in range(4)]
+        await started(nursery, *parents)
+        children = [Child(*parents, random_seed=seed) for seed in range(3)]
+        for child in children:
+            nursery.start_soon(child.follower.follow)
+            await child.until_any()
+        await trio.sleep(3)
+        for parent in parents:
+            parent.renewing = False
+        await trio.sleep(30)
+        calls = sum(len(parent.asked) for parent in parents)
+        followed = sum(child.follower.counters()["parents_followed"] for child in children)
+        jump(3600)
+        await trio.sleep(60)
+        calls = sum(len(parent.asked) for parent in parents) - calls
+        assert sum(child.follower.counters()["parents_followed"] for child in children) == followed
+        assert followed <= 2 * len(children)
+        assert calls <= len(children) * len(parents) * 60 / 2
+        back_at_s = trio.current_time()
+        parents[2].renewing = True
+        await parents[2].change(entry("s-2"))
+        for child in children:
+            assert await child.published.until(42) < back_at_s + LEASE_S
+        await trio.sleep(10)
+        assert {child.parent() for child in children} == {parents[2].place}
+
+    play(script)
+
+
+def test_a_region_cut_off_joins_again_without_bringing_back_who_drained() -> None:
+    async def script(nursery: trio.Nursery) -> None:
+        cut = replica("r-1", 41, hosts=("s-1", "s-2"), region="west")
+        source_side = replica("r-2", 41, hosts=("s-1", "s-2"), region="east")
+        await started(nursery, cut, source_side)
+        child = Child(cut, source_side, region="east")
+        await entered(nursery, child, source_side)
+        cut.renewing = False  # for an hour, in which a server drains and leaves
+        await source_side.change(entry("s-2", health="terminating"))
+        await source_side.change(entry("s-2", health="terminated"))
+        await child.published.until(43)
+        await source_side.kill()
+        await trio.sleep(30)
+        jump(3600)
+        await trio.sleep(10)
+        assert child.parent() is None  # the other is behind: what is known is newer
+        assert child.published.positions[-1] == Position(0, 43)
+        assert watched(cut).count(-1) == 0
+        cut.renewing = True  # it has caught up: only that counts
+        await cut.change(entry("s-2", health="terminating"))
+        await cut.change(entry("s-2", health="terminated"))
+        await child.until_at(cut)
+        await cut.change(entry("s-3"))
+        await child.published.until(44)
+        told = [one for _, document in child.published.documents for one in document.entries]
+        assert [one["health"] for one in told if one["host"] == "s-2"] == [
+            "in_service",
+            "terminating",
+            "terminated",
+        ]
+        assert child.published.positions == [Position(0, revision) for revision in (41, 42, 43, 44)]
+
+    play(script)
+
+
+def test_a_source_whose_revisions_go_back_begins_a_new_incarnation() -> None:
+    async def script(nursery: trio.Nursery) -> None:
+        source = StandInParent(revision=1000, hosts=("s-1", "s-2"))
+        await started(nursery, source)
+        child = Child(source)
+        await entered(nursery, child, source)
+        await source.change(entry("s-2", health="terminating"), revision=1010)  # it skips, too
+        await child.published.until(1010)
+        await source.kill()
+        source.revision, source.oldest, source.history = 3, 3, []
+        source.hosts = {"s-1": entry("s-1"), "s-2": entry("s-2")}
+        await source.listen(nursery)
+        await child.published.until(3)
+        await trio.sleep(1)
+        await source.change(entry("s-2", born_ms=5))
+        await child.published.until(4)
+        assert child.published.positions == [
+            *(Position(0, n) for n in (1000, 1010)),
+            *(Position(1, n) for n in (3, 4)),
+        ]
+        lists = [document for _, document in child.published.documents]
+        assert lists[2].whole and [one["health"] for one in lists[2].entries] == ["in_service", "terminating"]
+        assert lists[3].entries[0]["health"] == "in_service"  # it has started again
+
+    play(script)
+
+
+def test_a_later_incarnation_of_another_parent_wins_and_an_earlier_one_is_behind() -> None:
+    async def script(nursery: trio.Nursery) -> None:
+        before = StandInParent("r-1", incarnation=1, revision=900, zone="cardiff")
+        later = StandInParent("r-2", incarnation=2, revision=5, hosts=("s-5",), zone="wrexham")
+        await started(nursery, before, later)
+        child = Child(before, later, zone="cardiff")
+        await entered(nursery, child, before)
+        await before.kill()
+        await child.until_at(later)
+        await before.listen(nursery)
+        await trio.sleep(60)
+        assert child.parent() == later.place
+        assert child.published.positions == [Position(1, 900), Position(2, 5)]
+        assert child.published.documents[1][1].whole
+        assert child.follower.counters()["parents_behind"] > 0
+
+    play(script)
+
+
+def test_a_line_that_broke_off_is_not_taken() -> None:
+    async def script(nursery: trio.Nursery) -> None:
+        one, other = replica("r-1", 41, zone="cardiff"), replica("r-2", 41)
+        await started(nursery, one, other)
+        child = Child(one, other, zone="cardiff")
+        await entered(nursery, child, one)
+        text = StandInParent._object(42, False, [entry("s-2", share=1.0)])
+        await one.say(text[: len(text) // 2], whole_chunk=False)
+        await trio.sleep(0.1)
+        await one.kill()
+        await child.until_at(other)
+        await other.change(entry("s-2", share=7.0))
+        await child.published.until(42)
+        assert child.published.documents[-1][1].entries == (entry("s-2", share=7.0),)
+        assert child.published.positions == [Position(0, 41), Position(0, 42)]
+
+    play(script)
+
+
+@pytest.mark.parametrize(
+    "faulty",
+    [
+        b"{\n",
+        b"[]\n",
+        b'{"seq": -4, "whole": false, "hosts": []}\n',
+        b'{"seq": 42, "whole": true}\n',
+        b'{"seq": 42, "whole": true, "hosts": 3}\n',
+        b"[" * 100_000 + b"\n\n",
+    ],
+)
+def test_a_faulty_list_keeps_the_last(faulty: bytes) -> None:
+    async def script(nursery: trio.Nursery) -> None:
+        parent = replica("r-1", 41)
+        await started(nursery, parent)
+        child = Child(parent)
+        await entered(nursery, child, parent)
+        await parent.say(faulty)
+        await trio.sleep(5)
+        assert child.published.positions == [Position(0, 41)]
+        assert child.follower.counters()["parents_faulty"] >= 1
+        await parent.change(entry("s-2"))
+        await child.published.until(42)
+        assert watched(parent)[-2:] == [-1, 41]  # it is asked for the whole list before any change
+
+    play(script)
+
+
+@pytest.mark.parametrize(
+    "field",
+    ["Age: -1", "Age: soon", "Glenfold-Children: 1e9", "Via: 1.1", "Via: " + "1.1 a, " * 16 + "1.1 b"],
+)
+def test_a_header_that_cannot_be_read_is_the_parents_fault(field: str) -> None:
+    async def script(nursery: trio.Nursery) -> None:
+        bad, sound = StandInParent(zone="cardiff"), replica()
+        bad.answers = [f"HTTP/1.1 200 OK\r\n{field}\r\nContent-Length: 0\r\n\r\n".encode()] * 9
+        await started(nursery, bad, sound)
+        child = Child(bad, sound, zone="cardiff")
+        await entered(nursery, child, sound)
+        assert child.follower.counters()["parents_faulty"] == 1
+
+    play(script)
+
+
+def test_a_parent_that_is_full_is_asked_again_when_it_said() -> None:
+    async def script(nursery: trio.Nursery) -> None:
+        full = replica()
+        busy = b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n"
+        full.answers = [busy, busy]
+        await started(nursery, full)
+        child = Child(full)
+        nursery.start_soon(child.follower.follow)
+        await child.until_at(full)
+        first, second, third, *_ = [at_s for at_s, _ in full.asked]
+        assert 3.0 <= second - first <= 4.6 and 3.0 <= third - second <= 4.6
+
+    play(script)
+
+
+def test_parents_are_moved_while_it_follows() -> None:
+    async def script(nursery: trio.Nursery) -> None:
+        one, two, three = parents = [replica(f"r-{n}", 41) for n in range(3)]
+        await started(nursery, *parents)
+        child = Child(one)
+        await entered(nursery, child, one)
+        child.follower.move_to([one.place, two.place])  # the one followed stays
+        await trio.sleep(1)
+        assert child.parent() == one.place and len(one.watches) == 1
+        child.follower.move_to([three.place])
+        await child.until_at(three)
+        await three.change(entry("s-2"))
+        await child.published.until(42)
+        assert watched(three) == [41] and one.watches == []
+        child.follower.move_to([two.place])  # which is behind: what is known holds
+        await trio.sleep(10)
+        assert child.published.positions[-1] == Position(0, 42)
+        await two.change(entry("s-2"))
+        await child.until_at(two)
+
+    play(script)
+
+
+def test_a_moved_source_may_count_anew() -> None:
+    async def script(nursery: trio.Nursery) -> None:
+        one, two = StandInParent(revision=41), StandInParent(revision=7, hosts=("s-7",))
+        await started(nursery, one, two)
+        child = Child(one, two, zone="cardiff")
+        child.choice.replace([one.place])
+        await entered(nursery, child, one)
+        child.follower.move_to([one.place, two.place])
+        await one.kill()
+        await trio.sleep(20)
+        assert child.published.positions == [Position(0, 41)]  # it may come back: the other one lags
+        child.follower.move_to([two.place])
+        await child.until_at(two)
+        assert child.published.positions == [Position(0, 41), Position(1, 7)]
+
+    play(script)
+
+
+def test_a_nearer_parent_is_followed_again_once_it_has_been_sound_for_a_while() -> None:
+    async def script(nursery: trio.Nursery) -> None:
+        near, far = replica("r-1", zone="cardiff"), replica("r-2", zone="wrexham")
+        await started(nursery, near, far)
+        child = Child(near, far, zone="cardiff")
+        await entered(nursery, child, near)
+        await near.kill()
+        await child.until_at(far)
+        await near.listen(nursery)
+        back_at_s = trio.current_time()
+        near.renewed_at_s = back_at_s
+        near.asked.clear()
+        home_at_s = await child.until_at(near)
+        assert back_at_s + SOONEST_HOME_S <= home_at_s <= back_at_s + 40
+        assert -1 not in watched(near)
+        assert child.published.positions == [Position(0, 1)] and child.published.stale_at_s == []
+
+    play(script)
+
+
+def test_a_source_that_answers_and_says_nothing_is_no_better_parent() -> None:
+    """As an agent that is cut off from discovery."""
+
+    async def script(nursery: trio.Nursery) -> None:
+        agent, other = StandInParent(zone="cardiff"), replica("r-2")
+        await started(nursery, agent, other)
+        child = Child(agent, other, zone="cardiff")
+        await entered(nursery, child, agent)
+        agent.renewing = False
+        await child.until_at(other)
+        await trio.sleep(120)
+        assert child.parent() == other.place and child.follower.counters()["parents_followed"] == 2
+        assert child.published.stale_at_s == []
+        agent.renewing = True
+        await child.until_at(agent)
+
+    play(script)
