--- a/tests/replica/stand_in_parent.py
+++ b/tests/replica/stand_in_parent.py
@@ -248,11 +248,17 @@
 
 
 def play(script: Callable[[trio.Nursery], Awaitable[None]]) -> None:
-    """Runs it on a clock that jumps, and ends all that it started."""
+    """Runs it on a clock that jumps, and ends all that it started. Raises what the script itself raises."""
+    failed: list[AssertionError] = []
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
-            await script(nursery)
+            try:
+                await script(nursery)
+            except AssertionError as error:
+                failed.append(error)
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.01))
+    if failed:
+        raise failed[0]
--- a/tests/replica/test_follower.py
+++ b/tests/replica/test_follower.py
@@ -120,7 +120,19 @@
     play(script)
 
 
-def test_a_parent_that_follows_this_replica_is_refused() -> None:
+def test_a_parent_that_follows_this_replica_is_refused_at_once() -> None:
+    async def script(nursery: trio.Nursery) -> None:
+        loop, sound = StandInParent("r-1", "me", "r-2", incarnation=0, zone="cardiff"), replica("r-3")
+        await started(nursery, loop, sound)
+        child = Child(loop, sound, zone="cardiff", name="me")
+        nursery.start_soon(child.follower.follow)
+        await child.until_any()
+        assert child.parent() == sound.place and child.follower.counters()["parents_loop"] == 1
+
+    play(script)
+
+
+def test_a_loop_is_no_parent_where_there_is_no_other() -> None:
     async def script(nursery: trio.Nursery) -> None:
         loop, sound = StandInParent("r-1", "me", "r-2", incarnation=0, zone="cardiff"), replica("r-3")
         await started(nursery, loop, sound)
--- /dev/null
+++ b/tests/replica/test_follower_mutants.py
@@ -0,0 +1,55 @@
+"""Faults put into the follower on purpose: its tests find each."""
+
+import pytest
+import test_follower as tests
+
+from glenfold.replica import follower
+from glenfold.replica.parent_watch import Call
+from glenfold.rules.parent_choice import ParentChoice
+from glenfold.rules.succession import Succession
+
+
+def test_a_stale_lease_passed_on_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Call, "renewed_at_s", property(lambda self: self.began_at_s))
+    with pytest.raises(AssertionError):
+        tests.test_only_what_the_source_renewed_renews()
+
+
+def test_a_lease_renewed_by_any_change_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(follower, "FRESH_AGE_S", 1e9)
+    with pytest.raises(AssertionError):
+        tests.test_only_what_the_source_renewed_renews()
+
+
+def test_no_jitter_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ParentChoice, "leave_s", lambda self, children: 0.0)
+    with pytest.raises(AssertionError):
+        tests.test_the_children_of_a_dead_replica_spread_over_the_others_and_over_time()
+
+
+def test_an_older_list_taken_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Succession, "behind", lambda self, origin, gone: False)
+    monkeypatch.setattr(Succession, "_refused", lambda self, received, position: None)
+    with pytest.raises(AssertionError):
+        tests.test_a_later_incarnation_of_another_parent_wins_and_an_earlier_one_is_behind()
+
+
+def test_going_round_among_stale_parents_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(follower, "FRESHER_BY_S", -1e9)
+    with pytest.raises(AssertionError):
+        tests.test_where_all_are_stale_nobody_goes_round()
+
+
+def test_a_loop_that_is_not_looked_for_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    check = follower.Follower._check
+
+    def careless(self: follower.Follower, found: Call) -> None:
+        name, self._name = self._name, None
+        try:
+            check(self, found)
+        finally:
+            self._name = name
+
+    monkeypatch.setattr(follower.Follower, "_check", careless)
+    with pytest.raises(AssertionError):
+        tests.test_a_parent_that_follows_this_replica_is_refused_at_once()
--- /dev/null
+++ b/tests/rules/test_following_mutants.py
@@ -0,0 +1,75 @@
+"""Faults put into the rules of following on purpose: the tests of these rules find each."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+import test_parent_choice as choice
+import test_succession as succession
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from glenfold.rules.parent_choice import ParentChoice
+from glenfold.rules.replication import Position
+from glenfold.rules.succession import Received, Succession, Verdict
+
+refused = Succession._refused
+
+
+def takes_any_whole_list(self: Succession, received: Received, position: Position) -> Verdict | None:
+    return None if received.whole else refused(self, received, position)
+
+
+def takes_any_change(self: Succession, received: Received, position: Position) -> Verdict | None:
+    verdict = refused(self, received, position)
+    return None if verdict is Verdict.INCOMPLETE else verdict
+
+
+def goes_by_revision_alone(self: Succession, received: Received, position: Position) -> Verdict | None:
+    if self.position is None or received.revision > self.position.revision:
+        return None
+    return Verdict.BEHIND
+
+
+@given(succession.STEPS, st.just(succession.A))
+@settings(
+    max_examples=300,
+    phases=[Phase.generate],
+    report_multiple_bugs=False,
+    suppress_health_check=list(HealthCheck),
+)
+def any_history(steps: list[tuple[Any, Any, Any]], at: tuple[str, int]) -> None:
+    succession.check_history(steps, at)
+
+
+def nothing(*given: Any) -> None:
+    return None
+
+
+@pytest.mark.parametrize(
+    "name, mutant",
+    [
+        ("_refused", takes_any_whole_list),
+        ("_refused", takes_any_change),
+        ("_refused", goes_by_revision_alone),
+        ("_leaves", nothing),
+    ],
+)
+def test_a_fault_in_the_succession_is_found(
+    monkeypatch: pytest.MonkeyPatch, name: str, mutant: Callable[..., Any]
+) -> None:
+    monkeypatch.setattr(Succession, name, mutant)
+    with pytest.raises(AssertionError):
+        any_history()
+
+
+def test_no_jitter_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ParentChoice, "leave_s", lambda self, children: 0.0)
+    with pytest.raises(AssertionError):
+        choice.test_250_children_of_a_dead_replica_leave_it_apart_and_in_time(0)
+
+
+def test_jitter_beyond_the_time_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(ParentChoice, "leave_s", lambda self, children: self.chance.uniform(0.0, 5.0))
+    with pytest.raises(AssertionError):
+        choice.test_250_children_of_a_dead_replica_leave_it_apart_and_in_time(0)
