--- a/glenfold/config/checks.py
+++ b/glenfold/config/checks.py
@@ -37,6 +37,7 @@
             self.addresses,
             self.one_address_each,
             self.discovery,
+            self.parents,
             self.limits,
             self.words,
             self.classes,
@@ -130,16 +131,42 @@
         return "another listener" if number is None else f"instance {number}"
 
     def discovery(self) -> Found:
-        if not self.sound("list.discovery"):
+        told = self.terms.list
+        if told.discovery is None and told.parents is None and self.sound("list.discovery", "list.parents"):
+            yield (
+                "list.discovery",
+                "is missing; it must be an address, HOST:PORT, or list.parents a list of those to follow",
+            )
+        if told.discovery is not None and self.given("list", "parents"):
+            yield "list.parents", "stands beside list.discovery; give one of the two"
+        if told.discovery is not None and self.sound("list.discovery"):
+            yield from self._upstream(("list", "discovery"), told.discovery, "the agent's address")
+
+    def parents(self) -> Found:
+        told, zones = self.terms.list, self.terms.settings.zones
+        if told.region is not None and told.parents is None and self.sound("list"):
+            yield "list.region", "tells which parents are near; it has no place without list.parents"
+        if not self.sound("list.parents"):
             return
-        told = self.terms.list.discovery
+        taken = set()
+        for n, parent in enumerate(told.parents or ()):
+            key = ("list", "parents", n)
+            if parent.address in taken:
+                yield (*key, "address"), f"{parent.address} comes twice; give each parent once"
+            taken.add(parent.address)
+            yield from self._upstream((*key, "address"), parent.address, "the parent's address")
+            if self.sound("settings.zones") and zones and parent.zone not in (None, *zones):
+                meant = nearest(str(parent.zone), list(zones))
+                yield (*key, "zone"), f"{parent.zone!r} is not in settings.zones; {meant}"
+
+    def _upstream(self, key: Key, told: str, right: str) -> Found:
         try:
             found = read_address(told)
         except ValueError as error:
-            yield "list.discovery", str(error)
+            yield key, str(error)
             return
         if found in self._open_addresses():
-            yield "list.discovery", f"{told} is a listener; give the agent's address"
+            yield key, f"{told} is a listener; give {right}"
 
     def _open_addresses(self) -> set[Address]:
         return {places.listening(text, step) for _, _, text, step in self._listeners()}
--- a/glenfold/config/operators.py
+++ b/glenfold/config/operators.py
@@ -10,7 +10,17 @@
 from glenfold.config import places
 from glenfold.config.checks import Checks
 from glenfold.config.places import Place
-from glenfold.config.platform import Config, ConfigError, Room, names_of, read_address, settings_of
+from glenfold.config.platform import (
+    Address,
+    Config,
+    ConfigError,
+    Parent,
+    Parents,
+    Room,
+    names_of,
+    read_address,
+    settings_of,
+)
 from glenfold.config.settings import as_platform, relays
 from glenfold.config.tables import Faults, Reading, Table
 from glenfold.config.terms import Terms
@@ -64,7 +74,8 @@
         return Config(
             name=place.name,
             listen=place.listeners[0],
-            discovery=read_address(self.terms.list.discovery),
+            discovery=self._discovery(),
+            parents=self._parents(),
             seed=int.from_bytes(os.urandom(8)),
             room=Room.within(sockets, float("inf") if limits.memory_mb is None else limits.memory_mb),
             settings=settings_of(told)[0],  # the file itself is checked whole
@@ -73,6 +84,20 @@
             known=self._known(),
         )
 
+    def _discovery(self) -> Address:
+        """The agent's, or the first of the parents'."""
+        told = self.terms.list
+        return read_address(told.discovery or (told.parents or ())[0].address)
+
+    def _parents(self) -> Parents | None:
+        told, settings = self.terms.list, self.terms.settings
+        if told.parents is None:
+            return None
+        parents = tuple(Parent(read_address(one.address), one.zone, one.region) for one in told.parents)
+        zone = settings.zone or next(iter(settings.zones), None)
+        same_zone = (one.region for one in parents if one.zone == zone is not None)
+        return Parents(parents, zone, told.region or next(same_zone, None))
+
     def _known(self) -> dict[str, Any]:
         if self.terms.list.known is None:
             return {}
@@ -156,8 +181,13 @@
             raise ConfigError(str(self._begun.path), "; ".join(error.message.splitlines())) from error
         new = operators.config(self._number)
         waiting = self._waiting(operators, new.settings != current.settings)
+        if (new.parents is None) != (current.parents is None):
+            waiting.insert(0, "list")
+            new = replace(new, discovery=current.discovery, parents=current.parents)
         self.operators = operators
-        return replace(current, discovery=new.discovery, room=new.room, cores=new.cores), waiting
+        return replace(
+            current, discovery=new.discovery, parents=new.parents, room=new.room, cores=new.cores
+        ), waiting
 
     def _waiting(self, new: Operators, decides_otherwise: bool) -> list[str]:
         names = [
--- a/glenfold/config/terms.py
+++ b/glenfold/config/terms.py
@@ -42,8 +42,16 @@
     cores: Annotated[float, Meta(ge=0.01, le=1)] = 1.0
 
 
+class ListParent(Table, frozen=True):
+    address: AddressText
+    zone: Name | None = None
+    region: Name | None = None
+
+
 class ServerList(Table, frozen=True):
-    discovery: AddressText
+    discovery: AddressText | None = None
+    parents: Annotated[tuple[ListParent, ...], Meta(min_length=1, max_length=64)] | None = None
+    region: Name | None = None
     known: Path | None = None
 
 
--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -11,7 +11,7 @@
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
-from typing import Any
+from typing import Any, Protocol
 
 import trio
 
@@ -34,6 +34,22 @@
 CALLS_PER_S = 10.0  # that all relays together may ask of one discovery, where each call costs it time
 LOOK_S = 0.1  # between two looks at how many connections stand, before their clients move
 
+
+class ListSource(Protocol):
+    """Where the list comes from in place of discovery's agent."""
+
+    @property
+    def heard_at(self) -> float:
+        """When the source last said that what is known holds, on trio's clock."""
+
+    async def follow(self) -> None:
+        """Until it is cancelled."""
+
+    def reload(self, config: Config) -> None:
+        """The configuration from now on."""
+
+
+MakeListSource = Callable[[Config, Decisions, DestinationSet, Counters], ListSource]
 ReadAgain = Callable[[Config], tuple[Config, list[str]]]
 Companion = Callable[["Process"], Awaitable[None]]
 
@@ -53,7 +69,8 @@
     ConfigError. `listeners`: sockets that listen already; without them it listens at `config.listen`.
     `held`: it accepts nobody until `accept` is called, as another process still does.
     `companions` run beside it until it has finished, and are cancelled then. `deadline_s`: from being told
-    to stop until it may be killed, where that is not what the platform promises.
+    to stop until it may be killed, where that is not what the platform promises. `make_list_source`: of
+    where the list comes from, if not from the agent at `config.discovery`.
 
     `accepts` is set once it takes clients. `handed_on`: another process serves under its name by now."""
 
@@ -66,6 +83,7 @@
         held: bool = False,
         companions: Sequence[Companion] = (),
         deadline_s: float | None = None,
+        make_list_source: MakeListSource | None = None,
     ) -> None:
         clock, counters = Clock(), Counters()
         decisions = Decisions(config.settings, config.seed, clock)
@@ -73,15 +91,19 @@
         self.life = Life()
         self.relay = Relay(config, clock, decisions, destinations, counters)
         self.inbound = Inbound(self.relay)
-        self.discovery = Discovery(
-            config.discovery,
-            destinations,
-            decisions.tell,
-            counters,
-            calls_spread_s(config.settings),
-            config.seed,
-            config.settings.ask_within_us / 1e6,
-        )
+        self.discovery: Discovery | ListSource
+        if make_list_source is not None:
+            self.discovery = make_list_source(config, decisions, destinations, counters)
+        else:
+            self.discovery = Discovery(
+                config.discovery,
+                destinations,
+                decisions.tell,
+                counters,
+                calls_spread_s(config.settings),
+                config.seed,
+                config.settings.ask_within_us / 1e6,
+            )
         self.listeners: list[SocketType] = [trio.socket.from_stdlib_socket(s) for s in listeners]
         self._accepting: dict[SocketType, trio.CancelScope] = {}
         self._nursery: trio.Nursery | None = None
@@ -237,7 +259,10 @@
             self.life.to(before)
         relay.counters.reloads += 1
         relay.config = config
-        self.discovery.move_to(config.discovery)
+        if isinstance(self.discovery, Discovery):
+            self.discovery.move_to(config.discovery)
+        else:
+            self.discovery.reload(config)
         events.config_reloaded(discovery=written(config.discovery))
         if waiting:
             events.config_waits(keys=waiting)
--- a/glenfold/daemon/run.py
+++ b/glenfold/daemon/run.py
@@ -16,7 +16,7 @@
 from glenfold.config.operators import Again, Operators
 from glenfold.config.places import Place
 from glenfold.daemon import listeners, lock, notify, takeover
-from glenfold.daemon.process import Companion, Process, run_by_signals
+from glenfold.daemon.process import Companion, MakeListSource, Process, run_by_signals
 
 
 class Exit(IntEnum):
@@ -83,11 +83,20 @@
             held=name.taken is not None,
             companions=companions,
             deadline_s=restart.deadline_s,
+            make_list_source=self._make_list_source(config),
         )
         companions += await self._companions(process, name)
         await run_by_signals(process)
         return Exit.FINISHED if name.taken is None or name.taken.refused is None else Exit.RUNS
 
+    @staticmethod
+    def _make_list_source(config: Config) -> MakeListSource | None:
+        if config.parents is None:
+            return None
+        from glenfold.replica.relay_lists import RelayLists
+
+        return RelayLists
+
     async def _name(self, passed: Sequence[socket.socket], by: float) -> Name:
         """Whoever has it is asked to hand it on. Raises Held and Refused."""
         if self._place.folder is None:
--- a/glenfold/destinations.py
+++ b/glenfold/destinations.py
@@ -18,7 +18,7 @@
 
 HEALTH = {state: health for health, state in STATES.items()}
 
-REMEMBERED = 1024  # servers that have left
+LEAST_REMEMBERED = 1024  # servers that have left; more where the longest list had more
 
 
 class BadList(Exception):
@@ -79,6 +79,7 @@
         self._known: dict[int, Destination] = {}
         self._left: dict[int, tuple[int, int]] = {}  # in which version, and the start that it left after
         self._heard = 0
+        self._longest = 0  # servers of the longest list so far
         self.version = 0
         self.faults: list[str] = []  # of the list read last
         self.watches: list[Callable[[i.ServerList], None]] = []  # called with each list that was taken in
@@ -135,6 +136,8 @@
                 known[destination.line.server] = destination
             lines.append(destination.line)
         self._known, self.version = known, version
+        self._longest = max(self._longest, len(known))
+        self._forget()
         self._heard += 1  # the decisions go by the order in which this relay heard
         kind = i.ListKind.FULL if whole else i.ListKind.DELTA
         told = i.ServerList(i.ListKind.CACHED if cached else kind, self._heard, tuple(lines))
@@ -159,10 +162,14 @@
         for server in there | here:
             known = self._left.pop(server, None), there.get(server), here.get(server)
             self._left[server] = max(filter(None, known), key=lambda left: (left[1], left[0]))
-        while len(self._left) > REMEMBERED:
-            del self._left[next(iter(self._left))]
+        self._forget()
         return told
 
+    def _forget(self) -> None:
+        """Whole lists lose all their servers at most: no more need be remembered."""
+        while len(self._left) > max(LEAST_REMEMBERED, self._longest):
+            del self._left[next(iter(self._left))]
+
     def _known_before(self, entry: Any) -> Destination | None:
         host = entry.get("host") if isinstance(entry, dict) else None
         known = self._known.get(server_number(host)) if isinstance(host, str) else None
@@ -177,8 +184,6 @@
         if line.state is not i.ServerState.READY:
             self._left.pop(line.server, None)
             self._left[line.server] = version, line.started_us
-            if len(self._left) > REMEMBERED:
-                del self._left[next(iter(self._left))]
         elif line.server in self._left:
             left_in, started_us = self._left[line.server]
             if version < left_in and line.started_us <= started_us:
--- a/glenfold/net/discovery.py
+++ b/glenfold/net/discovery.py
@@ -12,7 +12,7 @@
 from glenfold.config import Address
 from glenfold.counters import Counters
 from glenfold.destinations import BadList, DestinationSet
-from glenfold.net.lists import LONGEST_LINE, Exchange, Objects
+from glenfold.net.lists import LONGEST_LINE, Exchange, Objects, note_taken
 from glenfold.rules.backoff import Backoff
 from linnetspread import interface as i
 
@@ -193,12 +193,7 @@
         except (ValueError, RecursionError) as error:  # nested too deep: that would end the relay
             raise BadList(f"not JSON: {error}") from error
         servers = self._destinations.read(document)
-        self._counters.lists += 1
-        for fault in self._destinations.faults:
-            self._counters.bad_entries += 1
-            if fault != self._said:  # the same entry comes with every list
-                events.list_entry_left_out(fault=fault)
-            self._said = fault
+        self._said = note_taken(self._destinations, self._counters, self._said)
         # A move or a silence that cut in here would leave the addresses and the decisions two lists apart.
         with trio.CancelScope(shield=True):
             await self._heard(servers)
--- a/glenfold/net/lists.py
+++ b/glenfold/net/lists.py
@@ -6,7 +6,10 @@
 import h11
 import trio
 
+from glenfold import events
 from glenfold.config.platform import Address, written
+from glenfold.counters import Counters
+from glenfold.destinations import DestinationSet
 
 LONGEST_LINE = 4 << 20
 STRING = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"')
@@ -15,6 +18,18 @@
 Receive = Callable[[trio.SocketStream], Awaitable[bytes]]
 
 
+def note_taken(destinations: DestinationSet, counters: Counters, said: str) -> str:
+    """Counts the list that was read last, and logs the entries it was left without. `said`: what was logged
+    last, as the same entry comes with every list; what is now."""
+    counters.lists += 1
+    for fault in destinations.faults:
+        counters.bad_entries += 1
+        if fault != said:
+            events.list_entry_left_out(fault=fault)
+        said = fault
+    return said
+
+
 class Objects:
     """A watch's JSON objects from its lines: one a line, or indented. Then it goes on to the line that closes
     all its brackets. Each line is looked at once, however many an object has."""
--- a/tests/config/test_fleet_file_page.py
+++ b/tests/config/test_fleet_file_page.py
@@ -53,6 +53,8 @@
     for name, text in examples:
         (tmp_path / name).write_text(text)
     least, fleet = read(tmp_path / "least.toml"), read(tmp_path / "fleet.toml")
+    parents = read(tmp_path / "parents.toml").config().parents
+    assert parents is not None and (parents.zone, parents.region) == ("wrexham", "wales")
     assert len(examples[0][1].splitlines()) == 5 and least.numbers == (None,)
     assert [fleet.place(number).listeners for number in (1, 4)] == [
         (("0.0.0.0", 3000),),
--- a/tests/config/test_operators.py
+++ b/tests/config/test_operators.py
@@ -16,6 +16,7 @@
 from glenfold.cli.main import main
 from glenfold.config import ConfigError, read_config
 from glenfold.config.operators import Again, read
+from glenfold.config.platform import Parent, Parents
 
 ROOT = Path(__file__).parents[2]
 TWO = "fleet.instances = 2\ninstance.folder = 'glen'\n" + FIVE
@@ -234,6 +235,43 @@
     assert again.operators.terms.logging.level == "debug"
 
 
+PARENTS = """format = 1
+listeners.addresses = ["127.0.0.1:3000"]
+list.parents = [
+    { address = "127.0.0.1:8600", zone = "cardiff", region = "wales" },
+    { address = "127.0.0.1:8601" },
+]
+settings = { classes = [{ name = "trip-watch" }], zones = ["wrexham", "cardiff"], zone = "cardiff" }
+"""
+
+
+def test_parents_stand_in_place_of_the_agent(tmp_path: Path) -> None:
+    config = reading(tmp_path, PARENTS).config()
+    first, second = Parent(("127.0.0.1", 8600), "cardiff", "wales"), Parent(("127.0.0.1", 8601))
+    assert config.parents == Parents((first, second), "cardiff", "wales")
+    assert config.discovery == first.address
+    own = reading(tmp_path, PARENTS.replace("settings", 'list.region = "north"\nsettings', 1)).config()
+    assert own.parents is not None and own.parents.region == "north"
+
+
+def test_the_first_zone_is_the_own_one_where_none_is_said(tmp_path: Path) -> None:
+    config = reading(tmp_path, PARENTS.replace('"cardiff"], zone = "cardiff"', '"cardiff"]')).config()
+    assert config.parents is not None
+    assert (config.parents.zone, config.parents.region) == ("wrexham", None)
+
+
+def test_parents_are_taken_over_when_read_again_but_not_an_agent_in_their_place(tmp_path: Path) -> None:
+    begun = reading(tmp_path, PARENTS)
+    config, again = begun.config(), Again(begun, None)
+    reading(tmp_path, PARENTS.replace("8601", "8602"))
+    new, waiting = again(config)
+    assert waiting == [] and new.parents is not None
+    assert [parent.address[1] for parent in new.parents.parents] == [8600, 8602]
+    reading(tmp_path, FIVE)
+    kept, waiting = again(new)
+    assert waiting[0] == "list" and (kept.parents, kept.discovery) == (new.parents, new.discovery)
+
+
 @pytest.mark.parametrize(
     "now, waiting", [("2\nfleet.stagger_s = 9", []), ("3", ["fleet"]), ("2\nfleet.port_step = 5", ["fleet"])]
 )
--- a/tests/config/test_operators_faults.py
+++ b/tests/config/test_operators_faults.py
@@ -36,10 +36,12 @@
     ("[[settings.tenants]]\nname = 'a,b'", "7: settings.tenants[0].name: 'a,b' can't stand in a line:"),
     ("[settings]\nzones = ['abc']\nzone = 'ab'", "8: settings.zone: 'ab' is not in settings.zones; did you"),
     ("[settings.rules]\nspare_attempts = 2", "7: settings.rules.spare_attempts: counts within"),
+    ("[[list.parents]]\naddress = '127.0.0.1:8600'", "6: list.parents: stands beside list.discovery; give"),
     ("[fleet]\ninstances = 2", "1: instance.folder: is missing; a fleet keeps its state and its sockets"),
 ]
 
 LISTENERS = 'listeners.addresses = ["127.0.0.1:3000"]'
+AGENT = 'list.discovery = "127.0.0.1:8500"\n'
 HERE, OWN = LISTENERS[23:-1], "fleet.addresses = "
 # Of a fleet of three with a folder: what of it becomes what; what is then told.
 CHANGED = [
@@ -47,6 +49,23 @@
     (HERE, f"{HERE}, {HERE}", "4: listeners.addresses[1]: instance 1 would listen on 127.0.0.1:3000,"),
     (HERE, '"0.0.0.0:65534"', "4: listeners.addresses[0]: with fleet.port_step the last port would be 65536"),
     (HERE, '"relay.example:1"', "4: listeners.addresses[0]: 'relay.example' is not an IPv4 address, such"),
+    (AGENT, AGENT + "list.region = 'wales'\n", "6: list.region: tells which parents are near; it has no"),
+    (AGENT, "", "1: list.discovery: is missing; it must be an address,"),
+    *(
+        (AGENT, f"list.parents = [{{address = '127.0.0.1:8600'}}, {wrong}]\n", f"5: list.parents[1].{told}")
+        for wrong, told in [
+            ("{address = '127.0.0.1:8600'}", "address: 127.0.0.1:8600 comes twice; give each parent once"),
+            ("{address = '127.0.0.1:none'}", "address: '127.0.0.1:none' is not HOST:PORT"),
+            ("{address = '127.0.0.1:3001'}", "address: 127.0.0.1:3001 is a listener; give the parent's"),
+            ("{zone = 'cardiff'}", "address: is missing; it must be an address, HOST:PORT"),
+        ]
+    ),
+    (
+        AGENT,
+        "list.parents = [{address = '127.0.0.1:1', zone = 'cardif'}]\nsettings.zones = ['cardiff']\n",
+        "5: list.parents[0].zone: 'cardif' is not in settings.zones; did you mean 'cardiff'?",
+    ),
+    (AGENT, "list.parents = []\n", "5: list.parents: expected a list of 1 to 64 entries, not []"),
     ("8500", "3001", "5: list.discovery: 127.0.0.1:3001 is a listener; give the agent's address"),
     ("8500", "none", "5: list.discovery: '127.0.0.1:none' is not HOST:PORT"),
     ('8500"', "8500\"\nlist.known = 'none.json'", "6: list.known: can't be read: [Errno 2] No such file"),
