Join following and serving in one tree: relays and replicas with several parents

Merges list.parents of the operators' file and the follower's tests with the serving side; a parent's table is one for both files.

Measured: tests of replica, config, rules, start, command line, log, discovery and run: 480 passed, 2 skipped (shells), 4 failed where a test did not await the stand-in's kill; with that mended these 11 of the tree and the process pass in 12 s.

--- a/tests/replica/test_tree.py
+++ b/tests/replica/test_tree.py
@@ -10,7 +10,8 @@
 from serving import ChildConnection
 from stand_in_parent import StandInParent, play
 
-from glenfold.config.replica import Limits, ParentTable, Replica, Shutdown, Terms
+from glenfold.config.replica import Limits, Replica, Shutdown, Terms
+from glenfold.config.terms import ListParent
 from glenfold.daemon.replica import ReplicaProcess
 from glenfold.rules.source_lease import LEASE_S
 
@@ -24,7 +25,7 @@
         terms = Terms(
             format=1,
             replica=Replica(name=name, listen=f"127.0.0.1:{self.port}"),
-            parents=tuple(ParentTable(address=f"127.0.0.1:{port}") for port in parents),
+            parents=tuple(ListParent(address=f"127.0.0.1:{port}") for port in parents),
             limits=Limits(**limits),
             shutdown=Shutdown(spread_s=1.0),
         )
@@ -87,7 +88,7 @@
 
     async def script(nursery: trio.Nursery) -> None:
         source, found, child = await begun(nursery, layers)
-        source.kill()
+        await source.kill()
         killed_at_s = trio.current_time()
         assert await seen(child, killed_at_s + 60.0) in ([], [None])
         beside = ChildConnection(await trio.open_tcp_stream("127.0.0.1", found[-1].port))
@@ -110,7 +111,7 @@
         nursery.start_soon(first.run)
         nursery.start_soon(second.run)
         child = await second.watch(41)
-        source.kill()
+        await source.kill()
         gone_at_s = trio.current_time()
         lines = await seen(child, gone_at_s + 30.0)
         assert lines.count(None) <= 2
@@ -123,7 +124,7 @@
 def test_after_a_cut_children_hear_what_they_missed_and_renewals_again():
     async def script(nursery: trio.Nursery) -> None:
         source, _, child = await begun(nursery, 2)
-        source.kill()
+        await source.kill()
         await seen(child, trio.current_time() + 3 * LEASE_S)
         await source.change(entry("s-2"))
         await source.listen(nursery)
