--- a/glenfold/replica/server.py
+++ b/glenfold/replica/server.py
@@ -15,14 +15,14 @@
 from glenfold.config.replica import MB, Limits
 from glenfold.events import sockets_exhausted
 from glenfold.net.inbound import OUT_OF_SOCKETS
-from glenfold.net.sockets import SocketType, finish, send, without_delay
+from glenfold.net.sockets import SocketType, finish, send, send_pieces, without_delay
 from glenfold.replica import events
 from glenfold.replica.counters import ReplicaCounters
 from glenfold.replica.requests import READ_BYTES, RequestReader
 from glenfold.replica.watches import Watch, Watches
 from glenfold.rules.replication import ListDocument, Position
 from glenfold.rules.replication_admission import WholeListAdmission
-from glenfold.rules.replication_history import FutureRevision, PastRevision, RevisionHistory, http_chunk
+from glenfold.rules.replication_history import FutureRevision, PastRevision, RevisionHistory, around_chunk
 from glenfold.rules.replication_http import (
     Refusal,
     Source,
@@ -34,6 +34,7 @@
 )
 from glenfold.rules.replication_lease import Lease
 
+END_OF_LINE = b"\n"
 SEND_BUFFER_BYTES = 128 * 1024  # of the kernel, for each child
 LIST_WITHIN_S = 15.0  # for a child to take a whole list
 MOST_UNASKED_BYTES = 64 * 1024  # that a child may send after its request for a watch
@@ -248,7 +249,7 @@
         """Whether the child took it in time."""
         source, body = self._source(), self._history.whole()
         with self._admitted(len(body)):
-            return await self._send_list(sock, whole_list_head(source, len(body)) + body)
+            return await self._send_list(sock, whole_list_head(source, len(body)), body)
 
     async def _watch(self, sock: SocketType, asked: WatchRequest) -> None:
         """A child whose revision is past gets the whole list as its first line."""
@@ -260,7 +261,9 @@
         except PastRevision:
             index, body = self._history.end_index, self._history.whole()
             with self._admitted(len(body)):
-                if not await self._send_list(sock, watch_head(source) + http_chunk(body + b"\n")):
+                before, after = around_chunk(len(body) + len(END_OF_LINE))
+                line_end = END_OF_LINE + after
+                if not await self._send_list(sock, watch_head(source) + before, body, line_end):
                     return
             watch = Watch(sock, source.position.incarnation, index, b"")
         else:
@@ -275,12 +278,12 @@
         finally:
             self._watches.close(watch)
 
-    async def _send_list(self, sock: SocketType, data: bytes) -> bool:
-        """False: the child took too long."""
+    async def _send_list(self, sock: SocketType, *pieces: bytes) -> bool:
+        """False: the child took too long. Those who are sent one list share its bytes."""
         sent = False
         try:
             with trio.move_on_after(LIST_WITHIN_S):
-                await send(sock, data)
+                await send_pieces(sock, [memoryview(piece) for piece in pieces])
                 sent = True
         finally:
             self._counters.whole_lists_failed += not sent
--- a/glenfold/rules/replication_history.py
+++ b/glenfold/rules/replication_history.py
@@ -40,9 +40,10 @@
     chunk: bytes
 
 
-def http_chunk(data: bytes) -> bytes:
-    """`data`, which is not empty, as one chunk of a response with Transfer-Encoding: chunked."""
-    return b"%x\r\n%b\r\n" % (len(data), data)
+def around_chunk(size: int) -> tuple[bytes, bytes]:
+    """What stands before and behind so many bytes, which are not none, to make them one chunk of a response
+    with Transfer-Encoding: chunked."""
+    return b"%x\r\n" % size, b"\r\n"
 
 
 def _document(revision: int, whole: bool, entries: Iterable[_Entry]) -> bytes:
@@ -112,7 +113,8 @@
                 self._entries[host] = entry
         self.position = document.position
         line = _document(document.position.revision, False, changed.values()) + b"\n"
-        self._hold(_Change(document.position.revision, http_chunk(line)))
+        before, after = around_chunk(len(line))
+        self._hold(_Change(document.position.revision, before + line + after))
 
     def _hold(self, change: _Change) -> None:
         self._changes.append(change)
