Name the replica in its refusals, and take no whole list of a parent that is behind

A child that is some milliseconds ahead of its next parent got 410 without Via, took it for a source that counts anew, and asked for the whole list. Refusals bear the header fields now; where one does not, the head of the whole list tells, and its body is not taken.

--- a/glenfold/replica/follower.py
+++ b/glenfold/replica/follower.py
@@ -334,8 +334,8 @@
         self._calls.add(found)
         return found
 
-    def _check(self, found: Call) -> None:
-        """Raises Refused, and closes it then."""
+    def _check(self, found: Call, gone: bool = False) -> None:
+        """Raises Refused, and closes it then. `gone`: the call before it was answered so."""
         try:
             if found.status == 503:
                 raise Refused(Refusal.BUSY, found.greeting.retry_after_s)
@@ -343,7 +343,7 @@
                 raise Refused(Refusal.FAULTY)
             if self._name is not None and self._name in found.greeting.via:
                 raise Refused(Refusal.LOOP)
-            if self._succession.behind(found.origin, found.status == GONE):
+            if self._succession.behind(found.origin, gone or found.status == GONE):
                 raise Refused(Refusal.BEHIND)
         except Refused:
             self._close(found)
@@ -356,8 +356,9 @@
         try:
             if found.watches:
                 self._close(found)
+                gone = found.status == GONE
                 found = await self._call(found.parent, whole=True)
-                self._check(found)
+                self._check(found, gone)
             if found.status != 200:
                 raise Refused(Refusal.FAULTY)
             verdict = await self._take(found, await found.whole(), 0)
--- a/glenfold/replica/server.py
+++ b/glenfold/replica/server.py
@@ -132,7 +132,8 @@
                 await self._talk(sock)
             except Refusal as error:
                 self._count(error)
-                await self._part(sock, refusal(error))
+                source = None if self._history.position is None else self._source()
+                await self._part(sock, refusal(error, source))
         except (OSError, trio.ClosedResourceError):  # the child has gone
             pass
         except Exception as error:
--- a/glenfold/rules/replication_http.py
+++ b/glenfold/rules/replication_http.py
@@ -118,9 +118,9 @@
     return _head(HTTPStatus.OK, [*fields, *source.fields()])
 
 
-def refusal(error: Refusal) -> bytes:
-    """The whole response; the connection ends with it."""
-    fields = ["Content-Length: 0", "Connection: close"]
+def refusal(error: Refusal, source: Source | None = None) -> bytes:
+    """The whole response; the connection ends with it. `source`: None before the first list."""
+    fields = ["Content-Length: 0", "Connection: close", *(source.fields() if source else ())]
     if error.status is HTTPStatus.METHOD_NOT_ALLOWED:
         fields.append("Allow: GET")
     if error.retry_after_s is not None:
--- a/glenfold/rules/succession.py
+++ b/glenfold/rules/succession.py
@@ -85,7 +85,7 @@
             return True
         if origin.incarnation is None:
             return gone or (origin.address != self._origin and not self._assumed)
-        return gone if self._assumed else origin.incarnation > known.incarnation
+        return gone  # a watch of a later incarnation begins with the whole list
 
     def behind(self, origin: Origin, gone: bool) -> bool:
         """Whether the parent is known to have older lists only."""
--- a/tests/replica/test_follower.py
+++ b/tests/replica/test_follower.py
@@ -364,6 +364,28 @@
     play(script)
 
 
+@pytest.mark.parametrize("fields", [True, False])
+def test_a_parent_that_is_behind_sends_no_whole_list(fields: bool) -> None:
+    """Its refusal of a revision of the future names it as a replica, or only its next answer does."""
+
+    async def script(nursery: trio.Nursery) -> None:
+        ahead, lags = replica("r-1", 42, zone="cardiff"), replica("r-2", 41)
+        await started(nursery, ahead, lags)
+        child = Child(ahead, lags, zone="cardiff")
+        await entered(nursery, child, ahead)
+        if not fields:
+            lags.answers = [b"HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n", None] * 9
+        await ahead.kill()
+        await trio.sleep(3)
+        assert child.parent() != lags.place and child.published.positions == [Position(0, 42)]
+        assert watched(lags)[:2] == ([42, 42] if fields else [42, -1])
+        lags.answers = []
+        await lags.change(entry("s-2"))
+        await child.until_at(lags)
+
+    play(script)
+
+
 @pytest.mark.parametrize(
     "field",
     ["Age: -1", "Age: soon", "Glenfold-Children: 1e9", "Via: 1.1", "Via: " + "1.1 a, " * 16 + "1.1 b"],
--- a/tests/replica/test_tree.py
+++ b/tests/replica/test_tree.py
@@ -87,7 +87,7 @@
 
     async def script(nursery: trio.Nursery) -> None:
         source, found, child = await begun(nursery, layers)
-        source.kill()
+        await source.kill()
         killed_at_s = trio.current_time()
         assert await seen(child, killed_at_s + 60.0) in ([], [None])
         beside = ChildConnection(await trio.open_tcp_stream("127.0.0.1", found[-1].port))
@@ -110,7 +110,7 @@
         nursery.start_soon(first.run)
         nursery.start_soon(second.run)
         child = await second.watch(41)
-        source.kill()
+        await source.kill()
         gone_at_s = trio.current_time()
         lines = await seen(child, gone_at_s + 30.0)
         assert lines.count(None) <= 2
@@ -123,7 +123,7 @@
 def test_after_a_cut_children_hear_what_they_missed_and_renewals_again():
     async def script(nursery: trio.Nursery) -> None:
         source, _, child = await begun(nursery, 2)
-        source.kill()
+        await source.kill()
         await seen(child, trio.current_time() + 3 * LEASE_S)
         await source.change(entry("s-2"))
         await source.listen(nursery)
--- a/tests/rules/test_replication_http.py
+++ b/tests/rules/test_replication_http.py
@@ -88,5 +88,8 @@
 def test_a_refusal_tells_when_to_ask_again():
     full = response(refusal(Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "full", 7)))
     assert (full.status_code, dict(full.headers)[b"retry-after"]) == (503, b"7")
+    source = Source(Position(2, 41), 0.0, ("r-1",), 3)
+    future = dict(response(refusal(Refusal(HTTPStatus.GONE, "future"), source)).headers)
+    assert (future[b"via"], future[b"glenfold-incarnation"]) == (b"1.1 r-1", b"2")
     wrong = response(refusal(Refusal(HTTPStatus.METHOD_NOT_ALLOWED, "GET only")))
     assert dict(wrong.headers)[b"allow"] == b"GET" and b"retry-after" not in dict(wrong.headers)
--- a/tests/rules/test_succession.py
+++ b/tests/rules/test_succession.py
@@ -90,8 +90,10 @@
 
 def test_a_change_of_a_later_incarnation_needs_its_list() -> None:
     made = known(whole(41, incarnation=1))
-    assert made.needs_whole(Origin(B, 2), gone=False)
+    assert made.needs_whole(Origin(B, 2), gone=True)
+    assert not made.needs_whole(Origin(B, 2), gone=False)  # the watch itself begins with it, if it is sound
     assert made.judge(change(41, 42, incarnation=2, at=B)) is Verdict.INCOMPLETE
+    assert made.needs_whole(Origin(B, 2), gone=False)
 
 
 def test_a_source_that_counts_anew_begins_the_next_incarnation() -> None:
