--- a/glenfold/daemon/replica.py
+++ b/glenfold/daemon/replica.py
@@ -52,6 +52,11 @@
     def counters(self) -> dict[str, int]:
         return self._counters.plain() | self._follower.counters()
 
+    @property
+    def children(self) -> int:
+        """That watch."""
+        return self._server.children
+
     async def run(self, listener: socket.socket) -> None:
         """Until it was told to stop and has ended its watches."""
         async with trio.open_nursery() as nursery:
--- a/glenfold/replica/server.py
+++ b/glenfold/replica/server.py
@@ -102,22 +102,31 @@
     def _age_s(self) -> float | None:
         return self._lease.age_s(trio.current_time())
 
+    @property
+    def children(self) -> int:
+        """That watch."""
+        return len(self._watches)
+
     # ---- connections ----
 
     async def serve(self, listener: SocketType) -> None:
-        """Until it is cancelled, which ends all connections."""
-        async with trio.open_nursery() as nursery:
-            await nursery.start(self._watches.run)
-            while True:
-                try:
-                    sock, _ = await listener.accept()
-                except OSError as error:
-                    if error.errno in OUT_OF_SOCKETS:
-                        sockets_exhausted(error=error)
-                        await trio.sleep(NO_DESCRIPTOR_S)
-                    continue
-                self._counters.accepted += 1
-                nursery.start_soon(self._connection, sock)
+        """Until it is cancelled, which ends all connections and closes the listener."""
+        with listener:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self._watches.run)
+                await self._accept(listener, nursery)
+
+    async def _accept(self, listener: SocketType, nursery: trio.Nursery) -> None:
+        while True:
+            try:
+                sock, _ = await listener.accept()
+            except OSError as error:
+                if error.errno in OUT_OF_SOCKETS:
+                    sockets_exhausted(error=error)
+                    await trio.sleep(NO_DESCRIPTOR_S)
+                continue
+            self._counters.accepted += 1
+            nursery.start_soon(self._connection, sock)
 
     async def end_watches(self, spread_s: float) -> None:
         """In order, evenly over that time; who asks meanwhile is sent elsewhere."""
@@ -230,7 +239,7 @@
 
     def _source(self) -> Source:
         via = (*self._above, self._name)
-        return Source(self._position(), self._age_s(), via, len(self._watches))
+        return Source(self._position(), self._age_s(), via, self.children)
 
     @contextmanager
     def _admitted(self, size: int) -> Iterator[None]:
--- a/tests/replica/test_tree.py
+++ b/tests/replica/test_tree.py
@@ -19,8 +19,8 @@
 class Layer:
     """A replica that follows these ports."""
 
-    def __init__(self, name: str, *parents: int, **limits: Any) -> None:
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=512)
+    def __init__(self, name: str, *parents: int, port: int = 0, **limits: Any) -> None:
+        self.listener = socket.create_server(("127.0.0.1", port), backlog=512)
         self.port = self.listener.getsockname()[1]
         terms = Terms(
             format=1,
@@ -133,3 +133,53 @@
             lines.append(await child.line(math.inf))
 
     play(script)
+
+
+async def revisions(child: ChildConnection, found: list[tuple[float, int]]) -> None:
+    while True:
+        if (line := await child.line(math.inf)) is not None:
+            assert not line["whole"]
+            found.append((trio.current_time(), line["seq"]))
+
+
+async def changes(source: StandInParent, count: int, told: dict[int, float]) -> None:
+    for _ in range(count):
+        told[source.revision + 1] = trio.current_time()
+        await source.change(entry(f"s-{source.revision % 7}", share=float(source.revision)))
+        await trio.sleep(0.3)
+
+
+@pytest.mark.parametrize("how", ["killed", "ended in order", "both restarted"])
+def test_children_of_children_lose_and_double_no_version_when_replicas_between_go(how):
+    """Each change is with them within 4 s all the same."""
+
+    async def script(nursery: trio.Nursery) -> None:
+        source = StandInParent(revision=41)
+        await source.listen(nursery)
+        upper = [Layer("upper-1", source.port), Layer("upper-2", source.port)]
+        lower = Layer("lower", *(layer.port for layer in upper))
+        for layer in (*upper, lower):
+            nursery.start_soon(layer.run)
+        child = await lower.watch(41)
+        found: list[tuple[float, int]] = []
+        told: dict[int, float] = {}
+        nursery.start_soon(revisions, child, found)
+        await trio.sleep(3.0)
+        nursery.start_soon(changes, source, 40, told)
+        await trio.sleep(3.0)
+        for layer in upper:
+            if how != "both restarted" and not layer.process.children:
+                continue  # the other one is followed
+            if how == "ended in order":
+                layer.process.stop()
+            else:
+                layer.scope.cancel()
+        if how == "both restarted":
+            await trio.sleep(0.5)
+            for layer in upper:
+                nursery.start_soon(Layer(f"again-{layer.port}", source.port, port=layer.port).run)
+        await trio.sleep(16.0)
+        assert [revision for _, revision in found] == list(range(42, 82))
+        assert max(at_s - told[revision] for at_s, revision in found) <= 4.0
+
+    play(script)
