Take what the source renews whatever its numbers, and renew only after what was missed

A replica that starts again does not know how often a source without incarnations counted anew: its lists were behind for all its children, for good. The age in a watch's head renewed a list before the changes that it lacked had come; and a watch opened before other changes came lost its place.

--- a/glenfold/replica/parent_watch.py
+++ b/glenfold/replica/parent_watch.py
@@ -51,13 +51,14 @@
     def __init__(
         self,
         parent: Parent,
-        watches: bool,
+        revision: int | None,
         stream: trio.SocketStream,
         exchange: Exchange,
         response: h11.Response,
     ) -> None:
         self.parent = parent
-        self.watches = watches  # else the whole list was asked for
+        self.revision = revision  # that its watch goes on from; None: the whole list was asked for
+        self.within_object = False  # of a watch: one has begun and not ended
         self.status = response.status_code
         self.greeting: Greeting = read_greeting(response.headers)
         self.origin = Origin(parent.address, self.greeting.incarnation)
@@ -94,6 +95,7 @@
                 elif not objects.size:
                     yield None
             line += rest
+            self.within_object = bool(line or objects.size)
             if len(line) + objects.size > LONGEST_LINE:
                 raise BadList("a line is too long")
         if objects.size or line:
@@ -114,7 +116,7 @@
         try:
             exchange = Exchange(h11.Connection(h11.CLIENT), stream)
             response = await exchange.begin(parent.address, target, _receive, fields)
-            return Call(parent, revision is not None, stream, exchange, response)
+            return Call(parent, revision, stream, exchange, response)
         except BaseException:
             stream.socket.close()
             raise
--- a/glenfold/rules/replication.py
+++ b/glenfold/rules/replication.py
@@ -27,11 +27,13 @@
 @dataclass(frozen=True, slots=True)
 class ListDocument:
     """A list of servers, or the change that leads to `position`. `entries` are in discovery's form, as they
-    came: `hosts` of its documents."""
+    came: `hosts` of its documents. `anew`: a whole list whose position is lower than what is known, by a
+    source that counts anew; it takes the place of all that was before."""
 
     position: Position
     whole: bool
     entries: tuple[Mapping[str, Any], ...]
+    anew: bool = False
 
 
 class Publisher(Protocol):
--- a/glenfold/rules/replication_history.py
+++ b/glenfold/rules/replication_history.py
@@ -80,6 +80,11 @@
     def add(self, document: ListDocument) -> None:
         """Takes in a list or change that is later than all before. A whole list of the same incarnation is
         held as the change that it makes. Raises ValueError for one that has no place here."""
+        if document.anew and document.whole:
+            self._begin(document)
+            self.end_index += 1  # past all watches: the revisions of this history do not lead on from theirs
+            self._whole = None
+            return
         if self.position is not None and document.position <= self.position:
             raise ValueError(f"{document.position} is not later than {self.position}")
         if self.position is None or document.position.incarnation != self.position.incarnation:
--- a/glenfold/rules/succession.py
+++ b/glenfold/rules/succession.py
@@ -48,6 +48,9 @@
     one, or any once that parent is no longer among those to be followed: a lower number from another is that
     of a source that lags.
 
+    A source that renews lists with lower positions only, and for long, counts anew as well (`believe`): a
+    replica that started again does not know how often its source did so before.
+
     Who drained or left does not come back by a history with lower revisions than it left in, unless it has
     started again since."""
 
@@ -56,6 +59,7 @@
         self._origin: Address | None = None  # who told what is known
         self._assumed = False  # the incarnation of `position` is not known yet
         self._unsound: Address | None = None  # who has to send the whole list before any change
+        self._believed: Address | None = None  # whose whole list holds, whatever its position
         self._started: dict[str, int] = {}  # by the host of each listed server
         self._left: dict[str, tuple[Position, int]] = {}  # where it left, and the start it left after
         self._longest = 0
@@ -69,6 +73,11 @@
         """It sent a change that can't be read, or one on something unknown."""
         self._unsound = origin.address
 
+    def believe(self, address: Address | None) -> None:
+        """The source renews what that parent knows, and for long nothing later: it counts anew, and its whole
+        list is to be taken even if that is behind. None: nobody's is."""
+        self._believed = address
+
     def resume(self, revision: int) -> None:
         """An earlier process knew that revision, of a history that the first parent to answer names."""
         self.position, self._assumed = Position(0, revision), True
@@ -81,7 +90,7 @@
     def needs_whole(self, origin: Origin, gone: bool) -> bool:
         """Whether a watch from the revision known would not do there. `gone`: it answered 410."""
         known = self.position
-        if known is None or origin.address == self._unsound:
+        if known is None or origin.address in (self._unsound, self._believed):
             return True
         if origin.incarnation is None:
             return gone or (origin.address != self._origin and not self._assumed)
@@ -92,6 +101,8 @@
         known = self.position
         if known is None or self._assumed or origin.incarnation is None:
             return False
+        if origin.address == self._believed:
+            return False
         return origin.incarnation < known.incarnation or (gone and origin.incarnation == known.incarnation)
 
     def resumed(self, origin: Origin) -> None:
@@ -110,9 +121,11 @@
             self._unsound = None
         if verdict is not None or isinstance(position, Verdict):
             return verdict or Verdict.BEHIND
+        anew = self.position is not None and position < self.position
         entries = tuple(self._entries(received, position))
         self.position, self._origin, self._assumed = position, received.origin.address, False
-        return ListDocument(position, received.whole, entries)
+        self._believed = None
+        return ListDocument(position, received.whole, entries, anew)
 
     def _position(self, received: Received) -> Position | Verdict:
         known, incarnation, revision = self.position, received.origin.incarnation, received.revision
@@ -123,12 +136,17 @@
         moved = self._origin is None and received.whole
         if revision > known.revision or (revision == known.revision and not moved):
             return Position(known.incarnation, revision)
-        if self._origin not in (None, received.origin.address):
+        if self._origin not in (None, received.origin.address) and not self._is_believed(received):
             return Verdict.BEHIND
         return Position(known.incarnation + 1, revision) if received.whole else Verdict.INCOMPLETE
 
+    def _is_believed(self, received: Received) -> bool:
+        return received.whole and received.origin.address == self._believed
+
     def _refused(self, received: Received, position: Position) -> Verdict | None:
         known = self.position
+        if self._is_believed(received) and position != known:
+            return None
         if known is None or self._assumed or position.incarnation > known.incarnation:
             return None if received.whole else Verdict.INCOMPLETE
         if position.incarnation < known.incarnation:
@@ -167,23 +185,18 @@
             self._leaves(host, position, started)
         elif host in self._left:
             left_at, left_after = self._left[host]
-            if started <= left_after and _not_so_far(position, left_at):
+            if started <= left_after and position.revision < left_at.revision:
                 return {**entry, "health": DRAINING}
             del self._left[host]
         return entry
 
     def _leaves(self, host: str, position: Position, started: int) -> None:
         left_at, left_after = self._left.pop(host, (position, started))
-        if _not_so_far(position, left_at):
+        if position.revision < left_at.revision:
             position = left_at
         self._left[host] = position, max(started, left_after)
 
 
-def _not_so_far(position: Position, left_at: Position) -> bool:
-    """Whether a later history has lower revisions yet than that in which a server left."""
-    return left_at.incarnation < position.incarnation and position.revision < left_at.revision
-
-
 def _started(entry: Mapping[str, Any]) -> int:
     try:
         return int(entry.get("born_ms", 0))
--- a/tests/rules/test_replication_history.py
+++ b/tests/rules/test_replication_history.py
@@ -2,6 +2,7 @@
 
 import json
 import random
+from dataclasses import replace
 
 import pytest
 from listed import Child, change, lines, server, whole
@@ -164,3 +165,18 @@
                 cut.take(document)
             assert cut.servers == truth
         assert steady.servers == truth and steady.revision == revision
+
+
+def test_a_list_that_begins_anew_is_taken_whatever_its_numbers_and_all_watches_are_past():
+    one = history(whole(3, 1), change(4), change(5))
+    anew = replace(whole(2, 7), anew=True)
+    one.add(anew)
+    assert one.position == Position(0, 2) and json.loads(one.whole())["seq"] == 2
+    for index in range(one.end_index):
+        with pytest.raises(PastRevision):
+            one.read(index, MOST)
+    with pytest.raises(FutureRevision):
+        one.index_after(5, 0)
+    assert one.index_after(2, 0) == one.end_index
+    one.add(change(3))
+    assert json.loads(one.read(one.index_after(2, 0), MOST)[0].split(b"\r\n")[1])["seq"] == 3
--- a/tests/rules/test_succession.py
+++ b/tests/rules/test_succession.py
@@ -134,6 +134,21 @@
     assert isinstance(made.judge(whole(3, incarnation=7)), ListDocument)
 
 
+def test_the_whole_list_of_a_parent_that_is_believed_is_taken_whatever_its_numbers() -> None:
+    made = known(
+        whole(900, host("s-1"), incarnation=1), change(900, 901, host("s-1", DRAINING), incarnation=1)
+    )
+    made.believe(B)
+    assert not made.behind(Origin(B, 0), gone=True) and made.behind(Origin(A, 0), gone=True)
+    assert made.needs_whole(Origin(B, 0), gone=False)
+    assert made.judge(whole(7, host("s-1"), incarnation=0)) is Verdict.BEHIND  # it is another's
+    assert made.judge(change(7, 8, incarnation=0, at=B)) is Verdict.BEHIND
+    taken = made.judge(whole(7, host("s-1"), incarnation=0, at=B))
+    assert taken == ListDocument(Position(0, 7), True, (host("s-1", DRAINING),), anew=True)
+    assert made.judge(whole(6, incarnation=0, at=B)) is Verdict.BEHIND  # once only
+    assert isinstance(made.judge(change(7, 8, incarnation=0, at=B)), ListDocument)
+
+
 @pytest.mark.parametrize("leaves", [host("s-1", DRAINING, 5), host("s-1", GONE, 5), None])
 def test_who_left_comes_back_by_a_new_history_only_once_started_again_or_past_that_revision(
     leaves: dict[str, Any] | None,
