--- a/glenfold/config/operators.py
+++ b/glenfold/config/operators.py
@@ -14,7 +14,6 @@
     Address,
     Config,
     ConfigError,
-    Parent,
     Parents,
     Room,
     names_of,
@@ -93,7 +92,7 @@
         told, settings = self.terms.list, self.terms.settings
         if told.parents is None:
             return None
-        parents = tuple(Parent(read_address(one.address), one.zone, one.region) for one in told.parents)
+        parents = tuple(one.parent for one in told.parents)
         zone = settings.zone or next(iter(settings.zones), None)
         same_zone = (one.region for one in parents if one.zone == zone is not None)
         return Parents(parents, zone, told.region or next(same_zone, None))
--- a/glenfold/config/replica.py
+++ b/glenfold/config/replica.py
@@ -13,7 +13,7 @@
 
 from glenfold.config.platform import Address, Parent, read_address
 from glenfold.config.tables import Faults, Reading, Table
-from glenfold.config.terms import AddressText, Length, Logging, Name
+from glenfold.config.terms import AddressText, Length, ListParent, Logging, Name
 from glenfold.located import BadFile, Key, read_text, scan
 
 MB = 1 << 20
@@ -31,15 +31,9 @@
     region: Name | None = None
 
 
-class ParentTable(Table, frozen=True):
-    address: AddressText
-    zone: Name | None = None
-    region: Name | None = None
-
-
 class Limits(Table, frozen=True):
     children: Annotated[int, Meta(ge=1, le=65_536)] = 4096
-    idle_connections: Annotated[int, Meta(ge=1, le=65_536)] = 1024
+    idle_connections: Annotated[int, Meta(ge=1, le=65_536)] = 4096
     idle_s: Length = 10.0
     blocked_s: Length = 5.0
     history_revisions: Annotated[int, Meta(ge=1, le=1_000_000)] = 4096
@@ -55,7 +49,7 @@
 class Terms(Table, frozen=True):
     format: Literal[1]
     replica: Replica
-    parents: Annotated[tuple[ParentTable, ...], Meta(min_length=1, max_length=64)]
+    parents: Annotated[tuple[ListParent, ...], Meta(min_length=1, max_length=64)]
     limits: Limits = Limits()
     shutdown: Shutdown = Shutdown()
     logging: Logging = Logging()
@@ -66,7 +60,7 @@
 
     @property
     def followed(self) -> tuple[Parent, ...]:
-        return tuple(Parent(read_address(one.address), one.zone, one.region) for one in self.parents)
+        return tuple(one.parent for one in self.parents)
 
 
 def read(path: str | Path) -> Terms:
--- a/glenfold/config/terms.py
+++ b/glenfold/config/terms.py
@@ -7,6 +7,7 @@
 
 from msgspec import Meta
 
+from glenfold.config.platform import Parent, read_address
 from glenfold.config.tables import Table
 from glenfold.lines import MOST_WAIT_MS
 
@@ -47,6 +48,11 @@
     zone: Name | None = None
     region: Name | None = None
 
+    @property
+    def parent(self) -> Parent:
+        """Of a sound file."""
+        return Parent(read_address(self.address), self.zone, self.region)
+
 
 class ServerList(Table, frozen=True):
     discovery: AddressText | None = None
--- a/tests/replica/test_tree.py
+++ b/tests/replica/test_tree.py
@@ -10,7 +10,8 @@
 from serving import ChildConnection
 from stand_in_parent import StandInParent, play
 
-from glenfold.config.replica import Limits, ParentTable, Replica, Shutdown, Terms
+from glenfold.config.replica import Limits, Replica, Shutdown, Terms
+from glenfold.config.terms import ListParent
 from glenfold.daemon.replica import ReplicaProcess
 from glenfold.rules.source_lease import LEASE_S
 
@@ -24,7 +25,7 @@
         terms = Terms(
             format=1,
             replica=Replica(name=name, listen=f"127.0.0.1:{self.port}"),
-            parents=tuple(ParentTable(address=f"127.0.0.1:{port}") for port in parents),
+            parents=tuple(ListParent(address=f"127.0.0.1:{port}") for port in parents),
             limits=Limits(**limits),
             shutdown=Shutdown(spread_s=1.0),
         )
--- a/tests/rules/test_replication_history.py
+++ b/tests/rules/test_replication_history.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 import pytest
-from listed import Child, change, lines, server, whole
+from rules.listed import Child, change, lines, server, whole
 
 from glenfold.rules.replication import ListDocument, Position
 from glenfold.rules.replication_history import FutureRevision, PastRevision, RevisionHistory
