Follow two layers of replicas while one dies: each change once, in order and within 4 s

16 children behind two roots and three replicas, with real servers and followers on a clock that jumps; a root or a replica dies under changes. After each change a child's list is the source's at that revision.

--- /dev/null
+++ b/tests/replica/test_tree_changes.py
@@ -0,0 +1,109 @@
+"""Children behind two layers of replicas while replicas die: every change once, in order and in time."""
+
+import random
+from typing import Any
+
+import pytest
+import trio
+from relaying import entry
+from stand_in_parent import Child, StandInParent, play
+from test_tree import Layer
+
+from glenfold.config.platform import Parent
+from glenfold.rules.replication import ListDocument
+
+IN_FORCE_S = 4.0
+CHILDREN = 16
+
+
+class Tree:
+    """A source, two roots that follow it, three replicas behind them, and children that may follow each of
+    these."""
+
+    def __init__(self, seed: int) -> None:
+        self.source = StandInParent(revision=100, hosts=("s-0", "s-1"))
+        self.chance = random.Random(seed)
+        self.roots: list[Layer] = []
+        self.leaves: list[Layer] = []
+        self.children: list[Child] = []
+        self.told: dict[int, tuple[float, dict[str, dict[str, Any]]]] = {}
+
+    async def begin(self, nursery: trio.Nursery) -> None:
+        await self.source.listen(nursery)
+        self.roots = [Layer(f"root-{n}", self.source.port) for n in range(2)]
+        ports = [root.port for root in self.roots]
+        self.leaves = [Layer(f"leaf-{n}", *ports) for n in range(3)]
+        for layer in (*self.roots, *self.leaves):
+            nursery.start_soon(layer.run)
+        parents = tuple(Parent(("127.0.0.1", leaf.port)) for leaf in self.leaves)
+        for _ in range(CHILDREN):
+            child = Child(random_seed=self.chance.getrandbits(32))
+            child.choice.replace(parents)
+            self.children.append(child)
+            nursery.start_soon(child.follower.follow)
+        self.told[100] = trio.current_time(), dict(self.source.hosts)
+        for child in self.children:
+            await child.until_any()
+        await trio.sleep(3)
+
+    async def change(self) -> None:
+        name = f"s-{self.chance.randrange(6)}"
+        health = self.chance.choice(["in_service", "terminating", "terminated"])
+        await self.source.change(entry(name, health=health, share=float(self.source.revision)))
+        self.told[self.source.revision] = trio.current_time(), dict(self.source.hosts)
+
+    async def change_for(self, seconds: float) -> None:
+        until_s = trio.current_time() + seconds
+        while trio.current_time() < until_s:
+            await trio.sleep(self.chance.uniform(0.05, 0.5))
+            await self.change()
+
+    def check(self) -> None:
+        for child in self.children:
+            check_child([document for _, document in child.published.documents], self.told)
+            assert child.published.documents[-1][1].position.revision == self.source.revision
+            assert child.published.stale_at_s == []
+            assert max(delays(child, self.told)) <= IN_FORCE_S
+
+
+def delays(child: Child, told: dict[int, tuple[float, dict[str, dict[str, Any]]]]) -> list[float]:
+    """From each change at the source until the child had it, by itself or with later ones."""
+    found = []
+    for revision, (told_at_s, _) in sorted(told.items())[1:]:
+        brought_at_s = next(
+            at_s for at_s, document in child.published.documents if document.position.revision >= revision
+        )
+        found.append(brought_at_s - told_at_s)
+    return found
+
+
+def check_child(
+    documents: list[ListDocument], told: dict[int, tuple[float, dict[str, dict[str, Any]]]]
+) -> None:
+    """Each revision at most once and in order; after each, the child's list is the source's at that one."""
+    positions = [document.position for document in documents]
+    assert all(before < after for before, after in zip(positions, positions[1:], strict=False))
+    assert [document.whole for document in documents] == [True] + [False] * (len(documents) - 1)
+    seen: dict[str, Any] = {}
+    for document in documents:
+        for one in document.entries:
+            seen[one["host"]] = one
+            if one["health"] == "terminated":
+                del seen[one["host"]]
+        assert seen == told[document.position.revision][1]
+
+
+@pytest.mark.parametrize("dies", ["leaf", "root"])
+def test_every_change_reaches_every_child_once_in_order_and_in_time(dies: str) -> None:
+    async def script(nursery: trio.Nursery) -> None:
+        tree = Tree(1)
+        await tree.begin(nursery)
+        await tree.change_for(1)
+        dead = tree.leaves[0] if dies == "leaf" else tree.roots[0]
+        dead.scope.cancel()
+        dead.listener.close()
+        await tree.change_for(4)
+        await trio.sleep(IN_FORCE_S)
+        tree.check()
+
+    play(script)
