--- a/glenfold/config/operators.py
+++ b/glenfold/config/operators.py
@@ -21,9 +21,9 @@
     settings_of,
 )
 from glenfold.config.settings import as_platform, relays
-from glenfold.config.tables import Faults, Reading, Table
+from glenfold.config.tables import Faults, Table, read_file
 from glenfold.config.terms import Terms
-from glenfold.located import BadFile, Key, Located, read_text, scan, written
+from glenfold.located import Key, Located, written
 
 AT_ONCE = ("list", "limits", "logging", "fleet")  # not to wait for a restart: `fleet` is its supervisor's
 
@@ -151,18 +151,11 @@
     """Raises Faults: all that is amiss with the file, and with this machine for it. `base`: what its paths
     are relative to, where it is a copy; else that is the file's folder."""
     base = Path(path).parent.absolute() if base is None else base
-    try:
-        located = scan(read_text(path), str(path))
-    except BadFile as error:
-        raise Faults([error]) from error
-    reading = Reading(located)
-    terms = reading.table(located.data, Terms)
-    if located.data.get("format", 1) != 1:  # whatever else it says may mean something else there
-        raise Faults([located.fault(("format",), "this glenfold reads format 1 only")])
+    reading, terms = read_file(path, Terms)
     Checks(terms, reading, base).run()
     if reading.faults:
         raise Faults(reading.faults.values())
-    return Operators(located, terms, base)
+    return Operators(reading.located, terms, base)
 
 
 class Again:
--- a/glenfold/config/replica.py
+++ b/glenfold/config/replica.py
@@ -12,9 +12,9 @@
 from msgspec import Meta
 
 from glenfold.config.platform import Address, Parent, read_address
-from glenfold.config.tables import Faults, Reading, Table
+from glenfold.config.tables import Faults, Reading, Table, read_file
 from glenfold.config.terms import AddressText, Length, ListParent, Logging, Name
-from glenfold.located import BadFile, Key, read_text, scan
+from glenfold.located import Key
 
 MB = 1 << 20
 NAME = re.compile(r"[A-Za-z0-9][\w.-]*", re.ASCII)  # also in a Via header field
@@ -65,14 +65,7 @@
 
 def read(path: str | Path) -> Terms:
     """Raises Faults: all that is amiss with the file, and with this machine for it."""
-    try:
-        located = scan(read_text(path), str(path))
-    except BadFile as error:
-        raise Faults([error]) from error
-    reading = Reading(located)
-    terms = reading.table(located.data, Terms)
-    if located.data.get("format", 1) != 1:  # whatever else it says may mean something else there
-        raise Faults([located.fault(("format",), "this glenfold reads format 1 only")])
+    reading, terms = read_file(path, Terms)
     for check in (_name, _addresses, _descriptors):
         for key, reason in check(terms, reading):
             reading.fault(key, reason)
--- a/glenfold/config/tables.py
+++ b/glenfold/config/tables.py
@@ -6,6 +6,7 @@
 
 import math
 from collections.abc import Iterable
+from pathlib import Path
 from types import NoneType, UnionType
 from typing import Annotated, Any, TypeVar, Union, get_args, get_origin
 
@@ -14,7 +15,7 @@
 from msgspec import inspect
 from msgspec.structs import FieldInfo
 
-from glenfold.located import BadFile, Key, Located, nearest, short
+from glenfold.located import BadFile, Key, Located, nearest, read_text, scan, short
 
 T = TypeVar("T", bound=msgspec.Struct)
 
@@ -99,6 +100,19 @@
     return None if field.default_factory is msgspec.NODEFAULT else field.default_factory()
 
 
+def read_file(path: str | Path, kind: type[T]) -> tuple["Reading", T]:
+    """A file whose `format` is 1, with what is amiss so far. Raises Faults where it is no such file."""
+    try:
+        located = scan(read_text(path), str(path))
+    except BadFile as error:
+        raise Faults([error]) from error
+    reading = Reading(located)
+    terms = reading.table(located.data, kind)
+    if located.data.get("format", 1) != 1:  # whatever else it says may mean something else there
+        raise Faults([located.fault(("format",), "this glenfold reads format 1 only")])
+    return reading, terms
+
+
 class Reading:
     """`faults` grows as it reads; what is at fault takes its default, None where it must be given."""
 
--- a/glenfold/replica/earlier_changes.py
+++ b/glenfold/replica/earlier_changes.py
@@ -2,25 +2,12 @@
 
 from collections.abc import Sequence
 
-import h11
-import trio
-
 from glenfold.config.platform import Parent
 from glenfold.destinations import BadList
-from glenfold.replica.parent_watch import Call, call
-from glenfold.rules.greeting import BadGreeting
+from glenfold.replica.parent_watch import FAULTS, Call, call
 from glenfold.rules.replication import ListDocument, Position
 
 OK = 200
-FAULTS = (
-    OSError,
-    trio.TooSlowError,
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-    h11.ProtocolError,
-    BadGreeting,
-    BadList,
-)
 
 
 async def earlier_changes(parent: Parent, since: int, upto: Position) -> Sequence[ListDocument]:
@@ -32,7 +19,7 @@
         return ()
     try:
         return await _read(found, upto) if found.status == OK else ()
-    except FAULTS:
+    except (*FAULTS, BadList):
         return ()
     finally:
         found.close()
--- a/glenfold/replica/follower.py
+++ b/glenfold/replica/follower.py
@@ -14,7 +14,7 @@
 from glenfold import events
 from glenfold.config.platform import Parent, written
 from glenfold.destinations import BadList
-from glenfold.replica.parent_watch import GONE, Body, Call, call
+from glenfold.replica.parent_watch import FAULTS, GONE, Body, Call, call
 from glenfold.rules.greeting import BadGreeting
 from glenfold.rules.parent_choice import ParentChoice, Refusal
 from glenfold.rules.replication import ListDocument, Publisher
@@ -27,15 +27,6 @@
 OUTDATED_S = 4.0  # a list that was renewed so long ago gives way to any that the source renews
 SETTLE_S = 0.01  # for a line that is there already, when a loop that lags looks for it late
 
-FAULTS = (
-    OSError,
-    trio.TooSlowError,
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-    h11.ProtocolError,
-    BadGreeting,
-)
-
 Settle = Callable[[], Awaitable[None]]
 
 
--- a/glenfold/replica/parent_watch.py
+++ b/glenfold/replica/parent_watch.py
@@ -11,7 +11,7 @@
 from glenfold.config.platform import Parent
 from glenfold.destinations import BadList
 from glenfold.net.lists import LONGEST_LINE, Exchange, Objects
-from glenfold.rules.greeting import Greeting, read_greeting
+from glenfold.rules.greeting import BadGreeting, Greeting, read_greeting
 from glenfold.rules.replication import INCARNATION_FIELD
 from glenfold.rules.succession import Origin
 
@@ -20,6 +20,15 @@
 PATH = "/v1/servers"
 MOST_READ = 1 << 18  # bytes at once
 GONE = 410  # the revision asked for is of the future there, or of another history
+# Of a call that has failed, or whose answer is none.
+FAULTS = (
+    OSError,
+    trio.TooSlowError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    h11.ProtocolError,
+    BadGreeting,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/glenfold/replica/watches.py
+++ b/glenfold/replica/watches.py
@@ -129,8 +129,7 @@
         try:
             done = step(watch)
         except PastRevision:
-            self._counters.cut_behind += 1
-            self._cut(watch, "it fell behind the history")
+            self._cut_behind(watch)
         except OSError:  # its child has gone
             watch.scope.cancel()
         else:
@@ -173,8 +172,7 @@
             self._counters.cut_blocked += 1
             self._cut(watch, f"its child took nothing for {self._blocked_s:g} s")
         except PastRevision:
-            self._counters.cut_behind += 1
-            self._cut(watch, "it fell behind the history")
+            self._cut_behind(watch)
         except (OSError, trio.ClosedResourceError):  # its child has gone
             watch.scope.cancel()
         finally:
@@ -182,6 +180,10 @@
 
     # ---- endings ----
 
+    def _cut_behind(self, watch: Watch) -> None:
+        self._counters.cut_behind += 1
+        self._cut(watch, "its child is behind the history")
+
     def _cut(self, watch: Watch, reason: str) -> None:
         """In the middle of whatever it was being sent: the child takes no broken line for a change."""
         events.watch_cut(reason=reason)
