Call discovery again within 3.75 s of a refused call, whatever the number of relays

Cause: after refused calls the waits doubled up to four times a tenth of a second a relay, 81 s at 200 relays, while a change counts as told 6 s after discovery had it and could be reached.

Change: Backoff draws a wait from the time that its caller has left, the later the more calls were refused in a row. Discovery leaves 2 s for the answer and 0.25 s for a loop that lags, after any fault and before the first call of a process.

In the model of test_backoff.py relays that discovery refused for 30 s are all told within 6 s by one that serves all in 3 s (2, 40, 230, 3,400 relays), and make 70 (230) and 1,040 (3,400) calls a second till then.

--- a/glenfold/net/discovery.py
+++ b/glenfold/net/discovery.py
@@ -16,7 +16,7 @@
 from glenfold.rules.backoff import Backoff
 from linnetspread import interface as i
 
-MISSED_S = 6.0  # what a silent watch misses counts as told so long after it fell silent
+MISSED_S = 6.0  # what discovery has counts as told so long after it could be reached, or a watch fell silent
 LONGEST_SILENCE_S = 2.5  # a watch sends a line at least every 2 s
 ANSWER_S = 1.0  # an agent that has been sent the list answers at once
 ASKING_S = 3.0  # one that has to ask for all relays in turn answers, be it 503, ...
@@ -25,7 +25,9 @@
 LOOK_S = 0.01  # for what is there already, when it is looked for late
 AGAIN_S = 0.25  # before a call after a fault
 MOST_TIMES = 4.0  # of that and of the spread, after several calls in a row that were refused
-SOON_S = MISSED_S - max(LONGEST_SILENCE_S, ASKING_S) - BUSY_S - AGAIN_S  # what is left of that for a turn
+LAG_S = 0.25  # kept of MISSED_S for a loop that lags
+NEXT_CALL_S = MISSED_S - BUSY_S - LAG_S  # from the start of a call that tells nothing to the next one's
+SOON_S = 0.75  # over which calls are spread while nothing says that discovery can't serve all at once
 LONGEST_LINE = 4 << 20
 MOST_READ = 1 << 18
 STRING = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"')
@@ -109,7 +111,7 @@
         self._backoff = Backoff(
             AGAIN_S, spread_s, MOST_TIMES if spread_s else 1.0, random.Random(seed), SOON_S
         )
-        self._first_within_s = min(MISSED_S - BUSY_S, ask_within_s)
+        self._first_within_s = min(NEXT_CALL_S, ask_within_s)
         self._scope = trio.CancelScope()
         self._said = ""
         self._known_of: Address | None = None  # whose version is known: a watch there may go on from it
@@ -126,7 +128,7 @@
         """Each call costs discovery, and after a fault of its own all relays make one: a watch that broke off
         goes on from the version known. Only an agent that has not spoken yet, or that sent what is no list,
         is asked for the whole list first."""
-        wait_s, busy = 0.0, False
+        wait_s, busy, began = 0.0, False, -math.inf
         if self._destinations.listed:  # with a list to go by it can wait for its turn
             self._known_of = self._address
             wait_s = self._backoff.first_s(self._first_within_s)
@@ -134,12 +136,15 @@
             address = self._address
             with trio.CancelScope() as self._scope:
                 await trio.sleep_until(trio.current_time() + wait_s)
+                began = trio.current_time()
                 busy = await self._call()
             if self._address != address:
                 self._backoff.worked()
                 wait_s = self._backoff.first_s(SOON_S)
             else:
-                wait_s = self._backoff.again_s(busy)
+                wait_s = self._backoff.again_s(
+                    busy, max(began, self.heard_at) + NEXT_CALL_S - trio.current_time()
+                )
 
     async def _call(self) -> bool:
         """To the end of a watch: whether the service can't be helped by another call soon."""
--- a/tests/rules/test_backoff.py
+++ b/tests/rules/test_backoff.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from glenfold.net.discovery import AGAIN_S, MISSED_S, MOST_TIMES, NEXT_CALL_S, SOON_S
 from glenfold.rules.backoff import Backoff
 
 SERVES_S = 0.125  # discovery's time for one call, also for one that nobody waits for any more
@@ -60,3 +61,65 @@
     assert backoff.again_s() == first[0]
     backoff.worked()
     assert backoff.again_s() == pytest.approx(first[1])
+
+
+DOWN_S = 30.0  # all calls are refused up to then
+
+
+class BoundedFleet:
+    """Relays that bound their waits as `Discovery` does. From DOWN_S on discovery serves them in turn, all of
+    them within `serves_all_s`. `called`: the moments of all calls. `told`: those of the answers."""
+
+    def __init__(self, relays: int, serves_all_s: float, refusal_s: float) -> None:
+        chances = [random.Random(relay) for relay in range(relays)]
+        self.backoffs = [Backoff(AGAIN_S, relays / 10, MOST_TIMES, chance, SOON_S) for chance in chances]
+        self.serves_s, self.refusal_s = serves_all_s / relays, refusal_s
+        self.called: list[float] = []
+        self.told: list[float] = []
+        self.free_at = 0.0
+
+    def run(self, until: float) -> None:
+        calls = [(one.again_s(False, NEXT_CALL_S), relay) for relay, one in enumerate(self.backoffs)]
+        heapq.heapify(calls)
+        while calls and calls[0][0] < until:
+            now, relay = heapq.heappop(calls)
+            self.called.append(now)
+            if (took_s := self._refused_after(now)) is not None:
+                wait_s = self.backoffs[relay].again_s(True, NEXT_CALL_S - took_s)
+                heapq.heappush(calls, (now + took_s + wait_s, relay))
+
+    def _refused_after(self, now: float) -> float | None:
+        if now < DOWN_S:
+            return self.refusal_s
+        self.free_at = max(self.free_at, now) + self.serves_s
+        if self.free_at - now > PATIENCE_S:
+            return PATIENCE_S
+        self.told.append(self.free_at)
+        return None
+
+
+@pytest.mark.parametrize("relays", [2, 40, 230, 3_400])
+@pytest.mark.parametrize("refusal_s", [0.0, PATIENCE_S])
+def test_relays_that_were_refused_for_long_are_told_in_time_where_discovery_can_serve_them(relays, refusal_s):
+    fleet = BoundedFleet(relays, 3.0, refusal_s)
+    fleet.run(DOWN_S + 2 * MISSED_S)
+    assert len(fleet.told) == relays and max(fleet.told) - DOWN_S <= MISSED_S
+
+
+@pytest.mark.parametrize("relays", [230, 3_400])
+def test_refused_calls_of_a_bounded_fleet_are_no_more_than_the_time_allowed_needs(relays):
+    fleet = BoundedFleet(relays, 3.0, 0.0)
+    fleet.run(DOWN_S)
+    late = [at for at in fleet.called if at >= 2 * NEXT_CALL_S]
+    busiest = max(sum(second <= at < second + 1 for at in late) for second in range(8, int(DOWN_S)))
+    fair = relays / NEXT_CALL_S
+    assert len(late) <= 1.2 * fair * (DOWN_S - 2 * NEXT_CALL_S)
+    assert busiest <= 1.2 * fair + 3 * fair**0.5
+
+
+@pytest.mark.parametrize(("within_s", "least_s"), [(3.75, 0.125), (0.0, 0.125), (-2.0, 0.125)])
+def test_a_wait_is_no_longer_than_allowed_and_never_none(within_s, least_s):
+    for relay in range(200):
+        backoff = Backoff(AGAIN_S, 340.0, MOST_TIMES, random.Random(relay), SOON_S)
+        for busy in (True, True, True, False):
+            assert least_s <= backoff.again_s(busy, within_s) <= max(AGAIN_S, within_s)
