Begin no call for a client that has left, also behind a flood of unread bytes

Cause: an attempt that begins over 0.1 s after its client's end is a break. The client's end was looked for only before the line, so a call still connected; behind 4 KiB of early bytes it was looked for every 0.1 s; and behind more than the kernel takes (seen at 64 KiB, not at 128) an end never comes, so a client in mid flow that floods and goes was sent on up to 2.4 s later.

Change: the last look is also taken before a call begins; looks behind early bytes come every 0.05 s; over 32 KiB unread in mid flow are a client that does not wait, and no attempt begins for it. A connection that stood before has one attempt, and keeps it.

On the old lines 22 tests of test_crossings.py fail (12 of these and the drain's two as they force a second look, which the old code has not); with looks every 0.1 s the four that leave 1 ms after a look fail; without the look before the line eight fail.

--- a/benchmarks/left_waiting.py
+++ b/benchmarks/left_waiting.py
@@ -5,9 +5,10 @@
 The relay is `python -m glenfold` of that tree, on loopback. Of its push servers a third answers nothing, a
 third is full, and a third comes up late (its queue of new connections is full for about a second). Each
 client leaves within 1.5 s of its line: by an end, by a reset, or, in mid flow, by an end behind bytes that it
-sent early. `--lags`: the relay is stopped for 0.5 s of each second, so that its loop is late with everything.
-One line of JSON: clients that left while they waited, how many lines reached a server's machine after that,
-how many of these over 0.3 s after (must be 0), and what the relay counted.
+sent early (where `--ends` asks for it, behind a flood: more than the kernel takes for who reads none).
+`--lags`: the relay is stopped for 0.5 s of each second, so that its loop is late with everything. One line of
+JSON: clients that left while they waited, how many lines reached a server's machine after that, how many of
+these over 0.1 s after (must be 0), and what the relay counted.
 """
 
 import argparse
@@ -27,11 +28,12 @@
 
 from glenfold.net.sockets import kernel_times
 
-LATE_S = 0.3
+LATE_S = 0.1
 WITHIN_S = 1.5
 SERVERS = 9
 EVERY_S = 0.02  # between two clients
 ENDS = ("end", "reset", "behind bytes")
+BEHIND = {"behind bytes": 2_000, "behind a flood": 60_000}  # lines sent early
 
 
 class Seen:
@@ -69,12 +71,11 @@
 
 def play_client(number: int, port: int, chance: random.Random, seen: Seen, ends: list[str]) -> None:
     how, name = chance.choice(ends), b"%x" % (number + 1)
-    figures = b"c=watch,t=valleys,d=3000" + b",mid=1" * (how == "behind bytes")
+    figures = b"c=watch,t=valleys,d=3000" + b",mid=1" * (how in BEHIND)
     leaves_at = time.monotonic() + chance.uniform(0.0, WITHIN_S)
     with socket.create_connection(("127.0.0.1", port)) as sock:
         sock.sendall(b"OPEN %s %x %s\r\n" % (name, chance.getrandbits(60), figures))
-        if how == "behind bytes":
-            sock.sendall(b"M 1\r\n" * 2000)
+        sock.sendall(b"M 1\r\n" * BEHIND.get(how, 0))
         sock.settimeout(max(0.001, leaves_at - time.monotonic()))
         try:
             word = sock.recv(100)
@@ -97,7 +98,7 @@
     words.add_argument("--clients", type=int, default=600)
     words.add_argument("--seed", type=int, default=1)
     words.add_argument("--lags", action="store_true")
-    words.add_argument("--ends", nargs="+", choices=ENDS, default=list(ENDS))
+    words.add_argument("--ends", nargs="+", choices=[*ENDS, *BEHIND], default=list(ENDS))
     told = words.parse_args()
     seen, ports = Seen(), list[int]()
     for n in range(SERVERS):
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -19,13 +19,14 @@
 from glenfold.destinations import DestinationSet
 from glenfold.net.outbound import OutboundCall, Unsent
 from glenfold.net.passing import Passage
-from glenfold.net.sockets import SocketType, finish, hung_up, receive_now, send, without_delay
+from glenfold.net.sockets import SocketType, finish, hung_up, receive_now, send, unread, without_delay
 from linnetspread import interface as i
 
 BACKLOG = 1024
 INBOX = 16  # incidents of one request
 FIRST_LINE_S = 2.0  # from the accept to a whole first line, PING included; 3 s are promised
-LOOK_S = 0.1  # between two looks for the end of a client of whom no more is read before its answer
+LOOK_S = 0.05  # between two looks for the end of a client of whom no more is read before its answer
+MOST_UNREAD = 1 << 15  # bytes of such a client: with some more the kernel takes none, nor the end behind them
 PARTING_S = 0.3  # for a client to take an answer before its connection closes
 PARTING_BYTES = 1 << 16  # read from it meanwhile: one that floods must not cost more
 OUT_OF_SOCKETS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -395,9 +396,9 @@
 
     def _last_look(self, server: int, drained_after: float) -> Unsent | None:
         """drained_after: the server was ready then, as far as the decisions knew."""
-        if hung_up(self._sock):
+        if (left := self._client_left()) is not None:
             self._relay.counters.left_unsent += 1
-            return r.ClientGone()
+            return left
         if self._stands_at is not None or self._relay.destinations.ready(server):
             return None
         # What is new it would turn away; a connection in mid flow goes on there, as long as it may be sent.
@@ -406,6 +407,14 @@
             return None
         return r.CallEnded(i.Outcome.CONNECT_FAILED)
 
+    def _client_left(self) -> r.ClientGone | r.ClientSpoke | None:
+        """Whether it is worth no attempt. Behind a flood its end can't be seen, so a flood counts as one, but
+        for who stands already and has no other attempt."""
+        if hung_up(self._sock):
+            return r.ClientGone()
+        floods = len(self._early) >= lines.MAX_LINE and unread(self._sock) > MOST_UNREAD
+        return r.ClientSpoke() if floods and self._stands_at is None else None
+
     def _new_call(self, server: int, deadline_us: int) -> OutboundCall | None:
         address = self._relay.destinations.address(server)
         if address is None:
--- a/glenfold/net/outbound.py
+++ b/glenfold/net/outbound.py
@@ -10,10 +10,10 @@
 from glenfold.config import Address
 from glenfold.lines import END, LineBuffer, Malformed, OpenLine
 from glenfold.net.sockets import KernelTimes, SocketType, kernel_times, send_pieces, without_delay
-from glenfold.request import CallEnded, CallUp, ClientGone
+from glenfold.request import CallEnded, CallUp, ClientGone, ClientSpoke
 from linnetspread.interface import Outcome
 
-Unsent = CallEnded | ClientGone
+Unsent = CallEnded | ClientGone | ClientSpoke
 LEAST_STALL_S = 0.01  # below it the kernel's figures, in milliseconds and ticks, say nothing
 
 
@@ -25,8 +25,9 @@
 
 
 class OutboundCall:
-    """`last_look`: why the line must not be sent any more, if so. A connection may be long in coming up, and
-    the loop in telling it: by then the client may have left, and the server be about to go."""
+    """`last_look`: why the line must not be sent any more, if so. The client may have left, and the server be
+    about to go, before this call begins; and again before its line, as a connection may be long in coming up,
+    and the loop in telling it."""
 
     def __init__(
         self,
@@ -64,6 +65,8 @@
         return ended
 
     async def _call(self) -> CallUp | Unsent:
+        if (unsent := self._last_look()) is not None:
+            return unsent
         try:
             sock = self.sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             without_delay(sock)
--- a/glenfold/net/sockets.py
+++ b/glenfold/net/sockets.py
@@ -1,9 +1,12 @@
 """What trio's sockets lack: gathered writes to the end, and endings of either kind."""
 
+import fcntl
 import os
 import select
 import socket
 import struct
+import sys
+import termios
 from collections.abc import Sequence
 from contextlib import suppress
 from dataclasses import dataclass
@@ -17,6 +20,7 @@
 # Of the kernel's tcp_info, as it has been since Linux 2.6: eight bytes, then words of four.
 _TCP_INFO_BYTES = 104
 _LAST_DATA_RECEIVED_MS, _ROUND_TRIP_US, _RESENT = 52, 68, 100
+_INT_BYTES = struct.calcsize("i")
 _AT_ONCE = struct.pack("ii", 1, 0)  # linger on, for no time: close sends RST
 
 
@@ -58,6 +62,14 @@
     return _told_now(sock, select.POLLRDHUP)  # a reset is told without being asked for
 
 
+def unread(sock: SocketType) -> int:
+    """How many bytes the kernel has that nobody has read; 0 where it does not tell."""
+    count = bytearray(_INT_BYTES)
+    with suppress(OSError):
+        fcntl.ioctl(sock.fileno(), termios.FIONREAD, count)
+    return int.from_bytes(count, sys.byteorder)
+
+
 def finish(sock: SocketType) -> None:
     """FIN: nothing more will be sent."""
     with suppress(OSError):  # the other side has reset it already
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
+from itertools import count
 from pathlib import Path
 from typing import Any
 
@@ -21,6 +22,8 @@
 MID = OPEN.replace(b",zz=1", b",mid=1,zz=1")
 AT = OPEN.replace(b",zz=1", b",at=s-0,zz=1")
 LIMITS = {"invariants": {"stop_sending_within_us": 2_000_000}, "ceilings": {"connect_timeout_us": 5_000_000}}
+FLOOD = 300_000  # bytes: more than the kernel takes for who reads none, so that an end behind them is unseen
+GONE_S = 0.1  # after its end a client may have no attempt that begins later
 Client = Callable[[Relay, int], Awaitable[None]]
 
 
@@ -68,12 +71,14 @@
     return client
 
 
-def once_connected(monkeypatch: pytest.MonkeyPatch, do: Callable[[], object]) -> None:
-    """`do` runs after a call has connected, just before the look that precedes its line."""
-    look = Exchange._last_look
+def at_look(monkeypatch: pytest.MonkeyPatch, do: Callable[[], object], number: int = 2) -> None:
+    """`do` runs just before that look of all: the first precedes a call, the second, once it has connected,
+    its line."""
+    look, looks = Exchange._last_look, count(1)
 
     def then_look(self: Exchange, *given: Any) -> object:
-        do()
+        if next(looks) == number:
+            do()
         return look(self, *given)
 
     monkeypatch.setattr(Exchange, "_last_look", then_look)
@@ -98,12 +103,13 @@
         (AT, "behind bytes"),
     ],
 )
-def test_who_has_left_when_the_call_connects_is_not_sent_on(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, line: bytes, how: str
+@pytest.mark.parametrize("look", [1, 2])
+def test_who_has_left_when_a_call_begins_or_connects_is_not_sent_on(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, line: bytes, how: str, look: int
 ) -> None:
     heard, clients = Heard(), list[socket.socket]()
     monkeypatch.setattr(Exchange, "_watch_client", lambda self: trio.sleep_forever())  # a loop that lags
-    once_connected(monkeypatch, lambda: leave(clients[0], how))
+    at_look(monkeypatch, lambda: leave(clients[0], how), look)
 
     async def client(shared: Relay, port: int) -> None:
         clients.append(plain_client(port, line))
@@ -111,28 +117,72 @@
             await trio.lowlevel.checkpoint()
 
     counters = play(tmp_path, heard, client).counters
-    assert heard.lines in ([], [b""])  # a connection that ends without a line
+    assert heard.lines in ([], [b""][: look - 1])  # a connection that ends without a line, or none
     assert (counters.left, counters.left_unsent, counters.answered_failed) == (1, 1, 0)
 
 
 @pytest.mark.parametrize("line", [MID, AT])
 @pytest.mark.parametrize("how", ["end", "reset"])
-def test_who_sent_much_early_and_left_is_seen_at_once(tmp_path: Path, line: bytes, how: str) -> None:
+@pytest.mark.parametrize("after_s", [0.001, 0.03, 0.06, 0.09])  # one is just after a look
+def test_who_sent_much_early_and_left_is_seen_at_once(
+    tmp_path: Path, line: bytes, how: str, after_s: float
+) -> None:
     clock = trio.testing.MockClock(autojump_threshold=0.01)
     heard = Heard()
 
     async def client(shared: Relay, port: int) -> None:
         stream = plain_client(port, line + b"M" * 3 * lines.MAX_LINE)
         await trio.testing.wait_all_tasks_blocked(0.005)
+        await trio.sleep(after_s)
         leave(stream, how)
         left_at = trio.current_time()
         while shared.unanswered or not shared.counters.taken:
-            await trio.sleep(0.01)
-        assert trio.current_time() - left_at < 0.3
+            await trio.sleep(0.005)
+        assert trio.current_time() - left_at < GONE_S
 
     assert play(tmp_path, heard, client, clock).counters.left == 1
 
 
+@pytest.mark.parametrize("how", ["end", "reset", "behind bytes", "behind a flood"])
+def test_whoever_leaves_in_a_first_attempt_has_no_further_one(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, how: str
+) -> None:
+    """Not even a connection: the loop has not seen the end, or can't, behind bytes that nobody reads."""
+    calls, clients = [], list[socket.socket]()
+    if how != "behind a flood":  # that is to be seen though the watch for the end looks
+        monkeypatch.setattr(Exchange, "_watch_client", lambda self: trio.sleep_forever())
+
+    async def full(stream: trio.SocketStream) -> None:
+        calls.append(await read_line(stream))
+        leave(clients[0], how)
+        await stream.send_all(b"BUSY\r\n")
+
+    async def client(shared: Relay, port: int) -> None:
+        early = b"M" * FLOOD if how == "behind a flood" else b""
+        clients.append(plain_client(port, MID + early))
+        while not shared.counters.left_unsent and len(calls) < 2:
+            await trio.lowlevel.checkpoint()
+
+    counters = play(tmp_path, full, client, hosts=3).counters
+    assert len(calls) == 1 and counters.left_unsent == 1
+
+
+def test_a_flood_costs_no_connection_that_stands_already(tmp_path: Path) -> None:
+    async def client(shared: Relay, port: int) -> None:
+        with plain_client(port, AT + b"M" * FLOOD + b"\r\n") as sock:
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+            assert await read_line(stream) == b"UP r1\r\n"
+
+    async def server(stream: trio.SocketStream) -> None:
+        await read_line(stream)
+        await stream.send_all(b"UP r1\r\n")
+        with suppress(trio.BrokenResourceError):
+            while await stream.receive_some():
+                pass
+
+    play(tmp_path, server, client)
+
+
 class Held:
     """Decisions whose queue is full just as a connection has come up: who tells them that waits."""
 
@@ -238,7 +288,7 @@
         )  # the decisions have yet to hear of it
         clock.jump(passed_s)
 
-    once_connected(monkeypatch, drain)
+    at_look(monkeypatch, drain)
 
     async def client(shared: Relay, port: int) -> None:
         relays.append(shared)
