Put real relays beside the hollow ones under control replicas, and describe the runs

Requests with keys of a server that drains show when that is in force at a real relay; the processor time of a change and the memory of a replica are points of their own, by watchers and by servers.

--- a/glenfold_lab/scale/control_command.py
+++ b/glenfold_lab/scale/control_command.py
@@ -11,13 +11,15 @@
 from glenfold_lab.scale import control_replicas, control_slopes
 from glenfold_lab.scale.control_plays import PlayFailed, PlayResult
 from glenfold_lab.scale.control_processes import NotReady
+from glenfold_lab.scale.control_replicas import Order
 from glenfold_lab.scale.control_slopes import Size
 from glenfold_lab.scale.driven_process import ProcessFailed
 from glenfold_lab.scale.measurements import Machine, Point, Results
+from glenfold_lab.stands.relays import NotReady as RelayNotReady
 
 DEFAULT_SERVERS = 1024
 DEFAULT_WATCHERS = 340
-FAILURES = (ProcessFailed, PlayFailed, NotReady)
+FAILURES = (ProcessFailed, PlayFailed, NotReady, RelayNotReady)
 ROOT = Path(__file__).parents[2]
 
 Tell = Callable[[PlayResult], None]
@@ -54,11 +56,17 @@
     default=ROOT,
     help="With --replicas: the checkout whose replicas run.  [default: this one]",
 )
+@click.option(
+    "--relays",
+    type=click.IntRange(0, 40),
+    default=20,
+    show_default=True,
+    help="With --replicas: real relays beside the hollow ones.",
+)
 @click.option("--repeats", type=click.IntRange(1, 10), default=3, show_default=True, help="Of each size.")
 @click.option("--seed", type=click.IntRange(min=0), default=1, show_default=True, help="Of the first repeat.")
 @click.option(
-    "--json",
-    "out",
+    "--out",
     type=click.Path(dir_okay=False, writable=True, path_type=Path),
     help="Where the results go; points of other sizes in that file stay.",
 )
@@ -68,6 +76,7 @@
     replicas: bool,
     plays: tuple[str, ...],
     program: Path,
+    relays: int,
     repeats: int,
     seed: int,
     out: Path | None,
@@ -82,6 +91,7 @@
         raise click.UsageError("--watchers or --servers says what is measured")
     if (plays or program != ROOT) and not replicas:
         raise click.UsageError("--play and --program go with --replicas")
+    order = Order(plays or tuple(control_replicas.PLAYS), relays, program)
     broken: list[str] = []
 
     def tell(result: PlayResult) -> None:
@@ -95,8 +105,7 @@
             at = seed + repeat - 1
             with _failures():
                 if replicas:
-                    names = plays or tuple(control_replicas.PLAYS)
-                    points = control_replicas.measure(size, program, names, repeat, at, tell)
+                    points = control_replicas.measure(size, order, repeat, at, tell)
                 else:
                     points = control_slopes.measure(size, repeat, at, tell)
             if out is not None:
@@ -127,6 +136,9 @@
         f"{judged.most_bytes} B in a second; hollow relays: {judged.fleet_cpu_s:.1f} s of CPU, "
         f"longest turn {judged.turn_s:.2f} s; faults: {judged.faults or 'none'}"
     )
+    if result.relays.expected:
+        relays = ", ".join(f"{wait:.2f}" for wait in sorted(result.relays.waits_s))
+        console.print(f"    at real relays, {result.relays.expected} times: in force after {relays} s")
     for name, usage in result.usage.items():
         console.print(f"    {name}: {usage.cpu_s:.2f} s of CPU, {usage.memory_mb:.0f} MB")
     for fault in faults:
@@ -173,8 +185,6 @@
 
 
 def _revision(program: Path) -> str:
-    """The commit of the program measured."""
-    done = subprocess.run(
-        ["git", "rev-parse", "--short", "HEAD"], cwd=program, capture_output=True, text=True, check=False
-    )
-    return done.stdout.strip()
+    """The commit of the program measured, with a mark if a tracked file differs from it."""
+    words = ["git", "describe", "--always", "--dirty", "--abbrev=40"]
+    return subprocess.run(words, cwd=program, capture_output=True, text=True, check=True).stdout.strip()
--- a/glenfold_lab/scale/control_plays.py
+++ b/glenfold_lab/scale/control_plays.py
@@ -11,6 +11,7 @@
 from glenfold_lab.scale.control_judge import Judge, Judgement, Outage
 from glenfold_lab.scale.control_links import Links
 from glenfold_lab.scale.control_processes import ControlProcesses
+from glenfold_lab.scale.control_relays import RealRelays
 from glenfold_lab.scale.control_source import Source
 from glenfold_lab.scale.control_topology import SOURCE
 from glenfold_lab.scale.hollow_fleet import HollowFleet
@@ -34,6 +35,14 @@
     memory_mb: float
 
 
+@dataclass(slots=True)
+class RelayWaits:
+    """Of drains at real relays: how many should be in force at one, and after how many seconds each was."""
+
+    expected: int = 0
+    waits_s: list[float] = field(default_factory=list)
+
+
 @dataclass(frozen=True, slots=True)
 class PlayResult:
     """`usage`: by the process's name; a process that was started or killed in the play is left out."""
@@ -42,24 +51,29 @@
     length_s: float
     judgement: Judgement
     usage: dict[str, Usage]
+    relays: RelayWaits
 
 
 @dataclass(slots=True)
 class Stage:
-    """What a play acts on. `control`, `links`: where there are any. `after_s`: how much longer watchers are
-    heard once all have caught up."""
+    """What a play acts on. `control`, `links`, `relays`: where there are any. `after_s`: how much longer
+    watchers are heard once all have caught up."""
 
     source: Source
     fleet: HollowFleet
     control: ControlProcesses | None = None
     links: Links | None = None
+    relays: RealRelays | None = None
+    relay_waits: RelayWaits = field(default_factory=RelayWaits)
     chance: random.Random = field(default_factory=lambda: random.Random(1))
     revision: int = 1
     after_s: float = AFTER_S
 
     def pids(self) -> dict[str, int]:
-        """Of the source and of all control processes that run."""
-        return {SOURCE: self.source.pid} | (self.control.pids() if self.control is not None else {})
+        """Of the source, and of all control processes and real relays that run."""
+        control = self.control.pids() if self.control is not None else {}
+        relays = self.relays.pids() if self.relays is not None else {}
+        return {SOURCE: self.source.pid} | control | relays
 
     def publish(self, servers: Sequence[int], state: Told) -> None:
         self.revision = self.source.publish(servers, state)
@@ -89,6 +103,7 @@
     """Plays, waits until all watchers have caught up and a little longer, and judges. What did not come in
     time is in the judgement."""
     stage.fleet.collect()
+    stage.relay_waits = RelayWaits()
     pids_before = stage.pids()
     before = usage_now(pids_before)
     began = time.monotonic()
@@ -100,7 +115,7 @@
     usage = _spent(before, pids_before, usage_now(pids), pids)
     history = stage.source.history()
     judge = Judge(history, round(began * 1e6), round(ended * 1e6), outages)
-    return PlayResult(name, ended - began, judge.judge(stage.fleet.collect()), usage)
+    return PlayResult(name, ended - began, judge.judge(stage.fleet.collect()), usage, stage.relay_waits)
 
 
 # ---- the plays ----
@@ -257,6 +272,27 @@
     return play
 
 
+def drains_at_relays(drains: int, gap_s: float, killed_layer: int = 0) -> Play:
+    """Servers drain, one after another, whose keys show at the real relays when that is in force.
+    `killed_layer`: all of it is killed right after each, and starts again at once."""
+
+    def play(stage: Stage) -> dict[str, Outage]:
+        assert stage.relays is not None and stage.control is not None
+        for _ in range(drains):
+            drained = stage.relays.drain(stage.source)
+            stage.revision = drained.revision
+            if killed_layer:
+                names = _layer(stage, killed_layer)
+                stage.control.kill(names)
+                stage.control.start(names)
+            stage.relay_waits.expected += drained.at_home
+            stage.relay_waits.waits_s += drained.in_force_s()
+            time.sleep(gap_s)
+        return {}
+
+    return play
+
+
 # ---- what processes use ----
 
 
--- a/glenfold_lab/scale/control_source.py
+++ b/glenfold_lab/scale/control_source.py
@@ -2,7 +2,7 @@
 own, which notes when it had each change and what was in it."""
 
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field, replace
 from multiprocessing.connection import Connection
 
@@ -72,10 +72,9 @@
 
 
 class _Source:
-    def __init__(self, servers: int, pipe: Connection) -> None:
+    def __init__(self, pipe: Connection, entries: Sequence[Entry]) -> None:
         self._pipe = pipe
         self._clock = MachineClock()
-        entries = [listed_server(number, servers) for number in range(servers)]
         self._by_number = dict(enumerate(entries))
         self._holding = Holding(FIRST_REVISION, entries)
         # No relay is named, so nothing is kept of what was told to whom: the watchers judge that.
@@ -123,39 +122,47 @@
         return entry
 
 
-def listed_server(number: int, servers: int) -> Entry:
-    """As long as real ones are. The servers of a zone follow one another."""
+def made_up_dial(_: str) -> str:
+    """As long as a real one is."""
+    return "127.0.100.100:3000"
+
+
+def listed_server(number: int, servers: int, dial: Callable[[str], str] = made_up_dial) -> Entry:
+    """The servers of a zone follow one another. `dial`: where a host is found."""
     site = number * SITES // servers
-    high, low = divmod(number, 250)
+    host = f"s-{number:08x}"
     return Entry(
-        host=f"s-{number:08x}",
+        host=host,
         number=number,
-        dial=f"10.{high // 250}.{high % 250}.{low + 1}:3000",
-        site=f"z{site}",
+        dial=dial(host),
+        site=f"zone-{site}",
         kind="m2",
         block=number % 8,
         share=1.0,
     )
 
 
-async def _serve(pipe: Connection, servers: int) -> None:
-    await _Source(servers, pipe).run()
+async def _serve(pipe: Connection, entries: Sequence[Entry]) -> None:
+    await _Source(pipe, entries).run()
 
 
-def _work(pipe: Connection, servers: int) -> None:
-    trio.run(_serve, pipe, servers)
+def _work(pipe: Connection, entries: Sequence[Entry]) -> None:
+    trio.run(_serve, pipe, entries)
 
 
 @dataclass(slots=True)
 class Source:
-    """The process, from outside; to be entered as a context. Every method raises ProcessFailed."""
+    """The process, from outside; to be entered as a context. `dial`: where each host is listed. Every method
+    raises ProcessFailed."""
 
     servers: int
+    dial: Callable[[str], str] = made_up_dial
     address: Address = (HOST, 0)
     _process: DrivenProcess = field(init=False)
 
     def __enter__(self) -> "Source":
-        self._process = DrivenProcess("the source", _work, self.servers)
+        entries = [listed_server(number, self.servers, self.dial) for number in range(self.servers)]
+        self._process = DrivenProcess("the source", _work, entries)
         self.address = self._process.receive()
         return self
 
