--- a/glenfold_lab/scale/control_command.py
+++ b/glenfold_lab/scale/control_command.py
@@ -109,7 +109,7 @@
                 else:
                     points = control_slopes.measure(size, repeat, at, tell)
             if out is not None:
-                _add(out, points, replicas, program)
+                add(out, points, replicas, program)
     if broken:
         raise click.ClickException("exceeded: " + "; ".join(broken))
 
@@ -148,7 +148,7 @@
 # ---- the file of results ----
 
 
-def _add(out: Path, points: list[Point], replicas: bool, program: Path) -> None:
+def add(out: Path, points: list[Point], replicas: bool, program: Path) -> None:
     """A size that is measured again replaces what stood there."""
     run = "replica" if replicas else "control"
     results = Results.load(out) if out.exists() else Results(run, "", "", Machine.here(), _conditions())
@@ -167,7 +167,7 @@
 
 def _again(points: list[Point], replicas: bool) -> str:
     """The command that plays all of this again."""
-    sizes = sorted({(point.dimension, int(point.size)) for point in points}, reverse=True)
+    sizes = sorted({(point.dimension, int(point.size)) for point in points})
     words = [f"--{dimension} {size}" for dimension, size in sizes]
     repeats = max(point.repeat for point in points)
     return " ".join(
--- a/glenfold_lab/scale/control_processes.py
+++ b/glenfold_lab/scale/control_processes.py
@@ -16,6 +16,7 @@
 
 from glenfold.config import Address
 from glenfold_lab.scale.control_topology import ControlProcess, Topology
+from glenfold_lab.stands.sockets import written
 
 COMMAND = (sys.executable, "-m", "glenfold", "replica")
 READY_S = 30.0
@@ -30,7 +31,7 @@
 
 def replica_file(process: ControlProcess, addresses: Mapping[str, Address], zones: Mapping[str, str]) -> str:
     """Its operators' file. `zones`: of the processes by name, where they have one."""
-    replica: dict[str, Any] = {"name": process.name, "listen": _written(process.address)}
+    replica: dict[str, Any] = {"name": process.name, "listen": written(process.address)}
     if process.zone:
         replica["zone"] = process.zone
     replica["region"] = process.region
@@ -40,14 +41,10 @@
 
 
 def _parent(name: str, addresses: Mapping[str, Address], zones: Mapping[str, str]) -> dict[str, str]:
-    parent = {"address": _written(addresses[name])}
+    parent = {"address": written(addresses[name])}
     return parent | ({"zone": zones[name]} if zones.get(name) else {})
 
 
-def _written(address: Address) -> str:
-    return f"{address[0]}:{address[1]}"
-
-
 @dataclass(slots=True)
 class ControlProcesses:
     """All of a topology; to be entered as a context. `folder`: for their files and logs. `root`: of the
--- a/tests/glenfold_lab/scale/test_control.py
+++ b/tests/glenfold_lab/scale/test_control.py
@@ -1,18 +1,24 @@
 """Hollow relays and the judgement on what they got: a sound source, faulty ones, and sockets."""
 
 import random
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import replace
+from pathlib import Path
 
 import pytest
+import tomlkit
+from click.testing import CliRunner
 
 from glenfold.config import Address
 from glenfold.net.discovery import AGAIN_S, ASKING_S, LONGEST_SILENCE_S
 from glenfold_lab.observe import Told
+from glenfold_lab.scale import control_command
 from glenfold_lab.scale import control_plays as plays
 from glenfold_lab.scale.control_judge import Judge, Judgement, Outage
 from glenfold_lab.scale.control_links import Links
-from glenfold_lab.scale.control_plays import Stage, perform
+from glenfold_lab.scale.control_plays import PlayResult, RelayWaits, Stage, perform
+from glenfold_lab.scale.control_processes import replica_file
+from glenfold_lab.scale.control_replicas import broken
 from glenfold_lab.scale.control_source import Ledger, Source, listed_server
 from glenfold_lab.scale.control_topology import (
     SOURCE,
@@ -27,7 +33,9 @@
 from glenfold_lab.scale.hollow_http import AnswerReader, BadAnswer, ChunkTable
 from glenfold_lab.scale.hollow_list import Lists
 from glenfold_lab.scale.hollow_watcher import Deliveries, Fault, HollowWatcher, Phase
+from glenfold_lab.scale.measurements import Point, Results
 from glenfold_lab.stands.agent import Change, Holding
+from glenfold_lab.stands.sockets import written
 
 SERVERS = 28
 PARENTS = (("127.0.0.1", 1001), ("127.0.0.1", 1002))
@@ -346,3 +354,86 @@
     link = Link("source@far", free_addresses(1)[0], SOURCE, "far")
     near, far = Watchers(10, (SOURCE,), "near"), Watchers(10, (link.name,), "far")
     return Topology((), (near, far), (link,))
+
+
+# ---- control processes and the command ----
+
+
+def test_a_replica_gets_a_file_of_its_place_and_its_parents() -> None:
+    topology = two_layers(28, regions=2, zones=4)
+    addresses = topology.addresses(("127.0.0.1", 9))
+    process = topology.layer(2)[3]
+    document = tomlkit.parse(replica_file(process, addresses, {})).unwrap()
+    assert document["replica"] == {
+        "name": "zone-3",
+        "listen": written(process.address),
+        "zone": "zone-3",
+        "region": "region-1",
+    }
+    expected = [addresses["region-1"], addresses["region-0@region-1"]]
+    assert document["parents"] == [{"address": written(address)} for address in expected]
+
+
+@pytest.mark.parametrize(
+    ("words", "fault"),
+    [
+        ((), "--watchers or --servers says what is measured"),
+        (("--watchers", "5", "--play", "cut"), "--play and --program go with --replicas"),
+        (("--servers", "13"), "13 is not in the range"),
+    ],
+)
+def test_words_at_fault_are_told(words: Sequence[str], fault: str) -> None:
+    result = CliRunner().invoke(control_command.command, words)
+    assert result.exit_code == 2 and fault in result.output
+
+
+def test_a_size_that_is_measured_again_replaces_what_stood_there(tmp_path: Path) -> None:
+    out = tmp_path / "control.json"
+
+    def add(size: int, repeat: int, value: float) -> None:
+        points = [Point("control.agent.memory", "MB", "watchers", size, value, repeat)]
+        control_command.add(out, points, False, control_command.ROOT)
+
+    add(340, 1, 1.0)
+    add(1000, 1, 2.0)
+    add(340, 2, 3.0)
+    add(340, 1, 4.0)
+    results = Results.load(out)
+    assert [point.value for point in results.of("control.agent.memory")] == [4.0, 3.0, 2.0]
+    assert results.command == "glenfold lab scale control --watchers 340 --watchers 1000 --repeats 2"
+
+
+def test_a_play_that_exceeds_a_bound_says_which(world: World) -> None:
+    world.connect()
+    world.hear(world.change(0, Told.DRAINING), late_s=5.0)
+    world.change(1, Told.DRAINING)
+    result = PlayResult("steady", 1.0, world.judged(), {}, RelayWaits(2, [4.5]))
+    assert broken(result) == [
+        "1 lost",
+        "in force after 5.00 s",
+        "1 drains not in force at real relays",
+        "in force at a real relay after 4.50 s",
+    ]
+
+
+# ---- slopes ----
+
+CHANGES = 60
+
+
+def cpu_of_changes(servers: int, watchers: int) -> float:
+    """Seconds that the agent uses for `CHANGES` changes and a little more."""
+    with Source(servers) as source:
+        plan = FleetPlan(flat(watchers).groups(source.address), spread_s=0.2, most_opening=32, seed=1)
+        with HollowFleet(plan, 1) as fleet:
+            stage = Stage(source, fleet, after_s=0.1)
+            stage.begin()
+            result = perform("fast", stage, plays.steady(CHANGES, 0.01))
+    assert result.judgement.sound, result.judgement
+    return result.usage[SOURCE].cpu_s
+
+
+def test_a_change_costs_no_more_under_a_longer_list_and_in_proportion_to_the_watchers() -> None:
+    few, many, long = cpu_of_changes(28, 10), cpu_of_changes(28, 40), cpu_of_changes(2800, 40)
+    assert many < 4 * 2 * few
+    assert long < 2 * many
