--- a/glenfold_lab/scale/control_slopes.py
+++ b/glenfold_lab/scale/control_slopes.py
@@ -84,7 +84,7 @@
     yield "change.bytes", "B", result.judgement.bytes_mean * result.length_s / FAST_CHANGES
     yield from _in_force("fast.", result)
     result, usage = perform("burst", plays.burst(plays.ZONE, apart=False))
-    yield "burst.bytes", "B", float(result.judgement.most_bytes)
+    yield "zone_change.bytes", "B", result.judgement.bytes_read / watchers / 2  # it drains, and comes back
     yield from _in_force("burst.", result)
     result, usage = perform("return", plays.return_at_once(0.0, forget=False))
     yield "return.cpu", "ms a watcher", usage.cpu_s / watchers * 1e3
