--- a/glenfold_lab/scale/control_relays.py
+++ b/glenfold_lab/scale/control_relays.py
@@ -21,7 +21,7 @@
 from glenfold_lab.stands.relays import Limits, RelayProcess, free_address
 from glenfold_lab.stands.seen import Seen
 
-HOST = "127.0.0.1"
+HOST = "127.8.0.2"  # not that of outgoing connections
 IN_FORCE_S = 30.0  # the longest wait for a drain
 
 
--- a/glenfold_lab/scale/control_topology.py
+++ b/glenfold_lab/scale/control_topology.py
@@ -9,7 +9,7 @@
 from glenfold_lab.scale.hollow_fleet import WatcherGroup
 
 SOURCE = "source"
-HOST = "127.0.0.1"
+HOST = "127.8.0.1"  # not that of outgoing connections, whose ports could be those of a listener
 
 
 @dataclass(frozen=True, slots=True)
