--- a/glenfold_lab/scale/control_slopes.py
+++ b/glenfold_lab/scale/control_slopes.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 
 from glenfold_lab.scale import control_plays as plays
-from glenfold_lab.scale.control_plays import PlayResult, Stage, Usage
+from glenfold_lab.scale.control_plays import Play, PlayResult, Stage
 from glenfold_lab.scale.control_source import Source
 from glenfold_lab.scale.control_topology import SOURCE, flat
 from glenfold_lab.scale.hollow_fleet import FleetPlan, HollowFleet
@@ -22,6 +22,7 @@
 SILENT_S = 4.0
 
 Tell = Callable[[PlayResult], None]
+Value = tuple[str, str, float]  # name, unit and value of what was measured
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,55 +49,81 @@
         plan = FleetPlan(groups, CALLS_SPREAD_S, MOST_OPENING, seed)
         with HollowFleet(plan, processes_for(size.watchers)) as fleet:
             stage = Stage(source, fleet, chance=random.Random(seed))
-            points = [
+            values = _Agent(stage, tell).values()
+            return [
                 Point(f"control.agent.{name}", unit, size.dimension, size.value, value, repeat, seed)
-                for name, unit, value in _values(stage, tell)
+                for name, unit, value in values
             ]
-    return points
-
-
-def _values(stage: Stage, tell: Tell) -> Iterator[tuple[str, str, float]]:
-    """Name, unit and value of each measurement."""
-    watchers = stage.fleet.watchers
-    before = plays.usage_now(stage.pids())[SOURCE]
-    yield "start", "s", stage.begin()
-    after = plays.usage_now(stage.pids())[SOURCE]
-    yield "start.cpu", "ms a watcher", (after.cpu_s - before.cpu_s) / watchers * 1e3
-    first = stage.fleet.collect()
-    yield "whole_list.bytes", "B", sum(log.bytes_read for one in first for log in one.logs) / watchers
-
-    def perform(name: str, play: plays.Play) -> tuple[PlayResult, Usage]:
-        result = plays.perform(name, stage, play)
-        tell(result)
-        return result, result.usage[SOURCE]
-
-    result, usage = perform("idle", plays.idle(IDLE_S))
-    yield "idle.cpu", "share of a core", usage.cpu_s / result.length_s
-    empty_line_s = usage.cpu_s / result.judgement.empty_lines
-    yield "empty_line.cpu", "us a watcher", empty_line_s * 1e6
-    yield "memory", "MB", usage.memory_mb
-    result, usage = perform("steady", plays.steady(CHANGES, GAP_S))
-    yield from _in_force("steady.", result)
-    yield "steady.cpu", "share of a core", usage.cpu_s / result.length_s
-    result, usage = perform("fast", plays.steady(FAST_CHANGES, FAST_GAP_S))
-    changes_s = usage.cpu_s - empty_line_s * result.judgement.empty_lines
-    yield "change.cpu", "us a watcher", changes_s / (FAST_CHANGES * watchers) * 1e6
-    yield "change.bytes", "B", result.judgement.bytes_mean * result.length_s / FAST_CHANGES
-    yield from _in_force("fast.", result)
-    result, usage = perform("burst", plays.burst(plays.ZONE, apart=False))
-    yield "zone_change.bytes", "B", result.judgement.bytes_read / watchers / 2  # it drains, and comes back
-    yield from _in_force("burst.", result)
-    result, usage = perform("return", plays.return_at_once(0.0, forget=False))
-    yield "return.cpu", "ms a watcher", usage.cpu_s / watchers * 1e3
-    yield from _in_force("return.", result)
-    result, usage = perform("silent", plays.silent_source(SILENT_S))
-    yield from _in_force("silent.", result)
-
-
-def _in_force(prefix: str, result: PlayResult) -> Iterator[tuple[str, str, float]]:
+
+
+class _Agent:
+    """The plays of one size. Values are told by name and unit."""
+
+    def __init__(self, stage: Stage, tell: Tell) -> None:
+        self._stage = stage
+        self._tell = tell
+        self._watchers = stage.fleet.watchers
+        self._empty_line_s = 0.0  # processor time for one watcher
+
+    def values(self) -> Iterator[Value]:
+        yield from self._start()
+        yield from self._idle()
+        yield from self._steady()
+        yield from self._fast()
+        yield from self._burst()
+        yield from self._return()
+        yield from _in_force("silent", self._perform("silent", plays.silent_source(SILENT_S)))
+
+    def _perform(self, name: str, play: Play) -> PlayResult:
+        result = plays.perform(name, self._stage, play)
+        self._tell(result)
+        return result
+
+    def _start(self) -> Iterator[Value]:
+        before = plays.usage_now(self._stage.pids())[SOURCE]
+        yield "start", "s", self._stage.begin()
+        after = plays.usage_now(self._stage.pids())[SOURCE]
+        yield "start.cpu", "ms a watcher", (after.cpu_s - before.cpu_s) / self._watchers * 1e3
+        collected = self._stage.fleet.collect()
+        read = sum(log.bytes_read for one in collected for log in one.logs)
+        yield "whole_list.bytes", "B", read / self._watchers
+
+    def _idle(self) -> Iterator[Value]:
+        result = self._perform("idle", plays.idle(IDLE_S))
+        usage = result.usage[SOURCE]
+        self._empty_line_s = usage.cpu_s / result.judgement.empty_lines
+        yield "idle.cpu", "share of a core", usage.cpu_s / result.length_s
+        yield "empty_line.cpu", "us a watcher", self._empty_line_s * 1e6
+        yield "memory", "MB", usage.memory_mb
+
+    def _steady(self) -> Iterator[Value]:
+        result = self._perform("steady", plays.steady(CHANGES, GAP_S))
+        yield from _in_force("steady", result)
+        yield "steady.cpu", "share of a core", result.usage[SOURCE].cpu_s / result.length_s
+
+    def _fast(self) -> Iterator[Value]:
+        result = self._perform("fast", plays.steady(FAST_CHANGES, FAST_GAP_S))
+        changes_s = result.usage[SOURCE].cpu_s - self._empty_line_s * result.judgement.empty_lines
+        yield "change.cpu", "us a watcher", changes_s / (FAST_CHANGES * self._watchers) * 1e6
+        yield "change.bytes", "B", result.judgement.bytes_read / (FAST_CHANGES * self._watchers)
+        yield from _in_force("fast", result)
+
+    def _burst(self) -> Iterator[Value]:
+        result = self._perform("burst", plays.burst(plays.ZONE, apart=False))
+        both = result.judgement.bytes_read / self._watchers  # the servers drain, and come back
+        yield "zone_change.bytes", "B", both / 2
+        yield from _in_force("burst", result)
+
+    def _return(self) -> Iterator[Value]:
+        result = self._perform("return", plays.return_at_once(0.0, forget=False))
+        yield "return.cpu", "ms a watcher", result.usage[SOURCE].cpu_s / self._watchers * 1e3
+        yield from _in_force("return", result)
+
+
+def _in_force(play: str, result: PlayResult) -> Iterator[Value]:
     judgement = result.judgement
-    yield f"{prefix}in_force.p50", "s", judgement.in_force.p50_s
-    yield f"{prefix}in_force.p99", "s", judgement.in_force.p99_s
-    yield f"{prefix}in_force.max", "s", judgement.in_force.max_s
-    yield f"{prefix}lost", "revisions", float(judgement.lost)
-    yield f"{prefix}doubled", "lines", float(judgement.doubled)
+    yield f"{play}.in_force.p50", "s", judgement.in_force.p50_s
+    yield f"{play}.in_force.p99", "s", judgement.in_force.p99_s
+    yield f"{play}.in_force.max", "s", judgement.in_force.max_s
+    yield f"{play}.lost", "revisions", float(judgement.lost)
+    yield f"{play}.doubled", "lines", float(judgement.doubled)
