--- a/glenfold_lab/scale/control_command.py
+++ b/glenfold_lab/scale/control_command.py
@@ -136,6 +136,8 @@
         f"{judged.most_bytes} B in a second; hollow relays: {judged.fleet_cpu_s:.1f} s of CPU, "
         f"longest turn {judged.turn_s:.2f} s; faults: {judged.faults or 'none'}"
     )
+    if result.back_s:
+        console.print(f"    all of the layer served again after {result.back_s:.2f} s")
     if result.relays.expected:
         relays = ", ".join(f"{wait:.2f}" for wait in sorted(result.relays.waits_s))
         console.print(f"    at real relays, {result.relays.expected} times: in force after {relays} s")
--- a/glenfold_lab/scale/control_plays.py
+++ b/glenfold_lab/scale/control_plays.py
@@ -45,19 +45,22 @@
 
 @dataclass(frozen=True, slots=True)
 class PlayResult:
-    """`usage`: by the process's name; a process that was started or killed in the play is left out."""
+    """`usage`: by the process's name; a process that was started or killed in the play is left out. `back_s`:
+    until a layer that was restarted served again, 0 if none was."""
 
     name: str
     length_s: float
     judgement: Judgement
     usage: dict[str, Usage]
     relays: RelayWaits
+    back_s: float
 
 
 @dataclass(slots=True)
 class Stage:
     """What a play acts on. `control`, `links`, `relays`: where there are any. `after_s`: how much longer
-    watchers are heard once all have caught up."""
+    watchers are heard once all have caught up. `back_s`: after how long all of a layer that was restarted
+    in the play served again."""
 
     source: Source
     fleet: HollowFleet
@@ -68,6 +71,7 @@
     chance: random.Random = field(default_factory=lambda: random.Random(1))
     revision: int = 1
     after_s: float = AFTER_S
+    back_s: float = 0.0
 
     def pids(self) -> dict[str, int]:
         """Of the source, and of all control processes and real relays that run."""
@@ -104,6 +108,7 @@
     time is in the judgement."""
     stage.fleet.collect()
     stage.relay_waits = RelayWaits()
+    stage.back_s = 0.0
     pids_before = stage.pids()
     before = usage_now(pids_before)
     began = time.monotonic()
@@ -115,7 +120,9 @@
     usage = _spent(before, pids_before, usage_now(pids), pids)
     history = stage.source.history()
     judge = Judge(history, round(began * 1e6), round(ended * 1e6), outages)
-    return PlayResult(name, ended - began, judge.judge(stage.fleet.collect()), usage, stage.relay_waits)
+    return PlayResult(
+        name, ended - began, judge.judge(stage.fleet.collect()), usage, stage.relay_waits, stage.back_s
+    )
 
 
 # ---- the plays ----
@@ -216,7 +223,11 @@
 
     def play(stage: Stage) -> dict[str, Outage]:
         assert stage.control is not None
-        stage.control.restart(_layer(stage, layer))
+        names = _layer(stage, layer)
+        began = time.monotonic()
+        stage.control.restart(names)
+        stage.control.wait_until_ready(names)
+        stage.back_s = time.monotonic() - began
         steady(6, gap_s)(stage)
         return {}
 
@@ -243,9 +254,12 @@
     def play(stage: Stage) -> dict[str, Outage]:
         assert stage.control is not None
         names = _layer(stage, layer)
+        began = time.monotonic()
         stage.control.kill(names)
         stage.publish([stage.chance.randrange(stage.source.servers)], Told.DRAINING)
         stage.control.start(names)
+        stage.control.wait_until_ready(names)
+        stage.back_s = time.monotonic() - began
         steady(6, gap_s)(stage)
         return {}
 
--- a/glenfold_lab/scale/control_replicas.py
+++ b/glenfold_lab/scale/control_replicas.py
@@ -118,6 +118,8 @@
     yield "in_force.p99", "s", judged.in_force.p99_s
     yield "in_force.max", "s", judged.in_force.max_s
     yield "drains_in_force.max", "s", judged.drains_in_force.max_s
+    if result.back_s:
+        yield "back", "s", result.back_s
     yield "lost", "revisions", float(judged.lost)
     yield "doubled", "lines", float(judged.doubled)
     yield "disagreeing", "watchers", float(judged.disagreeing)
--- a/tests/glenfold_lab/scale/test_control.py
+++ b/tests/glenfold_lab/scale/test_control.py
@@ -407,7 +407,7 @@
     world.connect()
     world.hear(world.change(0, Told.DRAINING), late_s=5.0)
     world.change(1, Told.DRAINING)
-    result = PlayResult("steady", 1.0, world.judged(), {}, RelayWaits(2, [4.5]))
+    result = PlayResult("steady", 1.0, world.judged(), {}, RelayWaits(2, [4.5]), 0.0)
     assert broken(result) == [
         "1 lost",
         "in force after 5.00 s",
