--- a/glenfold_lab/scale/capacity/page.py
+++ b/glenfold_lab/scale/capacity/page.py
@@ -6,7 +6,7 @@
 
 import jinja2
 
-from glenfold_lab.scale.capacity import events, verdicts
+from glenfold_lab.scale.capacity import events, replicas, verdicts
 from glenfold_lab.scale.capacity.context import Context
 from glenfold_lab.scale.capacity.estimates import rounded
 from glenfold_lab.scale.capacity.roles import ROLES
@@ -36,6 +36,8 @@
         assumptions=assumption_table(sizes, slopes),
         roles={role: role_table(role, sizes, slopes) for role in ROLES},
         events=events.table(target),
+        plays=replicas.play_table(slopes),
+        machines=replicas.machine_table(target),
         slopes=slope_table(slopes),
         rounded=rounded,
     )
