Take changes of the list that come in a row as one

Change: the task that owns the decisions gathers changes that follow each other within two turns of the loop, for 20 ms at the most, and gives the decisions one with what was said last of each server. Whole lists and all other messages keep their place in the order.

--- a/glenfold/decisions.py
+++ b/glenfold/decisions.py
@@ -10,9 +10,11 @@
 from glenfold import events
 from glenfold.clock import Clock
 from glenfold.dispatch import Dispatch, RequestAction
+from glenfold.rules.list_changes import joined
 from linnetspread import interface as i
 
 QUEUE = 1024  # messages; senders wait when it is full
+JOIN_S = 0.02  # for which changes of the list that keep coming are gathered, while requests and timers wait
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +48,7 @@
         self._routes: dict[int, trio.MemorySendChannel[RequestAction]] = {}
         self._send, self._receive = trio.open_memory_channel[Message](QUEUE)
         self._last_request = 0
+        self._next: Message | None = None  # received, and not taken yet
 
     def new_request(self) -> int:
         """Ids are the relay's own counter: what a client calls its connection may come twice."""
@@ -59,9 +62,42 @@
         while True:
             due = self.dispatch.next_timer_us
             with trio.move_on_at(float("inf") if due is None else self.clock.to_trio(due)):
-                self._take(await self._receive.receive())
+                self._take(await self._received())
             self._fire()
 
+    async def _received(self) -> Message:
+        """The next message; changes of the list that come in a row are one."""
+        message, self._next = self._next, None
+        if message is None:
+            message = await self._receive.receive()
+        if isinstance(message, i.ServerList):
+            with trio.CancelScope(shield=True):  # what was received must not be lost to a timer
+                return await self._gathered(message)
+        return message
+
+    async def _gathered(self, change: i.ServerList) -> i.ServerList:
+        """With those that follow it, each a turn of the loop behind the other."""
+        until = trio.current_time() + JOIN_S
+        while trio.current_time() < until and (following := await self._following()) is not None:
+            both = joined(change, following) if isinstance(following, i.ServerList) else None
+            if both is None:
+                self._next = following
+                break
+            change = both
+        return change
+
+    async def _following(self) -> Message | None:
+        """What is there, or comes within two turns: its sender may have its turn after this one."""
+        for _ in range(2):
+            try:
+                return self._receive.receive_nowait()
+            except trio.WouldBlock:
+                await trio.lowlevel.checkpoint()
+        try:
+            return self._receive.receive_nowait()
+        except trio.WouldBlock:
+            return None
+
     def _take(self, message: Message) -> None:
         match message:
             case Closed(request):
