--- a/glenfold_lab/scale/connections_run.py
+++ b/glenfold_lab/scale/connections_run.py
@@ -47,9 +47,9 @@
 @dataclass(frozen=True, slots=True)
 class Plan:
     """window_s: length of each measurement, but rest_s of that without a line: whole periods of the relay's
-    watch for silence, 1.2 s. settle_s: from the last set-up to the first measurement, when
-    the timers of its requests have fired. rates: deliveries a
-    second, rising. line_rate: deliveries, and lines that go up, a second at each size."""
+    watch for silence, 1.2 s. settle_s: from the last set-up to the first measurement, when the timers of its
+    requests have fired. rates: deliveries a second, rising. line_rate: deliveries, and lines that go up, a
+    second at each size."""
 
     sizes: tuple[int, ...]
     rates: tuple[float, ...]
