--- a/glenfold_lab/scale/capacity/context.py
+++ b/glenfold_lab/scale/capacity/context.py
@@ -59,14 +59,14 @@
         return self.servers / self.given("zones")
 
     def setup_cores(self) -> Estimate:
-        return self.setups * self.slopes.typical("relay.connection.setup.cpu") * MS
+        return self.setups * self.slopes.uncrowded("relay.connection.setup.cpu") * MS
 
     def client_line_cores(self) -> Estimate:
         """Clients' own lines and the servers' answers to them."""
-        return self.client_lines * self.slopes.typical("relay.line.cpu") * US
+        return self.client_lines * self.slopes.uncrowded("relay.line.cpu") * US
 
     def delivery_cores(self) -> Estimate:
-        return self.deliveries * self.slopes.typical("relay.delivery.cpu") * US
+        return self.deliveries * self.slopes.uncrowded("relay.delivery.cpu") * US
 
     def silent_cores(self) -> Estimate:
         """For connections on which nobody says a word: each is watched for a server that falls silent."""
--- a/glenfold_lab/scale/capacity/events.py
+++ b/glenfold_lab/scale/capacity/events.py
@@ -27,7 +27,7 @@
 def setups_at_each_other(context: Context, relays: Estimate | float) -> Estimate:
     """Processor time at each relay that is left, for those who come back."""
     left = Estimate(context.size.relays) - relays
-    cost = context.slopes.typical("relay.connection.setup.cpu") * MS
+    cost = context.slopes.uncrowded("relay.connection.setup.cpu") * MS
     return lost_connections(context, relays) / left * cost
 
 
@@ -59,7 +59,7 @@
         lambda c: (
             lost_connections(c, 1)
             / (zone_relays(c) - 1)
-            * c.slopes.typical("relay.connection.setup.cpu")
+            * c.slopes.uncrowded("relay.connection.setup.cpu")
             * MS
         ),
     ),
--- a/glenfold_lab/scale/capacity/slopes.py
+++ b/glenfold_lab/scale/capacity/slopes.py
@@ -113,6 +113,11 @@
         quantity = self.quantity(name)
         return self._estimate(quantity, quantity.line().intercept, Estimate(0.0))
 
+    def uncrowded(self, name: str) -> Estimate:
+        """The median at the smallest size, for what one event costs: at larger ones a full core distorts it."""
+        quantity = self.quantity(name)
+        return self._estimate(quantity, medians(quantity.points)[min(quantity.sizes)], Estimate(0.0))
+
     def typical(self, name: str) -> Estimate:
         """The median at the largest size measured, for what does not grow with size."""
         quantity = self.quantity(name)
