--- a/glenfold_lab/scale/capacity/slopes.py
+++ b/glenfold_lab/scale/capacity/slopes.py
@@ -114,7 +114,7 @@
         return self._estimate(quantity, quantity.line().intercept, Estimate(0.0))
 
     def uncrowded(self, name: str) -> Estimate:
-        """The median at the smallest size, for what one event costs: at larger ones a full core distorts it."""
+        """The median at the smallest size, for what one event costs: a full core distorts larger ones."""
         quantity = self.quantity(name)
         return self._estimate(quantity, medians(quantity.points)[min(quantity.sizes)], Estimate(0.0))
 
