Keep 15 descriptors from clients, so that discovery and calls always get one

Cause: 24 descriptors were kept beside the clients' room, 10 of these are the process's own and 12 went to bad clients that are read from for 0.3 s. With 64 descriptors, 18 requests waiting and bad clients coming on, all 64 were taken; a call then failed for want of one and its server was held to be broken.

Change: 15 are the relay's own, 6 those of refused clients that are read from, and 3 those of clients being closed (2 were seen for idle clients, 3 for a mix, with 120 in the queue). The room for requests is what it was. An answer to a client that reads nothing is given up after 0.3 s, or it would hold its descriptor for good.

--- a/glenfold/config/platform.py
+++ b/glenfold/config/platform.py
@@ -31,7 +31,10 @@
     kinds: dict[str, int]
 
 
-SPARE_SOCKETS = 24  # for the listener, discovery, the log, and those being refused
+OWN_SOCKETS = 15  # standard streams, event loop, listener, log, control socket, discovery: no client gets one
+REFUSED_SOCKETS = 6  # of clients that are told why they are refused, and read from meanwhile
+CLOSING_SOCKETS = 3  # of clients that are closed within a few turns of the event loop
+SPARE_SOCKETS = OWN_SOCKETS + REFUSED_SOCKETS + CLOSING_SOCKETS
 BASE_MB = 22  # of a relay without connections
 CONNECTION_MB = 0.04  # of one with both its sides
 
@@ -42,13 +45,13 @@
 
     waiting: int  # without a whole first line
     taken: int  # with one: a descriptor on each side
-    refusing: int  # told that they are refused, and about to be closed
+    refusing: int  # told that they are refused, and read from for a moment
 
     @classmethod
     def within(cls, sockets: int, memory_mb: float) -> "Room":
         waiting = min(64, (sockets - SPARE_SOCKETS) // 8 + 1)
         taken = min((sockets - SPARE_SOCKETS - waiting) // 2, (memory_mb - BASE_MB) / CONNECTION_MB)
-        return cls(waiting, int(taken), SPARE_SOCKETS // 2)
+        return cls(waiting, int(taken), REFUSED_SOCKETS)
 
 
 @dataclass(frozen=True, slots=True)
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -172,7 +172,7 @@
             if end is None:
                 if scope.cancelled_caught:
                     self._counters.silent_clients += 1
-                    await send(sock, lines.FAILED)
+                    await self._say(sock, lines.FAILED)
                 return None
             exchange = self._exchange(sock, buffer, end)
         except lines.Malformed as error:
@@ -198,7 +198,7 @@
     async def _turn_away(self, sock: SocketType, answer: bytes, more: bool) -> None:
         """Closing on unread bytes resets the connection and may take the answer with it. So where there are
         `more`, some are read, but never a flood to its end."""
-        await send(sock, answer)
+        await self._say(sock, answer)
         if not more or self._refusing >= self._room.refusing:
             return
         self._refusing += 1
@@ -211,6 +211,11 @@
         finally:
             self._refusing -= 1
 
+    async def _say(self, sock: SocketType, answer: bytes) -> None:
+        """A client that reads nothing must not hold its descriptor by that."""
+        with trio.move_on_at(trio.current_time() + PARTING_S):
+            await send(sock, answer)
+
     async def _first_line(self, sock: SocketType, buffer: lines.LineBuffer) -> int | None:
         """Where it ends in the buffer; None when the client has gone without one."""
         while True:
--- /dev/null
+++ b/tests/test_descriptors.py
@@ -0,0 +1,243 @@
+"""Clients without end, idle or not, while discovery is down: what is left of a relay's descriptors."""
+
+import os
+import resource
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+from pathlib import Path
+from typing import Any
+
+import pytest
+import relaying
+import trio
+import trio.testing
+from relaying import entry, relay, whole
+
+from glenfold.config.platform import OWN_SOCKETS
+from glenfold.net import inbound as inbound_module
+from glenfold.net.discovery import MISSED_S
+from glenfold.net.inbound import FIRST_LINE_S, PARTING_S, Inbound
+from glenfold.net.sockets import SocketType
+
+SOCKETS = 64  # of the relay, by its configuration and by the kernel's limit
+FILLED_S = 1.5
+EVERY_S = 0.002  # a client comes: faster ones would leave before they are accepted
+MOST_REQUESTS = 60  # held open at a time, several times what the relay has room for
+MOST_OTHERS = 200
+REQUEST = b"OPEN %x 1 c=watch,t=valleys,d=3000\r\n"
+FIRST_BYTES = (b"", b"PING\r\n", b"half a li", b"no line\r\nand more", REQUEST)
+
+
+class Flood:
+    """Clients that connect, send what one of their kind sends first, and rest. The oldest leave."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._requests: deque[socket.socket] = deque()
+        self._others: deque[socket.socket] = deque()
+        self.came = 0
+
+    def one_more(self) -> None:
+        self.came += 1
+        first = FIRST_BYTES[self.came % len(FIRST_BYTES)]
+        requests = first is REQUEST
+        held, most = (self._requests, MOST_REQUESTS) if requests else (self._others, MOST_OTHERS)
+        client = socket.socket()
+        held.append(client)
+        client.settimeout(0.2)
+        with suppress(OSError):  # its answer may have come, and its end
+            client.connect(("127.0.0.1", self._port))
+            client.sendall(first % self.came if requests else first)
+        if len(held) > most:
+            held.popleft().close()
+
+    def end(self) -> None:
+        for client in (*self._requests, *self._others):
+            client.close()
+
+
+class Watched:
+    """The most descriptors that a process was seen to hold."""
+
+    def __init__(self, process: int) -> None:
+        self.most = 0
+        self._folder, self._over = f"/proc/{process}/fd", threading.Event()
+        self._thread = threading.Thread(target=self._look)
+
+    def __enter__(self) -> "Watched":
+        self._thread.start()
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._over.set()
+        self._thread.join()
+
+    def _look(self) -> None:
+        while not self._over.is_set():
+            self.most = max(self.most, len(os.listdir(self._folder)))
+            time.sleep(0.0005)
+
+
+class Open:
+    """How many accepted clients are not closed yet."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.count = 0
+        connection = Inbound._connection
+
+        async def counted(inbound: Inbound, *given: Any) -> None:
+            self.count += 1
+            try:
+                await connection(inbound, *given)
+            finally:
+                self.count -= 1
+
+        monkeypatch.setattr(Inbound, "_connection", counted)
+
+
+@contextmanager
+def silent_server() -> Iterator[int]:
+    """A push server that accepts and says nothing, so that each call to it holds a descriptor."""
+    held: list[socket.socket] = []
+
+    def accept(listener: socket.socket) -> None:
+        with suppress(OSError):
+            while True:
+                held.append(listener.accept()[0])
+
+    with socket.create_server(("127.0.0.1", 0), backlog=512) as listener:
+        thread = threading.Thread(target=accept, args=(listener,), daemon=True)
+        thread.start()
+        try:
+            yield listener.getsockname()[1]
+        finally:
+            listener.shutdown(socket.SHUT_RDWR)
+            thread.join()
+    for sock in held:
+        sock.close()
+
+
+@contextmanager
+def relay_process(folder: Path, discovery: int, server: int) -> Iterator[tuple[subprocess.Popen[str], int]]:
+    """Once it listens, with its port."""
+    relaying.write(
+        folder,
+        listen="127.0.0.1:0",
+        discovery=f"127.0.0.1:{discovery}",
+        limits={"sockets": SOCKETS},
+        known=whole(*(entry(f"s-{n}", f"127.0.0.1:{server}") for n in range(3))),
+    )
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        port = free.getsockname()[1]
+    environment = os.environ | {
+        "LB_CONFIG": str(folder / "config.json"),
+        "LB_LISTEN": f"127.0.0.1:{port}",
+    }
+    with (
+        (folder / "log").open("w") as log,
+        subprocess.Popen(
+            [sys.executable, "-m", "glenfold"],
+            cwd=Path(__file__).parents[1],
+            env=environment,
+            stderr=log,
+            text=True,
+            preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (SOCKETS, SOCKETS)),
+        ) as process,
+    ):
+        try:
+            while "relay listens" not in (folder / "log").read_text() and process.poll() is None:
+                time.sleep(0.01)
+            yield process, port
+            process.send_signal(signal.SIGTERM)
+            process.wait(10)
+        finally:
+            process.kill()
+
+
+def test_with_clients_without_end_discovery_and_accepted_clients_still_get_descriptors(
+    tmp_path: Path,
+) -> None:
+    with (
+        socket.socket() as discovery,  # refuses until it listens
+        silent_server() as server,
+    ):
+        discovery.bind(("127.0.0.1", 0))
+        with relay_process(tmp_path, discovery.getsockname()[1], server) as (process, port):
+            flood = Flood(port)
+            with Watched(process.pid) as watched:
+                until = time.monotonic() + FILLED_S
+                while time.monotonic() < until:
+                    flood.one_more()
+                    time.sleep(EVERY_S)
+                discovery.listen()
+                discovery.settimeout(0.001)
+                until = time.monotonic() + MISSED_S
+                call = None
+                while call is None and time.monotonic() < until:
+                    flood.one_more()
+                    with suppress(TimeoutError):
+                        call = discovery.accept()[0]
+            flood.end()
+            assert call is not None
+            call.close()
+    log = (tmp_path / "log").read_text()
+    assert flood.came > 4 * SOCKETS and watched.most < SOCKETS
+    assert "connect_failed" not in log and "faults=0" in log
+
+
+def test_clients_and_their_calls_leave_the_relay_its_own_descriptors(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """However many come in one turn of the loop."""
+    clients = Open(monkeypatch)
+    conf = relaying.config(tmp_path, limits={"sockets": SOCKETS})
+    most = SOCKETS - OWN_SOCKETS
+    seen: list[int] = []
+
+    async def silent(stream: trio.SocketStream) -> None:
+        while await stream.receive_some():
+            pass
+
+    async def main() -> None:
+        async with relay(conf, silent) as (shared, inbound, port):
+            flood = Flood(port)
+            for _ in range(2 * SOCKETS - 8):
+                flood.one_more()  # the loop does not turn meanwhile, so no more than the kernel queues
+            while shared.counters.accepted < flood.came:
+                await trio.lowlevel.checkpoint()
+                seen.append(clients.count + inbound._taken)
+            flood.end()
+
+    trio.run(main, clock=trio.testing.MockClock())
+    assert conf.room.waiting + 2 * conf.room.taken < max(seen) <= most
+
+
+def test_a_client_that_reads_nothing_is_closed_all_the_same(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its answer finds no room with the kernel, and nobody waits for that for long."""
+    clients = Open(monkeypatch)
+
+    async def no_room(sock: SocketType, data: bytes) -> None:
+        await trio.sleep_forever()
+
+    monkeypatch.setattr(inbound_module, "send", no_room)
+
+    async def main() -> None:
+        async with relay(relaying.config(tmp_path), relaying.up) as (shared, inbound, port):
+            idle = [socket.create_connection(("127.0.0.1", port)) for _ in range(2)]
+            idle[0].sendall(b"no line\r\n")  # and the other says nothing
+            with trio.fail_after(FIRST_LINE_S + 2 * PARTING_S):
+                while shared.counters.accepted < len(idle) or clients.count:
+                    await trio.sleep(0.1)
+            for client in idle:
+                client.close()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.01))
