--- a/tests/replica/test_tree.py
+++ b/tests/replica/test_tree.py
@@ -103,14 +103,14 @@
     play(script)
 
 
-def test_a_silent_source_is_no_renewal_however_often_replicas_ask_each_other():
-    """Two replicas that may follow each other: once the source is gone, neither keeps the other fresh."""
-
+def test_replicas_that_may_follow_each_other_keep_nobody_fresh_once_the_source_has_gone():
     async def script(nursery: trio.Nursery) -> None:
         source = StandInParent(revision=41)
         await source.listen(nursery)
-        first = Layer("first", source.port)
-        second = Layer("second", source.port, first.port)
+        with socket.create_server(("127.0.0.1", 0)) as sock:
+            port_of_second = sock.getsockname()[1]
+        first = Layer("first", source.port, port_of_second)
+        second = Layer("second", source.port, first.port, port=port_of_second)
         nursery.start_soon(first.run)
         nursery.start_soon(second.run)
         child = await second.watch(41)
@@ -119,7 +119,11 @@
         lines = await seen(child, gone_at_s + 30.0)
         assert lines.count(None) <= 2
         assert await seen(child, gone_at_s + 60.0) == []
-        assert second.process.counters["stale"] == 1
+        assert first.process.counters["stale"] == second.process.counters["stale"] == 1
+        beside = ChildConnection(await trio.open_tcp_stream("127.0.0.1", second.port))
+        fields = dict((await beside.ask("/v1/servers")).headers)
+        assert 58 <= int(fields[b"age"]) <= 66
+        assert fields[b"via"].count(b"second") == 1 and fields[b"via"].count(b"first") <= 1
 
     play(script)
 
