--- a/glenfold_lab/scale/control_plays.py
+++ b/glenfold_lab/scale/control_plays.py
@@ -184,6 +184,17 @@
     return play
 
 
+def reset_connections() -> Play:
+    """All connections to the source are reset, and a server drains."""
+
+    def play(stage: Stage) -> dict[str, Outage]:
+        stage.source.reset()
+        stage.publish([stage.chance.randrange(stage.source.servers)], Told.DRAINING)
+        return {}
+
+    return play
+
+
 def silent_source(seconds: float) -> Play:
     """The source says nothing for so long, while a server drains."""
 
--- a/glenfold_lab/scale/control_slopes.py
+++ b/glenfold_lab/scale/control_slopes.py
@@ -72,6 +72,7 @@
         yield from self._fast()
         yield from self._burst()
         yield from self._return()
+        yield from _in_force("reset", self._perform("reset", plays.reset_connections()))
         yield from _in_force("silent", self._perform("silent", plays.silent_source(SILENT_S)))
 
     def _perform(self, name: str, play: Play) -> PlayResult:
--- a/glenfold_lab/scale/control_source.py
+++ b/glenfold_lab/scale/control_source.py
@@ -36,6 +36,11 @@
     speaks: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Reset:
+    """All open connections are reset."""
+
+
 @dataclass(frozen=True, slots=True)
 class History:
     """All revisions so far?"""
@@ -94,12 +99,14 @@
                 self._pipe.send(self._answer(command))
             nursery.cancel_scope.cancel()
 
-    def _answer(self, command: Publish | Speak | History) -> object:
+    def _answer(self, command: Publish | Speak | Reset | History) -> object:
         if isinstance(command, Publish):
             return self._publish(command)
         if isinstance(command, History):
             return self._ledger.history
-        if command.speaks:
+        if isinstance(command, Reset):
+            self._agent.cut()
+        elif command.speaks:
             self._agent.speak()
         else:
             self._agent.go_quiet()
@@ -181,6 +188,9 @@
     def speak(self, speaks: bool) -> None:
         self._process.ask(Speak(speaks))
 
+    def reset(self) -> None:
+        self._process.ask(Reset())
+
     def history(self) -> list[Revision]:
         history: list[Revision] = self._process.ask(History())
         return history
--- a/glenfold_lab/scale/hollow_fleet.py
+++ b/glenfold_lab/scale/hollow_fleet.py
@@ -43,7 +43,7 @@
 @dataclass(frozen=True, slots=True)
 class FleetPlan:
     """`spread_s`: over which relays spread their calls. `most_opening`: how many watchers of a process open
-    connections or read whole lists at once, when they begin; nothing bounds it after a fault."""
+    connections or read whole lists at once, when they begin; nothing bounds it for those that know a list."""
 
     groups: tuple[WatcherGroup, ...]
     spread_s: float
@@ -180,7 +180,7 @@
                 continue
             if watcher.phase is not Phase.WAITING:
                 self._fail(watcher, Fault(f"silent while {watcher.phase.name.lower()}"), now)
-            elif opening < self._most_opening:
+            elif watcher.revision or opening < self._most_opening:
                 opening += 1
                 self._open(watcher, now)
 
--- a/tests/glenfold_lab/scale/test_control.py
+++ b/tests/glenfold_lab/scale/test_control.py
@@ -29,7 +29,7 @@
     free_addresses,
     two_layers,
 )
-from glenfold_lab.scale.hollow_fleet import Collected, FleetPlan, HollowFleet
+from glenfold_lab.scale.hollow_fleet import SWEEP_S, Collected, FleetPlan, HollowFleet
 from glenfold_lab.scale.hollow_http import AnswerReader, BadAnswer, ChunkTable
 from glenfold_lab.scale.hollow_list import Lists
 from glenfold_lab.scale.hollow_watcher import Deliveries, Fault, HollowWatcher, Phase
@@ -303,7 +303,7 @@
 @pytest.fixture(scope="module")
 def stage() -> Iterator[Stage]:
     with Source(SERVERS) as source:
-        plan = FleetPlan(flat(WATCHERS).groups(source.address), spread_s=0.2, most_opening=32, seed=1)
+        plan = FleetPlan(flat(WATCHERS).groups(source.address), spread_s=0.2, most_opening=2, seed=1)
         with HollowFleet(plan, 2) as fleet:
             stage = Stage(source, fleet, after_s=AFTER_S)
             stage.begin()
@@ -329,6 +329,13 @@
     assert 0.5 < burst.bytes_read / whole.bytes_read * 14 / 2 < 2
 
 
+def test_watchers_that_know_a_list_resume_together_after_a_reset(stage: Stage) -> None:
+    judged = perform("reset", stage, plays.reset_connections()).judgement
+    assert judged.sound, judged
+    assert judged.whole_lists == 0 and judged.connects == WATCHERS
+    assert judged.in_force.max_s < WATCHERS / stage.fleet.plan.most_opening * SWEEP_S
+
+
 def test_watchers_resume_after_silence_without_a_whole_list(stage: Stage) -> None:
     judged = perform("silent", stage, plays.silent_source(3.0)).judgement
     assert judged.sound, judged
