--- a/glenfold/config/terms.py
+++ b/glenfold/config/terms.py
@@ -7,6 +7,7 @@
 
 from msgspec import Meta
 
+from glenfold.config.platform import Parent, read_address
 from glenfold.config.tables import Table
 from glenfold.lines import MOST_WAIT_MS
 
@@ -42,8 +43,21 @@
     cores: Annotated[float, Meta(ge=0.01, le=1)] = 1.0
 
 
+class ListParent(Table, frozen=True):
+    address: AddressText
+    zone: Name | None = None
+    region: Name | None = None
+
+    @property
+    def parent(self) -> Parent:
+        """Of a sound file."""
+        return Parent(read_address(self.address), self.zone, self.region)
+
+
 class ServerList(Table, frozen=True):
-    discovery: AddressText
+    discovery: AddressText | None = None
+    parents: Annotated[tuple[ListParent, ...], Meta(min_length=1, max_length=64)] | None = None
+    region: Name | None = None
     known: Path | None = None
 
 
--- a/glenfold/net/discovery.py
+++ b/glenfold/net/discovery.py
@@ -3,7 +3,6 @@
 import json
 import math
 import random
-import re
 from collections.abc import AsyncIterator, Awaitable, Callable
 
 import h11
@@ -13,10 +12,11 @@
 from glenfold.config import Address
 from glenfold.counters import Counters
 from glenfold.destinations import BadList, DestinationSet
+from glenfold.net.lists import LONGEST_LINE, Exchange, Objects, note_taken
 from glenfold.rules.backoff import Backoff
 from linnetspread import interface as i
 
-MISSED_S = 6.0  # what a silent watch misses counts as told so long after it fell silent
+MISSED_S = 6.0  # what discovery has counts as told so long after it could be reached, or a watch fell silent
 LONGEST_SILENCE_S = 2.5  # a watch sends a line at least every 2 s
 ANSWER_S = 1.0  # an agent that has been sent the list answers at once
 ASKING_S = 3.0  # one that has to ask for all relays in turn answers, be it 503, ...
@@ -25,11 +25,10 @@
 LOOK_S = 0.01  # for what is there already, when it is looked for late
 AGAIN_S = 0.25  # before a call after a fault
 MOST_TIMES = 4.0  # of that and of the spread, after several calls in a row that were refused
-SOON_S = MISSED_S - max(LONGEST_SILENCE_S, ASKING_S) - BUSY_S - AGAIN_S  # what is left of that for a turn
-LONGEST_LINE = 4 << 20
+LAG_S = 0.25  # kept of MISSED_S for a loop that lags
+NEXT_CALL_S = MISSED_S - BUSY_S - LAG_S  # from the start of a call that tells nothing to the next one's
+SOON_S = 0.75  # over which calls are spread while nothing says that discovery can't serve all at once
 MOST_READ = 1 << 18
-STRING = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"')
-BRACKET = re.compile(rb"[][{}]")
 
 
 class Unavailable(Exception):
@@ -41,37 +40,6 @@
 ListHeard = Callable[[i.ServerList], Awaitable[None]]
 
 
-class Objects:
-    """A watch's JSON objects from its lines: one a line, or indented. Then it goes on to the line that closes
-    all its brackets. Each line is looked at once, however many an object has."""
-
-    def __init__(self) -> None:
-        self._begun: list[bytes] = []
-        self._open = bytearray()  # its brackets that no line has closed
-        self.size = 0  # bytes of the object that has begun
-
-    def take(self, line: bytes) -> bytes:
-        """The object that this line ends, or nothing. What can't become one is handed on as it is."""
-        if line.strip():
-            self._begun.append(line)
-            self.size += len(line)
-            if self._goes_on(STRING.sub(b"", line)):
-                return b""
-        text, self._begun, self.size = b"\n".join(self._begun), [], 0
-        self._open.clear()
-        return text  # after an empty line, which stands between objects, be it whole or not
-
-    def _goes_on(self, bare: bytes) -> bool:
-        if b'"' in bare or (self._open.endswith(b"{") and bare.lstrip().startswith(b"{")):
-            return False  # a string that no line ends, an object where a name should stand: it broke off
-        for bracket in BRACKET.findall(bare):
-            if bracket in b"[{":
-                self._open += bracket
-            else:
-                del self._open[-1:]
-        return bool(self._open)
-
-
 class Silence:
     """`until`: when an agent that has said nothing up to then counts as dead, though TCP is not."""
 
@@ -109,7 +77,7 @@
         self._backoff = Backoff(
             AGAIN_S, spread_s, MOST_TIMES if spread_s else 1.0, random.Random(seed), SOON_S
         )
-        self._first_within_s = min(MISSED_S - BUSY_S, ask_within_s)
+        self._first_within_s = min(NEXT_CALL_S, ask_within_s)
         self._scope = trio.CancelScope()
         self._said = ""
         self._known_of: Address | None = None  # whose version is known: a watch there may go on from it
@@ -126,7 +94,7 @@
         """Each call costs discovery, and after a fault of its own all relays make one: a watch that broke off
         goes on from the version known. Only an agent that has not spoken yet, or that sent what is no list,
         is asked for the whole list first."""
-        wait_s, busy = 0.0, False
+        wait_s, busy, began = 0.0, False, -math.inf
         if self._destinations.listed:  # with a list to go by it can wait for its turn
             self._known_of = self._address
             wait_s = self._backoff.first_s(self._first_within_s)
@@ -134,12 +102,15 @@
             address = self._address
             with trio.CancelScope() as self._scope:
                 await trio.sleep_until(trio.current_time() + wait_s)
+                began = trio.current_time()
                 busy = await self._call()
             if self._address != address:
                 self._backoff.worked()
                 wait_s = self._backoff.first_s(SOON_S)
             else:
-                wait_s = self._backoff.again_s(busy)
+                wait_s = self._backoff.again_s(
+                    busy, max(began, self.heard_at) + NEXT_CALL_S - trio.current_time()
+                )
 
     async def _call(self) -> bool:
         """To the end of a watch: whether the service can't be helped by another call soon."""
@@ -211,26 +182,15 @@
         self, connection: h11.Connection, stream: trio.SocketStream, target: str, silence: Silence
     ) -> AsyncIterator[bytes]:
         """Nothing once the answer has begun, then its body part by part."""
-        host = f"{self._address[0]}:{self._address[1]}"
-        request = h11.Request(method="GET", target=target, headers=[("Host", host)])
-        for part in (request, h11.EndOfMessage()):
-            await stream.send_all(connection.send(part) or b"")
-        while True:
-            event = connection.next_event()
-            if event is h11.NEED_DATA:
-                connection.receive_data(await silence.receive(stream))
-            elif isinstance(event, h11.Response):
-                if event.status_code >= 500:
-                    raise Unavailable(f"{target} answers {event.status_code}")
-                if event.status_code != 200:
-                    raise BadList(f"{target} answers {event.status_code}")
-                yield b""
-            elif isinstance(event, h11.Data):
-                yield bytes(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return
-            elif isinstance(event, h11.ConnectionClosed):
-                raise h11.RemoteProtocolError("discovery closed the connection")
+        exchange = Exchange(connection, stream)
+        response = await exchange.begin(self._address, target, silence.receive)
+        if response.status_code >= 500:
+            raise Unavailable(f"{target} answers {response.status_code}")
+        if response.status_code != 200:
+            raise BadList(f"{target} answers {response.status_code}")
+        yield b""
+        while (part := await exchange.part(silence.receive)) is not None:
+            yield part
 
     async def _take(self, text: bytes) -> None:
         try:
@@ -238,12 +198,7 @@
         except (ValueError, RecursionError) as error:  # nested too deep: that would end the relay
             raise BadList(f"not JSON: {error}") from error
         servers = self._destinations.read(document)
-        self._counters.lists += 1
-        for fault in self._destinations.faults:
-            self._counters.bad_entries += 1
-            if fault != self._said:  # the same entry comes with every list
-                events.list_entry_left_out(fault=fault)
-            self._said = fault
+        self._said = note_taken(self._destinations, self._counters, self._said)
         # A move or a silence that cut in here would leave the addresses and the decisions two lists apart.
         with trio.CancelScope(shield=True):
             await self._heard(servers)
--- a/glenfold_lab/scale/control_command.py
+++ b/glenfold_lab/scale/control_command.py
@@ -15,7 +15,7 @@
 from glenfold_lab.scale.control_slopes import Size
 from glenfold_lab.scale.driven_process import ProcessFailed
 from glenfold_lab.scale.measurements import Machine, Point, Results
-from glenfold_lab.stands.relays import NotReady as RelayNotReady
+from glenfold_lab.stand_ins.relays import NotReady as RelayNotReady
 
 DEFAULT_SERVERS = 1024
 DEFAULT_WATCHERS = 340
--- a/glenfold_lab/scale/control_links.py
+++ b/glenfold_lab/scale/control_links.py
@@ -10,7 +10,7 @@
 
 from glenfold.config import Address
 from glenfold_lab.scale.driven_process import DrivenProcess
-from glenfold_lab.stands.sockets import SocketType, bind, end_now, take
+from glenfold_lab.stand_ins.sockets import SocketType, bind, end_now, take
 
 HOST = "127.0.0.1"
 BACKLOG = 256
--- a/glenfold_lab/scale/control_processes.py
+++ b/glenfold_lab/scale/control_processes.py
@@ -16,7 +16,7 @@
 
 from glenfold.config import Address
 from glenfold_lab.scale.control_topology import ControlProcess, Topology
-from glenfold_lab.stands.sockets import written
+from glenfold_lab.stand_ins.sockets import written
 
 COMMAND = (sys.executable, "-m", "glenfold", "replica")
 READY_S = 30.0
--- a/glenfold_lab/scale/control_relays.py
+++ b/glenfold_lab/scale/control_relays.py
@@ -16,10 +16,10 @@
 from glenfold_lab.scale.placement_probe import NOBODY, PlacementProbe, PushServers
 from glenfold_lab.scale.relay_lists import RELAY_SETTINGS, KeyFinder, Watched
 from glenfold_lab.scale.server_lists import FIRST_SEQ, ZONES, ServerFleet
-from glenfold_lab.stands.agent import whole_list
-from glenfold_lab.stands.moments import MachineClock
-from glenfold_lab.stands.relays import Limits, RelayProcess, free_address
-from glenfold_lab.stands.seen import Seen
+from glenfold_lab.stand_ins.agent import whole_list
+from glenfold_lab.stand_ins.machine_clock import MachineClock
+from glenfold_lab.stand_ins.relays import Limits, RelayProcess, free_address
+from glenfold_lab.stand_ins.seen import Seen
 
 HOST = "127.8.0.2"  # not that of outgoing connections
 IN_FORCE_S = 30.0  # the longest wait for a drain
--- a/glenfold_lab/scale/hollow_process.py
+++ b/glenfold_lab/scale/hollow_process.py
@@ -17,7 +17,7 @@
 
 import trio
 
-from glenfold_lab.load.crew import descriptors
+from glenfold_lab.load.worker_pool import descriptors
 
 MOST_EVENTS = 1024  # of one look at the sockets
 STEP_S = 0.001  # between two looks at the schedule of an open loop
--- a/glenfold_lab/scale/hollow_servers.py
+++ b/glenfold_lab/scale/hollow_servers.py
@@ -9,7 +9,7 @@
 
 from glenfold.lines import END
 from glenfold_lab.scale.hollow_process import HollowFailed, Peer, Schedule
-from glenfold_lab.stands.sockets import Address
+from glenfold_lab.stand_ins.sockets import Address
 
 BACKLOG = 1024
 CHUNK = 4096
--- a/glenfold_lab/scale/list_agent.py
+++ b/glenfold_lab/scale/list_agent.py
@@ -6,9 +6,9 @@
 import trio
 
 from glenfold_lab.scale.worker import Requests
-from glenfold_lab.stands.agent import Agent, Change, Entry, Holding
-from glenfold_lab.stands.moments import MachineClock
-from glenfold_lab.stands.seen import Seen
+from glenfold_lab.stand_ins.agent import Agent, Change, Entry, Holding
+from glenfold_lab.stand_ins.machine_clock import MachineClock
+from glenfold_lab.stand_ins.seen import Seen
 
 HOST = "127.0.0.1"
 
--- a/glenfold_lab/scale/list_costs.py
+++ b/glenfold_lab/scale/list_costs.py
@@ -18,7 +18,7 @@
 from glenfold_lab.observe import Told
 from glenfold_lab.scale.measurements import Point
 from glenfold_lab.scale.server_lists import SETTINGS, ChangeScript, ServerFleet
-from glenfold_lab.stands.agent import Holding
+from glenfold_lab.stand_ins.agent import Holding
 from linnetspread import Balancer
 from linnetspread import interface as i
 
--- a/glenfold_lab/scale/lists_command.py
+++ b/glenfold_lab/scale/lists_command.py
@@ -19,7 +19,7 @@
 from glenfold_lab.scale.relay_lists import CHANGES_A_DAY, Play, Terms
 from glenfold_lab.scale.server_lists import ZONES
 from glenfold_lab.scale.worker import WorkerFailed
-from glenfold_lab.stands.relays import NotReady
+from glenfold_lab.stand_ins.relays import NotReady
 
 SIZES = 200, 1_024, 4_096, 10_240
 FEWEST_SERVERS = 56  # four to a zone, so that every zone has a server with a key of its own
--- a/glenfold_lab/scale/measured_relay.py
+++ b/glenfold_lab/scale/measured_relay.py
@@ -9,15 +9,15 @@
 import psutil  # type: ignore[import-untyped]
 import trio
 
-from glenfold_lab.stands.agent import Agent, Entry, Holding, whole_list
-from glenfold_lab.stands.moments import MachineClock
-from glenfold_lab.stands.places import AGENTS, RELAYS, Net
-from glenfold_lab.stands.relays import Limits, RelayProcess, ended_in_the_end, free_address
-from glenfold_lab.stands.seen import Seen
-from glenfold_lab.stands.sockets import Address, written
+from glenfold_lab.stand_ins.agent import Agent, Entry, Holding, whole_list
+from glenfold_lab.stand_ins.machine_clock import MachineClock
+from glenfold_lab.stand_ins.places import AGENTS, RELAYS, Net
+from glenfold_lab.stand_ins.relays import Limits, RelayProcess, ended_in_the_end, free_address
+from glenfold_lab.stand_ins.seen import Seen
+from glenfold_lab.stand_ins.sockets import Address, written
 
 ZONE, KIND, CLASS = "one", "plain", "watch"
-WAIT_US = 20_000_000  # of a client, for its UP: a busy machine is not to refuse any
+WAIT_US = 3_000_000  # of a client, for its UP; the relay keeps a timer for each request as long, also once up
 SETTINGS: dict[str, Any] = {
     "classes": [{"name": CLASS, "aim_us": 500_000, "hard_limit_us": WAIT_US, "semantics": "repeatable"}],
     "accounts": [{"name": "one"}],
--- a/glenfold_lab/scale/placement_probe.py
+++ b/glenfold_lab/scale/placement_probe.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from glenfold_lab.stands.sockets import Address, SocketType, bind, finish, take, written
+from glenfold_lab.stand_ins.sockets import Address, SocketType, bind, finish, take, written
 
 HOST = "127.0.0.1"
 BACKLOG = 256
--- a/glenfold_lab/scale/relay_lists.py
+++ b/glenfold_lab/scale/relay_lists.py
@@ -26,12 +26,12 @@
 from glenfold_lab.scale.placement_probe import PlacementProbe, PushServers
 from glenfold_lab.scale.server_lists import FIRST_SEQ, SETTINGS, ZONES, ChangeScript, ServerFleet
 from glenfold_lab.scale.worker import Worker
-from glenfold_lab.stands.agent import Change, Entry, whole_list
-from glenfold_lab.stands.lateness import percentile
-from glenfold_lab.stands.moments import MachineClock
-from glenfold_lab.stands.relays import Limits, RelayProcess, ended_in_the_end, free_address
-from glenfold_lab.stands.seen import Seen
-from glenfold_lab.stands.sockets import Address
+from glenfold_lab.stand_ins.agent import Change, Entry, whole_list
+from glenfold_lab.stand_ins.lateness import percentile
+from glenfold_lab.stand_ins.machine_clock import MachineClock
+from glenfold_lab.stand_ins.relays import Limits, RelayProcess, ended_in_the_end, free_address
+from glenfold_lab.stand_ins.seen import Seen
+from glenfold_lab.stand_ins.sockets import Address
 from linnetspread import interface as i
 
 DIMENSION = "servers"
--- a/tests/glenfold_lab/scale/test_control.py
+++ b/tests/glenfold_lab/scale/test_scale_control.py
@@ -34,8 +34,8 @@
 from glenfold_lab.scale.hollow_list import Lists
 from glenfold_lab.scale.hollow_watcher import Deliveries, Fault, HollowWatcher, Phase
 from glenfold_lab.scale.measurements import Point, Results
-from glenfold_lab.stands.agent import Change, Holding
-from glenfold_lab.stands.sockets import written
+from glenfold_lab.stand_ins.agent import Change, Holding
+from glenfold_lab.stand_ins.sockets import written
 
 SERVERS = 28
 PARENTS = (("127.0.0.1", 1001), ("127.0.0.1", 1002))
