--- a/tests/glenfold_lab/scale/test_scale_control.py
+++ b/tests/glenfold_lab/scale/test_scale_control.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Iterator, Sequence
+from contextlib import ExitStack
 from dataclasses import replace
 from pathlib import Path
 
@@ -17,7 +18,7 @@
 from glenfold_lab.scale.control_judge import Judge, Judgement, Outage
 from glenfold_lab.scale.control_links import Links
 from glenfold_lab.scale.control_plays import PlayResult, RelayWaits, Stage, perform
-from glenfold_lab.scale.control_processes import replica_file
+from glenfold_lab.scale.control_processes import ControlProcesses, replica_file
 from glenfold_lab.scale.control_replicas import broken
 from glenfold_lab.scale.control_source import Ledger, Source, listed_server
 from glenfold_lab.scale.control_topology import (
@@ -298,6 +299,7 @@
 
 WATCHERS = 60
 AFTER_S = 0.5
+ROOT = Path(control_command.__file__).parents[2]
 
 
 @pytest.fixture(scope="module")
@@ -423,6 +425,24 @@
     ]
 
 
+def test_watchers_of_a_replica_that_is_killed_lose_nothing(tmp_path: Path) -> None:
+    topology = two_layers(16, regions=1, zones=2)
+    with ExitStack() as stack:
+        source = stack.enter_context(Source(SERVERS))
+        stack.enter_context(Links(topology.link_plans(source.address)))
+        control = stack.enter_context(ControlProcesses(topology, source.address, tmp_path, ROOT))
+        plan = FleetPlan(topology.groups(source.address), spread_s=0.2, most_opening=32, seed=1)
+        fleet = stack.enter_context(HollowFleet(plan, 1))
+        stage = Stage(source, fleet, control, after_s=AFTER_S)
+        stage.begin()
+        result = perform("killed", stage, plays.killed("zone-1", again_s=0.5))
+    judged = result.judgement
+    assert judged.sound, judged
+    assert (judged.revisions, judged.in_force.count) == (4, 4 * 16)
+    assert judged.connects >= 8 and judged.whole_lists == 0
+    assert {"source", "region-0", "zone-0"} == set(result.usage)
+
+
 # ---- slopes ----
 
 CHANGES = 60
