--- a/glenfold_lab/scale/control_replicas.py
+++ b/glenfold_lab/scale/control_replicas.py
@@ -12,7 +12,7 @@
 from glenfold_lab.scale.control_plays import Play, PlayResult, Stage, Usage
 from glenfold_lab.scale.control_processes import ControlProcesses
 from glenfold_lab.scale.control_relays import RealRelays
-from glenfold_lab.scale.control_slopes import CALLS_SPREAD_S, MOST_OPENING, Size, processes_for
+from glenfold_lab.scale.control_slopes import CALLS_SPREAD_S, Size, most_opening, processes_for
 from glenfold_lab.scale.control_source import Source
 from glenfold_lab.scale.control_topology import SOURCE, Topology, two_layers
 from glenfold_lab.scale.hollow_fleet import FleetPlan, HollowFleet
@@ -93,7 +93,7 @@
         source = stack.enter_context(Source(size.servers, real.dial))
         links = stack.enter_context(Links(topology.link_plans(source.address)))
         control = stack.enter_context(ControlProcesses(topology, source.address, folder, order.root))
-        plan = FleetPlan(topology.groups(source.address), CALLS_SPREAD_S, MOST_OPENING, seed)
+        plan = FleetPlan(topology.groups(source.address), CALLS_SPREAD_S, most_opening(size.servers), seed)
         fleet = stack.enter_context(HollowFleet(plan, processes_for(size.watchers)))
         stage = Stage(source, fleet, control, links, real, chance=random.Random(seed))
         values = [("start", "s", stage.begin())]
--- a/glenfold_lab/scale/control_slopes.py
+++ b/glenfold_lab/scale/control_slopes.py
@@ -12,6 +12,7 @@
 from glenfold_lab.scale.measurements import Point
 
 MOST_OPENING = 64  # the agent's backlog
+MOST_OPENING_SERVERS = 64 * 1024  # of whole lists under way: a watcher waits 3 s for a part of one
 WATCHERS_A_PROCESS = 850
 CALLS_SPREAD_S = 1.0  # over which relays spread their calls after a fault; longer for more relays
 CHANGES = 4
@@ -38,6 +39,11 @@
         return self.watchers if self.dimension == "watchers" else self.servers
 
 
+def most_opening(servers: int) -> int:
+    """How many watchers may read whole lists at once when they begin: in 3 s an agent has to serve all."""
+    return max(1, min(MOST_OPENING, MOST_OPENING_SERVERS // servers))
+
+
 def processes_for(watchers: int) -> int:
     return -(-watchers // WATCHERS_A_PROCESS)
 
@@ -46,7 +52,7 @@
     """All plays of one size. `tell` hears of each as it ends."""
     with Source(size.servers) as source:
         groups = flat(size.watchers).groups(source.address)
-        plan = FleetPlan(groups, CALLS_SPREAD_S, MOST_OPENING, seed)
+        plan = FleetPlan(groups, CALLS_SPREAD_S, most_opening(size.servers), seed)
         with HollowFleet(plan, processes_for(size.watchers)) as fleet:
             stage = Stage(source, fleet, chance=random.Random(seed))
             values = _Agent(stage, tell).values()
