Keep the model of cold servers in a sparse fleet, with the bound that holds from now on

benchmarks/cold_turns.py drives the real decisions of 200 gateways, half of whose 50 servers start anew: clients that come back at 300 a second, or all at once at gateways that hold nothing, at 0.4 of the shares and at the whole of them. It measures each server's fullest window against N + 2 root N + 2.

--- /dev/null
+++ b/benchmarks/cold_turns.py
@@ -0,0 +1,259 @@
+"""How full cold servers get, in a model of a fleet of gateways whose decisions are the real ones.
+
+    python -m benchmarks.cold_turns [--gateways 200] [--servers 50] [--seeds 3]
+
+Half of the servers start anew in one moment. Each client that comes then is given to a gateway by chance, as
+a front without memory would. A case says how many of the shares' clients there are, and how they come back:
+`steady`: so many a second, drawn from those that no cold server holds, beside new ones at the rate that
+the shares tell; `rush`: all of them within two seconds, so many seconds after the start of the servers, at
+gateways that hold nothing yet.
+
+Prints a JSON line for each case. fullest: the most that one server was sent in any window of the settings, as
+a part of N + 2 sqrt(N) + 2, the most that it bears; N is what the settings allow it in that window. mean:
+what all cold servers were sent, as a part of the sum of N until they are warm. falls: servers that were sent
+more than they bear. Exits with 1 if there is one. About ten seconds of processor time a seed.
+"""
+
+import heapq
+import json
+import math
+import random
+import sys
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+import click
+
+from linnetspread import interface as i
+from linnetspread.choice import Balancer
+
+SECOND = 1_000_000
+TICK_US = SECOND // 100
+RUSH_S = 2.0
+GROUP_SIZE = 8  # clients of one group, over the whole fleet
+COMES_BACK_US = 100_000  # after a MOVE
+SHARES = i.Tenant(1.0, quota_per_s=100.0, quota_connections=4_000.0)
+SETTINGS = i.Settings(
+    classes=(
+        i.RequestClass(deadline_us=3 * SECOND, semantics=i.Semantics.REPEATABLE, message_aim_us=100_000.0),
+    ),
+    tenants=(SHARES,),
+    pass_through=True,
+    tells_delay=True,
+    max_attempts=4,
+    cold_share=0.15,
+    cold_us=20 * SECOND,
+    fall_multiple=3.0,
+    fall_us=3 * SECOND,
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Case:
+    """One way in which clients come back. used: clients, as a part of what the shares tell."""
+
+    name: str
+    used: float
+    back_per_s: float = 0.0  # 0: all of them within RUSH_S
+    rush_at_s: float = 0.0
+
+
+CASES = (
+    Case("steady, 0.4 of the shares", 0.4, back_per_s=300.0),
+    Case("steady, the whole shares", 1.0, back_per_s=300.0),
+    Case("rush at once, 0.4 of the shares", 0.4),
+    Case("rush at once, the whole shares", 1.0),
+    Case("rush after 10 s, 0.4 of the shares", 0.4, rush_at_s=10.0),
+    Case("rush after 10 s, the whole shares", 1.0, rush_at_s=10.0),
+)
+
+
+@dataclass(slots=True)
+class ColdServer:
+    """What a server was sent since it started."""
+
+    started_us: int
+    rate_per_s: float  # of new connections that fill it, once it is warm
+    sends: deque[int] = field(default_factory=deque)  # times, in the last window
+    total: int = 0
+    fullest: float = 0.0
+
+    def take(self, now: int) -> None:
+        self.sends.append(now)
+        self.total += 1
+        while self.sends[0] <= now - SETTINGS.fall_us:
+            self.sends.popleft()
+        allowed = self.allowed(max(self.started_us, now - SETTINGS.fall_us), now)
+        self.fullest = max(self.fullest, len(self.sends) / (allowed + 2 * math.sqrt(allowed) + 2))
+
+    def allowed(self, since: int, until: int) -> float:
+        """N: the multiple of what it can take in that time at the least, as it warms up evenly."""
+        middle = (since + until) / 2 - self.started_us
+        warmth = SETTINGS.cold_share + (1 - SETTINGS.cold_share) * min(1.0, middle / SETTINGS.cold_us)
+        return SETTINGS.fall_multiple * warmth * self.rate_per_s * (until - since) / SECOND
+
+
+@dataclass(slots=True)
+class Client:
+    key: int
+    gateway: int = 0
+    request: int = 0  # 0: it has no connection
+    server: int = 0
+
+
+class Fleet:
+    """All gateways, the servers and their clients."""
+
+    def __init__(self, gateways: int, servers: int, seed: int, clients: int) -> None:
+        self.chance = random.Random(seed)
+        self.now = 30 * SECOND
+        self.servers = list(range(100 + 1_000 * seed, 100 + 1_000 * seed + servers))
+        self.gateways = [Balancer(replace(SETTINGS, gateways=gateways), slot) for slot in range(gateways)]
+        self.give_list(self.servers, 0, i.ListKind.FULL)
+        self.cold: dict[int, ColdServer] = {}
+        self.requests = 0
+        self.keys = 0
+        self.clients = [self.new_client() for _ in range(clients)]
+        self.of_request: dict[int, Client] = {}
+        self.coming: list[tuple[int, int, Client]] = []  # moved clients: when, request, who
+
+    def new_client(self) -> Client:
+        self.keys += 1
+        return Client(self.keys * 977)
+
+    def give_list(self, servers: Iterable[int], started_us: int, kind: i.ListKind) -> None:
+        lines = tuple(i.ListedServer(one, i.ServerState.READY, started_us=started_us) for one in servers)
+        for gateway in self.gateways:
+            gateway.handle(self.now, i.ServerList(kind, 0, lines))
+
+    def start_half_anew(self) -> None:
+        started = self.servers[::2]
+        rate = SHARES.quota_per_s / len(self.servers)
+        for client in self.clients:
+            if client.server in started:
+                self.end(client, i.Outcome.RESET)
+        self.cold = {server: ColdServer(self.now, rate) for server in started}
+        self.give_list(started, self.now, i.ListKind.DELTA)
+
+    def end(self, client: Client, outcome: i.Outcome) -> None:
+        if client.request:
+            self.of_request.pop(client.request)
+            answer = i.Answer(client.request, 0, client.server, outcome, SECOND, done=True)
+            self.act(client.gateway, self.gateways[client.gateway].handle(self.now, answer))
+        client.request = client.server = 0
+
+    def come(self, client: Client, returning: bool) -> None:
+        self.end(client, i.Outcome.RESET)
+        self.requests += 1
+        client.gateway = self.chance.randrange(len(self.gateways))
+        event = i.Request(
+            self.requests, 3 * SECOND, client.key, client.key // 977 // GROUP_SIZE + 1, returning=returning
+        )
+        gateway = self.gateways[client.gateway]
+        actions = gateway.handle(self.now, event)
+        for attempt in (action for action in actions if isinstance(action, i.Attempt)):
+            client.request, client.server = self.requests, attempt.server
+            self.of_request[self.requests] = client
+            if attempt.server in self.cold:
+                self.cold[attempt.server].take(self.now)
+            up = i.Established(self.requests, 0, attempt.server, 5_000)
+            actions = actions + gateway.handle(self.now, up)
+        self.act(client.gateway, actions)
+
+    def act(self, gateway: int, actions: list[i.Action]) -> None:
+        """Only a MOVE has effects here: the client ends its connection and comes back."""
+        for move in (action for action in actions if isinstance(action, i.Move)):
+            client = self.of_request.get(move.request)
+            if client is not None:
+                heapq.heappush(self.coming, (self.now + COMES_BACK_US, move.request, client))
+
+    def come_moved(self) -> None:
+        while self.coming and self.coming[0][0] <= self.now:
+            _, request, client = heapq.heappop(self.coming)
+            if client.request == request:
+                self.end(client, i.Outcome.CANCELLED)
+                self.come(client, returning=True)
+
+    def replace_one(self) -> None:
+        """One client leaves for good and a new one comes."""
+        place = self.chance.randrange(len(self.clients))
+        self.end(self.clients[place], i.Outcome.OK)
+        self.clients[place] = self.new_client()
+        self.come(self.clients[place], returning=False)
+
+
+class Arrivals:
+    """Who comes in each tick of one case."""
+
+    def __init__(self, fleet: Fleet, case: Case) -> None:
+        self.fleet, self.case, self.began = fleet, case, fleet.now
+        self.waiting = fleet.clients.copy()  # of a rush: clients that have not come back yet
+        fleet.chance.shuffle(self.waiting)
+        self.new_due = self.back_due = 0.0
+
+    def tick(self) -> None:
+        self.fleet.come_moved()
+        if self.case.back_per_s:
+            self._steady()
+        elif self.fleet.now - self.began >= self.case.rush_at_s * SECOND:
+            self._rush()
+
+    def _steady(self) -> None:
+        self.new_due += self.case.used * SHARES.quota_per_s * TICK_US / SECOND
+        self.back_due += self.case.back_per_s * TICK_US / SECOND
+        for _ in range(int(self.new_due)):
+            self.fleet.replace_one()
+        for _ in range(int(self.back_due)):
+            client = self.fleet.chance.choice(self.fleet.clients)
+            if client.server not in self.fleet.cold:
+                self.fleet.come(client, returning=True)
+        self.new_due, self.back_due = self.new_due % 1, self.back_due % 1
+
+    def _rush(self) -> None:
+        self.back_due += len(self.fleet.clients) / RUSH_S * TICK_US / SECOND
+        for _ in range(min(int(self.back_due), len(self.waiting))):
+            self.fleet.come(self.waiting.pop(), returning=True)
+        self.back_due %= 1
+
+
+def play(case: Case, gateways: int, servers: int, seed: int) -> list[ColdServer]:
+    """All servers that started anew, when they are nearly warm."""
+    fleet = Fleet(gateways, servers, seed, round(case.used * SHARES.quota_connections))
+    if case.back_per_s:
+        for client in fleet.clients:
+            fleet.come(client, returning=False)
+    fleet.start_half_anew()
+    arrivals = Arrivals(fleet, case)
+    for _ in range(SETTINGS.cold_us // TICK_US - 1):
+        fleet.now += TICK_US
+        arrivals.tick()
+    return list(fleet.cold.values())
+
+
+def told(case: Case, cold: list[ColdServer]) -> dict[str, str | float]:
+    """What is reported of one case; the figures as in the module's text."""
+    budget = sum(server.allowed(server.started_us, server.started_us + SETTINGS.cold_us) for server in cold)
+    return {
+        "case": case.name,
+        "fullest": round(max(server.fullest for server in cold), 2),
+        "mean": round(sum(server.total for server in cold) / budget, 2),
+        "falls": sum(server.fullest > 1 for server in cold),
+    }
+
+
+@click.command()
+@click.option("--gateways", type=click.IntRange(1, 1000), default=200, show_default=True)
+@click.option("--servers", type=click.IntRange(2, 1000), default=50, show_default=True)
+@click.option("--seeds", type=click.IntRange(1, 20), default=3, show_default=True)
+def main(gateways: int, servers: int, seeds: int) -> None:
+    falls = 0
+    for case in CASES:
+        cold = [server for seed in range(1, seeds + 1) for server in play(case, gateways, servers, seed)]
+        falls += sum(server.fullest > 1 for server in cold)
+        click.echo(json.dumps(told(case, cold)))
+    sys.exit(falls > 0)
+
+
+if __name__ == "__main__":
+    main()
