Hold the ramp of cold servers to 2 x root + 2, also with twenty and thirty relays

Cause: the operators put only 2 x root of N + 2 calls beyond a cold server's budget of N down to chance, also with twenty or thirty processes; the tests allowed 3 x root + 3 and had 1, 2, 40 and 230 relays.

Change: tests/test_many_gateways.py allows 2 x root + 2, with 1, 2, 20, 30, 40 and 230 relays.

--- a/tests/test_many_gateways.py
+++ b/tests/test_many_gateways.py
@@ -1,4 +1,4 @@
-"""What must add up over all gateways, with one, two, forty and 230 of them and the same traffic."""
+"""What must add up over all gateways, from one to 230 of them and the same traffic."""
 
 import math
 import random
@@ -12,7 +12,7 @@
 from linnetspread.choice import MOST_HOMES, SEEDS, Anchor, mix, part_of
 from linnetspread.interface import ListKind, NoticeKind, Outcome, Refuse, Request, ServerState, Tenant
 
-COUNTS = [1, 2, 40, 230]
+COUNTS = [1, 2, 20, 30, 40, 230]
 LIFE_S, RATE = 30, 20.0  # of all clients: connections last so long, so many new ones come a second
 
 
@@ -51,6 +51,11 @@
         return gateway, number, server
 
 
+def chance(calls: float) -> float:
+    """By how many calls a cold server's budget may be exceeded before it falls."""
+    return 2 * math.sqrt(calls) + 2
+
+
 # what one of ten equal servers takes when warm, in connections a second, by the tenants' shares
 WARM_RATE = RATE / 10
 
@@ -83,7 +88,7 @@
         sent[fleet.ask(key, returning=True)[2]] += 1
         fleet.wait(2 * SECOND // 600)
     budget = 3 * (0.15 + 0.85 / 2) * 5 / 10 * 2
-    assert max(sent[100 + n] for n in range(4)) <= budget + 3 * math.sqrt(budget) + 3  # where it falls
+    assert max(sent[100 + n] for n in range(4)) <= budget + chance(budget)  # where it falls
     assert sum(sent[100 + n] for n in range(4)) <= 4 * budget
 
 
