--- a/glenfold/decisions.py
+++ b/glenfold/decisions.py
@@ -14,7 +14,11 @@
 from linnetspread import interface as i
 
 QUEUE = 1024  # messages; senders wait when it is full
-JOIN_S = 0.02  # for which changes of the list that keep coming are gathered, while requests and timers wait
+JOIN_S = (
+    0.02  # for which changes of the list that keep coming are gathered, while requests and timers wait ...
+)
+JOIN_TIMES = 2.0  # ... or so many times as long as the last one took, which grows with the fleet, ...
+MOST_JOIN_S = 0.2  # ... up to this
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,6 +53,7 @@
         self._send, self._receive = trio.open_memory_channel[Message](QUEUE)
         self._last_request = 0
         self._next: Message | None = None  # received, and not taken yet
+        self._list_took_s = 0.0  # the last one
 
     def new_request(self) -> int:
         """Ids are the relay's own counter: what a client calls its connection may come twice."""
@@ -77,7 +82,7 @@
 
     async def _gathered(self, change: i.ServerList) -> i.ServerList:
         """With those that follow it, each a turn of the loop behind the other."""
-        until = trio.current_time() + JOIN_S
+        until = trio.current_time() + min(MOST_JOIN_S, max(JOIN_S, JOIN_TIMES * self._list_took_s))
         while trio.current_time() < until and (following := await self._following()) is not None:
             both = joined(change, following) if isinstance(following, i.ServerList) else None
             if both is None:
@@ -106,6 +111,10 @@
                 number = event.request if isinstance(event, i.Request) else event.connection.request
                 self._routes[number] = actions
                 self._handle(event)
+            case i.ServerList():
+                began = trio.current_time()
+                self._handle(message)
+                self._list_took_s = trio.current_time() - began
             case _:
                 self._handle(message)
 
--- a/tests/test_joined_changes.py
+++ b/tests/test_joined_changes.py
@@ -1,12 +1,14 @@
 """Changes of the list that come in a row are taken as one, and in their order with all else."""
 
+from collections.abc import Callable
+
 import trio
 import trio.testing
 from hypothesis import given
 from hypothesis import strategies as st
 
 from glenfold.clock import Clock
-from glenfold.decisions import JOIN_S, Closed, Decisions, Message
+from glenfold.decisions import JOIN_S, MOST_JOIN_S, Closed, Decisions, Message
 from glenfold.rules.list_changes import joined
 from linnetspread import interface as i
 
@@ -49,13 +51,15 @@
 class Told:
     """The events that the decisions are given, in their order."""
 
-    def __init__(self, decisions: Decisions) -> None:
+    def __init__(self, decisions: Decisions, takes: Callable[[], object] = lambda: None) -> None:
         self.events: list[i.Event] = []
+        self._takes = takes
         balancer, self._handle = decisions.dispatch.balancer, decisions.dispatch.balancer.handle
         balancer.handle = self.handle  # type: ignore[method-assign]
 
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
         self.events.append(event)
+        self._takes()
         return self._handle(now, event)
 
     @property
@@ -108,6 +112,34 @@
     assert kinds == [2, request, 3]
 
 
+def gathered(takes_s: float, count: int) -> list[int]:
+    """How many servers each change names, when one comes each 10 ms and the decisions take so long for it."""
+    clock = trio.testing.MockClock()
+
+    async def main() -> list[int]:
+        decisions = Decisions(i.Settings(), 1, Clock())
+        told = Told(decisions, lambda: clock.jump(takes_s))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(decisions.run)
+            for number in range(1, count + 1):
+                await decisions.tell(change(number, i.ListedServer(number, READY)))
+                clock.jump(0.01)
+            await trio.testing.wait_all_tasks_blocked()
+            nursery.cancel_scope.cancel()
+        return [len(event.servers) for event in told.lists]
+
+    return trio.run(main, clock=clock)
+
+
+def test_a_larger_fleet_gathers_for_longer_and_within_a_bound() -> None:
+    small, large, huge = (gathered(takes_s, 120) for takes_s in (0.0, 0.05, 5.0))
+    assert sum(small) == sum(large) == sum(huge) == 120
+    waiting = 4  # at the most, when gathering begins
+    assert max(small) <= waiting + JOIN_S / 0.01
+    assert max(small) < max(large) <= waiting + 2 * 0.05 / 0.01
+    assert max(large) < max(huge) <= waiting + MOST_JOIN_S / 0.01
+
+
 def test_gathering_ends_while_changes_keep_coming() -> None:
     """Who waits for a decision must not wait for the end of a flood."""
 
