Take the follower apart: its loop, the calls of parents, and what is known

glenfold/replica/follower.py had 439 lines with three jobs; parent_calls.py and list_taking.py take two of them.

--- a/glenfold/replica/follower.py
+++ b/glenfold/replica/follower.py
@@ -1,11 +1,11 @@
 """Following one of several parents, and handing on what is newer: sockets only.
 
 What a parent's answer is worth, which parent is next and when another is asked is decided in
-`glenfold.rules`.
-A parent is left for another only once that one has answered, so that a child without a better choice stays.
+`glenfold.rules`. A parent is left for another only once that one has answered, so that a child without a
+better choice stays.
 """
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import h11
@@ -14,39 +14,19 @@
 from glenfold import events
 from glenfold.config.platform import Parent, written
 from glenfold.destinations import BadList
-from glenfold.replica.parent_watch import GONE, Body, Call, call
-from glenfold.rules.greeting import BadGreeting
+from glenfold.replica.list_taking import ListTaking, Settle
+from glenfold.replica.parent_calls import FAULTS, FRESH_AGE_S, ParentCalls, Refused
+from glenfold.replica.parent_watch import Body, Call
 from glenfold.rules.parent_choice import ParentChoice, Refusal
-from glenfold.rules.replication import ListDocument, Publisher
-from glenfold.rules.source_lease import LEASE_S, SILENCE_S, SourceLease
-from glenfold.rules.succession import Received, Succession, Verdict
+from glenfold.rules.replication import Publisher
+from glenfold.rules.source_lease import SILENCE_S
+from glenfold.rules.succession import Succession, Verdict
 
-FRESH_AGE_S = 3.0  # of a parent that is renewed: SILENCE_S in whole seconds, rounded up as in its header
 FRESHER_BY_S = 1.5  # what another must know better than that: ages are told in whole seconds
 CATCHING_UP_S = 0.5  # from the beginning of a watch: what was missed comes first, and renews nothing
 OUTDATED_S = 4.0  # a list that was renewed so long ago gives way to any that the source renews
 SETTLE_S = 0.01  # for a line that is there already, when a loop that lags looks for it late
 
-FAULTS = (
-    OSError,
-    trio.TooSlowError,
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-    h11.ProtocolError,
-    BadGreeting,
-)
-
-Settle = Callable[[], Awaitable[None]]
-
-
-class Refused(Exception):
-    """A parent's answer is not to be gone by."""
-
-    def __init__(self, why: Refusal, retry_after_s: float | None = None) -> None:
-        super().__init__(why.value)
-        self.why = why
-        self.retry_after_s = retry_after_s
-
 
 @dataclass(slots=True)
 class Watch:
@@ -85,50 +65,41 @@
         settled: Settle = _nothing,
     ) -> None:
         self._choice = choice
-        self._succession = succession
         self._publisher = publisher
-        self._name = name
-        self._settled = settled
-        self._lease = SourceLease()
-        self._taking = trio.Lock()
+        self._taking = ListTaking(succession, publisher, settled)
+        self._calls = ParentCalls(choice, self._taking, name)
         self._moved = trio.CancelScope()
-        self._held = trio.Event()  # the lease holds
         self._next: Watch | None = None
-        self._calls: set[Call] = set()
-        self._behind: set[Parent] = set()  # at the last look
-        self._told: dict[Parent, str] = {}  # the last fault of each, which is logged once
-        self.watch: Watch | None = None  # the one held
         self._followed = 0
-        self._documents = 0
-        self._refused = dict.fromkeys(Refusal, 0)
+        self.watch: Watch | None = None  # the one held
 
     @property
     def renewed_at_s(self) -> float:
         """When the source last said that what is known holds; minus infinity: it never has."""
-        return self._lease.renewed_at_s
+        return self._taking.lease.renewed_at_s
 
     def move_to(self, parents: Sequence[Parent]) -> None:
         """These are to be followed from now on. A watch of one that stays goes on."""
         self._choice.replace(parents)
-        self._succession.release({parent.address for parent in parents})
-        self._told.clear()
+        self._taking.succession.release({parent.address for parent in parents})
+        self._calls.forget()
         if self.watch is None or self.watch.parent not in parents:
             self._moved.cancel()
 
     def counters(self) -> dict[str, int]:
         """Since the start: documents taken, watches begun, and parents refused by cause."""
-        refused = {f"parents_{why.value}": count for why, count in self._refused.items()}
-        return {"documents": self._documents, "parents_followed": self._followed, **refused}
+        refused = {f"parents_{why.value}": count for why, count in self._calls.refused.items()}
+        return {"documents": self._taking.documents, "parents_followed": self._followed, **refused}
 
     async def follow(self) -> None:
         """Until it is cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._expire)
+            nursery.start_soon(self._taking.expire)
             while True:
                 with trio.CancelScope() as self._moved:
                     await self._follow_each()
                 left, self.watch = self.watch, None
-                self._close_all()
+                self._calls.close_all()
                 await trio.sleep(self._choice.leave_s(0 if left is None else left.call.greeting.children))
 
     # ---- one parent after the other ----
@@ -157,7 +128,7 @@
             nursery.start_soon(self._catch_up, watch)
             await self._read(watch)
             nursery.cancel_scope.cancel()
-        self._close_all(but=self._next)
+        self._calls.close_all(but=None if self._next is None else self._next.call)
         if self._next is None:
             await trio.sleep(self._choice.leave_s(watch.call.greeting.children))
         return self._next
@@ -181,13 +152,13 @@
                     await self._take_change(watch, body)
             raise h11.RemoteProtocolError("the watch ended")
         except BadList as error:
-            self._succession.distrust(watch.call.origin)
-            self._refuse(watch.parent, error)
+            self._taking.succession.distrust(watch.call.origin)
+            self._calls.refuse(watch.parent, error)
         except (*FAULTS, Refused) as error:
-            self._refuse(watch.parent, error)
+            self._calls.refuse(watch.parent, error)
 
     async def _take_change(self, watch: Watch, body: Body) -> None:
-        verdict = await self._take(watch.call, body, watch.after)
+        verdict = await self._taking.take(watch.call, body, watch.after)
         if verdict in (Verdict.BEHIND, Verdict.INCOMPLETE):
             raise Refused(Refusal.BEHIND)
         watch.after = body.revision
@@ -198,23 +169,7 @@
 
     def _renew(self, watch: Watch, renewed_at_s: float) -> None:
         watch.renewed_at_s = max(watch.renewed_at_s, renewed_at_s)
-        self._renew_lease(renewed_at_s)
-
-    def _renew_lease(self, renewed_at_s: float) -> None:
-        if not self._lease.renew(renewed_at_s):
-            return
-        self._publisher.renew(renewed_at_s)
-        if self._lease.holds(trio.current_time()):
-            self._held.set()
-
-    async def _expire(self) -> None:
-        """Tells each time that the lease has run out."""
-        while True:
-            await self._held.wait()
-            while self._lease.holds(trio.current_time()):
-                await trio.sleep_until(self._lease.renewed_at_s + LEASE_S + SETTLE_S)
-            self._held = trio.Event()
-            self._publisher.stale()
+        self._taking.renew(renewed_at_s)
 
     # ---- another parent ----
 
@@ -236,7 +191,7 @@
                 scope.cancel()
                 return
             if found is not None:
-                self._close(found.call)
+                self._calls.close(found.call)
             await trio.sleep_until(max(trio.current_time(), self._next_look_s(watch, home_at_s)) + SETTLE_S)
 
     def _instead(self, watch: Watch, now_s: float) -> list[Parent]:
@@ -256,45 +211,48 @@
         return min(watch.said_at_s + SILENCE_S, home_at_s)
 
     async def _look(self, parents: list[Parent], held: Watch | None = None) -> Watch | None:
-        """The first of them that is fresh; else the least old, if that is better than what is held."""
-        best: Call | None = None
-        self._behind.clear()
+        """The first of them that is fresh; else one that counts anew; else the least old, if that is better
+        than what is held."""
+        self._calls.behind.clear()
+        least_old: Call | None = None
         for parent in parents:
-            found = await self._answer(parent)
+            found = await self._calls.answer(parent)
             if found is None:
                 continue
             if found.greeting.age_s <= FRESH_AGE_S:
                 if (watch := await self._take_up(found, held)) is not None:
                     return watch
                 continue
-            self._refused[Refusal.STALE] += 1
-            self._choice.refuse(parent, Refusal.STALE, trio.current_time())
-            if best is None or found.renewed_at_s > best.renewed_at_s + FRESHER_BY_S:
-                best, found = found, best
-            if found is not None:
-                self._close(found)
-        outdated = self._lease.age_s(trio.current_time()) > OUTDATED_S
-        if outdated and (watch := await self._anew(tuple(self._behind))) is not None:
+            self._calls.refuse(parent, Refused(Refusal.STALE))
+            least_old = self._older_closed(least_old, found)
+        if self._taking.age_s() > OUTDATED_S and (watch := await self._anew()) is not None:
             return watch
-        if best is None:
+        if least_old is None:
             return None
-        if held is not None and best.renewed_at_s <= self._lease.renewed_at_s + FRESHER_BY_S:
-            self._close(best)  # nobody is fresher than what is known
+        if held is not None and least_old.renewed_at_s <= self.renewed_at_s + FRESHER_BY_S:
+            self._calls.close(least_old)  # nobody is fresher than what is known
             return None
-        return await self._adopt(best)
+        return await self._adopt(least_old)
+
+    def _older_closed(self, nearer: Call | None, found: Call) -> Call:
+        if nearer is None:
+            return found
+        better = found if found.renewed_at_s > nearer.renewed_at_s + FRESHER_BY_S else nearer
+        self._calls.close(nearer if better is found else found)
+        return better
 
-    async def _anew(self, behind: Sequence[Parent]) -> Watch | None:
+    async def _anew(self) -> Watch | None:
         """Of a parent whose lists are behind what is known, but which the source renews."""
-        for parent in behind:
-            self._succession.believe(parent.address)
-            found = await self._answer(parent)
+        succession = self._taking.succession
+        for parent in tuple(self._calls.behind):
+            succession.believe(parent.address)
+            found = await self._calls.answer(parent)
             if found is None:
                 continue
-            fresh = found.greeting.age_s <= FRESH_AGE_S and await self._speaks(found)
-            if fresh and (watch := await self._adopt(found)) is not None:
+            if await self._calls.speaks(found) and (watch := await self._adopt(found)) is not None:
                 return watch
-            self._close(found)
-        self._succession.believe(None)
+            self._calls.close(found)
+        succession.believe(None)
         return None
 
     async def _take_up(self, fresh: Call, held: Watch | None) -> Watch | None:
@@ -302,138 +260,14 @@
         long_sound = self._choice.sound(fresh.parent, trio.current_time())
         if held is None or held.silent(trio.current_time()):
             return await self._adopt(fresh)
-        if long_sound and await self._speaks(fresh):
+        if long_sound and await self._calls.speaks(fresh):
             return await self._adopt(fresh)
-        self._close(fresh)
+        self._calls.close(fresh)
         return None
 
-    async def _speaks(self, fresh: Call) -> bool:
-        """A source tells no age: one that is cut off answers, and says nothing after that."""
-        if not fresh.greeting.source:
-            return True
-        parent, trial = fresh.parent, None
-        try:
-            whole = await self._call(parent, whole=True)
-            revision = (await whole.whole()).revision
-            self._close(whole)
-            trial = await call(parent, revision, None)
-            with trio.move_on_after(SILENCE_S):
-                async for _ in trial.lines():
-                    return True
-        except (*FAULTS, BadList) as error:
-            self._refuse(parent, error)
-        finally:
-            if trial is not None:
-                trial.close()
-        return False
-
     async def _adopt(self, found: Call) -> Watch | None:
-        """As the watch to be held, with the whole list first where changes alone would not do."""
-        try:
-            if self._succession.needs_whole(found.origin, found.status == GONE):
-                await self._take_whole(found)
-                found = await self._call(found.parent)
-                self._check(found)
-                if found.status != 200:
-                    raise Refused(Refusal.FAULTY)
-        except (*FAULTS, BadList, Refused) as error:
-            self._close(found)
-            self._refuse(found.parent, error)
-            return None
-        self._succession.resumed(found.origin)
-        assert found.revision is not None
-        renewed_at_s = float("-inf") if found.greeting.source else found.renewed_at_s
-        return Watch(found, found.revision, trio.current_time(), renewed_at_s)
-
-    async def _answer(self, parent: Parent) -> Call | None:
-        """What the parent answers to a watch from what is known; None: it is refused."""
-        try:
-            found = await self._call(parent)
-            self._check(found)
-        except (*FAULTS, Refused) as error:
-            self._refuse(parent, error)
+        adopted = await self._calls.adopt(found)
+        if adopted is None or adopted.revision is None:
             return None
-        return found
-
-    async def _call(self, parent: Parent, whole: bool = False) -> Call:
-        position = None if whole else self._succession.position
-        revision = None if position is None else position.revision
-        found = await call(parent, revision, self._succession.incarnation)
-        self._calls.add(found)
-        return found
-
-    def _check(self, found: Call, gone: bool = False) -> None:
-        """Raises Refused, and closes it then. `gone`: the call before it was answered so."""
-        try:
-            if found.status == 503:
-                raise Refused(Refusal.BUSY, found.greeting.retry_after_s)
-            if found.status not in (200, GONE):
-                raise Refused(Refusal.FAULTY)
-            if self._name is not None and self._name in found.greeting.via:
-                raise Refused(Refusal.LOOP)
-            if self._succession.behind(found.origin, gone or found.status == GONE):
-                raise Refused(Refusal.BEHIND)
-        except Refused:
-            self._close(found)
-            raise
-
-    # ---- lists ----
-
-    async def _take_whole(self, found: Call) -> None:
-        """Closes that call, and asks for the whole list if it is a watch. Raises FAULTS, BadList, Refused."""
-        try:
-            if found.revision is not None:
-                self._close(found)
-                gone = found.status == GONE
-                found = await self._call(found.parent, whole=True)
-                self._check(found, gone)
-            if found.status != 200:
-                raise Refused(Refusal.FAULTY)
-            verdict = await self._take(found, await found.whole(), 0)
-            if verdict in (Verdict.BEHIND, Verdict.INCOMPLETE):
-                raise Refused(Refusal.BEHIND)
-        finally:
-            self._close(found)
-        self._renew_lease(trio.current_time() if found.greeting.source else found.renewed_at_s)
-
-    async def _take(self, found: Call, body: Body, after: int) -> Verdict | None:
-        """Why it was not taken, if it was not."""
-        if body.left_out:
-            events.list_entry_left_out(fault=f"{body.left_out} entries are no objects")
-        async with self._taking:
-            received = Received(found.origin, body.revision, body.whole, body.entries, after)
-            judged = self._succession.judge(received)
-            if not isinstance(judged, ListDocument):
-                return judged
-            self._documents += 1
-            with trio.CancelScope(shield=True):  # what is published is settled, whatever cuts in
-                self._publisher.publish(judged)
-                await self._settled()
-        await trio.lowlevel.checkpoint_if_cancelled()
-        return None
-
-    # ---- ends ----
-
-    def _refuse(self, parent: Parent, error: Exception) -> None:
-        """Logged once for each kind of fault in a row of one parent."""
-        refused = error if isinstance(error, Refused) else None
-        why = Refusal.FAULTY if isinstance(error, BadList | BadGreeting) else Refusal.UNREACHABLE
-        if refused is not None:
-            why = refused.why
-        retry_after_s = None if refused is None else refused.retry_after_s
-        self._refused[why] += 1
-        if why is Refusal.BEHIND:
-            self._behind.add(parent)
-        self._choice.refuse(parent, why, trio.current_time(), retry_after_s)
-        if self._told.get(parent) != repr(error):
-            self._told[parent] = repr(error)
-            events.parent_refused(address=written(parent.address), why=why.value, error=error)
-
-    def _close(self, found: Call) -> None:
-        self._calls.discard(found)
-        found.close()
-
-    def _close_all(self, but: Watch | None = None) -> None:
-        for found in list(self._calls):
-            if but is None or found is not but.call:
-                self._close(found)
+        renewed_at_s = float("-inf") if adopted.greeting.source else adopted.renewed_at_s
+        return Watch(adopted, adopted.revision, trio.current_time(), renewed_at_s)
--- a/tests/replica/test_follower_mutants.py
+++ b/tests/replica/test_follower_mutants.py
@@ -4,6 +4,7 @@
 import test_follower as tests
 
 from glenfold.replica import follower
+from glenfold.replica.parent_calls import ParentCalls
 from glenfold.replica.parent_watch import Call
 from glenfold.rules.parent_choice import ParentChoice
 from glenfold.rules.succession import Succession
@@ -41,15 +42,15 @@
 
 
 def test_a_loop_that_is_not_looked_for_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
-    check = follower.Follower._check
+    check = ParentCalls._check
 
-    def careless(self: follower.Follower, found: Call) -> None:
+    def careless(self: ParentCalls, found: Call) -> None:
         name, self._name = self._name, None
         try:
             check(self, found)
         finally:
             self._name = name
 
-    monkeypatch.setattr(follower.Follower, "_check", careless)
+    monkeypatch.setattr(ParentCalls, "_check", careless)
     with pytest.raises(AssertionError):
         tests.test_a_parent_that_follows_this_replica_is_refused_at_once()
