--- a/glenfold/daemon/replica.py
+++ b/glenfold/daemon/replica.py
@@ -4,7 +4,7 @@
 import resource
 import signal
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import IntEnum
 from pathlib import Path
 
@@ -20,11 +20,15 @@
 from glenfold.events import config_refused, config_waits, run_refused
 from glenfold.replica import events
 from glenfold.replica.counters import ReplicaCounters
+from glenfold.replica.earlier_changes import earlier_changes
 from glenfold.replica.follower import Follower
 from glenfold.replica.server import Server
 from glenfold.rules.parent_choice import ParentChoice
+from glenfold.rules.replication import ListDocument, Position
 from glenfold.rules.succession import Succession
 
+LOOK_S = 0.01  # between two looks at whether a parent is followed
+
 
 class Exit(IntEnum):
     """The exit status of `glenfold replica`."""
@@ -42,7 +46,7 @@
         self._path = path
         self._begun = self._terms = terms
         self._counters = ReplicaCounters()
-        self._server = Server(terms.replica.name, terms.limits, self._counters)
+        self._server = Server(terms.replica.name, terms.limits, self._counters, earlier=self._earlier_changes)
         place = terms.replica
         choice = ParentChoice(terms.followed, place.zone, place.region, random.Random())
         self._follower = Follower(choice, Succession(), self._server, place.name)
@@ -68,6 +72,12 @@
             nursery.cancel_scope.cancel()
         events.exit_counters(counters=self.counters)
 
+    async def _earlier_changes(self, since: int, upto: Position) -> Sequence[ListDocument]:
+        """Of the parent that the first list came from, once that is followed."""
+        while (watch := self._follower.watch) is None:
+            await trio.sleep(LOOK_S)
+        return await earlier_changes(watch.parent, since, upto)
+
     def stop(self) -> None:
         self._told_to_stop.set()
 
--- a/glenfold/replica/counters.py
+++ b/glenfold/replica/counters.py
@@ -13,7 +13,7 @@
     whole_lists: int = 0  # answered, be it alone or at the head of a watch
     whole_lists_failed: int = 0  # of these, broken off, or too slow
     whole_lists_deferred: int = 0  # 503: not admitted yet
-    not_ready: int = 0  # 503: there is no list yet
+    not_ready: int = 0  # 503: there is no list yet, or no history
     children_refused: int = 0  # 503: over the limit
     malformed: int = 0  # 400
     not_found: int = 0  # 404
@@ -23,6 +23,7 @@
     idle_crowded_out: int = 0  # of connections without a whole request, closed earlier for want of room
     published: int = 0  # lists and changes to children
     incarnations: int = 0  # histories begun
+    history_read: int = 0  # changes from before their first lists
     renewals: int = 0  # by the source
     renewals_told: int = 0  # to all children: an empty line each
     stale: int = 0  # times that nobody renewed any more
--- /dev/null
+++ b/glenfold/replica/earlier_changes.py
@@ -0,0 +1,50 @@
+"""What a parent still knows of the changes before a replica's first list."""
+
+from collections.abc import Sequence
+
+import h11
+import trio
+
+from glenfold.config.platform import Parent
+from glenfold.destinations import BadList
+from glenfold.replica.parent_watch import Call, call
+from glenfold.rules.greeting import BadGreeting
+from glenfold.rules.replication import ListDocument, Position
+
+OK = 200
+FAULTS = (
+    OSError,
+    trio.TooSlowError,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+    h11.ProtocolError,
+    BadGreeting,
+    BadList,
+)
+
+
+async def earlier_changes(parent: Parent, since: int, upto: Position) -> Sequence[ListDocument]:
+    """The changes after `since` that lead to that position; none if the parent does not go back so far, has
+    joined them with later ones, or can't be asked. A call of its own, that ends with them."""
+    try:
+        found = await call(parent, since, upto.incarnation)
+    except FAULTS:
+        return ()
+    try:
+        return await _read(found, upto) if found.status == OK else ()
+    except FAULTS:
+        return ()
+    finally:
+        found.close()
+
+
+async def _read(found: Call, upto: Position) -> Sequence[ListDocument]:
+    changes: list[ListDocument] = []
+    async for body in found.lines():
+        if body is None or body.whole or body.revision > upto.revision:
+            break
+        position = Position(upto.incarnation, body.revision)
+        changes.append(ListDocument(position, False, body.entries))
+        if position == upto:
+            return changes
+    return ()
--- a/glenfold/replica/events.py
+++ b/glenfold/replica/events.py
@@ -31,6 +31,11 @@
     """The first list, or one of another incarnation of the source: all watches end and begin anew."""
 
 
+@event("replica.history_read", "info", "{changes} changes from before revision {revision} were read")
+def history_read(*, changes: int, revision: int) -> None:
+    """A parent still knew what led to the first list: children that knew a little less need no whole list."""
+
+
 @event("replica.stale", "warning", "nobody renews the list: it is served on, {age_s} s old")
 def stale(*, age_s: float | None) -> None:
     """No parent that the source renews can be reached; children hear no renewals."""
--- a/glenfold/replica/server.py
+++ b/glenfold/replica/server.py
@@ -6,8 +6,8 @@
 
 import random
 import socket
-from collections.abc import Iterator
-from contextlib import contextmanager
+from collections.abc import Awaitable, Callable, Iterator, Sequence
+from contextlib import contextmanager, suppress
 from http import HTTPStatus
 
 import trio
@@ -38,7 +38,9 @@
 SEND_BUFFER_BYTES = 128 * 1024  # of the kernel, for each child
 LIST_WITHIN_S = 15.0  # for a child to take a whole list
 MOST_UNASKED_BYTES = 64 * 1024  # that a child may send after its request for a watch
-NOT_READY_RETRY_S = 2.0  # over which those are spread who ask before there is a list
+NOT_READY_RETRY_S = 1.0  # over which those are spread who ask before there is a list
+HISTORY_REVISIONS = (256, 16, 4)  # before a first list that are asked for, fewer where they are not known
+HISTORY_WITHIN_S = 2.0  # for that
 FULL_RETRY_S = 10.0  # over which those are spread who find the replica full
 PARTING_S = 0.3  # for a child to take a refusal before its connection closes
 PARTING_BYTES = 64 * 1024  # read from it meanwhile
@@ -46,11 +48,21 @@
 NO_DESCRIPTOR_S = 0.1  # before the next try to accept
 
 
+EarlierChanges = Callable[[int, Position], Awaitable[Sequence[ListDocument]]]
+
+
 class Server:
-    """A Publisher whose lists children get. `name`: of this replica, in Via."""
+    """A Publisher whose lists children get. `name`: of this replica, in Via. `earlier`: the changes after a
+    revision that led to a position, as far as somebody knows them; without it a history begins with its
+    first list."""
 
     def __init__(
-        self, name: str, limits: Limits, counters: ReplicaCounters, chance: random.Random | None = None
+        self,
+        name: str,
+        limits: Limits,
+        counters: ReplicaCounters,
+        chance: random.Random | None = None,
+        earlier: EarlierChanges | None = None,
     ) -> None:
         self._name = name
         self._limits = limits
@@ -67,6 +79,9 @@
         self._children = 0  # answered or watching
         self._parting = 0
         self._ending = False
+        self._earlier = earlier
+        self._begun = trio.Event()
+        self._reads_history = False  # who resumes may have to wait for that, and need no whole list then
 
     # ---- what the follower tells ----
 
@@ -74,7 +89,9 @@
         before = self._history.position
         self._history.add(document)
         self._counters.published += 1
-        if before is None or before.incarnation != document.position.incarnation:
+        if document.anew or before is None or before.incarnation != document.position.incarnation:
+            self._reads_history = self._earlier is not None
+            self._begun.set()
             self._counters.incarnations += 1
             events.history_begun(
                 incarnation=document.position.incarnation, revision=document.position.revision
@@ -107,6 +124,28 @@
         """That watch."""
         return len(self._watches)
 
+    async def _read_histories(self, earlier: EarlierChanges) -> None:
+        """After a restart children know a little less than the first list, which is all that they lack."""
+        while True:
+            await self._begun.wait()
+            self._begun = trio.Event()
+            with trio.move_on_after(HISTORY_WITHIN_S):
+                await self._read_history(earlier)
+            self._reads_history = self._begun.is_set()
+
+    async def _read_history(self, earlier: EarlierChanges) -> None:
+        begin = self._history.position
+        assert begin is not None
+        for revisions in HISTORY_REVISIONS:
+            since = max(0, begin.revision - revisions)
+            changes = await earlier(since, begin)
+            if changes:
+                with suppress(ValueError):  # another history has begun meanwhile, or changes have gone
+                    taken = self._history.lead_in(since, changes)
+                    self._counters.history_read += taken
+                    events.history_read(changes=taken, revision=begin.revision)
+                return
+
     # ---- connections ----
 
     async def serve(self, listener: SocketType) -> None:
@@ -114,6 +153,8 @@
         with listener:
             async with trio.open_nursery() as nursery:
                 await nursery.start(self._watches.run)
+                if self._earlier is not None:
+                    nursery.start_soon(self._read_histories, self._earlier)
                 await self._accept(listener, nursery)
 
     async def _accept(self, listener: SocketType, nursery: trio.Nursery) -> None:
@@ -269,6 +310,9 @@
         except FutureRevision:
             raise Refusal(HTTPStatus.GONE, f"{asked.revision} is of the future") from None
         except PastRevision:
+            if self._reads_history:
+                self._counters.not_ready += 1
+                raise self._unavailable("the history is being read", NOT_READY_RETRY_S) from None
             index, body = self._history.end_index, self._history.whole()
             with self._admitted(len(body)):
                 before, after = around_chunk(len(body) + len(END_OF_LINE))
--- a/tests/replica/test_server.py
+++ b/tests/replica/test_server.py
@@ -10,6 +10,7 @@
 from serving import ChildConnection, Serving, serving, until
 
 from glenfold.replica.watches import Watches
+from glenfold.rules.replication import ListDocument, Position
 
 
 def run(test):
@@ -248,6 +249,45 @@
         assert one.counters.idle_closed == 2
 
 
+@run
+async def test_after_a_restart_children_that_knew_a_little_less_resume_without_a_whole_list():
+    asked, told = [], trio.Event()
+
+    async def earlier(since: int, upto: Position) -> list[ListDocument]:
+        asked.append((since, upto))
+        if since < 480:  # longer ago than is known
+            return []
+        await told.wait()
+        return [change(revision) for revision in range(since + 1, upto.revision + 1)]
+
+    async with serving(earlier) as one:
+        one.server.publish(whole(500, 1))
+        code, fields = await status(one, "/v1/servers?watch=1&from=498")
+        assert code == 503 and int(fields[b"retry-after"]) in (1, 2)
+        assert (await status(one, "/v1/servers"))[0] == 200
+        child = await watching(one, 500)
+        told.set()
+        await until(lambda: one.counters.history_read == 16)
+        assert asked == [(244, Position(0, 500)), (484, Position(0, 500))]
+        resumed, past = await watching(one, 498), await watching(one, 483)
+        assert [(await resumed.line())["seq"] for _ in range(2)] == [499, 500]
+        assert (await past.line())["whole"] is True
+        one.server.publish(change(501))
+        assert (await child.line())["seq"] == (await resumed.line())["seq"] == 501
+
+
+def test_a_parent_that_tells_nothing_of_earlier_changes_holds_children_up_for_a_moment_only(monkeypatch):
+    async def main():
+        async with serving(lambda since, upto: trio.sleep_forever()) as one:
+            one.server.publish(whole(500, 1))
+            assert (await status(one, "/v1/servers?watch=1&from=498"))[0] == 503
+            await trio.sleep(0.3)
+            assert (await (await watching(one, 498)).line())["whole"] is True
+
+    monkeypatch.setattr("glenfold.replica.server.HISTORY_WITHIN_S", 0.2)
+    trio.run(main)
+
+
 # ---- children that read slowly, and storms ----
 
 LARGE = [{**server(n), "note": "x" * 20_000} for n in range(10)]  # changes of 200 KB
--- a/tests/replica/test_tree.py
+++ b/tests/replica/test_tree.py
@@ -10,9 +10,12 @@
 from serving import ChildConnection
 from stand_in_parent import StandInParent, play
 
+from glenfold.config.platform import Parent
 from glenfold.config.replica import Limits, Replica, Shutdown, Terms
 from glenfold.config.terms import ListParent
 from glenfold.daemon.replica import ReplicaProcess
+from glenfold.replica.earlier_changes import earlier_changes
+from glenfold.rules.replication import Position
 from glenfold.rules.source_lease import LEASE_S
 
 
@@ -135,6 +138,31 @@
     play(script)
 
 
+def test_earlier_changes_are_those_that_lead_to_a_position_and_none_else():
+    async def script(nursery: trio.Nursery) -> None:
+        source = StandInParent(revision=41)
+        await source.listen(nursery)
+        layer = Layer("one", source.port)
+        nursery.start_soon(layer.run)
+        await layer.watch(41)
+        for _ in range(4):
+            await source.change(entry(f"s-{source.revision}"))
+        await trio.sleep(0.5)
+        for port in (source.port, layer.port):  # a source, and a replica
+            parent = Parent(("127.0.0.1", port))
+            found = await earlier_changes(parent, 42, Position(0, 45))
+            assert [change.position.revision for change in found] == [43, 44, 45]
+            assert found[0].entries == (entry("s-42"),) and not found[0].whole
+            assert await earlier_changes(parent, 40, Position(0, 45)) == ()  # it begins with a whole list
+            assert await earlier_changes(parent, 42, Position(0, 46)) == ()  # it is not there yet
+            assert await earlier_changes(parent, 46, Position(0, 47)) == ()
+        assert await earlier_changes(Parent(("127.0.0.1", layer.port)), 42, Position(1, 45)) == ()
+        await source.kill()
+        assert await earlier_changes(Parent(("127.0.0.1", source.port)), 42, Position(0, 45)) == ()
+
+    play(script)
+
+
 async def revisions(child: ChildConnection, found: list[tuple[float, int]]) -> None:
     while True:
         if (line := await child.line(math.inf)) is not None:
