--- a/glenfold/replica/server.py
+++ b/glenfold/replica/server.py
@@ -6,8 +6,8 @@
 
 import random
 import socket
-from collections.abc import Iterator
-from contextlib import contextmanager
+from collections.abc import Awaitable, Callable, Iterator, Sequence
+from contextlib import contextmanager, suppress
 from http import HTTPStatus
 
 import trio
@@ -15,14 +15,14 @@
 from glenfold.config.replica import MB, Limits
 from glenfold.events import sockets_exhausted
 from glenfold.net.inbound import OUT_OF_SOCKETS
-from glenfold.net.sockets import SocketType, finish, send, without_delay
+from glenfold.net.sockets import SocketType, finish, send, send_pieces, without_delay
 from glenfold.replica import events
 from glenfold.replica.counters import ReplicaCounters
 from glenfold.replica.requests import READ_BYTES, RequestReader
 from glenfold.replica.watches import Watch, Watches
 from glenfold.rules.replication import ListDocument, Position
 from glenfold.rules.replication_admission import WholeListAdmission
-from glenfold.rules.replication_history import FutureRevision, PastRevision, RevisionHistory, http_chunk
+from glenfold.rules.replication_history import FutureRevision, PastRevision, RevisionHistory, around_chunk
 from glenfold.rules.replication_http import (
     Refusal,
     Source,
@@ -34,10 +34,13 @@
 )
 from glenfold.rules.replication_lease import Lease
 
+END_OF_LINE = b"\n"
 SEND_BUFFER_BYTES = 128 * 1024  # of the kernel, for each child
 LIST_WITHIN_S = 15.0  # for a child to take a whole list
 MOST_UNASKED_BYTES = 64 * 1024  # that a child may send after its request for a watch
-NOT_READY_RETRY_S = 2.0  # over which those are spread who ask before there is a list
+NOT_READY_RETRY_S = 1.0  # over which those are spread who ask before there is a list
+HISTORY_REVISIONS = (256, 16, 4)  # before a first list that are asked for, fewer where they are not known
+HISTORY_WITHIN_S = 2.0  # for that
 FULL_RETRY_S = 10.0  # over which those are spread who find the replica full
 PARTING_S = 0.3  # for a child to take a refusal before its connection closes
 PARTING_BYTES = 64 * 1024  # read from it meanwhile
@@ -45,11 +48,21 @@
 NO_DESCRIPTOR_S = 0.1  # before the next try to accept
 
 
+EarlierChanges = Callable[[int, Position], Awaitable[Sequence[ListDocument]]]
+
+
 class Server:
-    """A Publisher whose lists children get. `name`: of this replica, in Via."""
+    """A Publisher whose lists children get. `name`: of this replica, in Via. `earlier`: the changes after a
+    revision that led to a position, as far as somebody knows them; without it a history begins with its
+    first list."""
 
     def __init__(
-        self, name: str, limits: Limits, counters: ReplicaCounters, chance: random.Random | None = None
+        self,
+        name: str,
+        limits: Limits,
+        counters: ReplicaCounters,
+        chance: random.Random | None = None,
+        earlier: EarlierChanges | None = None,
     ) -> None:
         self._name = name
         self._limits = limits
@@ -66,6 +79,9 @@
         self._children = 0  # answered or watching
         self._parting = 0
         self._ending = False
+        self._earlier = earlier
+        self._begun = trio.Event()
+        self._reads_history = False  # who resumes may have to wait for that, and need no whole list then
 
     # ---- what the follower tells ----
 
@@ -73,7 +89,9 @@
         before = self._history.position
         self._history.add(document)
         self._counters.published += 1
-        if before is None or before.incarnation != document.position.incarnation:
+        if document.anew or before is None or before.incarnation != document.position.incarnation:
+            self._reads_history = self._earlier is not None
+            self._begun.set()
             self._counters.incarnations += 1
             events.history_begun(
                 incarnation=document.position.incarnation, revision=document.position.revision
@@ -101,22 +119,55 @@
     def _age_s(self) -> float | None:
         return self._lease.age_s(trio.current_time())
 
+    @property
+    def children(self) -> int:
+        """That watch."""
+        return len(self._watches)
+
+    async def _read_histories(self, earlier: EarlierChanges) -> None:
+        """After a restart children know a little less than the first list, which is all that they lack."""
+        while True:
+            await self._begun.wait()
+            self._begun = trio.Event()
+            with trio.move_on_after(HISTORY_WITHIN_S):
+                await self._read_history(earlier)
+            self._reads_history = self._begun.is_set()
+
+    async def _read_history(self, earlier: EarlierChanges) -> None:
+        begin = self._history.position
+        assert begin is not None
+        for revisions in HISTORY_REVISIONS:
+            since = max(0, begin.revision - revisions)
+            changes = await earlier(since, begin)
+            if changes:
+                with suppress(ValueError):  # another history has begun meanwhile, or changes have gone
+                    taken = self._history.lead_in(since, changes)
+                    self._counters.history_read += taken
+                    events.history_read(changes=taken, revision=begin.revision)
+                return
+
     # ---- connections ----
 
     async def serve(self, listener: SocketType) -> None:
-        """Until it is cancelled, which ends all connections."""
-        async with trio.open_nursery() as nursery:
-            await nursery.start(self._watches.run)
-            while True:
-                try:
-                    sock, _ = await listener.accept()
-                except OSError as error:
-                    if error.errno in OUT_OF_SOCKETS:
-                        sockets_exhausted(error=error)
-                        await trio.sleep(NO_DESCRIPTOR_S)
-                    continue
-                self._counters.accepted += 1
-                nursery.start_soon(self._connection, sock)
+        """Until it is cancelled, which ends all connections and closes the listener."""
+        with listener:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self._watches.run)
+                if self._earlier is not None:
+                    nursery.start_soon(self._read_histories, self._earlier)
+                await self._accept(listener, nursery)
+
+    async def _accept(self, listener: SocketType, nursery: trio.Nursery) -> None:
+        while True:
+            try:
+                sock, _ = await listener.accept()
+            except OSError as error:
+                if error.errno in OUT_OF_SOCKETS:
+                    sockets_exhausted(error=error)
+                    await trio.sleep(NO_DESCRIPTOR_S)
+                continue
+            self._counters.accepted += 1
+            nursery.start_soon(self._connection, sock)
 
     async def end_watches(self, spread_s: float) -> None:
         """In order, evenly over that time; who asks meanwhile is sent elsewhere."""
@@ -229,7 +280,7 @@
 
     def _source(self) -> Source:
         via = (*self._above, self._name)
-        return Source(self._position(), self._age_s(), via, len(self._watches))
+        return Source(self._position(), self._age_s(), via, self.children)
 
     @contextmanager
     def _admitted(self, size: int) -> Iterator[None]:
@@ -249,7 +300,7 @@
         """Whether the child took it in time."""
         source, body = self._source(), self._history.whole()
         with self._admitted(len(body)):
-            return await self._send_list(sock, whole_list_head(source, len(body)) + body)
+            return await self._send_list(sock, whole_list_head(source, len(body)), body)
 
     async def _watch(self, sock: SocketType, asked: WatchRequest) -> None:
         """A child whose revision is past gets the whole list as its first line."""
@@ -259,9 +310,14 @@
         except FutureRevision:
             raise Refusal(HTTPStatus.GONE, f"{asked.revision} is of the future") from None
         except PastRevision:
+            if self._reads_history:
+                self._counters.not_ready += 1
+                raise self._unavailable("the history is being read", NOT_READY_RETRY_S) from None
             index, body = self._history.end_index, self._history.whole()
             with self._admitted(len(body)):
-                if not await self._send_list(sock, watch_head(source) + http_chunk(body + b"\n")):
+                before, after = around_chunk(len(body) + len(END_OF_LINE))
+                line_end = END_OF_LINE + after
+                if not await self._send_list(sock, watch_head(source) + before, body, line_end):
                     return
             watch = Watch(sock, source.position.incarnation, index, b"")
         else:
@@ -276,12 +332,12 @@
         finally:
             self._watches.close(watch)
 
-    async def _send_list(self, sock: SocketType, data: bytes) -> bool:
-        """False: the child took too long."""
+    async def _send_list(self, sock: SocketType, *pieces: bytes) -> bool:
+        """False: the child took too long. Those who are sent one list share its bytes."""
         sent = False
         try:
             with trio.move_on_after(LIST_WITHIN_S):
-                await send(sock, data)
+                await send_pieces(sock, [memoryview(piece) for piece in pieces])
                 sent = True
         finally:
             self._counters.whole_lists_failed += not sent
