--- a/glenfold/replica/follower.py
+++ b/glenfold/replica/follower.py
@@ -15,8 +15,8 @@
 from glenfold.config.platform import Parent, written
 from glenfold.destinations import BadList
 from glenfold.replica.list_taking import ListTaking, Settle
-from glenfold.replica.parent_calls import FAULTS, FRESH_AGE_S, Answer, ParentCalls, Refused
-from glenfold.replica.parent_watch import Body, Call
+from glenfold.replica.parent_calls import FRESH_AGE_S, Answer, ParentCalls, Refused
+from glenfold.replica.parent_watch import FAULTS, Body, Call
 from glenfold.rules.parent_choice import ParentChoice, Refusal
 from glenfold.rules.replication import Publisher
 from glenfold.rules.source_lease import SILENCE_S
--- a/glenfold/replica/parent_calls.py
+++ b/glenfold/replica/parent_calls.py
@@ -3,14 +3,13 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-import h11
 import trio
 
 from glenfold import events
 from glenfold.config.platform import Parent, written
 from glenfold.destinations import BadList
 from glenfold.replica.list_taking import ListTaking
-from glenfold.replica.parent_watch import GONE, Call, call
+from glenfold.replica.parent_watch import FAULTS, GONE, Call, call
 from glenfold.rules.greeting import BadGreeting
 from glenfold.rules.parent_choice import ParentChoice, Refusal
 from glenfold.rules.source_lease import SILENCE_S
@@ -20,15 +19,6 @@
 
 STAGGER_S = 0.2  # until the next parent is asked beside one that has not answered
 
-FAULTS = (
-    OSError,
-    trio.TooSlowError,
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-    h11.ProtocolError,
-    BadGreeting,
-)
-
 
 class Refused(Exception):
     """A parent's answer is not to be gone by."""
