--- a/tests/test_cold_turns.py
+++ b/tests/test_cold_turns.py
@@ -36,3 +36,9 @@
     assert len(cold) == 25
     assert sum(server.total for server in cold) > 0
     assert max(server.fullest for server in cold) <= 1
+
+
+def test_a_rush_of_all_clients_late_in_the_warm_up_pushes_no_cold_server_over():
+    late = Case("rush after 10 s, the whole shares", 1.0, rush_at_s=10.0)
+    cold = cold_turns.play(late, gateways=200, servers=50, seed=1)
+    assert max(server.fullest for server in cold) <= 1
