--- a/glenfold_lab/scale/control_source.py
+++ b/glenfold_lab/scale/control_source.py
@@ -48,12 +48,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Revision:
-    """`at_us`: when the source had it. `stamps`: of the servers it changed, by host. `digest`: of the whole
-    list then. `drains`: how many servers began to drain."""
+    """`at_us`: when the source had it. `stamps`: of the servers it tells of, by host; `before`: those that
+    they had until then. `digest`: of the whole list then. `drains`: how many servers began to drain."""
 
     number: int
     at_us: int
     stamps: dict[str, int]
+    before: dict[str, int]
     digest: int
     drains: int
 
@@ -64,16 +65,17 @@
     def __init__(self, revision: int, at_us: int, entries: Sequence[Entry]) -> None:
         self._stamps = {entry.host: stamp(entry.plain()) for entry in entries}
         self._digest = digest(self._stamps.values())
-        self.history = [Revision(revision, at_us, {}, self._digest, 0)]
+        self.history = [Revision(revision, at_us, {}, {}, self._digest, 0)]
 
     def add(self, revision: int, at_us: int, entries: Sequence[Entry]) -> None:
         stamps = {entry.host: stamp(entry.plain()) for entry in entries}
+        before = {host: self._stamps.get(host, GONE) for host in stamps}
         for host, new in stamps.items():
             self._digest ^= self._stamps.pop(host, GONE) ^ new
             if new != GONE:
                 self._stamps[host] = new
         drains = sum(entry.state is Told.DRAINING for entry in entries)
-        self.history.append(Revision(revision, at_us, stamps, self._digest, drains))
+        self.history.append(Revision(revision, at_us, stamps, before, self._digest, drains))
 
 
 class _Source:
--- a/tests/glenfold_lab/scale/test_scale_control.py
+++ b/tests/glenfold_lab/scale/test_scale_control.py
@@ -137,6 +137,15 @@
     assert (world.judged().lost, world.judged().doubled) == (0, 1)
 
 
+def test_a_revision_that_changes_nothing_need_tell_nothing(world: World) -> None:
+    world.connect()
+    world.hear(world.change(0, Told.DRAINING))
+    world.change(0, Told.DRAINING)
+    world.hear(Change(3, ()).line())
+    world.hear(world.change(0, Told.DRAINING))
+    assert world.judged().sound and world.judged().in_force.count == 3
+
+
 def test_a_revision_that_comes_again_after_a_resume_is_doubled(world: World) -> None:
     world.connect()
     line = world.change(0, Told.DRAINING)
