--- a/glenfold_lab/scale/hollow_fleet.py
+++ b/glenfold_lab/scale/hollow_fleet.py
@@ -164,7 +164,7 @@
     def _collect(self) -> Collected:
         logs = [watcher.closed_log() for watcher in self._watchers]
         for watcher in self._watchers:
-            watcher.log = WatcherLog()
+            watcher.begin_log()
         cpu_s, turn_s = time.process_time(), self._turn_s
         spent_s, self._cpu_s, self._turn_s = cpu_s - self._cpu_s, cpu_s, 0.0
         return Collected(self._deliveries.all, logs, self._groups, turn_s, spent_s)
--- a/glenfold_lab/scale/hollow_watcher.py
+++ b/glenfold_lab/scale/hollow_watcher.py
@@ -189,6 +189,11 @@
             self.log.final_revision, self.log.final_digest = self._state.revision, self._state.digest
         return self.log
 
+    def begin_log(self) -> None:
+        """What was read before counts for nothing in it."""
+        self.log = WatcherLog()
+        self._in_window = 0
+
     # ---- requests and answers ----
 
     def _ask_whole(self) -> bytes:
