--- a/glenfold_lab/scale/control_source.py
+++ b/glenfold_lab/scale/control_source.py
@@ -36,6 +36,11 @@
     speaks: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Reset:
+    """All open connections are reset."""
+
+
 @dataclass(frozen=True, slots=True)
 class History:
     """All revisions so far?"""
@@ -43,12 +48,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Revision:
-    """`at_us`: when the source had it. `stamps`: of the servers it changed, by host. `digest`: of the whole
-    list then. `drains`: how many servers began to drain."""
+    """`at_us`: when the source had it. `stamps`: of the servers it tells of, by host; `before`: those that
+    they had until then. `digest`: of the whole list then. `drains`: how many servers began to drain."""
 
     number: int
     at_us: int
     stamps: dict[str, int]
+    before: dict[str, int]
     digest: int
     drains: int
 
@@ -59,16 +65,17 @@
     def __init__(self, revision: int, at_us: int, entries: Sequence[Entry]) -> None:
         self._stamps = {entry.host: stamp(entry.plain()) for entry in entries}
         self._digest = digest(self._stamps.values())
-        self.history = [Revision(revision, at_us, {}, self._digest, 0)]
+        self.history = [Revision(revision, at_us, {}, {}, self._digest, 0)]
 
     def add(self, revision: int, at_us: int, entries: Sequence[Entry]) -> None:
         stamps = {entry.host: stamp(entry.plain()) for entry in entries}
+        before = {host: self._stamps.get(host, GONE) for host in stamps}
         for host, new in stamps.items():
             self._digest ^= self._stamps.pop(host, GONE) ^ new
             if new != GONE:
                 self._stamps[host] = new
         drains = sum(entry.state is Told.DRAINING for entry in entries)
-        self.history.append(Revision(revision, at_us, stamps, self._digest, drains))
+        self.history.append(Revision(revision, at_us, stamps, before, self._digest, drains))
 
 
 class _Source:
@@ -94,12 +101,14 @@
                 self._pipe.send(self._answer(command))
             nursery.cancel_scope.cancel()
 
-    def _answer(self, command: Publish | Speak | History) -> object:
+    def _answer(self, command: Publish | Speak | Reset | History) -> object:
         if isinstance(command, Publish):
             return self._publish(command)
         if isinstance(command, History):
             return self._ledger.history
-        if command.speaks:
+        if isinstance(command, Reset):
+            self._agent.cut()
+        elif command.speaks:
             self._agent.speak()
         else:
             self._agent.go_quiet()
@@ -181,6 +190,9 @@
     def speak(self, speaks: bool) -> None:
         self._process.ask(Speak(speaks))
 
+    def reset(self) -> None:
+        self._process.ask(Reset())
+
     def history(self) -> list[Revision]:
         history: list[Revision] = self._process.ask(History())
         return history
--- a/glenfold_lab/scale/hollow_fleet.py
+++ b/glenfold_lab/scale/hollow_fleet.py
@@ -43,7 +43,7 @@
 @dataclass(frozen=True, slots=True)
 class FleetPlan:
     """`spread_s`: over which relays spread their calls. `most_opening`: how many watchers of a process open
-    connections or read whole lists at once, when they begin; nothing bounds it after a fault."""
+    connections or read whole lists at once, when they begin; nothing bounds it for those that know a list."""
 
     groups: tuple[WatcherGroup, ...]
     spread_s: float
@@ -164,7 +164,7 @@
     def _collect(self) -> Collected:
         logs = [watcher.closed_log() for watcher in self._watchers]
         for watcher in self._watchers:
-            watcher.log = WatcherLog()
+            watcher.begin_log()
         cpu_s, turn_s = time.process_time(), self._turn_s
         spent_s, self._cpu_s, self._turn_s = cpu_s - self._cpu_s, cpu_s, 0.0
         return Collected(self._deliveries.all, logs, self._groups, turn_s, spent_s)
@@ -180,7 +180,7 @@
                 continue
             if watcher.phase is not Phase.WAITING:
                 self._fail(watcher, Fault(f"silent while {watcher.phase.name.lower()}"), now)
-            elif opening < self._most_opening:
+            elif watcher.revision or opening < self._most_opening:
                 opening += 1
                 self._open(watcher, now)
 
--- a/tests/glenfold_lab/scale/test_scale_control.py
+++ b/tests/glenfold_lab/scale/test_scale_control.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Iterator, Sequence
+from contextlib import ExitStack
 from dataclasses import replace
 from pathlib import Path
 
@@ -17,7 +18,7 @@
 from glenfold_lab.scale.control_judge import Judge, Judgement, Outage
 from glenfold_lab.scale.control_links import Links
 from glenfold_lab.scale.control_plays import PlayResult, RelayWaits, Stage, perform
-from glenfold_lab.scale.control_processes import replica_file
+from glenfold_lab.scale.control_processes import ControlProcesses, replica_file
 from glenfold_lab.scale.control_replicas import broken
 from glenfold_lab.scale.control_source import Ledger, Source, listed_server
 from glenfold_lab.scale.control_topology import (
@@ -29,7 +30,7 @@
     free_addresses,
     two_layers,
 )
-from glenfold_lab.scale.hollow_fleet import Collected, FleetPlan, HollowFleet
+from glenfold_lab.scale.hollow_fleet import SWEEP_S, Collected, FleetPlan, HollowFleet
 from glenfold_lab.scale.hollow_http import AnswerReader, BadAnswer, ChunkTable
 from glenfold_lab.scale.hollow_list import Lists
 from glenfold_lab.scale.hollow_watcher import Deliveries, Fault, HollowWatcher, Phase
@@ -136,6 +137,15 @@
     assert (world.judged().lost, world.judged().doubled) == (0, 1)
 
 
+def test_a_revision_that_changes_nothing_need_tell_nothing(world: World) -> None:
+    world.connect()
+    world.hear(world.change(0, Told.DRAINING))
+    world.change(0, Told.DRAINING)
+    world.hear(Change(3, ()).line())
+    world.hear(world.change(0, Told.DRAINING))
+    assert world.judged().sound and world.judged().in_force.count == 3
+
+
 def test_a_revision_that_comes_again_after_a_resume_is_doubled(world: World) -> None:
     world.connect()
     line = world.change(0, Told.DRAINING)
@@ -298,12 +308,13 @@
 
 WATCHERS = 60
 AFTER_S = 0.5
+ROOT = Path(control_command.__file__).parents[2]
 
 
 @pytest.fixture(scope="module")
 def stage() -> Iterator[Stage]:
     with Source(SERVERS) as source:
-        plan = FleetPlan(flat(WATCHERS).groups(source.address), spread_s=0.2, most_opening=32, seed=1)
+        plan = FleetPlan(flat(WATCHERS).groups(source.address), spread_s=0.2, most_opening=2, seed=1)
         with HollowFleet(plan, 2) as fleet:
             stage = Stage(source, fleet, after_s=AFTER_S)
             stage.begin()
@@ -329,6 +340,13 @@
     assert 0.5 < burst.bytes_read / whole.bytes_read * 14 / 2 < 2
 
 
+def test_watchers_that_know_a_list_resume_together_after_a_reset(stage: Stage) -> None:
+    judged = perform("reset", stage, plays.reset_connections()).judgement
+    assert judged.sound, judged
+    assert judged.whole_lists == 0 and judged.connects == WATCHERS
+    assert judged.in_force.max_s < WATCHERS / stage.fleet.plan.most_opening * SWEEP_S
+
+
 def test_watchers_resume_after_silence_without_a_whole_list(stage: Stage) -> None:
     judged = perform("silent", stage, plays.silent_source(3.0)).judgement
     assert judged.sound, judged
@@ -416,6 +434,24 @@
     ]
 
 
+def test_watchers_of_a_replica_that_is_killed_lose_nothing(tmp_path: Path) -> None:
+    topology = two_layers(16, regions=1, zones=2)
+    with ExitStack() as stack:
+        source = stack.enter_context(Source(SERVERS))
+        stack.enter_context(Links(topology.link_plans(source.address)))
+        control = stack.enter_context(ControlProcesses(topology, source.address, tmp_path, ROOT))
+        plan = FleetPlan(topology.groups(source.address), spread_s=0.2, most_opening=32, seed=1)
+        fleet = stack.enter_context(HollowFleet(plan, 1))
+        stage = Stage(source, fleet, control, after_s=AFTER_S)
+        stage.begin()
+        result = perform("killed", stage, plays.killed("zone-1", again_s=0.5))
+    judged = result.judgement
+    assert judged.sound, judged
+    assert (judged.revisions, judged.in_force.count) == (4, 4 * 16)
+    assert judged.connects >= 8 and judged.whole_lists == 0
+    assert {"source", "region-0", "zone-0"} == set(result.usage)
+
+
 # ---- slopes ----
 
 CHANGES = 60
