--- a/glenfold_lab/scale/capacity/roles.py
+++ b/glenfold_lab/scale/capacity/roles.py
@@ -158,7 +158,12 @@
         "servers / zones x relays x replica.change.cpu",
         lambda c: c.servers_in_a_zone * c.size.relays * c.slopes.typical("replica.change.cpu") * US,
     ),
-    Row("memory of a replica", "MB", "replica.memory", lambda c: c.slopes.at("replica.memory", c.servers)),
+    Row(
+        "memory of a replica",
+        "MB",
+        "replica.memory",
+        lambda c: c.slopes.at("replica.memory", c.servers, "servers"),
+    ),
     Row(
         "whole lists of 2,700 restarts a day",
         "GB a day",
