--- a/glenfold_lab/scale/capacity/replicas.py
+++ b/glenfold_lab/scale/capacity/replicas.py
@@ -86,7 +86,7 @@
         replica_cores,
         0.01,
     ),
-    Row("its memory", "MB", "replica.memory", lambda c: c.slopes.typical("replica.memory")),
+    Row("its memory", "MB", "replica.memory", lambda c: c.slopes.at("replica.memory", c.servers, "servers")),
     Row("all its children need a whole list", "s", "children x list.bytes / 20 MB/s", storm_seconds),
     Row(
         "machines, two for each zone and each region",
