--- a/tests/glenfold_lab/test_cold_work.py
+++ b/tests/glenfold_lab/test_cold_work.py
@@ -17,7 +17,7 @@
     work = ColdWork(RULES)
     cold_at(work, SECOND_US)
     work.told(SECOND_US, 0, 7, Told.READY, SECOND_US)
-    for n in range(6):   # at the start three seconds are worth 3 s * 3 * 1 a second
+    for n in range(6):  # at the start three seconds are worth 3 s * 3 * 1 a second
         work.sent(SECOND_US, n, n % 2, 7, SECOND_US)
     for n in range(20):  # nearly warm: 3 s * 3 * 9.5 a second
         work.sent(20 * SECOND_US, 10 + n, 0, 7, 20 * SECOND_US)
--- a/tests/glenfold_lab/test_stand_in_agent.py
+++ b/tests/glenfold_lab/test_stand_in_agent.py
@@ -88,5 +88,5 @@
         held.take(Change(seq, (entry,)))
     assert list(held.entries) == ["s-0"]  # the late change undoes no newer one
     assert b'"seq":7' in held.after(5, None) and b'"s-0"' not in held.after(5, None)
-    assert b'"s-1"' in held.after(7, 2)   # all of version 7, and what came late
+    assert b'"s-1"' in held.after(7, 2)  # all of version 7, and what came late
     assert b'"whole":true' in held.after(3, None)
--- a/tests/rules/test_backoff.py
+++ b/tests/rules/test_backoff.py
@@ -51,7 +51,7 @@
 def test_waits_of_many_relays_do_not_bunch(relays, call):
     backoffs = [waits(relay, relays / 10) for relay in range(relays)]
     moments = sorted(one.first_s() if call == "first" else one.again_s() for one in backoffs)
-    assert max(sum(at <= other < at + 1 for other in moments) for at in moments) <= 10 + 3 * 10 ** 0.5
+    assert max(sum(at <= other < at + 1 for other in moments) for at in moments) <= 10 + 3 * 10**0.5
 
 
 def test_success_makes_the_next_fault_the_first_of_a_row():
