Work the lines of the capacity page out exactly, so that every processor makes one page

Seen: make test failed on processors whose kernel of linear algebra is not HASWELL or ZEN; the page said 0.07 + -1.415e-20 x, the results gave -1.753e-20 x. Cause: numpy.polyfit printed the rounding noise of the kernel as a slope where processor time in ticks does not vary, and residuals from a median of 0 were divided by 1e-12 ( %). Mend: least squares in exact fractions of 12 significant digits, rounded once; a residual from a median of 0 is told in its unit. The result has no order of additions and no kernel to depend on.

--- a/glenfold_lab/scale/capacity/page.py
+++ b/glenfold_lab/scale/capacity/page.py
@@ -1,6 +1,7 @@
 """The page of capacity: every figure on it comes from the files of results and of sizes."""
 
 import difflib
+import math
 from collections.abc import Iterator
 from pathlib import Path
 
@@ -97,7 +98,9 @@
     try:
         line = quantity.line()
         equation = f"{line.intercept:.4g} + {line.slope:.4g} x"
-        residual = f"{100 * line.worst_residual:.0f} %"
+        residual = percentage(line.worst_residual)
+        if line.residual_at_zero:
+            residual = f"{rounded(line.residual_at_zero)} {quantity.unit} from a median of 0"
         if line.worst_residual > STRAIGHT:
             residual += ", not straight"
     except NotMeasured:
@@ -110,11 +113,16 @@
         str(quantity.repeats),
         equation,
         residual,
-        f"{100 * quantity.spread:.0f} %",
+        percentage(quantity.spread),
         quantity.run,
     ]
 
 
+def percentage(part: float) -> str:
+    """An infinite part is one of a median of 0, which no percentage tells."""
+    return "about a median of 0" if math.isinf(part) else f"{100 * part:.0f} %"
+
+
 def difference(written: str, made: str) -> list[str]:
     """Lines in which a page on disk and the one made from the results differ."""
     return [
--- a/glenfold_lab/scale/capacity/slopes.py
+++ b/glenfold_lab/scale/capacity/slopes.py
@@ -1,12 +1,12 @@
 """All measured quantities of the scale runs, by name, from the files of results."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
+from fractions import Fraction
+from itertools import pairwise
 from pathlib import Path
 from typing import Self
 
-import numpy
-
 from glenfold_lab.scale.capacity.estimates import Estimate
 from glenfold_lab.scale.measurements import Line, Point, Results, fit, medians, spread
 
@@ -51,7 +51,7 @@
         measured = medians(self.points)
         if min(measured) > size:
             measured = {0.0: max(0.0, self.line().intercept)} | measured
-        return float(numpy.interp(size, list(measured), list(measured.values())))
+        return _interpolated(size, list(measured.items()))
 
     def line(self) -> Line:
         """Raises NotMeasured for fewer than three sizes."""
@@ -128,5 +128,14 @@
         return Estimate(value, frozenset({quantity.name}) | size.measured, size.assumed, beyond)
 
 
+def _interpolated(size: float, measured: Sequence[tuple[float, float]]) -> float:
+    """On the straight lines between measured (size, value) pairs, which are in order; `size` within them."""
+    for (lower, low), (upper, high) in pairwise(measured):
+        if size <= upper:
+            part = (Fraction(size) - Fraction(lower)) / (Fraction(upper) - Fraction(lower))
+            return float(Fraction(low) + part * (Fraction(high) - Fraction(low)))
+    raise ValueError(f"{size} is beyond {measured[-1][0]}, the largest size measured")
+
+
 def _plain(size: Estimate | float) -> Estimate:
     return size if isinstance(size, Estimate) else Estimate(float(size))
--- a/glenfold_lab/scale/measurements.py
+++ b/glenfold_lab/scale/measurements.py
@@ -1,17 +1,18 @@
 """Measured points of a scale run, the file that holds them, and the straight line through them."""
 
 import json
+import math
 import os
 import platform
 import statistics
 from collections.abc import Iterable, Sequence
 from dataclasses import asdict, dataclass, field
+from fractions import Fraction
 from pathlib import Path
 from typing import Any, Self
 
-import numpy
-
 FORMAT = 1
+SIGNIFICANT_DIGITS = 12  # of a measured value
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,13 +81,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Line:
-    """value = intercept + slope * size, by least squares. `worst_residual` is the largest distance of a
-    size's median from the line, as a part of that median; `spread` the largest distance between two repeats
-    of one size, as a part of their median. `largest` is the largest size measured."""
+    """value = intercept + slope * size, by least squares: the exact coefficients, each rounded to a float.
+    `worst_residual` is the largest distance of a size's median from the line, as a part of that median;
+    `residual_at_zero` the largest one from a median of 0, in the unit of the values. `spread` is the largest
+    distance between two repeats of one size, as a part of their median. `largest` is the largest size
+    measured."""
 
     slope: float
     intercept: float
     worst_residual: float
+    residual_at_zero: float
     spread: float
     largest: float
 
@@ -96,10 +100,7 @@
 
 def medians(points: Iterable[Point]) -> dict[float, float]:
     """The median of the repeats of each size, by size."""
-    repeats: dict[float, list[float]] = {}
-    for point in points:
-        repeats.setdefault(point.size, []).append(point.value)
-    return {size: statistics.median(values) for size, values in sorted(repeats.items())}
+    return {size: statistics.median(values) for size, values in sorted(_by_size(points).items())}
 
 
 def fit(points: Sequence[Point]) -> Line:
@@ -108,15 +109,57 @@
     middle = medians(points)
     if len(middle) < 3:
         raise ValueError(f"a line needs three sizes, not {len(middle)}")
-    sizes, values = numpy.array(list(middle)), numpy.array(list(middle.values()))
-    slope, intercept = (float(coefficient) for coefficient in numpy.polyfit(sizes, values, 1))
-    residuals = numpy.abs(intercept + slope * sizes - values) / numpy.maximum(numpy.abs(values), 1e-12)
-    return Line(slope, intercept, float(residuals.max()), spread(points), float(sizes.max()))
+    # Linear algebra in floats leaves rounding noise that differs between processors.
+    sizes = [_decimal(size) for size in middle]
+    values = [_decimal(value) for value in middle.values()]
+    slope, intercept = _least_squares(sizes, values)
+    residuals = [abs(intercept + slope * size - value) for size, value in zip(sizes, values, strict=True)]
+    return Line(
+        float(slope),
+        float(intercept),
+        max(_as_part(*pair) for pair in zip(residuals, values, strict=True)),
+        float(
+            max((residual for residual, value in zip(residuals, values, strict=True) if not value), default=0)
+        ),
+        spread(points),
+        max(middle),
+    )
 
 
 def spread(points: Iterable[Point]) -> float:
-    """The largest distance between repeats of one size, as a part of their median; 0 for a single repeat."""
+    """The largest distance between repeats of one size, as a part of their median; 0 for a single repeat,
+    infinite where repeats differ about a median of 0."""
+    return max(
+        _as_part(_decimal(max(values)) - _decimal(min(values)), _decimal(statistics.median(values)))
+        for values in _by_size(points).values()
+    )
+
+
+def _decimal(value: float) -> Fraction:
+    """A measured value to its significant digits. What lies beyond them is the rounding of a difference, as
+    of two readings of a clock."""
+    return Fraction(f"{value:.{SIGNIFICANT_DIGITS}g}")
+
+
+def _by_size(points: Iterable[Point]) -> dict[float, list[float]]:
     repeats: dict[float, list[float]] = {}
     for point in points:
         repeats.setdefault(point.size, []).append(point.value)
-    return max((max(v) - min(v)) / max(abs(statistics.median(v)), 1e-12) for v in repeats.values())
+    return repeats
+
+
+def _least_squares(sizes: Sequence[Fraction], values: Sequence[Fraction]) -> tuple[Fraction, Fraction]:
+    """Slope and intercept, exactly. The sizes must differ."""
+    mean_size = sum(sizes, Fraction()) / len(sizes)
+    mean_value = sum(values, Fraction()) / len(values)
+    products = [(size - mean_size) * (value - mean_value) for size, value in zip(sizes, values, strict=True)]
+    squares = [(size - mean_size) ** 2 for size in sizes]
+    slope = sum(products, Fraction()) / sum(squares, Fraction())
+    return slope, mean_value - slope * mean_size
+
+
+def _as_part(distance: Fraction, reference: Fraction) -> float:
+    """Of the reference's amount; no distance is 0 of any, and another is infinitely much of 0."""
+    if not distance:
+        return 0.0
+    return float(distance / abs(reference)) if reference else math.inf
--- a/tests/glenfold_lab/scale/test_capacity.py
+++ b/tests/glenfold_lab/scale/test_capacity.py
@@ -1,5 +1,8 @@
 """Capacity: estimates keep their basis, and the page is what the results give."""
 
+import os
+import subprocess
+import sys
 from dataclasses import replace
 from pathlib import Path
 
@@ -128,3 +131,15 @@
 
 def test_the_page_in_the_repository_is_what_the_results_give() -> None:
     assert PAGE.read_text("utf-8") == page(*load(RESULTS))
+
+
+@pytest.mark.parametrize("kernel", ["HASWELL", "SKYLAKEX", "NEHALEM"])
+def test_the_page_is_the_same_under_each_kernel_of_linear_algebra(kernel: str) -> None:
+    """The page was the same text on some processors only: least squares came from numpy's linear algebra,
+    whose kernel is chosen by the processor, and the rounding noise of each kernel was printed as a slope
+    (-1.415e-20 under HASWELL, -1.753e-20 under SKYLAKEX). The exact line has no such noise."""
+    check = [sys.executable, "-m", "glenfold", "lab", "scale", "capacity", "--check"]
+    done = subprocess.run(
+        check, cwd=ROOT, env=os.environ | {"OPENBLAS_CORETYPE": kernel}, capture_output=True, text=True
+    )
+    assert done.returncode == 0, done.stdout + done.stderr
