--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -30,7 +30,7 @@
 @dataclass(frozen=True, slots=True)
 class KnownRed:
     """A test that fails for a known fault. `command` shows the fault with each of `seeds`, none where nothing
-    is drawn; `seen` is what it showed; `issue` is the number of the open issue that is to remove the cause."""
+    is drawn; `seen` is what it showed; `issue` is the number of the issue that is to remove the cause."""
 
     test: str
     command: str
