Give a client one turn at cold servers, so that a late rush pushes none over

Callers saw: all clients of the shares coming back 5 s or more after servers started made 3 to 12 of 25 cold servers fall (up to 1.77 times what they bear), and those stay down; with all servers new, 29 to 50 of 50. Cause: a turn of two windows at each of a client's four looks. In a dense fleet those who come back had their turn at two servers, by the relay they met. Mend: one turn of one window at the first cold server looked at, which is a cold home at every relay; turns use 0.15 N + 0.75 root N of a window's N, so that twice that stays under N + 2 root N + 2. It adds up over any number of relays, as it is still a slice of the keys.

--- a/benchmarks/cold_turns.py
+++ b/benchmarks/cold_turns.py
@@ -2,11 +2,12 @@
 
     python -m benchmarks.cold_turns [--gateways 200] [--servers 50] [--seeds 3]
 
-Half of the servers start anew in one moment. Each client that comes then is given to a gateway by chance, as
-a front without memory would. A case says how many of the shares' clients there are, and how they come back:
-`steady`: so many a second, drawn from those that no cold server holds, beside new ones at the rate that
-the shares tell; `rush`: all of them within two seconds, so many seconds after the start of the servers, at
-gateways that hold nothing yet.
+Half of the servers start anew in one moment, or all of them. Each client that comes then is given to a
+gateway by chance, as a front without memory would. A case says how many of the shares' clients there are, and
+how they come back: `steady`: so many a second, drawn from those that no cold server holds, beside new ones at
+the rate that the shares tell; `rush`: all of them within two seconds, so many seconds after the start of the
+servers, at gateways that hold nothing yet. `all anew`: no server is warm; who is refused comes again after
+0.5 to 1.5 s; `unmarked`: clients don't say that they come back.
 
 Prints a JSON line for each case. fullest: the most that one server was sent in any window of the settings, as
 a part of N + 2 sqrt(N) + 2, the most that it bears; N is what the settings allow it in that window. mean:
@@ -57,6 +58,8 @@
     used: float
     back_per_s: float = 0.0  # 0: all of them within RUSH_S
     rush_at_s: float = 0.0
+    all_anew: bool = False  # all servers start, and who is refused comes again
+    marked: bool = True  # clients say that they come back
 
 
 CASES = (
@@ -66,6 +69,13 @@
     Case("rush at once, the whole shares", 1.0),
     Case("rush after 10 s, 0.4 of the shares", 0.4, rush_at_s=10.0),
     Case("rush after 10 s, the whole shares", 1.0, rush_at_s=10.0),
+    Case("rush at once, the whole shares, unmarked", 1.0, marked=False),
+    Case("rush after 10 s, the whole shares, unmarked", 1.0, rush_at_s=10.0, marked=False),
+    Case("all anew, 0.4 of the shares", 0.4, all_anew=True),
+    Case("all anew, the whole shares", 1.0, all_anew=True),
+    Case("all anew after 10 s, the whole shares", 1.0, rush_at_s=10.0, all_anew=True),
+    Case("all anew, 0.4 of the shares, unmarked", 0.4, all_anew=True, marked=False),
+    Case("all anew, the whole shares, unmarked", 1.0, all_anew=True, marked=False),
 )
 
 
@@ -117,6 +127,7 @@
         self.clients = [self.new_client() for _ in range(clients)]
         self.of_request: dict[int, Client] = {}
         self.coming: list[tuple[int, int, Client]] = []  # moved clients: when, request, who
+        self.refused: list[tuple[int, int, Client]] = []  # when they come again, request, who
 
     def new_client(self) -> Client:
         self.keys += 1
@@ -127,8 +138,9 @@
         for gateway in self.gateways:
             gateway.handle(self.now, i.ServerList(kind, 0, lines))
 
-    def start_half_anew(self) -> None:
-        started = self.servers[::2]
+    def start_anew(self, everyone: bool) -> None:
+        """All servers, or every second one."""
+        started = self.servers if everyone else self.servers[::2]
         rate = SHARES.quota_per_s / len(self.servers)
         for client in self.clients:
             if client.server in started:
@@ -159,6 +171,9 @@
                 self.cold[attempt.server].take(self.now)
             up = i.Established(self.requests, 0, attempt.server, 5_000)
             actions = actions + gateway.handle(self.now, up)
+        if not client.request:
+            again = self.now + self.chance.randrange(SECOND // 2, SECOND * 3 // 2)
+            heapq.heappush(self.refused, (again, self.requests, client))
         self.act(client.gateway, actions)
 
     def act(self, gateway: int, actions: list[i.Action]) -> None:
@@ -175,6 +190,12 @@
                 self.end(client, i.Outcome.CANCELLED)
                 self.come(client, returning=True)
 
+    def come_refused(self, returning: bool) -> None:
+        while self.refused and self.refused[0][0] <= self.now:
+            client = heapq.heappop(self.refused)[2]
+            if not client.request:
+                self.come(client, returning)
+
     def replace_one(self) -> None:
         """One client leaves for good and a new one comes."""
         place = self.chance.randrange(len(self.clients))
@@ -194,6 +215,8 @@
 
     def tick(self) -> None:
         self.fleet.come_moved()
+        if self.case.all_anew:
+            self.fleet.come_refused(self.case.marked)
         if self.case.back_per_s:
             self._steady()
         elif self.fleet.now - self.began >= self.case.rush_at_s * SECOND:
@@ -213,7 +236,7 @@
     def _rush(self) -> None:
         self.back_due += len(self.fleet.clients) / RUSH_S * TICK_US / SECOND
         for _ in range(min(int(self.back_due), len(self.waiting))):
-            self.fleet.come(self.waiting.pop(), returning=True)
+            self.fleet.come(self.waiting.pop(), self.case.marked)
         self.back_due %= 1
 
 
@@ -223,7 +246,7 @@
     if case.back_per_s:
         for client in fleet.clients:
             fleet.come(client, returning=False)
-    fleet.start_half_anew()
+    fleet.start_anew(case.all_anew)
     arrivals = Arrivals(fleet, case)
     for _ in range(SETTINGS.cold_us // TICK_US - 1):
         fleet.now += TICK_US
--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -1,9 +1,8 @@
 """Every decision of linnetspread. Its settings, events and actions are in linnetspread/interface.py.
 
-The ordinary path: a connection lands where AnchorHash maps its client key, and every gateway
-builds the same map from the id-sorted ready list. Where clients come in groups that share work, the key is
-the group's: a server pays for a group once, however many of it are there. The exceptions are in `_choose`
-and what it calls.
+The ordinary path: a connection lands where AnchorHash maps its client key, and every gateway builds the same
+map from the id-sorted ready list. Where clients come in groups that share work, the key is the group's: a
+server pays for a group once, however many of it are there. The exceptions are in `_choose` and what it calls.
 
 A gateway may hold thousands of connections or one for every ten servers. So what must add up over gateways is
 never counted here: it is a slice of the key space, the same keys at every gateway.
@@ -12,8 +11,9 @@
 import math
 import random
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field, replace
+from typing import Any
 
 from linnetspread import interface as i
 
@@ -30,9 +30,10 @@
 CROWD = 3  # set-ups under way here beside one that tells of its server's delay
 PART_MOVED = 8  # of a server's connections, at a time, where no notes tell that it is jammed
 REMEMBERED = 1000  # moved clients whose load is kept until they come back
-LONGEST_LIFE_US = 300e6  # mean, of a connection, that a site may have: where no shares tell one
+LONGEST_LIFE_US = 300e6  # mean, of a connection, that a site may have: taken where nothing is known yet
+USED = 0.15  # of the calls that a cold server may get: the part that turns use, where these are many,
+USED_BY_CHANCE = 0.75  # and by the root of their number: chance adds as many as the rule allows for it
 ASK_AGAIN = 1 << 60  # timer token; request ids stay far below
-FAILURES = i.Outcome.TIMEOUT, i.Outcome.CONNECT_FAILED, i.Outcome.RESET
 
 
 def mix(value: int) -> int:
@@ -133,10 +134,6 @@
     quickest_us: int = 1 << 60  # set-up seen there
     delay_us: float = 0.0  # of set-ups beyond that, the latest most
 
-    @property
-    def ready(self) -> bool:
-        return self.listed.state is i.ServerState.READY
-
 
 @dataclass(slots=True)
 class Held:
@@ -165,8 +162,7 @@
         self.anchor, self.unit = Anchor([]), 1.0
         self.servers: dict[int, Server] = {}
         self.listed: list[float] = []  # powers of all that are ready or leave
-        self.ready_power = 0.0
-        self.full_power = 0.0  # the most that was ever ready
+        self.ready_power = self.full_power = 0.0  # now, and the most that ever was
         self.present_power = 0.0  # of what is ready, cold servers by what they can do for certain
         self.homes = MOST_HOMES  # by the part of the listed power that is there: alike at every gateway
         self.look_at = 0  # when the latter has grown enough to be counted again
@@ -177,40 +173,22 @@
         self.fleet = Slice()  # mean over those: the best guess for a server it knows nothing of
         self.held: dict[int, Held] = {}
         self.setting_up: set[int] = set()  # of these, with an attempt out
-        self.taken: deque[int] = deque()  # times of requests, within the look-back
-        self.extras: deque[int] = deque()  # times of attempts after a request's first, within it
+        self.taken, self.extras = (
+            deque[int](),
+            deque[int](),
+        )  # times of requests and further attempts, of late
         self.out: list[i.Action] = []
         self.mean_load = [0.0] * len(settings.classes)
         self.moved_load: dict[int, float] = {}  # of clients moved off a jammed server, the latest few
-        self.mean_worth = sum(kind.worth for kind in settings.classes) / len(settings.classes) or 1.0
-        aims = [kind.message_aim_us for kind in settings.classes if kind.message_aim_us]
-        self.aim_us = min(aims, default=math.inf)  # the shortest told: without one no delay tells of a jam
-        self.quotas = [tenant.quota_connections for tenant in settings.tenants] or [0.0]
-        self.by_tenant = [0] * len(self.quotas)
-        rate = sum(tenant.quota_per_s for tenant in settings.tenants)
-        self.life_us = sum(self.quotas) / rate * 1e6 if rate and sum(self.quotas) else LONGEST_LIFE_US
+        self.aim_us = settings.shortest_message_aim_us  # without one no delay tells of a jam
+        self.quota, self.quota_per_us = settings.quota_connections, settings.quota_per_us
+        self.by_tenant = [0] * max(1, len(settings.tenants))
 
     def handle(self, now: int, event: i.Event) -> list[i.Action]:
         self.out = [i.Subscribe(True)] if self.s.ask_for_list and not self.now else []
-        self.now = now
-        self.began = self.began or now
-        match event:
-            case i.Request():
-                self._on_request(event)
-            case i.Answer():
-                self._on_answer(event)
-            case i.Established():
-                self._on_established(event)
-            case i.Notice():
-                self._on_notice(event)
-            case i.Timer():
-                self._on_timer(event.token)
-            case i.ServerList():
-                self._on_list(event)
-            case i.ClientLeft():
-                self._end(event.request)
-            case i.Existing():
-                self._on_existing(event)
+        self.now, self.began = now, self.began or now
+        if handler := HANDLERS.get(type(event)):
+            handler(self, event)
         return self.out
 
     # ---- the list of servers ----
@@ -243,38 +221,34 @@
 
     def _update_anchor(self) -> None:
         """Removals first, then additions, each in id order; the map is the same whatever came before."""
-        present = [known for known in self.servers.values() if known.listed.state is not i.ServerState.GONE]
-        self.listed = [known.power for known in present]
+        self.listed = [known.power for known in self.servers.values() if known.listed.present]
         exponent = math.frexp(max(self.listed, default=1.0))[1]
         if (unit := 2.0 ** (exponent - min(DOUBLINGS, max(1, exponent)))) != self.unit:
             self.anchor, self.unit = Anchor([]), unit
-        ready = sorted(number for number, known in self.servers.items() if known.ready)
+        ready = sorted(number for number, known in self.servers.items() if known.listed.ready)
         for number in sorted(set(self.anchor.buckets_of) - set(ready)):
             self.anchor.remove(number)
         for number in ready:
             if number not in self.anchor.buckets_of:
-                self.anchor.add(number, self._buckets(number))
+                buckets = round(BUCKETS_PER_UNIT * self.servers[number].power / self.unit)
+                self.anchor.add(number, max(1, buckets))
         self.ready_power = sum(self.servers[number].power for number in ready)
         self.full_power = max(self.full_power, self.ready_power)
         self._look()
 
     def _look(self) -> None:
         self.look_at = self.now + 1_000_000
-        ready = [known for known in self.servers.values() if known.ready]
-        self.present_power = sum(known.power * self._warmth(known) for known in ready)
-        wide = self.s.gateways * len(self.listed) / (sum(self.quotas) or math.inf)
+        ready = [known for known in self.servers.values() if known.listed.ready]
+        self.present_power = sum(known.power * self.s.warmth(self._age(known)) for known in ready)
+        wide = self.s.gateways * len(self.listed) / (self.quota or math.inf)
         self.sparse, self.spread = wide > 1, min(1.0, wide - 1)
         self.homes = max(1, round(MOST_HOMES * self.present_power / (sum(self.listed) or 1.0)))
 
     def _power(self, line: i.ListedServer) -> float:
         return max(line.weight, 0.0) or 1.0 if self.s.weighted else 1.0  # nothing learnt: the map goes by it
 
-    def _buckets(self, number: int) -> int:
-        return max(1, round(BUCKETS_PER_UNIT * self.servers[number].power / self.unit))
-
     def _forget(self, known: Server) -> None:
-        """A fleet that is replaced again and again must not fill the memory with servers of the past."""
-        if known.listed.state is i.ServerState.GONE and not known.holds:
+        if not (known.listed.present or known.holds):
             self.servers.pop(known.listed.server, None)
 
     # ---- requests ----
@@ -300,7 +274,7 @@
 
     def _hold(self, held: Held) -> None:
         self.held[held.event.request] = held
-        self.by_tenant[self._tenant(held)] += 1
+        self.by_tenant[self.s.tenant_of(held.event)] += 1
 
     def _put(self, held: Held, known: Server) -> None:
         held.server = known
@@ -314,12 +288,6 @@
         self.busy -= not known.holds
         self._forget(known)
 
-    def _tenant(self, held: Held) -> int:
-        return min(held.event.tenant, len(self.by_tenant) - 1)
-
-    def _class(self, held: Held) -> i.RequestClass:
-        return self.s.classes[min(held.event.request_class, len(self.s.classes) - 1)]
-
     def _expected_load(self, event: i.Request) -> float:
         if event.load_us is not None:
             return float(event.load_us)
@@ -332,21 +300,20 @@
         self._answer_finally(held) if choice is None else self._send(held, *choice)
 
     def _room(self, held: Held) -> bool:
-        """Whether the fleet can bear one more. The schemes' shares are what all servers together can carry;
-        when many have left, those that stay would take on more and all jam at once, and where no notes tell
-        of that nobody would learn it. Each gateway admits its part of what is left: most clients are served
-        well, and the others told when to come again. In a sparse fleet parts differ too much by chance."""
-        total = sum(self.quotas)
-        if held.event.mid_flow or self.s.tells_delay or not total or not self.full_power or self.sparse:
+        """Whether the fleet can bear one more. The shares are what all servers together can carry; when many
+        have left, the others would all jam at once, and without notes nobody would learn it. Each gateway
+        admits its part of what is left. In a sparse fleet parts differ too much by chance."""
+        if held.event.mid_flow or self.s.tells_delay or not self.quota or not self.full_power or self.sparse:
             return True
-        return len(self.held) - 1 <= total * self.present_power / self.full_power / max(1.0, self.sharers)
+        part = self.present_power / self.full_power / max(1.0, self.sharers)
+        return len(self.held) - 1 <= self.quota * part
 
     def _may_try(self, held: Held) -> bool:
         """The ration of further attempts, where one is stated; the last of it is for what is worth most."""
-        left = self._ration() if held.sent else float("inf")
+        left = self._ration() if held.sent else math.inf
         if held.sent >= self.s.max_attempts or held.deadline - self.now <= self.s.tick_us:
             return False
-        return left >= 2 or left >= 1 and self._class(held).worth >= self.mean_worth
+        return left >= 2 or left >= 1 and self.s.class_of(held.event).worth >= self.s.mean_worth
 
     def _ration(self) -> float:
         edge = self.now - self.s.look_back_us
@@ -355,19 +322,21 @@
         while self.extras and self.extras[0] < edge:
             self.extras.popleft()
         left = self.s.spare_attempts + self.s.extra_per_request * len(self.taken) - len(self.extras)
-        return left if self.s.look_back_us else float("inf")
+        return left if self.s.look_back_us else math.inf
 
     # ---- the choice ----
 
     def _choose(self, held: Held) -> tuple[Server, bool] | None:
         """The first choice that the rules and its slices allow and that looks well, else the first that only
-        looks suspect: when most servers look bad, the fault is more likely here. Rather than refuse a client,
-        one that should rest is tried."""
-        last_resort = resting = None
+        looks suspect, as the fault is then more likely here; rather than refuse, one that should rest."""
+        last_resort = resting = waits = None
         for known, at_home in self._choices(held.event):
             if known.listed.server in held.tried or not self._allowed(held, known):
                 continue
-            if not (self._within(held, known, at_home) and self._warm_enough(held, known, at_home)):
+            if waits and self._age(known) < self.s.cold_us or not self._warm_enough(held, known, at_home):
+                waits = known  # for its turn there: another's turns would add to those of its own clients
+                continue
+            if not self._within(held, known, at_home):
                 continue
             # Mid-flow it would be reset anywhere else, however the server looks.
             if held.event.mid_flow and held.sent == 0 or self._well(held, known):
@@ -380,7 +349,7 @@
 
     def _choices(self, event: i.Request) -> Iterator[tuple[Server, bool]]:
         """The key's server, then those of the same key under further seeds: a group stays together there."""
-        key = self._key(event)
+        key = event.shared_key
         if not self.ready_power:
             return
         spread = bool(event.group) and self.sparse
@@ -393,34 +362,28 @@
         home = self.servers[self.anchor.lookup(key ^ mix(part), SEEDS[0]) or 0]
         # A client comes back because its server broke or jams, and here nobody may know: the list is late.
         # In a sparse fleet the next gateway looks at home all the same; elsewhere it is reset and comes back.
-        if spread or not event.returning or any(held.established for held in home.holds.values()):
+        known = spread or not event.returning or self._age(home) < self.s.cold_us
+        if known or any(held.established for held in home.holds.values()):
             yield home, True
         for turn in range(FURTHER):  # of a spread group its other homes: each more would cost what it shares
             seed = SEEDS[0] if spread else SEEDS[1] + turn * SEEDS[2] & MASK
             other = mix((part + turn + 1) % max(parts, FURTHER + 1)) if spread else 0
             yield self.servers[self.anchor.lookup(key ^ other, seed) or 0], False
 
-    @staticmethod
-    def _key(event: i.Request) -> int:
-        return event.group or event.key or event.request
-
     def _allowed(self, held: Held, known: Server) -> bool:
         """The rules alone: ready, and a keyed request that may have run only where repeats are dropped."""
-        if not known.ready:
+        if not known.listed.ready:
             return False
-        kind = self._class(held)
+        kind = self.s.class_of(held.event)
         if held.risky is None or kind.semantics is i.Semantics.REPEATABLE:
             return True
         if kind.semantics is i.Semantics.ONCE or self.now - held.risky_at >= kind.window_us:
             return False
-        here, there = known.listed, held.risky.listed
-        same_zone, same_cell = here.zone == there.zone, here.cell == there.cell
-        return kind.scope is i.DedupScope.ALL or same_zone and (kind.scope is i.DedupScope.ZONE or same_cell)
+        return kind.scope.joins(known.listed, held.risky.listed)
 
     def _well(self, held: Held, known: Server) -> bool:
-        """Neither resting nor shunned, nor over its part of what this gateway holds. Messages may take long
-        long before anything is refused, and not every wire tells that they do. Loads differ tenfold: by them
-        a gateway with few connections would take one heavy client for a crowd, and scatter groups."""
+        """Neither resting nor shunned, nor over its part of what this gateway holds: by loads, which differ
+        tenfold, one heavy client would be a crowd to a gateway with few, and groups would scatter."""
         fair = len(self.held) / (self.ready_power or 1.0) * known.power
         return self.now >= max(known.rest_until, known.shun_until) and len(known.holds) <= SPILL * fair + 1
 
@@ -437,51 +400,47 @@
             return True
         key = event.key or event.request
         if at_home:
-            return place_in(known.listed.server, self._key(event)) < 2 * size - 1
+            return place_in(known.listed.server, event.shared_key) < 2 * size - 1
         place: float = place_in(known.listed.server, key) ** (1 / self._merit(held))
         return 1 - place < 2 * size
 
     def _merit(self, held: Held) -> float:
         """What it brings for its load, against the mean; beyond a tenant's share it is less."""
         mean = sum(self.mean_load) / len(self.mean_load) or held.load
-        merit = self._class(held).worth / self.mean_worth * mean / max(held.load, 1.0)
+        merit = self.s.class_of(held.event).worth / self.s.mean_worth * mean / max(held.load, 1.0)
         return max(0.05, merit * (self.s.over_share_worth if self._over_quota(held) else 1.0))
 
     def _over_quota(self, held: Held) -> bool:
         """With few connections here chance alone takes a tenant over its part: only clear excess counts."""
-        tenant = self._tenant(held)
-        part = self.quotas[tenant] / self.s.gateways
-        return part > 0 and part + 2 * math.sqrt(part) + 1 < self.by_tenant[tenant]
+        part = self.s.quota_of(held.event) / self.s.gateways
+        return part > 0 and part + 2 * math.sqrt(part) + 1 < self.by_tenant[self.s.tenant_of(held.event)]
 
     def _age(self, known: Server) -> int:
         started = known.listed.started_us
         return max(0, self.now - started) if started else self.s.cold_us
 
-    def _warmth(self, known: Server) -> float:
-        """The part of its power that a server has for certain: it grows evenly from the cold share on."""
-        return min(1.0, self.s.cold_share + (1 - self.s.cold_share) * self._age(known) / self.s.cold_us)
-
     def _warm_enough(self, held: Held, known: Server, at_home: bool) -> bool:
-        """A server that just started takes only a slice of the keys, however many gateways there are.
-
-        New clients come evenly: a slice as large as its present share fits. Returning ones may come all at
-        once, each only once, and so may a spilled group: their slice grows no faster than the server could
-        have been filled."""
+        """A server that just started takes only a slice of the keys, however many gateways there are. New
+        clients come evenly: a slice as large as its present share fits. All others may come at once, and each
+        has its turn but once, or the same would come over and over."""
         age, event = self._age(known), held.event
         if age >= self.s.cold_us:
             return True
         place = place_in(known.listed.server, event.key or event.request)
         if not at_home and not held.sent and not event.returning:
             return False  # it only spills from a fuller server: no reason to press a cold one
-        if not at_home or event.returning:  # each has its turn but once, or the same would come over and over
-            return self._filled(age - 2 * self.s.fall_us) <= place < self._filled(age)
-        again = event.mid_flow or event.client_retry
-        return place < (self._filled(age) if again else self._warmth(known))
+        fresh = event.unmarked and place < self.s.warmth(age)
+        if at_home and (event.mid_flow or fresh):
+            return place < (self._filled(age) if event.mid_flow else 1)
+        return self._filled(age - self.s.fall_us) <= place < self._filled(age)
 
     def _filled(self, age: int) -> float:
-        """The part of its keys that a server could have taken since it started, with room to spare."""
-        mean_share = self.s.cold_share + (1 - self.s.cold_share) * age / self.s.cold_us / 2
-        return self.s.fall_multiple / 2 * mean_share * max(0, age) / self.life_us
+        """The part of its keys that a server has had time for since it started. The fewer calls it may get
+        within a fall's time, the more the rule leaves to chance, and the larger a part of them is used."""
+        life_us = self.quota / self.quota_per_us if self.quota and self.quota_per_us else LONGEST_LIFE_US
+        share = self.s.fall_multiple * self.s.mean_warmth(age)
+        calls = share * self.s.fall_us * self.quota_per_us / len(self.anchor.buckets_of)
+        return share * max(0, age) / life_us * (USED + USED_BY_CHANCE / math.sqrt(max(1.0, calls)))
 
     def _send(self, held: Held, known: Server, at_home: bool) -> None:
         left = timeout = held.deadline - self.now
@@ -498,9 +457,7 @@
         self.out.append(i.Attempt(held.event.request, known.listed.server, max(1, timeout)))
 
     def _answer_finally(self, held: Held) -> None:
-        kind = self._class(held)
-        repeats_dropped = kind.semantics is i.Semantics.BY_KEY and kind.scope is i.DedupScope.ALL
-        harmless = held.risky is None or kind.semantics is i.Semantics.REPEATABLE or repeats_dropped
+        harmless = held.risky is None or self.s.class_of(held.event).refusable_after_run
         # Those refused together must not come back together.
         mean = min(self.s.max_retry_after_us * 2 // 3, 1_000_000) if self.s.may_retry_after else 0
         wait = mean // 2 + self.random.randrange(mean + 1)
@@ -513,7 +470,7 @@
         if held is None or held.ended:
             return
         held.ended = True
-        self.by_tenant[self._tenant(held)] -= 1
+        self.by_tenant[self.s.tenant_of(held.event)] -= 1
         if held.server is None:
             del self.held[request]
 
@@ -557,7 +514,7 @@
             self._press(known, 0.7)
             if not self.s.tells_delay:  # no note has come before it, and the next would be dropped as well
                 self._shed(known)
-        elif outcome in FAILURES and not (outcome is i.Outcome.RESET and held.event.mid_flow):
+        elif outcome.failed and not (outcome is i.Outcome.RESET and held.event.mid_flow):
             if not known.strikes:
                 self.out.append(i.Log(f"server {known.listed.server} suspect after {outcome.name.lower()}"))
             known.strikes += 1
@@ -577,8 +534,7 @@
 
     def _on_set_up(self, known: Server, took_us: int) -> None:
         """Where no notes tell of delay: what a set-up takes beyond the quickest there it has waited behind
-        other work, as messages do. One alone may be slow for reasons of its own, and in a crowd all are: that
-        keeps this gateway busy as well."""
+        other work, as messages do; but one alone may be slow, and a crowd keeps this gateway busy as well."""
         if len(self.setting_up) > CROWD:
             return
         known.quickest_us = min(known.quickest_us, took_us)
@@ -621,11 +577,23 @@
                 if len(self.moved_load) > REMEMBERED:
                     del self.moved_load[next(iter(self.moved_load))]
 
-    def _on_timer(self, token: int) -> None:
-        if token == ASK_AGAIN:
+    def _on_timer(self, event: i.Timer) -> None:
+        if event.token == ASK_AGAIN:
             self.out.append(i.Subscribe(True))
-        held = self.held.get(token)
+        held = self.held.get(event.token)
         if held is not None and not held.established and not held.ended:
             if held.server is not None and held.risky is None:
                 held.risky, held.risky_at = held.server, held.sent_at
             self._answer_finally(held)
+
+
+HANDLERS: dict[type, Callable[[Balancer, Any], None]] = {
+    i.Request: Balancer._on_request,
+    i.Answer: Balancer._on_answer,
+    i.Established: Balancer._on_established,
+    i.Notice: Balancer._on_notice,
+    i.Timer: Balancer._on_timer,
+    i.ServerList: Balancer._on_list,
+    i.ClientLeft: lambda balancer, event: balancer._end(event.request),
+    i.Existing: Balancer._on_existing,
+}
--- a/linnetspread/interface.py
+++ b/linnetspread/interface.py
@@ -4,6 +4,7 @@
 An event that lacks a value carries 0 or None; a key of 0 means that there is none.
 """
 
+import math
 from dataclasses import dataclass, field
 from enum import Enum, auto
 
@@ -23,6 +24,11 @@
     ZONE = auto()
     CELL = auto()
 
+    def joins(self, one: "ListedServer", other: "ListedServer") -> bool:
+        """Whether these two drop each other's repeats."""
+        same_zone, same_cell = one.zone == other.zone, one.cell == other.cell
+        return self is DedupScope.ALL or same_zone and (self is DedupScope.ZONE or same_cell)
+
 
 class ServerState(Enum):
     GONE = auto()
@@ -54,6 +60,11 @@
     def never_ran(self) -> bool:
         return self in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT)
 
+    @property
+    def failed(self) -> bool:
+        """The server could not be reached, fell silent or broke off."""
+        return self in (Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET)
+
 
 class NoticeKind(Enum):
     LOAD = auto()
@@ -74,6 +85,12 @@
     worth: float = 1.0
     message_aim_us: float = 0.0
 
+    @property
+    def refusable_after_run(self) -> bool:
+        """Whether the client may come again with a request that may have run."""
+        dropped = self.semantics is Semantics.BY_KEY and self.scope is DedupScope.ALL
+        return dropped or self.semantics is Semantics.REPEATABLE
+
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
@@ -116,6 +133,47 @@
     tells_delay: bool = False  # notes say what a message takes
     may_send_copies: bool = False
 
+    @property
+    def quota_connections(self) -> float:
+        """Of all tenants; 0 where no shares are told."""
+        return sum(tenant.quota_connections for tenant in self.tenants)
+
+    @property
+    def quota_per_us(self) -> float:
+        """New connections a microsecond within the shares of all tenants; 0 where none are told."""
+        return sum(tenant.quota_per_s for tenant in self.tenants) / 1e6
+
+    @property
+    def mean_worth(self) -> float:
+        """Of a request over all classes; 1 where none is worth anything."""
+        return sum(kind.worth for kind in self.classes) / len(self.classes) or 1.0
+
+    @property
+    def shortest_message_aim_us(self) -> float:
+        """Infinite where no class has one."""
+        return min((kind.message_aim_us for kind in self.classes if kind.message_aim_us), default=math.inf)
+
+    def class_of(self, request: "Request") -> RequestClass:
+        return self.classes[min(request.request_class, len(self.classes) - 1)]
+
+    def tenant_of(self, request: "Request") -> int:
+        """The index of its tenant; 0 where none is told."""
+        return max(0, min(request.tenant, len(self.tenants) - 1))
+
+    def quota_of(self, request: "Request") -> float:
+        """Connections within its tenant's share, at all gateways; 0 where none is told."""
+        return self.tenants[self.tenant_of(request)].quota_connections if self.tenants else 0.0
+
+    def warmth(self, age_us: float) -> float:
+        """The part of its power that a server has for certain so long after its start: it grows evenly."""
+        return min(
+            1.0, self.cold_share + (1 - self.cold_share) * age_us / self.cold_us if self.cold_us else 1.0
+        )
+
+    def mean_warmth(self, age_us: float) -> float:
+        """The mean of `warmth` since the start, for a server that is not warm yet."""
+        return (self.cold_share + self.warmth(age_us)) / 2
+
 
 # ---- events ------------------------------------------------------------------------------------
 
@@ -130,6 +188,15 @@
     cell: int = 0
     started_us: int = 0
 
+    @property
+    def ready(self) -> bool:
+        return self.state is ServerState.READY
+
+    @property
+    def present(self) -> bool:
+        """It takes clients, or lets those that it has leave."""
+        return self.state is not ServerState.GONE
+
 
 @dataclass(frozen=True, slots=True)
 class ServerList:
@@ -151,6 +218,16 @@
     mid_flow: bool = False
     returning: bool = False
 
+    @property
+    def shared_key(self) -> int:
+        """What it is placed by: the same for all of a group."""
+        return self.group or self.key or self.request
+
+    @property
+    def unmarked(self) -> bool:
+        """Nothing says that its client was here before."""
+        return not (self.client_retry or self.mid_flow or self.returning)
+
 
 @dataclass(frozen=True, slots=True)
 class Existing:
