Soak real relays under faults, signals and crowds that seeds draw, judged from outside

The lab's checker judges; so do looks at descriptors that a relay keeps, and at its memory. Mutants that cut connections without MOVE, or refuse without an answer, fail a run; a process that keeps a connection, and a relay that keeps or uses one after MOVE, are told by tests of the looks. Found on the way: the lab recursed where a relay goes over its memory; it is killed once now.

--- a/glenfold_lab/cli.py
+++ b/glenfold_lab/cli.py
@@ -16,6 +16,7 @@
         ("experiment", "play factors, seeds and revisions against each other"),
         ("report", "draw results as one HTML file"),
         ("play", "play a scenario with real relays and stand-ins on loopback sockets"),
+        ("soak", "play real relays under faults and signals that seeds draw"),
         ("load", "put open-loop load on relays and measure latencies"),
         ("scale", "measure what relays, connections and control cost as the fleet grows"),
         ("demo", "a relay with stand-ins and clients for 20 s, with a live table"),
--- /dev/null
+++ b/glenfold_lab/soak/run.py
@@ -0,0 +1,51 @@
+"""Plays one soak run, and says what it came to."""
+
+from pathlib import Path
+
+import msgspec
+
+from glenfold_lab.results import Verdict
+from glenfold_lab.soak.day import drawn
+from glenfold_lab.soak.disturbance import Disturbance
+from glenfold_lab.stand_ins.run import play_on_sockets
+
+
+class Soaked(msgspec.Struct, frozen=True):
+    """One run. verdicts: rules that were broken, and whatever a relay kept. faults: what happened, by kind.
+    late: the stand-ins themselves ran late, so that moments are worth little."""
+
+    seed: int
+    verdicts: tuple[Verdict, ...]
+    requests: int
+    up: int
+    refused: int
+    moves: int
+    faults: tuple[str, ...]
+    signals: dict[str, int]
+    crowded: int
+    peak_mb: float
+    late: bool
+
+    @property
+    def passed(self) -> bool:
+        return not self.verdicts
+
+
+def play(seed: int, length_s: float, logs: Path | None = None) -> Soaked:
+    """Raises as `play_on_sockets` does, and ValueError for a length that is too short."""
+    day = drawn(seed, length_s)
+    disturbance = Disturbance(day, seed)
+    result = play_on_sockets(day.scenario, seed, beside=disturbance.run, logs=logs)
+    return Soaked(
+        seed=seed,
+        verdicts=result.verdicts,
+        requests=int(result.figures["requests"]),
+        up=result.answers["up"],
+        refused=int(result.figures["refused"]),
+        moves=int(result.figures["moves"]),
+        faults=tuple(fault.kind for fault in day.scenario.faults),
+        signals=dict(sorted(disturbance.signals.items())),
+        crowded=disturbance.crowded,
+        peak_mb=max(mb for name, mb in result.cost.items() if name.endswith("peak_mb")),
+        late=bool(result.figures["late"]),
+    )
--- a/glenfold_lab/spec.py
+++ b/glenfold_lab/spec.py
@@ -149,6 +149,7 @@
     doubled each time, up to backoff_most_ms. honour: share of clients that heed the wait in BUSY.
     rejoin_ms: a client whose connection broke comes again within this; a history draws one mean, evenly by
     its logarithm, and each client half to one and a half of it. move_ms: likewise, of one that was moved.
+    lingers: share of clients that go on using a connection after MOVE until it ends (on sockets only).
     marks_returning: whether it says so (`again=1`). zone_skew: how unequally clients spread over zones.
     standing: whether connections stand when the history starts, as many as the load says.
     connections: how many come in all, from which the load follows; None: the load decides. To be used with
@@ -171,6 +172,7 @@
     move_ms: Pair = (20.0, 200.0)
     marks_returning: bool = True
     marks_retry: bool = False
+    lingers: Share = 0.0
     zone_skew: Range = (0.15, 0.45)
     standing: bool = True
     connections: Count | None = None
--- a/glenfold_lab/stand_ins/clients.py
+++ b/glenfold_lab/stand_ins/clients.py
@@ -54,6 +54,8 @@
 from linnetspread.choice import SEEDS, mix
 
 CHUNK = 4096
+LINGER_S = 2.0  # a relay ends both sides of a connection within a second
+LINGER_GAP_S = 0.1
 HELD_BACK_US = SECOND_US
 
 FINALS = {
@@ -308,6 +310,8 @@
         with trio.socket.socket() as sock:
             with self._scope:
                 await self._talk(sock)
+                if self._over is Over.MOVED and self._lingers:
+                    await self._linger(sock)
             if self._given_up:
                 if not crowd.front.reaches(self.relay):  # nothing is signalled to it
                     await crowd.front.settled(self.relay)
@@ -317,6 +321,31 @@
         client.stood = False
         return self._over
 
+    @property
+    def _lingers(self) -> bool:
+        share = self._crowd.scenario.clients.lingers
+        return mix(self.client.key ^ SEEDS[2]) < share * (1 << 64)
+
+    async def _linger(self, sock: SocketType) -> None:
+        """Goes on saying lines after MOVE until the relay ends the connection, as it has to."""
+        crowd = self._crowd
+        with trio.move_on_after(LINGER_S), suppress(OSError):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._say_lines, sock)
+                while data := await sock.recv(CHUNK):
+                    if data.strip(b"\r\n"):
+                        crowd.seen.fault(crowd.clock.now_us(), self.relay, "a line came after MOVE")
+                nursery.cancel_scope.cancel()
+            return
+        if crowd.front.reaches(self.relay):
+            crowd.seen.fault(crowd.clock.now_us(), self.relay, f"still open {LINGER_S:g} s after MOVE")
+
+    async def _say_lines(self, sock: SocketType) -> None:
+        with suppress(OSError):
+            while True:
+                await take(sock, b"still here\r\n")
+                await trio.sleep(LINGER_GAP_S)
+
     async def _without_a_word(self) -> Over:
         """Where packets pass through, a connection outlives its relay."""
         crowd = self._crowd
@@ -332,7 +361,7 @@
         while True:
             for effect in self._state.on(incident, crowd.clock.now_us()):
                 await self._carry_out(effect, sock)
-            if self._state.phase is Phase.ENDED:
+            if self._state.phase is Phase.ENDED or self._over is Over.MOVED and self._lingers:
                 return
             incident = await self._next(sock)
 
--- a/glenfold_lab/stand_ins/relays.py
+++ b/glenfold_lab/stand_ins/relays.py
@@ -82,6 +82,7 @@
         self.limits = limits
         self.usage = Usage()
         self.killed_for_memory = False
+        self.stopping = self.stalled = False
         self._folder = folder
         self._settings = dict(settings)
         self._seen = seen
@@ -120,6 +121,8 @@
     def start(self, known: dict[str, object], seed: int) -> None:
         """Its process begins; `known` is the list that it starts with, in discovery's form."""
         self._starts += 1
+        self.killed_for_memory = False
+        self.stopping = self.stalled = False
         self._known = known
         self._write(seed)
         with self.log.open("ab") as log:
@@ -201,6 +204,7 @@
             return
         self._seen.stopping(self._clock.now_us(), self.number)
         self._signal(signal.SIGTERM)
+        self.stopping = True
         while self.running and self._clock.now_us() < kill_at:
             self.sample()
             await trio.sleep(LOOK_S)
@@ -212,9 +216,15 @@
     def stall(self) -> None:
         """Its process stops (SIGSTOP) until `go_on`."""
         self._signal(signal.SIGSTOP)
+        self.stalled = True
 
     def go_on(self) -> None:
         self._signal(signal.SIGCONT)
+        self.stalled = False
+
+    def signal(self, name: str) -> None:
+        """Sends a signal by its name, as SIGUSR1, if its process runs."""
+        self._signal(signal.Signals[name])
 
     def _signal(self, number: int) -> None:
         if self.running and self._process is not None:
@@ -234,7 +244,8 @@
                 self.usage.cpu_share = (used - self._cpu_before) / seconds
             self._cpu_before = used
             self.usage.peak_mb = max(self.usage.peak_mb, memory_mb)
-            if self.limits.memory_mb is not None and memory_mb > self.limits.memory_mb:
+            over = self.limits.memory_mb is not None and memory_mb > self.limits.memory_mb
+            if over and not self.killed_for_memory:  # it is looked at once more as it is killed
                 self.killed_for_memory = True
                 self.crash()
 
--- a/glenfold_lab/stand_ins/run.py
+++ b/glenfold_lab/stand_ins/run.py
@@ -10,7 +10,7 @@
 import signal
 import tempfile
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -73,6 +73,7 @@
 
 
 OnSecond = Callable[[Snapshot], None]
+Beside = Callable[[Sequence[RelayProcess], Seen, MachineClock], Awaitable[None]]
 
 
 def play_on_sockets(
@@ -85,6 +86,7 @@
     logs: Path | None = None,
     on_second: OnSecond | None = None,
     watchers: Sequence[Watcher] = (),
+    beside: Beside | None = None,
     revision: str = "work tree",
 ) -> RunResult:
     """Plays one history with real relay processes.
@@ -92,7 +94,8 @@
     seconds: plays so much of it instead of `length_s`; faults come in proportion. processes: for the
     stand-ins, beside this one; 0: none, None: as many as the load asks for. bad_per_s: clients that no relay
     should suffer from. logs: a folder that keeps each relay's log. on_second: is called after each second, in
-    the loop that plays. watchers: see all observations once it is over, as the checker does.
+    the loop that plays. beside: runs from the start of the history to its end, with the relays, what is seen
+    and the clock. watchers: see all observations once it is over, as the checker does.
 
     Raises `TooLarge` where this machine has not the room, `relays.NotReady` where a relay does not come up,
     `remote_part.PartFailed` where a process of stand-ins breaks off, KeyboardInterrupt at SIGINT and SIGTERM.
@@ -100,7 +103,7 @@
     """
     if seconds is not None:
         scenario = shortened(scenario, seconds)
-    run = _Run(scenario, seed, processes, bad_per_s, on_second)
+    run = _Run(scenario, seed, processes, bad_per_s, on_second, beside)
     with (
         tempfile.TemporaryDirectory(prefix="glenfold-play-") as folder,
         ExitStack() as stack,
@@ -202,6 +205,7 @@
     processes: int | None
     bad_per_s: float
     on_second: OnSecond | None
+    beside: Beside | None
     _script: Script = field(init=False)
     _relays: list[RelayProcess] = field(default_factory=list)
     _reports: list[Report] = field(default_factory=list)
@@ -286,10 +290,17 @@
                 ready.set()
                 nursery.start_soon(keeper.run, self._times.start)
                 nursery.start_soon(self._late.run)
+                if self.beside is not None:
+                    nursery.start_soon(self._play_beside, clock)
             self._end = end_of(self.scenario, self._times)
             nursery.cancel_scope.cancel()
         self._reports = [part.report() for part in played]
 
+    async def _play_beside(self, clock: MachineClock) -> None:
+        assert self.beside is not None
+        await clock.until(self._times.start)
+        await self.beside(self._relays, self._seen, clock)
+
     # ---- while it goes ----
 
     def _hear(self, second: Second) -> None:
--- /dev/null
+++ b/tests/glenfold_lab/test_soak.py
@@ -0,0 +1,197 @@
+"""Soak runs: short ones by fixed seeds, mutants of the relay that each fail one, and the draw of a day."""
+
+import shutil
+import socket
+import subprocess
+import sys
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+import trio
+from click.testing import CliRunner
+
+from glenfold_lab.commands.soak import command
+from glenfold_lab.soak import disturbance
+from glenfold_lab.soak.day import SHORTEST_S, drawn
+from glenfold_lab.soak.run import play
+from glenfold_lab.stand_ins import clients, relays
+from glenfold_lab.stand_ins.machine_clock import MachineClock
+from glenfold_lab.stand_ins.seen import Seen
+
+LENGTH_S = 12.0
+ROOT = Path(__file__).parents[2]
+
+
+def test_a_seed_gives_one_day_and_another_seed_another() -> None:
+    assert drawn(7, 20.0) == drawn(7, 20.0)
+    assert drawn(7, 20.0) != drawn(8, 20.0)
+
+
+def test_days_of_each_kind_are_drawn_and_each_has_a_planned_restart() -> None:
+    days = [drawn(seed, 20.0) for seed in range(1, 51)]
+    assert {day.crowd for day in days} == {True, False}
+    assert {day.scenario.relays.pass_through for day in days} == {True, False}
+    assert all(day.scenario.faults[0].kind == "relay_restart" for day in days)
+    assert len({fault.kind for day in days for fault in day.scenario.faults}) == 10
+
+
+@pytest.mark.parametrize("seed", [2, 8, 9])  # with a crowd, with one and packets that pass through, with none
+def test_relays_keep_every_rule_and_leave_nothing_over(seed: int) -> None:
+    soaked = play(seed, LENGTH_S)
+    assert not soaked.verdicts
+    assert soaked.up > 20 and soaked.moves > 0
+    assert {"SIGHUP", "SIGUSR1"} <= set(soaked.signals)
+    assert (soaked.crowded > 0) == drawn(seed, LENGTH_S).crowd
+
+
+@dataclass(frozen=True)
+class Mutant:
+    """A fault of the relay: in `file` each `sound` becomes `faulty`. A run of `seed` breaks the `rule`."""
+
+    file: str
+    sound: str
+    faulty: str
+    seed: int
+    rule: str
+
+
+MUTANTS = {
+    "cuts connections without MOVE": Mutant(
+        "glenfold/lines.py", 'MOVE = b"MOVE\\r\\n"', 'MOVE = b"GOOD\\r\\n"', 14, "move"
+    ),
+    "refuses without an answer": Mutant(
+        "glenfold/lines.py",
+        'return b"BUSY %d\\r\\n" % (wait_us // 1000) if wait_us >= 1000 else b"BUSY\\r\\n"',
+        'return b""',
+        2,
+        "answer",
+    ),
+}
+
+
+@pytest.fixture
+def mutated(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> Iterator[Path]:
+    """A copy of the program that relays of a soak run are started from."""
+    for package in ("glenfold", "linnetspread"):
+        shutil.copytree(ROOT / package, tmp_path / package, ignore=shutil.ignore_patterns("__pycache__"))
+    monkeypatch.setattr(relays, "ROOT", tmp_path)
+    yield tmp_path
+
+
+def mutate(tree: Path, mutant: Mutant) -> None:
+    text = (tree / mutant.file).read_text()
+    assert mutant.sound in text
+    (tree / mutant.file).write_text(text.replace(mutant.sound, mutant.faulty))
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_a_mutant_of_the_relay_fails_a_soak_run(name: str, mutated: Path) -> None:
+    mutant = MUTANTS[name]
+    mutate(mutated, mutant)
+    soaked = play(mutant.seed, LENGTH_S)
+    assert mutant.rule in {verdict.rule for verdict in soaked.verdicts}
+
+
+KEEPS = """
+import socket, sys, time
+listener = socket.create_server(("127.0.0.1", 0))
+print(listener.getsockname()[1], flush=True)
+kept, _ = listener.accept()
+if sys.argv[1] == "closes":
+    kept.close()
+time.sleep(60)
+"""
+
+
+class FakeRelay:
+    """A process that takes one connection."""
+
+    number, running, stalled = 3, True, False
+
+    def __init__(self, habit: str) -> None:
+        self.process = subprocess.Popen([sys.executable, "-c", KEEPS, habit], stdout=subprocess.PIPE)
+        assert self.process.stdout is not None
+        self.port = int(self.process.stdout.readline())
+        self.process_id = self.process.pid
+
+
+@pytest.mark.parametrize("habit", ["keeps", "closes"])
+def test_a_connection_that_a_relay_keeps_after_its_client_left_is_a_fault(
+    habit: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(disturbance, "LOOK_GAP_S", 0.05)
+    relay, seen = FakeRelay(habit), Seen()
+    try:
+        with socket.create_connection(("127.0.0.1", relay.port)):
+            pass
+        trio.run(_watched_until, [relay], seen, 3.0 if habit == "keeps" else 0.5)
+    finally:
+        relay.process.kill()
+        relay.process.wait()
+    assert [fault[1] for fault in seen.faults] == ([3] if habit == "keeps" else [])
+
+
+async def _watched_until(watched: list[FakeRelay], seen: Seen, most_s: float) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(disturbance.watch_descriptors, watched, seen, MachineClock())
+        with trio.move_on_after(most_s):
+            while not seen.faults:
+                await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ("relay", "fault"),
+    [
+        ("closes", None),
+        ("keeps", "still open 0.2 s after MOVE"),
+        ("talks", "a line came after MOVE"),
+    ],
+)
+def test_a_client_that_lingers_after_move_tells_what_the_relay_did(
+    relay: str, fault: str | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(clients, "LINGER_S", 0.2)
+    seen = Seen()
+    trio.run(_linger, relay, seen)
+    assert [words for _, _, words in seen.faults] == ([] if fault is None else [fault])
+
+
+async def _linger(relay: str, seen: Seen) -> None:
+    """A client that was told MOVE, and the relay's end of its connection."""
+    near, far = trio.socket.socketpair()
+    connection = clients.Connection.__new__(clients.Connection)
+    connection.relay = 0
+    front = SimpleNamespace(reaches=lambda relay: True)
+    connection._crowd = SimpleNamespace(seen=seen, clock=MachineClock(), front=front)  # type: ignore[assignment]
+    with near, far:
+        if relay == "talks":
+            await far.send(b"one more line\r\n")
+        if relay != "keeps":
+            far.shutdown(socket.SHUT_WR)
+        await connection._linger(near)
+        assert relay == "closes" or (await far.recv(100)).startswith(b"still here\r\n")
+
+
+def test_a_run_that_is_too_short_is_refused() -> None:
+    with pytest.raises(ValueError, match="12 s at least, not 5"):
+        drawn(1, 5.0)
+
+
+@pytest.mark.parametrize(
+    ("option", "value", "words"),
+    [
+        ("--seconds", "5", "5.0 is not in the range 12.0<=x<=3600"),
+        ("--count", "0", "0 is not in the range 1<=x<=10000"),
+        ("--seed", "-1", "-1 is not in the range x>=0"),
+        ("--seed", "soon", "'soon' is not a valid integer"),
+    ],
+)
+def test_a_faulty_option_is_named_with_what_would_be_right(option: str, value: str, words: str) -> None:
+    result = CliRunner().invoke(command, [option, value])
+    assert result.exit_code == 2
+    assert option in result.output and words in result.output
+    assert SHORTEST_S == 12.0
