--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -262,10 +262,9 @@
         """How far a client that says nothing of itself is one of the usual flow, from 0 to 1: where none says
         that it comes back, a fleet that lost its servers is asked by all of them at once."""
         most = max(1.0, self._flow() * self.s.fall_us / 2)
-        self.room = min(most, self.room + BURST * self._flow() * (self.now - self.room_at))
-        self.room_at, part = self.now, min(1.0, max(0.0, self.room))
-        self.room = max(-most / 2, self.room - 1)
-        return part
+        room = min(most, self.room + BURST * self._flow() * (self.now - self.room_at))
+        self.room, self.room_at = max(-most / 2, room - 1), self.now
+        return min(1.0, max(0.0, room))
 
     def _forget(self, known: Server) -> None:
         if not (known.listed.present or known.holds):
@@ -279,7 +278,8 @@
         if self.now >= self.look_at:
             self._look()
         held = Held(event, self.now + event.expires_in_us, self._expected_load(event))
-        held.usual = self._usual() if event.unmarked else 0.0
+        if event.unmarked and self.present_power < self.ready_power:  # some are cold
+            held.usual = self._usual()
         self.ends -= event.mid_flow
         if event.mid_flow and self.now - self.began > self.s.park_us and len(self.held) > 3:
             self.sharers *= len(self.held) / (len(self.held) + 1)  # a gateway is gone, and this its client
@@ -454,17 +454,17 @@
             return False  # it only spills from a fuller server: no reason to press a cold one
         # Whole groups meet at one server, but in a sparse fleet: they come in clumps of several.
         fresh = held.usual * min(1.0, age / self.s.fall_us) / (2 if event.group and not self.sparse else 1)
-        if at_home and (event.mid_flow or place < self.s.warmth(self._age(known)) * fresh):
-            return place < (self._filled(age) if event.mid_flow else 1)
-        return self._filled(age - self.s.fall_us) <= place < self._filled(age)
+        if at_home and event.mid_flow:  # it may stand there since its turn
+            return place < self._filled(age)
+        usual = at_home and place < self.s.warmth(age) * fresh
+        return usual or self._filled(age - self.s.fall_us) <= place < self._filled(age)
 
     def _filled(self, age: int) -> float:
         """The part of its keys that a server has had time for since it started. The fewer calls it may get
         within a fall's time, the more the rule leaves to chance, and the larger a part of them may be used.
         Without shares the life of connections is learnt from those that stood here and how many ended."""
         learnt = (LEARNT_US + self.held_us) / (LEARNT_US / LONGEST_LIFE_US + max(0.0, self.ends))
-        told = self.quota and self.quota_per_us
-        life_us = self.quota / self.quota_per_us if told else min(LONGEST_LIFE_US, learnt)
+        life_us = self.s.life_us or min(LONGEST_LIFE_US, learnt)
         share = self.s.fall_multiple * self.s.mean_warmth(age)
         calls = share * self.s.fall_us * self._flow() * self.s.gateways / len(self.anchor.buckets_of)
         return share * max(0, age) / life_us * (USED + USED_BY_CHANCE / math.sqrt(max(1.0, calls)))
--- a/linnetspread/interface.py
+++ b/linnetspread/interface.py
@@ -143,6 +143,11 @@
         """New connections a microsecond within the shares of all tenants; 0 where none are told."""
         return sum(tenant.quota_per_s for tenant in self.tenants) / 1e6
 
+    @property
+    def life_us(self) -> float:
+        """Mean, of a connection, as the shares tell it; 0 where none are told."""
+        return self.quota_connections / self.quota_per_us if self.quota_per_us else 0.0
+
     @property
     def mean_worth(self) -> float:
         """Of a request over all classes; 1 where none is worth anything."""
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -110,6 +110,7 @@
 def test_a_gateway_takes_no_more_than_its_usual_flow_for_new_clients() -> None:
     """Nobody says that it comes back: the first may be new, but a hundred within a second are not."""
     gateway = warming(gateways=10, tenants=(Tenant(1.0, 20.0, 6_000.0),))  # two new ones a second here
+    gateway.servers(ListKind.DELTA, listed(107, started_us=gateway.now + 60 * SECOND))  # cold till the end
     first, *others = [usual(gateway) for _ in range(100)]
     assert first == 1 and sum(others) <= 2
     gateway.now += 20 * SECOND
