Start the lab's relays with SIGHUP and SIGUSR1 ignored, as the deploy file's run does

The log of the relay ends with its former process, orderly stopped; the next one had died before it logged anything. Cause: SIGHUP or SIGUSR1 of the run's series came while the interpreter started, and the lab started python itself, where the deploy file's `run` ignores both until the program begins. A SIGTERM of a series could reach the next process too: a series ends with the process that it was meant for.

--- a/glenfold_lab/soak/disturbance.py
+++ b/glenfold_lab/soak/disturbance.py
@@ -69,6 +69,8 @@
                 elif relay.number not in told:
                     told.add(relay.number)
                     for _ in range(self._chance.randint(*IN_SERIES)):
+                        if not (relay.stopping and relay.running):  # its next process has begun
+                            break
                         self._send(relay, self._chance.choice(["SIGTERM", "SIGINT", "SIGHUP", "SIGUSR1"]))
                         await trio.sleep(self._chance.uniform(*BETWEEN_SIGNALS_S))
 
--- a/glenfold_lab/stand_ins/relays.py
+++ b/glenfold_lab/stand_ins/relays.py
@@ -167,6 +167,8 @@
     def _bound(self) -> None:
         """In the new process, before the relay: its limits, and that it does not outlive its parent."""
         ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+        for early in (signal.SIGHUP, signal.SIGUSR1):  # as `run` of the deploy file does
+            signal.signal(early, signal.SIG_IGN)
         if self.limits.sockets is not None:
             resource.setrlimit(resource.RLIMIT_NOFILE, (self.limits.sockets, self.limits.sockets))
 
