End a connection whose client left as it was sent MOVE, without an error of the relay

What callers saw: a relay that stopped while one client reset its connection as its line ended could exit with a traceback, and all its other clients were cut off without MOVE. In normal service the same error was logged as connection.failed and counted in `faults`.

Cause: StandingConnection._send_move expected no failure of the write, unlike move_now. The write fails with EPIPE when the client is gone, and always once the client was sent the server's FIN. The same place raised ClosedResourceError when the connection ended under a waiting write, sent MOVE anew after a part of it had gone out (MOMOVE), and a MOVE at once after the server's BYE or end reported CANCELLED.

Evidence: tests/test_standing_connection.py forces each crossing.

Why it works: a failed write is taken for the client's end wherever MOVE is sent, no MOVE is tried after the server's end, and what was sent of MOVE is kept.

--- a/glenfold/net/passing.py
+++ b/glenfold/net/passing.py
@@ -39,6 +39,7 @@
         self._unsent_move = MOVE  # the part of MOVE that has not been sent to the client
         self._client_finished = False
         self._server_reset = False
+        self._server_end: Outcome | None = None  # how the server ended the connection, once it has
         self._client_closed = trio.Event()
         self._scope = trio.CancelScope()
         self._between_lines = trio.Event()
@@ -67,16 +68,19 @@
         """Sends MOVE without waiting and ends both sides; returns whether that was done.
 
         Returns False if the client has received only part of a line, or if its socket buffer is full. A
-        client that has just disconnected counts as moved: the task that reads from it sees the end.
+        client that has just disconnected counts as moved, and so does one that was sent the server's end.
         """
         if self.is_ending:
             return True
+        if self._server_end is not None:
+            self._end(self._server_end)
+            return True
         if self._writing.locked() or not self._lines.between_lines:
             return False
         try:
             sent = send_now(self.client, self._unsent_move)
         except OSError:
-            self._end(Outcome.CANCELLED)
+            self._end_without_client()
             return True
         self._unsent_move = self._unsent_move[sent:]
         if not self._unsent_move:
@@ -115,14 +119,33 @@
             self.cut()
 
     async def _send_move(self) -> bool:
+        """Sends the rest of MOVE and ends both sides; returns False if the client received part of a line.
+
+        A client that has just disconnected, or was sent the server's end, can't be sent MOVE: its connection
+        ends without.
+        """
         async with self._writing:
-            if self._lines.between_lines:
-                await send(self.client, self._unsent_move)
-                self._unsent_move = b""
-                self.moved = True
-                self._end(Outcome.CANCELLED)
+            if self.is_ending or self._server_end is not None:
+                return True
+            if not self._lines.between_lines:
+                return False
+            try:
+                while self._unsent_move:
+                    sent = await self.client.send(self._unsent_move)
+                    self._unsent_move = self._unsent_move[sent:]
+            except trio.ClosedResourceError:  # the connection ended while the client's buffer was full
+                return True
+            except OSError:
+                self._end_without_client()
                 return True
-        return False
+            self.moved = True
+            self._end(Outcome.CANCELLED)
+        return True
+
+    def _end_without_client(self) -> None:
+        """Ends both sides after the client's side failed, and passes the reset on to the server."""
+        reset_on_close(self.server)
+        self._end(Outcome.CANCELLED)
 
     def _end(self, outcome: Outcome) -> None:
         self.outcome = outcome
@@ -145,8 +168,7 @@
             try:
                 data = await self.client.recv(CHUNK_BYTES)
             except OSError:
-                reset_on_close(self.server)
-                return self._end(Outcome.CANCELLED)
+                return self._end_without_client()
             if not data:
                 break
         self._client_finished = True
@@ -175,20 +197,19 @@
                 if not await self._send_to_client(data):
                     return
             except OSError:
-                reset_on_close(self.server)
-                return self._end(Outcome.CANCELLED)
+                return self._end_without_client()
             # The server was not read while the client took this data, so lines that the client sent meanwhile
             # could not be answered: the wait for their answer starts anew.
             self._unanswered_since = self._unanswered_since and trio.current_time()
+        ends = {b"BYE": Outcome.OK, b"MOVE": Outcome.CANCELLED}
+        default_outcome = Outcome.CANCELLED if self._client_finished else Outcome.RESET
+        self._server_end = ends.get(self._last_word or b"", default_outcome)
         send_fin(self.client)
-        ended_by_client = self._client_finished
-        if not ended_by_client:
+        if not self._client_finished:
             # The client's connection has to end within a second, even if the client does not close it.
             with trio.move_on_at(trio.current_time() + HALF_CLOSE_TIMEOUT_S):
                 await self._client_closed.wait()
-        ends = {b"BYE": Outcome.OK, b"MOVE": Outcome.CANCELLED}
-        default_outcome = Outcome.CANCELLED if ended_by_client else Outcome.RESET
-        self._end(ends.get(self._last_word or b"", default_outcome))
+        self._end(self._server_end)
 
     async def _send_to_client(self, data: bytes) -> bool:
         """Sends `data` to the client; returns False if MOVE is being sent, as no data may follow or split it.
--- /dev/null
+++ b/tests/test_standing_connection.py
@@ -0,0 +1,222 @@
+"""Standing connections whose client or server leaves in the moment in which the client is to be sent MOVE."""
+
+import socket
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import pytest
+import relaying
+import trio
+import trio.testing
+from relaying import OPEN, read_line
+from test_last_moments import StoppingProcess, stopping_process
+
+from glenfold import lines
+from glenfold.lines import LineTracker
+from glenfold.net import passing
+from glenfold.net.passing import StandingConnection
+from glenfold.net.sockets import reset_on_close
+from linnetspread.interface import Move, Outcome
+
+HALF_LINE = b"half of a"
+RESTS_OF_LINE = (b" line\r\n", b" second line\r\n")  # for the first connection and the second
+
+
+class Ends:
+    """A standing connection that is not running yet, and the other ends of its two sockets."""
+
+    def __init__(self) -> None:
+        client, self.client = trio.socket.socketpair()
+        server, self.server = trio.socket.socketpair()
+        self.connection = StandingConnection(client, server, self._ignore_load)
+
+    async def _ignore_load(self, load: float) -> None:
+        return
+
+    def close(self) -> None:
+        for sock in (self.client, self.server, self.connection.client, self.connection.server):
+            sock.close()
+
+
+@asynccontextmanager
+async def standing(folder: Path) -> AsyncIterator[Ends]:
+    ends = Ends()
+    yield ends
+    ends.close()
+
+
+@relaying.async_test(standing)
+async def test_a_client_that_closed_before_its_move_ends_without_an_error(ends: Ends) -> None:
+    """Guards against a BrokenPipeError that counts as a fault of the relay."""
+    ends.client.close()
+    with trio.fail_after(2.0):
+        await ends.connection.move()
+    assert ends.connection.is_ending and not ends.connection.moved and not ends.connection.cut_off
+    assert ends.connection.outcome is Outcome.CANCELLED
+
+
+@pytest.mark.parametrize("at_once", [False, True])
+@pytest.mark.parametrize(
+    ("last_line", "outcome"),
+    [(b"BYE\r\n", Outcome.OK), (b"MOVE\r\n", Outcome.CANCELLED), (b"", Outcome.RESET)],
+)
+@relaying.async_test(standing)
+async def test_a_client_that_was_sent_the_servers_end_is_not_moved_as_well(
+    ends: Ends, last_line: bytes, outcome: Outcome, at_once: bool
+) -> None:
+    """Guards against an error in MOVE after FIN, and against a wrong report of how the server ended."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ends.connection.run, b"", b"UP r1\r\n")
+        await ends.server.send(last_line)
+        ends.server.shutdown(socket.SHUT_WR)
+        received = b""
+        while data := await ends.client.recv(100):
+            received += data
+        if at_once:
+            assert ends.connection.move_now()
+        else:
+            await ends.connection.move()
+        ends.client.close()
+    assert received == last_line
+    assert ends.connection.outcome is outcome and not ends.connection.moved
+
+
+@relaying.async_test(standing)
+async def test_a_move_that_waits_for_room_survives_the_end_of_its_connection(ends: Ends) -> None:
+    """Guards against an error in the task that moves clients when the socket closes under it."""
+    while passing.send_now(ends.connection.client, b"#" * 4096):
+        pass
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ends.connection.move, trio.current_time() + 5.0)
+        await trio.testing.wait_all_tasks_blocked()
+        ends.connection._end(Outcome.RESET)
+        ends.connection.client.close()
+    assert not ends.connection.moved and ends.connection.outcome is Outcome.RESET
+
+
+@relaying.async_test(standing)
+async def test_a_move_that_was_sent_in_part_is_continued_and_not_begun_anew(
+    ends: Ends, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a client that receives MOMOVE where its buffer took two bytes before the time limit."""
+    real, sent = type(ends.connection.client).send, list[bytes]()
+
+    async def send_two_bytes(sock: object, data: bytes) -> int:
+        if sent:
+            await trio.sleep_forever()
+        sent.append(data)
+        return await real(sock, data[:2])  # type: ignore[arg-type]
+
+    async def send_nothing(sock: object, data: object) -> int:
+        return await trio.sleep_forever()
+
+    monkeypatch.setattr(type(ends.connection.client), "send", send_two_bytes)
+    monkeypatch.setattr(type(ends.connection.client), "sendmsg", send_nothing)
+    await ends.connection.move(trio.current_time() + 0.05)
+    assert ends.connection.moved and await ends.client.recv(100) == lines.MOVE
+
+
+def reset_when_line_ends(monkeypatch: pytest.MonkeyPatch, client: trio.SocketStream) -> None:
+    """Resets the first connection in the turn in which the relay has sent its client the rest of a line."""
+    real = LineTracker.feed
+
+    def feed(tracker: LineTracker, data: bytes) -> list[bytes]:
+        if data == RESTS_OF_LINE[0]:
+            reset_on_close(client.socket)
+            client.socket.close()
+        return list(real(tracker, data))
+
+    monkeypatch.setattr(LineTracker, "feed", feed)
+
+
+class HalfLineServer:
+    """A push server that sends half of a line after UP, and the rest when `finish` is set."""
+
+    def __init__(self) -> None:
+        self.finish = trio.Event()
+        self._rests = iter(RESTS_OF_LINE)
+
+    async def __call__(self, stream: trio.SocketStream) -> None:
+        rest = next(self._rests)
+        await stream.send_all(b"UP r1\r\n" + HALF_LINE)
+        await self.finish.wait()
+        await stream.send_all(rest)
+        await stream.receive_some()
+
+
+async def read_half_line(stream: trio.SocketStream) -> None:
+    assert await read_line(stream) == b"UP r1\r\n"
+    received = b""
+    while len(received) < len(HALF_LINE):
+        received += await stream.receive_some()
+    assert received == HALF_LINE
+
+
+def test_a_client_that_resets_as_it_is_moved_does_not_end_the_shutdown_of_all(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against one client's reset ending a stopping relay and cutting off all its other clients."""
+
+    async def main() -> None:
+        server = HalfLineServer()
+        async with stopping_process(server, 2.5)(tmp_path) as stopping:
+            streams = []
+            for number in range(2):
+                streams.append(stopping.connect(OPEN.replace(b"9b1f03aa", b"%08x" % number)))
+                await read_half_line(streams[number])
+            leaving, staying = streams
+            reset_when_line_ends(monkeypatch, leaving)
+            moving = observe_moves(monkeypatch)
+            stopping.process.stop()
+            with trio.fail_after(5.0):
+                while len(moving) < 2:
+                    await trio.sleep(0.005)
+            server.finish.set()
+            assert await read_line(staying) == RESTS_OF_LINE[1]
+            assert await read_line(staying) == lines.MOVE
+            await stopping.wait_until_ended()
+            check_counters(stopping)
+
+    trio.run(main)
+
+
+def observe_moves(monkeypatch: pytest.MonkeyPatch) -> list[StandingConnection]:
+    """Returns the list to which each connection is added when a task begins to move its client."""
+    real, moving = StandingConnection.move, list[StandingConnection]()
+
+    async def move(connection: StandingConnection, until: float | None = None) -> None:
+        moving.append(connection)
+        await real(connection, until)
+
+    monkeypatch.setattr(StandingConnection, "move", move)
+    return moving
+
+
+def check_counters(stopping: StoppingProcess) -> None:
+    counters = stopping.process.relay.counters
+    assert (counters.faults, counters.moved, counters.not_moved, counters.broken) == (0, 1, 0, 0)
+    assert counters.ended == 2
+
+
+def test_a_client_that_was_sent_the_servers_end_as_the_decisions_move_it_is_no_fault(tmp_path: Path) -> None:
+    """Guards against connection.failed and a count in `faults` for a connection that is ending already."""
+
+    async def say_bye(stream: trio.SocketStream) -> None:
+        await read_line(stream)
+        await stream.send_all(b"UP r1\r\nBYE\r\n")
+
+    async def main() -> None:
+        async with relaying.relay(relaying.config(tmp_path), say_bye) as (relay, _, port):
+            stream = await trio.open_tcp_stream("127.0.0.1", port)
+            await stream.send_all(OPEN)
+            for line in (b"UP r1\r\n", b"BYE\r\n", b""):
+                assert await read_line(stream) == line
+            relay.decisions._send_action(Move(next(iter(relay.decisions._routes))))
+            with trio.fail_after(5.0):
+                while relay.standing or relay.ids:
+                    await trio.sleep(0.005)
+        counters = relay.counters
+        assert (counters.faults, counters.moved, counters.broken, counters.ended) == (0, 0, 0, 1)
+
+    trio.run(main)
