Serve a replica's list together with the chain and the age of the parent it came from

What callers saw: for the time of one call a replica served its first list without its parent in Via, or another parent's list with the former parent's chain. Children use that chain to refuse a ring.

Cause: Follower published the list in one step and the chain in another, once it held the parent's watch; the age followed in a third that a cancellation could drop.

Why it works: publish takes the chain with the document, and document, chain and age are passed on with no checkpoint between.

--- a/glenfold/replica/accepted_lists.py
+++ b/glenfold/replica/accepted_lists.py
@@ -31,11 +31,14 @@
         self._accept_lock = trio.Lock()
         self._lease_holds = trio.Event()  # set while the lease is valid
 
-    async def accept(self, call: Call, body: Body, after: int) -> Verdict | None:
-        """Publishes the document unless the rules reject it.
+    async def accept(
+        self, call: Call, body: Body, after: int, renewed_at_s: float | None = None
+    ) -> Verdict | None:
+        """Publishes the document, with the parent's chain and age, unless the rules reject it.
 
-        `after` is the revision that a change must follow. Returns None if the document was accepted, and
-        otherwise why it was not.
+        `after` is the revision that a change must follow. `renewed_at_s` is when the source renewed the
+        document, None if that is not known. Returns None if the document was accepted, and otherwise why it
+        was not.
         """
         if body.left_out:
             events.list_entry_left_out(fault=f"{body.left_out} entries are not JSON objects")
@@ -45,8 +48,10 @@
             if not isinstance(judged, ListDocument):
                 return judged
             self.documents += 1
-            with trio.CancelScope(shield=True):  # a cancellation must not separate the two steps
-                self._publisher.publish(judged)
+            with trio.CancelScope(shield=True):  # a cancellation must not separate these steps
+                self._publisher.publish(judged, call.header.via)
+                if renewed_at_s is not None:
+                    self.renew(renewed_at_s)
                 await self._after_publish()
         await trio.lowlevel.checkpoint_if_cancelled()
         return None
--- a/glenfold/replica/parent_calls.py
+++ b/glenfold/replica/parent_calls.py
@@ -202,9 +202,11 @@
                 self._check(call, gone)
             if call.status != 200:
                 raise Refused(Refusal.FAULTY)
-            verdict = await self._lists.accept(call, await call.read_list(), 0)
+            body = await call.read_list()
+            renewed_at_s = trio.current_time() if call.header.is_source else call.renewed_at_s
+            verdict = await self._lists.accept(call, body, 0, renewed_at_s)
             if verdict in (Verdict.BEHIND, Verdict.INCOMPLETE):
                 raise Refused(Refusal.BEHIND)
+            self._lists.renew(renewed_at_s)  # also for a list that was known already
         finally:
             self.close(call)
-        self._lists.renew(trio.current_time() if call.header.is_source else call.renewed_at_s)
--- a/glenfold/replica/relay_lists.py
+++ b/glenfold/replica/relay_lists.py
@@ -1,7 +1,6 @@
 """The list source of a relay that follows one of several parents: control replicas or discovery itself."""
 
 import random
-from collections.abc import Sequence
 
 from glenfold.config.platform import Config
 from glenfold.counters import Counters
@@ -56,8 +55,11 @@
 
     # ---- the Publisher interface, called by the follower ----
 
-    def publish(self, document: ListDocument) -> None:
-        """Adds a list or change to the destination set. `_submit` is awaited before the next one."""
+    def publish(self, document: ListDocument, via: tuple[str, ...]) -> None:
+        """Adds a list or change to the destination set. `_submit` is awaited before the next one.
+
+        A relay has no children to pass the chain `via` on to.
+        """
         revision, entries = document.position.revision, document.entries
         document_fields = {"seq": revision, "whole": document.whole, "hosts": entries}
         self._unsent_list = self._destinations.read(document_fields)
@@ -74,5 +76,5 @@
     def stale(self) -> None:
         """Does nothing: `heard_at` shows how old the list is."""
 
-    def via(self, names: Sequence[str]) -> None:
+    def via(self, names: tuple[str, ...]) -> None:
         """Does nothing: a relay has no children to pass the Via chain on to."""
--- a/glenfold/replica/server.py
+++ b/glenfold/replica/server.py
@@ -92,9 +92,10 @@
 
     # ---- the Publisher interface, called by the follower ----
 
-    def publish(self, document: ListDocument) -> None:
-        """Adds the document to the history and wakes the watches."""
+    def publish(self, document: ListDocument, via: tuple[str, ...]) -> None:
+        """Adds the document to the history, to be served with the chain `via`, and wakes the watches."""
         before = self._history.position
+        self._via_names = via
         self._history.add(document)
         self._counters.published += 1
         if document.restarts_history or before is None or before.incarnation != document.position.incarnation:
--- a/glenfold/rules/replication.py
+++ b/glenfold/rules/replication.py
@@ -46,8 +46,12 @@
 class Publisher(Protocol):
     """The interface through which a follower updates the side that serves children."""
 
-    def publish(self, document: ListDocument) -> None:
-        """Publishes a list or change that the follower has accepted as newer, in order."""
+    def publish(self, document: ListDocument, via: tuple[str, ...]) -> None:
+        """Publishes a list or change that the follower has accepted as newer, in order.
+
+        `via` is the chain of the parent that sent it, as in the method of that name: from this call on both
+        are served together.
+        """
 
     def renew(self, renewed_at_s: float) -> None:
         """Records that the source confirmed the known list at that time of trio's monotonic clock.
@@ -64,5 +68,6 @@
     def via(self, names: tuple[str, ...]) -> None:
         """Sets the replicas between the source and this one, from the source on, without this one's own name.
 
-        The present parent named them in VIA_FIELD. They are empty if this replica follows the source itself.
+        Called when another parent is followed, whose list is known already. That parent named them in
+        VIA_FIELD. They are empty if this replica follows the source itself.
         """
--- a/tests/replica/running_replica.py
+++ b/tests/replica/running_replica.py
@@ -13,6 +13,7 @@
 from glenfold.config.replica import Limits
 from glenfold.replica.counters import ReplicaCounters
 from glenfold.replica.server import EarlierChanges, Server
+from glenfold.rules.replication import ListDocument
 
 WITHIN_S = 10.0  # time limit for each expected event; exceeding it raises trio.TooSlowError
 
@@ -26,6 +27,9 @@
     port: int
     scope: trio.CancelScope
 
+    def publish(self, document: ListDocument, via: tuple[str, ...] = ()) -> None:
+        self.server.publish(document, via)
+
     async def connect(self) -> "ChildConnection":
         return ChildConnection(await trio.open_tcp_stream("127.0.0.1", self.port))
 
--- a/tests/replica/stand_in_parent.py
+++ b/tests/replica/stand_in_parent.py
@@ -48,6 +48,7 @@
         self.renewed_at_s = -age_s
         self.requests: list[tuple[float, str]] = []
         self.hangs = False  # accepts calls but never answers
+        self.hang_at_watch = False  # never answers a watch from its own revision
         self.scripted_answers: list[bytes | None] = []
         self.watches: list[trio.SocketStream] = []
         self.port = 0
@@ -138,7 +139,7 @@
                 pass
             target = line.split()[1].decode()
             self.requests.append((trio.current_time(), target))
-            if self.hangs:
+            if self.hangs or self.hang_at_watch and target.endswith(f"from={self.revision}"):
                 await trio.sleep_forever()
             scripted_answer = self.scripted_answers.pop(0) if self.scripted_answers else None
             if scripted_answer is not None:
@@ -178,14 +179,16 @@
         self.renewals: list[tuple[float, float]] = []  # time of the call and `renewed_at_s`
         self.stale_at_s: list[float] = []
         self.chains: list[tuple[str, ...]] = []
+        self.document_chains: list[tuple[str, ...]] = []  # the chain that came with each document
         self._update = trio.Event()
 
     @property
     def positions(self) -> list[Position]:
         return [document.position for _, document in self.documents]
 
-    def publish(self, document: ListDocument) -> None:
+    def publish(self, document: ListDocument, via: tuple[str, ...]) -> None:
         self.documents.append((trio.current_time(), document))
+        self.document_chains.append(via)
         self._notify()
 
     def renew(self, renewed_at_s: float) -> None:
--- a/tests/replica/test_server.py
+++ b/tests/replica/test_server.py
@@ -46,20 +46,19 @@
 @trio_test
 async def test_a_relay_reads_the_list_and_then_watches_on_the_same_connection():
     async with running_replica() as replica:
-        replica.server.publish(whole(5, 1, 2))
+        replica.publish(whole(5, 1, 2))
         child = await replica.connect()
         assert (await child.ask("/v1/servers")).status_code == 200
         assert await child.read_list() == {"seq": 5, "whole": True, "hosts": [server(1), server(2)]}
         assert (await child.ask("/v1/servers?watch=1&from=5")).status_code == 200
-        replica.server.publish(change(6, server(3)))
+        replica.publish(change(6, server(3)))
         assert await child.next_line() == {"seq": 6, "whole": False, "hosts": [server(3)]}
 
 
 @trio_test
 async def test_responses_carry_incarnation_age_via_and_children():
     async with running_replica() as replica:
-        replica.server.via(("top",))
-        replica.server.publish(whole(5, 1, incarnation=3))
+        replica.publish(whole(5, 1, incarnation=3), ("top",))
         replica.server.renew(trio.current_time() - 40.5)
         watch = await start_watch(replica, 5)
         for target in ("/v1/servers", "/v1/servers?watch=1&from=5"):
@@ -74,10 +73,10 @@
 @trio_test
 async def test_every_watcher_gets_every_change_once_and_in_order():
     async with running_replica() as replica:
-        replica.server.publish(whole(0))
+        replica.publish(whole(0))
         children = [await start_watch(replica) for _ in range(40)]
         for revision in range(1, 30):
-            replica.server.publish(change(revision))
+            replica.publish(change(revision))
             if revision % 7 == 0:
                 await trio.sleep(0)
         for child in children:
@@ -87,9 +86,9 @@
 @trio_test
 async def test_a_watch_resumes_from_its_revision_or_starts_with_the_whole_list():
     async with running_replica(history_revisions=3) as replica:
-        replica.server.publish(whole(0))
+        replica.publish(whole(0))
         for revision in range(1, 9):
-            replica.server.publish(change(revision))
+            replica.publish(change(revision))
         resumed, past = await start_watch(replica, 6), await start_watch(replica, 4)
         assert [(await resumed.next_line())["seq"] for _ in range(2)] == [7, 8]
         assert (await past.next_line()) == {
@@ -97,14 +96,14 @@
             "whole": True,
             "hosts": [server(n) for n in range(1, 9)],
         }
-        replica.server.publish(change(9))
+        replica.publish(change(9))
         assert (await resumed.next_line())["seq"] == (await past.next_line())["seq"] == 9
 
 
 @trio_test
 async def test_an_empty_line_is_sent_only_when_the_source_renewed():
     async with running_replica() as replica:
-        replica.server.publish(whole(0))
+        replica.publish(whole(0))
         child = await start_watch(replica)
         replica.server.renew(trio.current_time() - 60.0)  # an old renewal from a parent that is cut off
         await expect_silence(child, 0.2)
@@ -113,7 +112,7 @@
         await expect_silence(child, 0.7)
         replica.server.stale()
         await expect_silence(child, 0.2)
-        replica.server.publish(change(1))  # the replica keeps serving and the watch stays open
+        replica.publish(change(1))  # the replica keeps serving and the watch stays open
         assert (await child.next_line())["seq"] == 1
         replica.server.renew(trio.current_time())
         assert await child.next_line() is None
@@ -123,7 +122,7 @@
 @trio_test
 async def test_a_stale_replica_answers_new_children_with_the_age_of_its_list():
     async with running_replica() as replica:
-        replica.server.publish(whole(7, 1))
+        replica.publish(whole(7, 1))
         replica.server.renew(trio.current_time() - 600.0)
         replica.server.stale()
         code, header_fields = await status(replica, "/v1/servers")
@@ -135,10 +134,10 @@
 @trio_test
 async def test_another_incarnation_ends_all_watches_cleanly():
     async with running_replica() as replica:
-        replica.server.publish(whole(50, 1))
+        replica.publish(whole(50, 1))
         child = await start_watch(replica, 50)
         await wait_until(lambda: replica.counters.watches == 1)
-        replica.server.publish(whole(50, 2, incarnation=1))
+        replica.publish(whole(50, 2, incarnation=1))
         with pytest.raises(EOFError):
             await child.next_line()
         again = await start_watch(replica, 50, Glenfold_Incarnation="0")
@@ -162,7 +161,7 @@
 ):
     async def main():
         async with running_replica() as replica:
-            replica.server.publish(whole(7, 1))
+            replica.publish(whole(7, 1))
             child = await start_watch(replica, 7)
             bad = await replica.connect()
             method = header_fields.pop("method", "GET")
@@ -174,7 +173,7 @@
             await bad.stream.send_all(bad.http.send(request) + b"abc" * bool(header_fields))
             assert (await bad.next_event()).status_code == expected
             assert getattr(replica.counters, counter) == 1
-            replica.server.publish(change(8))
+            replica.publish(change(8))
             assert (await child.next_line())["seq"] == 8
 
     trio.run(main)
@@ -195,7 +194,7 @@
 def test_invalid_and_overlong_requests_are_answered_400(request_bytes):
     async def main():
         async with running_replica() as replica:
-            replica.server.publish(whole(7, 1))
+            replica.publish(whole(7, 1))
             bad = await replica.connect()
             async with trio.open_nursery() as nursery:
 
@@ -222,7 +221,7 @@
 @trio_test
 async def test_children_above_the_limit_are_told_to_retry():
     async with running_replica(children=5) as replica:
-        replica.server.publish(whole(0))
+        replica.publish(whole(0))
         children = [await start_watch(replica) for _ in range(5)]
         code, header_fields = await status(replica, "/v1/servers?watch=1&from=0")
         assert code == 503 and int(header_fields[b"retry-after"]) >= 1
@@ -230,19 +229,19 @@
         await children[0].stream.aclose()
         await wait_until(lambda: replica.counters.watches_ended == 1)
         await start_watch(replica)
-        replica.server.publish(change(1))
+        replica.publish(change(1))
         assert (await children[1].next_line())["seq"] == 1
 
 
 @trio_test
 async def test_idle_connections_above_the_limit_close_each_other_and_no_child():
     async with running_replica(idle_connections=20, idle_s=60.0) as replica:
-        replica.server.publish(whole(0))
+        replica.publish(whole(0))
         child = await start_watch(replica)
         idle = [await replica.connect() for _ in range(150)]
         await wait_until(lambda: replica.counters.idle_crowded_out == 130)
         assert await idle[0].read_until_closed() == b""
-        replica.server.publish(change(1))
+        replica.publish(change(1))
         assert (await child.next_line())["seq"] == 1
         await start_watch(replica)
 
@@ -250,7 +249,7 @@
 @trio_test
 async def test_connections_without_a_complete_request_are_closed_even_if_bytes_trickle_in():
     async with running_replica(idle_s=0.3) as replica:
-        replica.server.publish(whole(0))
+        replica.publish(whole(0))
         silent, trickling = await replica.connect(), await replica.connect()
         await trickling.stream.send_all(b"GET /v1/ser")
         assert await silent.read_until_closed() == b"" and await trickling.read_until_closed() == b""
@@ -269,7 +268,7 @@
         return [change(revision) for revision in range(since + 1, upto.revision + 1)]
 
     async with running_replica(earlier) as replica:
-        replica.server.publish(whole(500, 1))
+        replica.publish(whole(500, 1))
         code, header_fields = await status(replica, "/v1/servers?watch=1&from=498")
         assert code == 503 and int(header_fields[b"retry-after"]) in (1, 2)
         assert (await status(replica, "/v1/servers"))[0] == 200
@@ -280,14 +279,14 @@
         resumed, past = await start_watch(replica, 498), await start_watch(replica, 483)
         assert [(await resumed.next_line())["seq"] for _ in range(2)] == [499, 500]
         assert (await past.next_line())["whole"] is True
-        replica.server.publish(change(501))
+        replica.publish(change(501))
         assert (await child.next_line())["seq"] == (await resumed.next_line())["seq"] == 501
 
 
 def test_a_parent_that_hangs_on_earlier_changes_delays_children_only_briefly(monkeypatch):
     async def main():
         async with running_replica(lambda since, upto: trio.sleep_forever()) as replica:
-            replica.server.publish(whole(500, 1))
+            replica.publish(whole(500, 1))
             assert (await status(replica, "/v1/servers?watch=1&from=498"))[0] == 503
             await trio.sleep(0.3)
             assert (await (await start_watch(replica, 498)).next_line())["whole"] is True
@@ -333,10 +332,10 @@
 @trio_test
 async def test_a_child_that_reads_nothing_is_cut_and_resumes_without_loss_or_repeats():
     async with running_replica(blocked_s=0.3) as replica:
-        replica.server.publish(whole(0))
+        replica.publish(whole(0))
         slow, steady = await slow_child(replica), await start_watch(replica)
         for revision in range(1, 7):
-            replica.server.publish(large_change(revision))
+            replica.publish(large_change(revision))
             assert (await steady.next_line())["seq"] == revision
         await wait_until(lambda: replica.counters.cut_blocked == 1)
         received = await read_until_cut(slow)
@@ -351,10 +350,10 @@
 @trio_test
 async def test_a_child_that_falls_behind_the_history_is_cut_and_gets_the_whole_list():
     async with running_replica(history_revisions=2, blocked_s=60.0) as replica:
-        replica.server.publish(whole(0))
+        replica.publish(whole(0))
         slow, steady = await slow_child(replica), await start_watch(replica)
         for revision in range(1, 12):
-            replica.server.publish(large_change(revision))
+            replica.publish(large_change(revision))
             assert (await steady.next_line())["seq"] == revision
         received = await read_until_cut(slow)
         assert replica.counters.cut_behind == 1 and len(received) < 11
@@ -365,10 +364,10 @@
 @trio_test
 async def test_a_child_that_reads_slowly_but_keeps_up_gets_all():
     async with running_replica() as replica:
-        replica.server.publish(whole(0))
+        replica.publish(whole(0))
         slow = await slow_child(replica)
         for revision in range(1, 6):
-            replica.server.publish(large_change(revision))
+            replica.publish(large_change(revision))
             await trio.sleep(0)
         assert [(await slow.next_line())["seq"] for _ in range(5)] == [1, 2, 3, 4, 5]
 
@@ -376,9 +375,9 @@
 @trio_test
 async def test_a_slow_child_receives_renewals_only_after_earlier_changes():
     async with running_replica() as replica:
-        replica.server.publish(whole(0))
+        replica.publish(whole(0))
         slow = await slow_child(replica)
-        replica.server.publish(large_change(1))
+        replica.publish(large_change(1))
         await trio.sleep(0.05)
         replica.server.renew(trio.current_time())
         await trio.sleep(0.6)
@@ -391,8 +390,8 @@
 async def test_in_a_burst_whole_lists_are_admitted_at_their_rate_while_watches_go_on():
     async with running_replica(whole_lists_mb_per_s=0.5, whole_lists_at_once=4) as replica:
         entries = [{**server(n), "note": "x" * 1000} for n in range(100)]  # 100 KB
-        replica.server.publish(whole(0))
-        replica.server.publish(change(1, *entries))
+        replica.publish(whole(0))
+        replica.publish(change(1, *entries))
         watch = await start_watch(replica, 1)
         codes, waits = [], []
 
@@ -410,7 +409,7 @@
             for _ in range(120):
                 nursery.start_soon(ask)
             for revision in range(2, 12):
-                replica.server.publish(change(revision))
+                replica.publish(change(revision))
                 assert (await watch.next_line())["seq"] == revision
         took_s = trio.current_time() - start_s
         admitted = codes.count(200)
@@ -423,8 +422,8 @@
 async def test_a_watch_from_a_past_revision_is_admitted_like_a_whole_list():
     async with running_replica(whole_lists_mb_per_s=0.01) as replica:
         entries = [{**server(n), "note": "x" * 1000} for n in range(100)]
-        replica.server.publish(whole(5))
-        replica.server.publish(change(6, *entries))
+        replica.publish(whole(5))
+        replica.publish(change(6, *entries))
         assert (await status(replica, "/v1/servers"))[0] == 200
         code, header_fields = await status(replica, "/v1/servers?watch=1&from=1")
         assert code == 503 and int(header_fields[b"retry-after"]) >= 1
@@ -434,8 +433,8 @@
 def test_a_child_that_does_not_read_its_whole_list_frees_its_slot(monkeypatch):
     async def main():
         async with running_replica(whole_lists_at_once=1) as replica:
-            replica.server.publish(whole(0))
-            replica.server.publish(
+            replica.publish(whole(0))
+            replica.publish(
                 change(1, *LARGE_ENTRIES, *({**server(n), "note": "x" * 20_000} for n in range(10, 50)))
             )
             slow = ChildConnection(small_window(replica))
@@ -454,7 +453,7 @@
 @trio_test
 async def test_at_shutdown_watches_end_evenly_over_the_given_time_and_new_ones_are_refused():
     async with running_replica() as replica:
-        replica.server.publish(whole(0))
+        replica.publish(whole(0))
         children, ended_children = [await start_watch(replica) for _ in range(40)], []
 
         async def record_end(number: int, child: ChildConnection) -> None:
@@ -480,9 +479,9 @@
 @trio_test
 async def test_a_replica_killed_within_a_line_delivers_no_incomplete_change():
     async with running_replica() as replica:
-        replica.server.publish(whole(0))
+        replica.publish(whole(0))
         slow = await slow_child(replica)
-        replica.server.publish(large_change(1))
+        replica.publish(large_change(1))
         await trio.sleep(0.05)
         replica.scope.cancel()
         assert await read_until_cut(slow) == []
@@ -493,9 +492,9 @@
 
     async def main():
         async with running_replica() as replica:
-            replica.server.publish(whole(0))
+            replica.publish(whole(0))
             children = [await start_watch(replica) for _ in range(10)]
-            replica.server.publish(large_change(1))
+            replica.publish(large_change(1))
             for child in children:
                 assert (await child.next_line())["seq"] == 1
             watches: Watches = replica.server._watches
--- a/tests/replica/test_tree.py
+++ b/tests/replica/test_tree.py
@@ -221,3 +221,87 @@
         assert max(at_s - changed_at_s[revision] for at_s, revision in received) <= 4.0
 
     run_script(script)
+
+
+async def served_head(port: int) -> dict[str, str]:
+    """Returns the header fields with which the replica serves its list, once it has one."""
+    while True:
+        child = ChildConnection(await trio.open_tcp_stream("127.0.0.1", port))
+        response = await child.ask("/v1/servers")
+        await child.stream.aclose()
+        if response.status_code == 200:
+            return {name.decode(): value.decode() for name, value in response.headers}
+        await trio.sleep(0.01)
+
+
+def test_a_first_list_is_served_with_the_chain_and_the_age_of_its_parent() -> None:
+    """Guards against a list that is served before the chain of the parent that it came from."""
+
+    async def script(nursery: trio.Nursery) -> None:
+        parent = StandInParent("top", "north-1", incarnation=0, revision=41, age_s=2.0)
+        await parent.listen(nursery)
+        parent.renewing = False
+        parent.hang_at_watch = True  # the follower has the list, and waits for its watch from here on
+        layer = Layer("r-0", parent.port)
+        nursery.start_soon(layer.run)
+        head = await served_head(layer.port)
+        assert parent.requests[-1][1].startswith("/v1/servers?watch=1")
+        assert head["via"] == "1.1 top, 1.1 north-1, 1.1 r-0"
+        assert 2 <= int(head["age"]) <= 4
+
+    run_script(script)
+
+
+def test_a_list_of_another_parent_is_served_with_that_parents_chain() -> None:
+    """Guards against a new list with the chain of the parent that was followed before."""
+
+    async def script(nursery: trio.Nursery) -> None:
+        first, second = (StandInParent(name, incarnation=0, revision=41) for name in ("north-1", "south-1"))
+        await first.listen(nursery)
+        await second.listen(nursery)
+        layer = Layer("r-0", first.port)
+        nursery.start_soon(layer.run)
+        await layer.watch(41)
+        second.incarnation, second.revision, second.hang_at_watch = 1, 3, True
+        layer.process._follower.move_to((second.as_parent,))
+        while (head := await served_head(layer.port))["glenfold-incarnation"] == "0":
+            assert head["via"] == "1.1 north-1, 1.1 r-0"
+            await trio.sleep(0.01)
+        assert head["via"] == "1.1 south-1, 1.1 r-0"
+
+    run_script(script)
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports at which nothing listens."""
+    listeners = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [listener.getsockname()[1] for listener in listeners]
+    for listener in listeners:
+        listener.close()
+    return ports
+
+
+def test_a_ring_of_replicas_that_start_at_once_ends_with_none_that_follows_itself() -> None:
+    """Guards against replicas that keep each other's list alive without the source."""
+
+    async def script(nursery: trio.Nursery) -> None:
+        source = StandInParent(revision=41)
+        await source.listen(nursery)
+        ports = free_ports(3)
+        parents = [(ports[2], source.port), (ports[0],), (ports[1],)]
+        ring = [Layer(f"r-{n}", *parents[n], port=ports[n]) for n in range(3)]
+        for layer in ring:
+            nursery.start_soon(layer.run)
+        watches = [await layer.watch(41) for layer in ring]
+        await trio.sleep(10.0)
+        chains = {}
+        for number, layer in enumerate(ring):
+            chains[number] = (await served_head(layer.port))["via"].replace("1.1 ", "").split(", ")
+        assert all(len(set(chain)) == len(chain) for chain in chains.values()), chains
+        assert chains[0] == ["r-0"] and chains[1] == ["r-0", "r-1"] and chains[2] == ["r-0", "r-1", "r-2"]
+        await source.change(entry("s-2"))
+        for child in watches:
+            received = [line for line in await lines_until(child, trio.current_time() + 1.0) if line]
+            assert [line["seq"] for line in received] == [42]
+
+    run_script(script)
