Lay requests that the kernel accepts for a killed relay to its death, until it has exited

What callers saw: nothing; the lab blamed a relay. The listed test of a kill while draining failed beside load with rule "answer" for a request that was taken just after SIGKILL and closed at the exit.

Cause: Daemons.kill recorded the death before the signal, and the checker looked for a death at or after the request. A killed process exits only once it gets a core; the kernel takes clients until then.

New cases of test_checker.py and test_stand_in_reconciler.py fail before it.

Why it works: a death is the interval from the signal to the observed exit (pidfd). A request that was taken after the exit, or closed before the signal, still counts against the relay.

--- a/glenfold_lab/checker/drain.py
+++ b/glenfold_lab/checker/drain.py
@@ -65,8 +65,8 @@
     def server_ended(self, at: int, server: int) -> None:
         self._running.discard(server)
 
-    def relay_down(self, at: int, relay: int) -> None:
-        self._lists[relay] = RelayList(died_at=at)
+    def relay_down(self, at: int, relay: int, exited_at: int | None = None) -> None:
+        self._lists[relay] = RelayList(died_at=at if exited_at is None else exited_at)
 
     def told(self, at: int, relay: int, server: int, state: ListedState, started_us: int) -> None:
         relay_list = self._lists.get(relay)
--- a/glenfold_lab/checker/requests.py
+++ b/glenfold_lab/checker/requests.py
@@ -6,6 +6,7 @@
 
 from bisect import bisect_left
 from collections import defaultdict
+from dataclasses import dataclass
 
 from glenfold_lab.checker import answer, attempt, move
 from glenfold_lab.checker.state import Attempt, Request
@@ -18,6 +19,14 @@
 JUDGING_STEP_US = 250_000  # Requests whose time is up within one step are judged together.
 
 
+@dataclass(frozen=True, slots=True)
+class RelayDeath:
+    """The death of a relay: its process ended between `began_at` and `exited_at`, in microseconds."""
+
+    began_at: int
+    exited_at: int
+
+
 class RequestRules(Watcher):
     """Checks the rules "answer", "attempt" and "move"."""
 
@@ -30,9 +39,7 @@
         # The requests to judge, by the number of their step.
         self._to_judge: defaultdict[int, list[Request]] = defaultdict(list)
         self._next_step = 0
-        self._relay_deaths: defaultdict[int, list[int]] = defaultdict(
-            list
-        )  # The times of death of each relay.
+        self._relay_deaths: defaultdict[int, list[RelayDeath]] = defaultdict(list)
 
     # ---- observations ----
 
@@ -102,8 +109,8 @@
         if us > move.MAX_LINE_DELAY_US + self._slack_us:
             move.held_back(self._verdicts, self._open.get(request), at, request, us)
 
-    def relay_down(self, at: int, relay: int) -> None:
-        self._relay_deaths[relay].append(at)
+    def relay_down(self, at: int, relay: int, exited_at: int | None = None) -> None:
+        self._relay_deaths[relay].append(RelayDeath(at, at if exited_at is None else exited_at))
 
     def finish(self, at: int) -> None:
         for step in sorted(self._to_judge):
@@ -125,9 +132,13 @@
                 del self._open[record.number]
 
     def _relay_death(self, record: Request) -> int | None:
-        """Returns when the relay that took the request died, or None if it is still running."""
+        """Returns the earliest time at which the relay that took the request may have died.
+
+        Returns None if it is still running. A killed process takes requests until it exits, as the kernel
+        accepts them.
+        """
         deaths = self._relay_deaths.get(record.relay)
         if deaths is None:
             return None
-        index = bisect_left(deaths, record.taken_at)
-        return deaths[index] if index < len(deaths) else None
+        index = bisect_left(deaths, record.taken_at, key=lambda death: death.exited_at)
+        return deaths[index].began_at if index < len(deaths) else None
--- a/glenfold_lab/measures.py
+++ b/glenfold_lab/measures.py
@@ -98,7 +98,7 @@
             self._count(self._moved_by_step, at)
             self._moves += at >= self._counted_from
 
-    def relay_down(self, at: int, relay: int) -> None:
+    def relay_down(self, at: int, relay: int, exited_at: int | None = None) -> None:
         self._down_since.setdefault(relay, at)
 
     def relay_up(self, at: int, relay: int) -> None:
--- a/glenfold_lab/observe.py
+++ b/glenfold_lab/observe.py
@@ -87,8 +87,12 @@
     def relay_up(self, at: int, relay: int) -> None:
         """The relay listens and has answered its first PING."""
 
-    def relay_down(self, at: int, relay: int) -> None:
-        """The relay's process exited; its connections and the list that it was sent are void."""
+    def relay_down(self, at: int, relay: int, exited_at: int | None = None) -> None:
+        """The relay's process exited; its connections and the list that it was sent are void.
+
+        A process that is killed ends some time between the signal at `at` and `exited_at`, when its exit was
+        observed. None stands for an exit at `at`.
+        """
 
     def told(self, at: int, relay: int, server: int, state: ListedState, started_us: int) -> None:
         """The last byte of this change of the list was written to the relay, or counts as written by now.
--- a/glenfold_lab/stand_ins/daemons.py
+++ b/glenfold_lab/stand_ins/daemons.py
@@ -23,6 +23,7 @@
 from glenfold_lab.spec import Scenario
 from glenfold_lab.stand_ins.machine_clock import MachineClock
 from glenfold_lab.stand_ins.ping import PingResult, ping
+from glenfold_lab.stand_ins.process_exit import wait_for_exit
 from glenfold_lab.stand_ins.relays import ROOT
 from glenfold_lab.stand_ins.seen import Seen
 from glenfold_lab.stand_ins.sockets import Address, format_address
@@ -177,7 +178,11 @@
         }
 
     def kill(self, relay: int) -> list[psutil.Process]:
-        """Kills all processes of the relay by SIGKILL and returns them."""
+        """Kills all processes of the relay by SIGKILL and returns them.
+
+        They have exited some time later, which `wait_for_restart` awaits: until then the kernel accepts
+        clients for them.
+        """
         processes = self.processes().get(relay, [])
         self.seen.relay_down(self.clock.now_us(), relay)
         for process in processes:
@@ -244,6 +249,9 @@
         The relay counts as up as soon as a new process exists, as the process accepts clients before it
         reports that it is ready.
         """
+        for process in killed:
+            await wait_for_exit(process.pid)
+        self.seen.relay_exited(self.clock.now_us(), relay)
         while not set(self.processes().get(relay, ())) - set(killed):
             await trio.sleep(POLL_INTERVAL_S)
         self.seen.relay_up(self.clock.now_us(), relay)
--- a/glenfold_lab/stand_ins/reconciler.py
+++ b/glenfold_lab/stand_ins/reconciler.py
@@ -26,6 +26,14 @@
     silent: bool
 
 
+@dataclass(slots=True)
+class _Death:
+    """The end of a relay's process, between `began_at` and `exited_at`."""
+
+    began_at: int
+    exited_at: int
+
+
 @dataclass(slots=True)
 class _Relay:
     """The state of one relay.
@@ -35,7 +43,7 @@
     """
 
     up: bool = False
-    down_times: list[int] = field(default_factory=list)
+    deaths: list[_Death] = field(default_factory=list)
     stopping: int | None = None
     stops: list[tuple[int, int]] = field(default_factory=list)
     held: dict[int, ListedEntry] = field(default_factory=dict)
@@ -60,6 +68,7 @@
         self._handlers: dict[str, Callable[..., None]] = {
             "relay_up": self._relay_up,
             "relay_down": self._relay_down,
+            "relay_exited": self._relay_exited,
             "stopping": self._relay_stopping,
             "stalled": self._relay_stalled,
             "told": self._list_entry_sent,
@@ -75,9 +84,14 @@
         """Returns the observations until `end`."""
         kept = [record for record in records if record[1][0] <= end]
         kept.sort(key=lambda record: record[1][0])
-        for name, values in kept:
-            if name == "relay_down":  # Connections that end shortly before or after are attributed to it.
-                self._relays[values[1]].down_times.append(values[0])
+        for (
+            name,
+            values,
+        ) in kept:  # Connections that end shortly before or after a death are attributed to it.
+            if name == "relay_down":
+                self._relays[values[1]].deaths.append(_Death(values[0], values[0]))
+            elif name == "relay_exited" and self._relays[values[1]].deaths:
+                self._relays[values[1]].deaths[-1].exited_at = values[0]
         for name, values in kept:
             if name in self._handlers:
                 self._handlers[name](*values)
@@ -102,7 +116,11 @@
         if state.stopping is not None:
             state.stops.append((state.stopping, at))
             state.stopping = None
-        self._observations.append(("relay_down", (at, relay)))
+        exited_at = next(death.exited_at for death in state.deaths if death.began_at == at)
+        self._observations.append(("relay_down", (at, relay, exited_at)))
+
+    def _relay_exited(self, at: int, relay: int) -> None:
+        """Does nothing: `relay_down` carries the time of the exit."""
 
     def _relay_stopping(self, at: int, relay: int) -> None:
         self._relays[relay].stopping = at
@@ -151,7 +169,10 @@
             return End.BROKEN
         if relay.stopping is not None or any(begin <= at <= end + END_MATCH_US for begin, end in relay.stops):
             return End.RELAY_DIED if self._pass_through else End.CUT
-        died = any(down - EXIT_DETECTION_US <= at <= down + END_MATCH_US for down in relay.down_times)
+        died = any(
+            death.began_at - EXIT_DETECTION_US <= at <= death.exited_at + END_MATCH_US
+            for death in relay.deaths
+        )
         return End.RELAY_DIED if died else End.CUT
 
     def _note_late_end(self, at: int, request: int) -> None:
--- a/glenfold_lab/stand_ins/relays.py
+++ b/glenfold_lab/stand_ins/relays.py
@@ -200,9 +200,10 @@
         self.sample()
         if not was_down:
             self._seen.relay_down(self._clock.now_us(), self.number)
-        self._signal(signal.SIGCONT)
         self._signal(signal.SIGKILL)
         self._process.wait()
+        if not was_down:
+            self._seen.relay_exited(self._clock.now_us(), self.number)
 
     async def stop(self, kill_at: int) -> None:
         """Sends SIGTERM, and SIGKILL if the process still runs at `kill_at`."""
--- a/glenfold_lab/stand_ins/seen.py
+++ b/glenfold_lab/stand_ins/seen.py
@@ -1,7 +1,7 @@
 """Records of what stand-ins saw: observations of the lab, and events that need both ends to classify.
 
-A stand-in records `broke`, `unsaid`, `stopping`, `stalled` and `due` as they occur; `judge` turns them into
-observations once the records of all stand-ins are collected.
+A stand-in records `broke`, `unsaid`, `stopping`, `stalled`, `relay_exited` and `due` as they occur; the
+reconciler turns them into observations once the records of all stand-ins are collected.
 """
 
 from glenfold_lab.observe import ListedState, Recorder
@@ -36,6 +36,10 @@
         """Records that the relay's process is stopped until the time `until`."""
         self.records.append(("stalled", (at, relay, until)))
 
+    def relay_exited(self, at: int, relay: int) -> None:
+        """Records that the relay's process, whose end `relay_down` recorded, has exited by now."""
+        self.records.append(("relay_exited", (at, relay)))
+
     def due(self, at: int, relay: int, server: int, state: ListedState, started_us: int) -> None:
         """Records that the relay has to know this state by now, whether the agent sent it or not."""
         self.records.append(("due", (at, relay, server, state, started_us)))
--- a/tests/glenfold_lab/test_checker.py
+++ b/tests/glenfold_lab/test_checker.py
@@ -212,6 +212,17 @@
     ]
 
 
+def closed_about_a_kill(taken_at, closed_at):
+    """Returns a history: a relay is killed at 5.0017 s and has exited by 5.0025 s, and closes a request."""
+    return add_records(
+        lambda slack: [
+            *request(7777, taken_at, UNNOTIFIED)[:1],
+            ("relay_down", (5_001_700, UNNOTIFIED, 5_002_500)),
+            ("answered", (closed_at, 7777, Final.CLOSED, None, 0)),
+        ]
+    )
+
+
 DUE = 8 * S + round(RULES.answer_slack_ms * 1000)
 FAULTS = {
     "late": ("answer", change_answer(lambda slack: DUE + slack + 1, Final.BUSY)),
@@ -221,6 +232,8 @@
         lambda records, slack: [*without_record(records, "answered", REFUSED), ("left", (8 * S, REFUSED))],
     ),
     "closed": ("answer", change_answer(lambda slack: 6 * S, Final.CLOSED)),
+    "closed before its relay was killed": ("answer", closed_about_a_kill(5_001_000, closed_at=5_001_600)),
+    "taken after its relay's exit": ("answer", closed_about_a_kill(5_002_900, closed_at=5_003_500)),
     "twice": ("answer", add_record("answered", 5_010_000, REFUSED, Final.ERROR, None, 0)),
     "twice, while it stands": ("answer", add_record("answered", 10_500_000, PLAIN, Final.ERROR, None, 0)),
     "an UP out of nowhere": ("answer", change_answer(lambda slack: 6 * S, Final.UP)),
@@ -299,6 +312,8 @@
             ("answered", (5_001_800, 7777, Final.CLOSED, None, 0)),
         ]
     ),
+    "taken by a killed process before its exit": closed_about_a_kill(5_001_900, closed_at=5_002_400),
+    "taken by a killed process, its end seen late": closed_about_a_kill(5_001_900, closed_at=5_009_000),
     "two out": change_record(
         "attempt_over",
         PLAIN,
--- a/tests/glenfold_lab/test_stand_in_reconciler.py
+++ b/tests/glenfold_lab/test_stand_in_reconciler.py
@@ -29,6 +29,9 @@
         ([("relay_down", (10 * S + 20_000, 0))], True, End.RELAY_DIED),  # The exit was detected late.
         ([("relay_down", (10 * S + 20_000, 0)), ("stopping", (7 * S, 0))], False, End.CUT),
         ([("relay_down", (8 * S, 0))], True, End.CUT),
+        # The process exited some time after it was killed.
+        ([("relay_down", (8 * S, 0)), ("relay_exited", (9 * S, 0))], True, End.RELAY_DIED),
+        ([("relay_down", (7 * S, 0)), ("relay_exited", (8 * S, 0))], True, End.CUT),
     ],
 )
 def test_an_end_without_a_final_line_is_classified(
