Compare the standing connections of the model's servers by request, not by their order

What was seen: hypothesis drew new examples, as it collects constants from all loaded modules, and one failed: two calls made at the same moment to one server stand there in the other order.

Cause: the test demanded the order of the calls. The trace shows the case allowed: both calls were sent at 1,000.042 s with equal load, and the network draws a delay for each, so either may arrive first.

Change: the table has to equal the mapping from requests to standing calls, so a missing, extra or wrong entry still fails; the order, which the model does not promise, is left out. The found steps pass in three runs, and the 14 tests of the file passed.

--- a/tests/glenfold_lab/test_machines_calls.py
+++ b/tests/glenfold_lab/test_machines_calls.py
@@ -241,7 +241,8 @@
         world.run(wait * MS)
         for server in world.servers.all:
             stands = [call for call in calls if call.is_standing and call.server == server.machine.number]
-            assert list(server.standing.values()) == stands
+            # Two calls that are made at one moment may reach a server in either order.
+            assert server.standing == {call.request: call for call in stands}
             groups = {call.group for call in [*stands, *server.parked.values()]} - {0}
             assert server.demand == pytest.approx(sum(call.load for call in stands) + GROUP * len(groups))
             assert server.backlog >= 0 and server.held <= server.cap
