Take the times of a run by an event loop that no check blocks, and judge no relay by its gaps

What callers saw: nothing; the lab failed relays.

Cause: the check of descriptors parsed the machine's whole table of sockets once a second for each relay, within the event loop that takes the times (217 to 387 ms each, printed in four plays); and a verdict took the recorded time for that of the event.

Observers measure their gaps; a verdict on a time limit carries those of the process that saw it, and is undecided (exit status 3) if they cover all of the overrun. No slack grows.

--- a/glenfold_lab/commands/play.py
+++ b/glenfold_lab/commands/play.py
@@ -1,5 +1,6 @@
 """`glenfold lab play`: plays one history with real relays and stand-ins on loopback sockets."""
 
+from collections.abc import Sequence
 from pathlib import Path
 
 import click
@@ -10,6 +11,7 @@
 from glenfold_lab import scenario as scenarios
 from glenfold_lab.results import RunResult, Verdict
 from glenfold_lab.stand_ins.addresses import TooLarge
+from glenfold_lab.stand_ins.outcome import LONGEST_GAP
 from glenfold_lab.stand_ins.relays import NotReady
 from glenfold_lab.stand_ins.remote_worker import WorkerFailed
 from glenfold_lab.stand_ins.run import Snapshot, play_on_sockets, scaled
@@ -25,8 +27,11 @@
     "moves",
     "relays_down_s",
     "rules_broken",
+    "undecided",
     "late_p99_ms",
 )
+BROKEN_STATUS = 1
+UNDECIDED_STATUS = 3
 MAX_VERDICTS_SHOWN = 5
 
 
@@ -89,7 +94,7 @@
     """Play one history of SCENARIO (a name or a file) in real time, with real relays.
 
     Exit status: 0 every rule was kept, 1 a rule was broken or the run failed, 2 an argument or the file is
-    invalid.
+    invalid, 3 no rule was shown to be broken but a verdict is undecided, as its observer did not run.
     """
     scaled_scenario, console = scaled(scenarios.load(scenario), scale, relays, servers), Console()
     console.print(format_columns("second", "relays", "standing", "new", "up", "refused", "p99 ms", "lines"))
@@ -108,7 +113,7 @@
     if json_file is not None:
         json_file.write_bytes(msgspec.json.format(msgspec.json.encode(result)))
     show(console, result)
-    raise SystemExit(bool(result.verdicts))
+    raise SystemExit(exit_status(result.verdicts))
 
 
 def format_columns(*values: object) -> str:
@@ -139,6 +144,8 @@
     console.print(table)
     if result.figures["late"]:
         console.print("[bold]late[/]: the stand-ins themselves ran late; what was measured is worth little")
+    for name in sorted(name for name in result.cost if name.startswith(LONGEST_GAP)):
+        console.print(f"{name}: {result.cost[name]:.0f}")
     for name in sorted(name for name in result.cost if name.endswith("cpu_s")):
         relay = name.removesuffix(" cpu_s")
         cpu_s, peak_mb = result.cost[name], result.cost[f"{relay} peak_mb"]
@@ -154,4 +161,12 @@
 def format_verdict(verdict: Verdict) -> str:
     """Returns the broken rule, its time and its evidence, with rich markup."""
     evidence = "\n".join(f"    {line}" for line in verdict.evidence)
-    return f"[red]rule broken[/]: {verdict.rule}, at {verdict.at_us / 1e6:.3f} s\n{evidence}"
+    kind = "undecided, as its observer did not run" if verdict.undecided else "rule broken"
+    return f"[red]{kind}[/]: {verdict.rule}, at {verdict.at_us / 1e6:.3f} s\n{evidence}"
+
+
+def exit_status(verdicts: Sequence[Verdict]) -> int:
+    """Returns the exit status for these verdicts: 1 if a rule was broken, else 3 if one is undecided."""
+    if any(not verdict.undecided for verdict in verdicts):
+        return BROKEN_STATUS
+    return UNDECIDED_STATUS if verdicts else 0
--- a/glenfold_lab/results.py
+++ b/glenfold_lab/results.py
@@ -5,11 +5,13 @@
 FORMAT = 1
 
 
-class Verdict(msgspec.Struct, frozen=True):
+class Verdict(msgspec.Struct, frozen=True, omit_defaults=True):
     """One broken rule and its evidence.
 
     `rule` is "answer", "attempt", "drain", "cold" or "move". `at_us` is the time since the start of the
-    history. `evidence` describes the observations that prove the break, in the order of time.
+    history. `evidence` describes the observations that prove the break, in the order of time. `undecided` is
+    set if they rest on a time limit, and their observer did not run when it would have seen that it was kept:
+    then neither a break nor its absence was shown.
     """
 
     rule: str
@@ -18,6 +20,7 @@
     server: int | None
     relay: int | None
     evidence: tuple[str, ...]
+    undecided: bool = False
 
 
 class Happened(msgspec.Struct, frozen=True):
--- a/glenfold_lab/scale/control_relays.py
+++ b/glenfold_lab/scale/control_relays.py
@@ -149,7 +149,7 @@
 
     async def _crash(self) -> None:
         for relay in self._relays:
-            relay.crash()
+            relay.end()
 
     def pids(self) -> dict[str, int]:
         return {relay.name: relay.process_id for relay in self._relays if relay.running}
--- a/glenfold_lab/scale/relay_lists.py
+++ b/glenfold_lab/scale/relay_lists.py
@@ -207,7 +207,7 @@
         used: list[float] = []
         sent = await self._sent_bytes()
         for relay in self._relays:
-            relay.crash()
+            relay.end()
             relay.start(known, self._seed)
             began = time.monotonic()
             await relay.ready()
@@ -269,7 +269,7 @@
     async def _zone_lost_line_by_line(self) -> None:
         """A zone's servers end at once, and discovery has a change for each; the last is the one watched."""
         for relay in self._relays[LINE_BY_LINE_RELAYS:]:
-            relay.crash()
+            relay.end()
         watched = self._in_lost_line_by_line
         zone = self._fleet.zone(LOST_LINE_BY_LINE)
         ordered = sorted(zone, key=lambda entry: entry.host == watched.entry.host)
--- a/glenfold_lab/stand_ins/relay_controller.py
+++ b/glenfold_lab/stand_ins/relay_controller.py
@@ -79,7 +79,7 @@
             return await self._stall(relay, int(action.value))
         self._down.add(action.target)
         if action.kind == "crash":
-            relay.crash()
+            await relay.crash()
         else:
             await relay.stop(self._clock.now_us() + self._stop_us)
         await self._restart(relay, int(action.value), start)
@@ -117,7 +117,9 @@
         now = self._clock.now_us()
         cause = "killed for its memory" if relay.killed_for_memory else "its process ended unasked"
         self.happened.append(Happened(f"relay {cause}", now - start, relays=(relay.number,)))
-        if not relay.killed_for_memory:
+        if relay.killed_for_memory:
+            self._seen.relay_exited(now, relay.number)
+        else:
             self._seen.relay_down(now, relay.number)
         self._seen.fault(now, relay.number, "\n".join([cause, *relay.tail()[-5:]]))
 
--- a/glenfold_lab/stand_ins/seen.py
+++ b/glenfold_lab/stand_ins/seen.py
@@ -5,6 +5,7 @@
 """
 
 from glenfold_lab.observe import ListedState, Recorder
+from glenfold_lab.stand_ins.lateness import BlockingCalls
 
 
 class Seen(Recorder):
@@ -12,13 +13,14 @@
 
     `faults` holds violations of the line protocol by a relay, which the platform's rules do not cover, as
     (time, relay, description). `unreached` holds client connects that a relay's machine refused or reset, as
-    (time, relay, errno).
+    (time, relay, errno). `blocking_calls` holds the calls that blocked the event loop for long.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.faults: list[tuple[int, int, str]] = []
         self.unreached: list[tuple[int, int, int]] = []
+        self.blocking_calls = BlockingCalls()
 
     def broke(self, at: int, request: int, server: int, silent: bool) -> None:
         """Records that the push server broke a standing connection, or is silent on it from now on."""
--- /dev/null
+++ b/tests/glenfold_lab/test_observer_gaps.py
@@ -0,0 +1,167 @@
+"""Verdicts on time limits whose observer did not run: what a gap explains is undecided, and nothing else."""
+
+import time
+
+import pytest
+import trio
+
+from glenfold_lab.checker import Checker
+from glenfold_lab.checker.gaps import Gap, Observer, ObserverGaps, Overrun
+from glenfold_lab.commands.play import exit_status, format_verdict
+from glenfold_lab.observe import AttemptOutcome, Capacity, Final, ListedState, Record, replay
+from glenfold_lab.results import Verdict
+from glenfold_lab.spec import Rules
+from glenfold_lab.stand_ins.lateness import BlockingCall, BlockingCalls, Lateness, named_gaps
+
+S = 1_000_000
+SLACK = 50_000
+RULES = Rules()
+SERVER, RELAY, REQUEST = 101, 0, 7
+DEADLINE = 3 * S
+DUE = DEADLINE + SLACK + round(RULES.answer_slack_ms * 1000)
+GRACE = round(RULES.drain_grace_ms * 1000) + SLACK
+
+TAKEN: list[Record] = [("taken", (S, REQUEST, RELAY, DEADLINE, 0))]
+LISTED: list[Record] = [
+    ("server_started", (0, SERVER, Capacity(100.0, 1.0, S), False)),
+    ("told", (0, RELAY, SERVER, ListedState.READY, 0)),
+]
+REFUSED: Record = ("answered", (2 * S, REQUEST, Final.BUSY, None, 0))
+
+
+def attempt(at: int, first: int) -> list[Record]:
+    return [
+        ("sent", (at, REQUEST, RELAY, SERVER, first)),
+        ("attempt_over", (at + 10, REQUEST, SERVER, AttemptOutcome.BUSY)),
+    ]
+
+
+DRAINED_AT = 5 * S
+# By rule: the records, the time limit, and the time of the observation that passed it.
+BROKEN: dict[str, tuple[list[Record], int, int]] = {
+    "answer": ([*TAKEN, ("answered", (DUE + 90, REQUEST, Final.BUSY, None, 0))], DUE, DUE + 90),
+    "attempt": (
+        [*LISTED, *TAKEN, REFUSED, *attempt(2 * S + SLACK + 80, 2 * S + SLACK + 70)],
+        2 * S + SLACK,
+        2 * S + SLACK + 70,
+    ),
+    "move": (
+        [*TAKEN, REFUSED, ("held_back", (2 * S + SLACK + 60, REQUEST, S + SLACK + 60))],
+        2 * S + SLACK,
+        2 * S + SLACK + 60,
+    ),
+    "drain": (
+        [
+            *LISTED,
+            ("told", (DRAINED_AT, RELAY, SERVER, ListedState.DRAINING, 0)),
+            ("taken", (DRAINED_AT, REQUEST, RELAY, DRAINED_AT + 3 * S, 0)),
+            *attempt(DRAINED_AT + GRACE + 50, DRAINED_AT + GRACE + 40),
+            ("answered", (DRAINED_AT + GRACE + 90, REQUEST, Final.BUSY, None, 0)),
+        ],
+        DRAINED_AT + GRACE,
+        DRAINED_AT + GRACE + 40,
+    ),
+}
+
+
+def judged(records: list[Record], *observers: Observer) -> list[Verdict]:
+    checker = Checker(RULES, SLACK, observers=ObserverGaps(observers))
+    replay([*records, ("finish", (60 * S,))], checker)
+    return list(checker.verdicts())
+
+
+@pytest.mark.parametrize("rule", BROKEN)
+def test_a_limit_that_was_passed_within_a_gap_of_its_observer_is_undecided(rule: str) -> None:
+    """Guards against laying to a relay what its observer recorded late."""
+    records, limit, observed = BROKEN[rule]
+    [verdict] = judged(records, Observer(records, [Gap(limit - 20, observed + 5, "a slow call")]))
+    assert verdict.rule == rule and verdict.undecided
+    assert any("its observer did not run" in line and "a slow call" in line for line in verdict.evidence)
+
+
+@pytest.mark.parametrize("rule", BROKEN)
+@pytest.mark.parametrize(
+    "gap", ["none", "ends too early", "begins too late", "long before", "of another observer"]
+)
+def test_a_limit_that_a_gap_does_not_explain_is_broken(rule: str, gap: str) -> None:
+    """Guards against a gap that excuses more than the time in which the very observation could be late."""
+    records, limit, observed = BROKEN[rule]
+    whole = Gap(limit - 20, observed + 5)
+    observers = {
+        "none": [Observer(records, [])],
+        "ends too early": [Observer(records, [Gap(limit - 20, observed - 1)])],
+        "begins too late": [Observer(records, [Gap(limit + 1, observed + 5)])],
+        "long before": [Observer(records, [Gap(0, limit - 1)])],
+        "of another observer": [Observer(records, []), Observer([("relay_up", (1, 0))], [whole])],
+    }[gap]
+    [verdict] = judged(records, *observers)
+    assert verdict.rule == rule and not verdict.undecided
+
+
+def test_no_gap_explains_a_rule_without_a_time_limit() -> None:
+    closed: list[Record] = [*TAKEN, ("answered", (2 * S, REQUEST, Final.CLOSED, None, 0))]
+    [verdict] = judged(closed, Observer(closed, [Gap(0, 60 * S)]))
+    assert verdict.rule == "answer" and not verdict.undecided
+
+
+def test_attempts_that_a_gap_pushed_together_do_not_show_an_overloaded_cold_server() -> None:
+    capacity, started, count = Capacity(10.0, 0.2, 60 * S), 10 * S, 60
+    span = round(RULES.fall_s * S)
+    records: list[Record] = [
+        ("server_started", (started, SERVER, capacity, True)),
+        ("told", (started, RELAY, SERVER, ListedState.READY, started)),
+    ]
+    for number in range(count):
+        at = started + 4 * S + 1000 * number
+        records.append(("taken", (at - 1, number, RELAY, at + 3 * S, 0)))
+        records.append(("sent", (at, number, RELAY, SERVER, at)))
+        records.append(("attempt_over", (at, number, SERVER, AttemptOutcome.BUSY)))
+        records.append(("answered", (at + 1, number, Final.BUSY, None, 0)))
+    assert any(verdict.rule == "cold" and not verdict.undecided for verdict in judged(records))
+    whole = Gap(started + 4 * S - 10 * span, started + 4 * S + 1000 * count)
+    assert {verdict.undecided for verdict in judged(records, Observer(records, [whole]))} == {True}
+    short = Gap(started + 4 * S - 1000, started + 4 * S + 1000 * count)
+    assert not all(verdict.undecided for verdict in judged(records, Observer(records, [short])))
+
+
+def test_gaps_that_touch_or_overlap_explain_no_more_than_their_union() -> None:
+    assert Overrun(10, 30).is_explained_by([Gap(5, 20), Gap(15, 25), Gap(25, 30)])
+    assert not Overrun(10, 30).is_explained_by([Gap(5, 20), Gap(5, 20), Gap(21, 40)])
+    assert Overrun(10, 30, needed_us=15).is_explained_by([Gap(5, 20), Gap(25, 31)])
+    assert not Overrun(10, 30, needed_us=16).is_explained_by([Gap(5, 20), Gap(25, 31)])
+
+
+@pytest.mark.parametrize(
+    ("undecided", "status"), [((), 0), ((True,), 3), ((True, True), 3), ((True, False), 1), ((False,), 1)]
+)
+def test_an_undecided_run_has_an_exit_status_of_its_own(undecided: tuple[bool, ...], status: int) -> None:
+    """Guards against a run that fails, or passes, on times that nobody observed."""
+    verdicts = [Verdict("answer", 0, None, None, None, ("a", "b"), each) for each in undecided]
+    assert exit_status(verdicts) == status
+    assert all(("undecided" in format_verdict(verdict)) == verdict.undecided for verdict in verdicts)
+
+
+def test_a_call_that_blocks_the_loop_is_a_gap_with_the_calls_name() -> None:
+    async def main() -> tuple[Lateness, BlockingCalls]:
+        lateness, calls = Lateness(), BlockingCalls()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(lateness.run)
+            await trio.sleep(0.03)
+            with calls.timed("a slow call"):
+                time.sleep(0.2)
+            with calls.timed("a quick call"):
+                pass
+            await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+        return lateness, calls
+
+    lateness, calls = trio.run(main)
+    longest = max(named_gaps(lateness.gaps, calls.kept), key=lambda gap: gap.length_us)
+    assert longest.call == "a slow call" and longest.length_us >= 190_000
+    [call] = calls.kept
+    assert longest.start <= call.start and longest.end >= call.end
+
+
+def test_a_gap_has_the_name_of_a_call_only_if_that_took_most_of_it() -> None:
+    calls = [BlockingCall("short", 10, 20), BlockingCall("long", 40, 100)]
+    assert [gap.call for gap in named_gaps([Gap(0, 100), Gap(0, 35)], calls)] == ["long", ""]
