Count the listed tests that a selection leaves out, and name them with -v alone

Cause: the summary of KNOWN-RED.txt named each listed test as "not run" after every pytest -k, seven long lines around the one result that was asked for.

Change: tests that ran are named as before; the others are counted, and named with -v. The two tests of the names pass -v now and check the same lines, and a new one checks the count.

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -3,7 +3,8 @@
 Each line is `test-id | command, seed N | what was seen | issue`. The test id is that of pytest, as in
 `tests/test_x.py::test_y[parameter]`. The command reproduces the failure with the seeds given, or `seed none`
 if it draws nothing at random. The issue is a number. The run succeeds whether these tests fail or pass, and
-lists them in its summary. Without the file no test is expected to fail. An invalid file is a usage error.
+lists them in its summary; those that were not run are counted, and listed with `-v`. Without the file no test
+is expected to fail. An invalid file is a usage error.
 """
 
 import re
@@ -144,6 +145,12 @@
     terminalreporter.section(f"known red, by {FILE_NAME}")
     failed = {report.nodeid for report in terminalreporter.getreports("xfailed")}
     passed = {report.nodeid for report in terminalreporter.getreports("xpassed")}
+    not_run = [entry for entry in entries if entry.test not in failed | passed]
     for entry in entries:
-        outcome = "failed" if entry.test in failed else "passed" if entry.test in passed else "not run"
-        terminalreporter.write_line(f"{outcome}: {entry}")
+        if entry not in not_run:
+            terminalreporter.write_line(f"{'failed' if entry.test in failed else 'passed'}: {entry}")
+    if config.get_verbosity() > 0:
+        for entry in not_run:
+            terminalreporter.write_line(f"not run: {entry}")
+    elif not_run:
+        terminalreporter.write_line(f"not run: {len(not_run)} of {len(entries)} listed tests, named with -v")
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -67,15 +67,28 @@
     pytester: pytest.Pytester, selection: tuple[str, ...]
 ) -> None:
     listed = f"tests/test_some.py::test_fails | {PLAY} | it fails | 7\n"
-    result = run(pytester, listed, *selection)
+    result = run(pytester, listed, *selection, "-v")
     assert result.parseoutcomes()["passed"] == 1
     assert result.ret == 0
     result.stdout.fnmatch_lines([f"not run: tests/test_some.py::test_fails | {PLAY} | it fails | 7"])
 
 
+def test_listed_tests_outside_the_selection_are_counted_and_named_only_when_asked(
+    pytester: pytest.Pytester,
+) -> None:
+    """Guards against a summary of unrelated tests that hides the result of the selected one."""
+    listed = "".join(
+        f"tests/test_some.py::{name} | {PLAY} | it fails | 7\n" for name in ("test_fails", "test_works")
+    )
+    result = run(pytester, listed, "-k", "works")
+    result.stdout.fnmatch_lines(["not run: 1 of 2 listed tests, named with -v"])
+    result.stdout.no_fnmatch_line("not run: tests/*")
+    result.stdout.fnmatch_lines(["passed: tests/test_some.py::test_works*"])
+
+
 @pytest.mark.parametrize("option", ["--ignore=tests/test_some.py", "--ignore-glob=*/test_some.py"])
 def test_an_entry_in_a_file_that_is_left_out_is_not_an_error(pytester: pytest.Pytester, option: str) -> None:
-    result = run(pytester, f"tests/test_some.py::test_fails | {PLAY} | it fails | 7\n", option)
+    result = run(pytester, f"tests/test_some.py::test_fails | {PLAY} | it fails | 7\n", option, "-v")
     assert result.ret == pytest.ExitCode.NO_TESTS_COLLECTED
     result.stdout.fnmatch_lines([f"not run: tests/test_some.py::test_fails | {PLAY} | it fails | 7"])
 
