Fill the test of a client that comes up as the relay ends, whose body was empty

Cause: the test had the body `pass` since its first commit, so it could not fail.

Change: the push server holds its UP until the stopping relay has closed its listeners; the client gets UP and then MOVE, and nothing is left of it.

--- a/tests/test_last_moments.py
+++ b/tests/test_last_moments.py
@@ -272,11 +272,27 @@
     await stopping.wait_until_ended()
 
 
-@relaying.async_test(stopping_process(never_answers))
-async def test_a_client_that_comes_up_as_the_relay_ends_is_moved(
-    stopping: StoppingProcess, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    pass
+def test_a_client_that_comes_up_as_the_relay_ends_is_moved(tmp_path: Path) -> None:
+    """Guards against a client that is answered UP after the moves began, and cut off without MOVE."""
+
+    async def main() -> None:
+        release = trio.Event()
+
+        async def comes_up_late(stream: trio.SocketStream) -> None:
+            await release.wait()
+            await accepts(stream)
+
+        async with stopping_process(comes_up_late, 2.5)(tmp_path) as stopping:
+            stream = stopping.connect(OPEN)
+            while not stopping.first_lines:
+                await trio.sleep(0.005)
+            stopping.process.stop()
+            await stopping.finishing.wait()
+            release.set()
+            await expect_up_then_move(stream)
+            await stopping.wait_until_ended()
+
+    trio.run(main)
 
 
 @relaying.async_test(stopping_process(accepts, 2.5))
