Record an answer that arrived before its client had sent the request as of that moment

Cause: a relay that ends answers ERR to a client that has connected and sent nothing. Where the client's loop stands still between connecting and sending, that answer arrives before the request is taken, and the checker passes over an answer to a request that it does not know yet.

Change: an answer is recorded no earlier than the request.

--- a/glenfold_lab/stand_ins/clients.py
+++ b/glenfold_lab/stand_ins/clients.py
@@ -310,6 +310,7 @@
         self.service_period: ServicePeriod | None = None
         self._pool = pool
         self._started_at = pool.clock.now_us()
+        self._taken_at = self._started_at  # when the client began to send its request
         self._arrived_at = self._started_at  # when the latest bytes arrived at the client's machine
         self._outcome = Outcome.REFUSED
         self._has_broken = False  # The standing connection ended without MOVE or BYE.
@@ -413,7 +414,8 @@
                 return Broken()
             if not data:
                 return ReceivedEof()
-            self._arrived_at = self._pool.clock.now_us() - since_arrival_us(sock)
+            # A relay that ends answers a client whose request has not been sent yet.
+            self._arrived_at = max(self._taken_at, self._pool.clock.now_us() - since_arrival_us(sock))
             return Received(data)
         return Due()
 
@@ -445,6 +447,7 @@
         """Records that the relay received the request, no earlier than `before`; the wait counts from now."""
         pool = self._pool
         deadline = pool.clock.now_us() + self._wait_us
+        self._taken_at = before
         pool.seen.taken(before, self.request, self.relay, deadline, self.client.kind)
         pool.current_second.new += 1
 
