Count connections that are answered as a load is stopped as standing

Cause: Load._end took the number before it cancelled the clients, and an answer that has arrived is still counted in that turn, as trio does not cancel a task that is awake.

Why it works: the number is taken after the nursery of the clients has ended.

--- a/glenfold_lab/load/offer.py
+++ b/glenfold_lab/load/offer.py
@@ -102,14 +102,12 @@
             while self._unanswered:
                 self._answer_event = trio.Event()
                 await self._answer_event.wait()
-            self._end(nursery.cancel_scope)
+            nursery.cancel_scope.cancel()
+        # An answer that has arrived is still counted in the turn in which the clients are cancelled.
+        self.tally.standing = self._standing
 
     async def _stop_when_set(self, stop: trio.Event, scope: trio.CancelScope) -> None:
         await stop.wait()
-        self._end(scope)
-
-    def _end(self, scope: trio.CancelScope) -> None:
-        self.tally.standing = self._standing
         scope.cancel()
 
     async def _start_all(self, clients: Clients, nursery: trio.Nursery) -> None:
--- a/tests/glenfold_lab/test_load_offer.py
+++ b/tests/glenfold_lab/test_load_offer.py
@@ -173,3 +173,41 @@
     finally:
         gc.enable()
     assert many - few < 50
+
+
+def test_an_answer_in_the_turn_in_which_the_load_is_stopped_counts_as_standing() -> None:
+    """Guards against fewer connections that stand than were answered UP, where none of them has ended."""
+    expected = 20
+    options = LoadPlan(
+        format=1,
+        arrivals=(Arrivals(rate=20, for_s=600),),
+        classes=(LoadClass(name="watch", wait_ms=4000, life_s=600),),
+    )
+    clients, offer = draw(options, 1, 1), Offer(options, [("127.0.0.1", 1)], 1000, 1_000_000)
+    asked, all_asked, stop = list[Stream](), trio.Event(), trio.Event()
+
+    async def answer_all_at_the_stop(stream: Stream) -> None:
+        await stream.receive_some(1000)
+        asked.append(stream)
+        if len(asked) == expected:
+            all_asked.set()
+        await all_asked.wait()
+        await stream.send_all(b"UP r1\r\n")
+        stop.set()
+
+    async def main() -> Tally:
+        async with trio.open_nursery() as nursery:
+
+            async def connect(_: Address) -> Stream:
+                client_end, server_end = memory_stream_pair()
+                nursery.start_soon(answer_all_at_the_stop, server_end)
+                return client_end
+
+            clock = MachineClock()
+            load = Load(offer, clock, clock.now_us(), connect)
+            await load.run(clients, stop)
+            nursery.cancel_scope.cancel()
+        return load.tally
+
+    tally = trio.run(main, clock=MockClock(autojump_threshold=0))
+    assert tally.answers["up"].distribution().count == tally.standing > 0
