--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,118 +1,119 @@
-"""Case 3: a planned restart while push servers have much to send to clients that read steadily."""
+"""Case 3: a keyed request is sent again after its window, as the connection for it comes up late."""
 
 import asyncio
-import random
-import signal
+import socket
 import sys
-import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 from standins import (  # noqa: E402
+    HOST,
     Agent,
     CannotRun,
     Client,
     PushServer,
     Record,
     Relay,
+    cardiff_live,
     entry,
-    harbour_desk,
     run_case,
 )
 
-CLIENTS = 6
-SEED = 5
-LINE_BYTES = 800, 3900  # Lines are at most 4 KiB long.
-READ_BYTES, READ_INTERVAL_S = 10_000, 0.05  # A client reads 200 KB a second.
-RECEIVE_BUFFER_BYTES = 65_536
-BEFORE_SIGTERM_S = 2.0
-WITHOUT_TROUBLE_S = 10.0
-KILL_AFTER_S = 8.7  # The longest deadline of the settings, 8 s, and 0.7 s.
-MOVE = b"MOVE\r\n"
-
-
-async def send_much(
-    server: PushServer, line: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> None:
-    """Sends whole lines for as long as the connection stands, as fast as they are taken."""
-    server.up(writer)
-    lengths = random.Random(SEED + server.receipts)
-    number = 0
-    while True:
-        number += 1
-        writer.write(b"TRIP %06d %s\r\n" % (number, b"x" * lengths.randrange(*LINE_BYTES)))
-        await writer.drain()
+WINDOW_S = 1.0
+SLACK_S = 0.05  # "every time limit is extended by 50 ms"
+ERROR_AFTER_S = 0.4  # From the arrival of the first line at the first push server to its ERR.
+HELD_FOR_S = 0.6  # From ERR on, the second push server takes no connection for this long.
+CONNECT_TIMEOUT_US = 1_500_000
+WAIT_MS = 3000
 
 
-async def read_steadily(
-    record: Record, client: Client, signalled: asyncio.Event, done: asyncio.Event
-) -> bool:
-    """Reads until the connection ends; returns whether that was with MOVE, or the end of the case."""
-    tail, lines, end = b"", 0, "the end of the case"
-    last_line = time.monotonic()
-    while not done.is_set():
-        try:
-            data = await client.reader.read(READ_BYTES)
-        except OSError as error:
-            end = repr(error)
-            break
-        if not data:
-            end = "the end of the stream"
-            break
-        if signalled.is_set():
-            lines += (tail[-1:] + data).count(b"\r\n")
-        tail = tail[-8:] + data
-        if time.monotonic() > last_line + 2:
-            last_line = time.monotonic()
-            client.writer.write(b"HELLO\r\n")
-        await asyncio.sleep(READ_INTERVAL_S)
-    else:
+async def find_key(relay: Relay, record: Record, wanted: PushServer) -> int:
+    """Returns a key whose requests go to `wanted` first."""
+    for key in range(1, 60):
+        client = Client(record, f"probe-{key}", relay.port)
+        before = len(wanted.first_lines)
+        await client.open(key, "trip-watch", "valleys", WAIT_MS)
         client.close()
-        return True
-    moved = tail.endswith(b"\r\n" + MOVE)
-    record(
-        f"{client.name}: {'moved' if moved else 'CUT OFF WITHOUT MOVE'}: {end}, {lines} whole lines came "
-        f"after SIGTERM, the last bytes are {tail[-20:]!r}"
-    )
-    return moved
+        if len(wanted.first_lines) > before:
+            return key
+    raise CannotRun("no key goes to the first push server")
+
+
+class LateListener:
+    """Takes the place of a push server's listener, and lets connections come up late.
+
+    Its queue has room for one connection. The case's own fills it, so the system drops the packets with which
+    others begin, until that one is accepted. The relay's system repeats its packet after a second.
+    """
+
+    def __init__(self, server: PushServer) -> None:
+        self._server = server
+        self._listener = socket.socket()
+        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._listener.bind((HOST, server.port))
+        self._listener.listen(0)
+        self._filler = socket.create_connection((HOST, server.port))
+
+    async def take(self) -> None:
+        """Accepts connections from now on."""
+        self._listener.setblocking(False)
+        await asyncio.start_server(self._server.serve, sock=self._listener)
+        self._filler.close()
 
 
 async def case(record: Record, trouble: bool) -> bool:
-    servers = [PushServer(f"s-{number}", record, send_much) for number in (1, 2)]
+    first, second = servers = [PushServer(f"s-{number}", record) for number in (1, 2)]
     for server in servers:
         await server.start()
-    agent = Agent(record, [entry(server.name, server.dial, "quayside", "quay-4") for server in servers])
+    agent = Agent(record, [entry(server.name, server.dial, "cardiff", "mid-steady") for server in servers])
     await agent.start()
-    relay = Relay(record, f"127.0.0.1:{agent.port}", harbour_desk())
-    signalled, done = asyncio.Event(), asyncio.Event()
+    configured = cardiff_live()
+    for request_class in configured["classes"]:
+        request_class |= {"semantics": "by_key", "group": "all", "window_us": round(WINDOW_S * 1e6)}
+    configured["ceilings"]["connect_timeout_us"] = CONNECT_TIMEOUT_US
+    relay = Relay(record, f"{HOST}:{agent.port}", configured)
+    late: LateListener | None = None
+
+    async def answer_error(
+        server: PushServer, line: bytes, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(ERROR_AFTER_S)
+        record(f"{server.name}: answers ERR")
+        writer.write(b"ERR\r\n")
+        await writer.drain()
+        writer.close()
+        if late is not None:
+            await asyncio.sleep(HELD_FOR_S)
+            record(f"{second.name}: takes connections again")
+            await late.take()
+
     try:
         await relay.start()
-        clients = [
-            Client(record, f"client-{number}", relay.port, RECEIVE_BUFFER_BYTES) for number in range(CLIENTS)
-        ]
-        async with asyncio.TaskGroup() as tasks:
-            reads = []
-            for number, client in enumerate(clients):
-                await client.open(0x9E3779B97F4A7C15 * (number + 1) % 2**64, "tide-gauge", "customs", 4500)
-                if not client.answer.startswith(b"UP "):
-                    raise CannotRun("not all clients are connected")
-                reads.append(tasks.create_task(read_steadily(record, client, signalled, done)))
-            await asyncio.sleep(BEFORE_SIGTERM_S)
-            if trouble:
-                relay.signal(signal.SIGTERM)
-                signalled.set()
-                await asyncio.sleep(KILL_AFTER_S)
-                if relay.exit_status is None:
-                    relay.signal(signal.SIGKILL)
-                await asyncio.wait(reads, timeout=30)
-            else:
-                await asyncio.sleep(WITHOUT_TROUBLE_S)
-            done.set()
-        kept = sum(read.result() for read in reads)
-        record(f"{kept} of {len(reads)} connections were kept or moved")
-        return kept == len(reads)
+        key = await find_key(relay, record, first)
+        await asyncio.sleep(0.5)
+        if trouble:
+            await second.stop()
+            late = LateListener(second)
+            record(f"{second.name}: connections come up late from now on")
+        first.handler = answer_error
+        for server in servers:
+            server.first_lines.clear()
+        client = Client(record, "client", relay.port)
+        await client.open(key, "trip-watch", "valleys", WAIT_MS)
+        await asyncio.sleep(0.5)
+        client.close()
+        runs = sorted(at for server in servers for at, _ in server.first_lines)
+        record(f"the request ran {len(runs)} times, at {[round(at - runs[0], 3) for at in runs]} s")
+        if not first.first_lines:
+            raise CannotRun("the request did not go to the first push server")
+        if trouble and len(runs) > 1 and runs[1] - runs[0] < ERROR_AFTER_S + HELD_FOR_S:
+            raise CannotRun("the second connection did not come up late")
+        allowed = WINDOW_S + SLACK_S
+        held = runs[-1] - runs[0] <= allowed
+        record(f"sent again no later than {allowed:.3f} s after the first, if at all: {held}")
+        return held
     finally:
         relay.end()
 
