Review: an error of a script itself exits with 2, not with 1

Looked for: exits that would be taken for a broken rule. Done: run.sh turns the status of a broken rule into 1 and every other into 2, as Python ends with 1 on an error.

--- a/review/standins.py
+++ b/review/standins.py
@@ -20,7 +20,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 HOST = "127.0.0.1"
-HELD, BROKEN, CANNOT_RUN = 0, 1, 2
+# The exit statuses of a case.py. Each run.sh turns BROKEN into 1, as Python itself ends with 1 on an error.
+HELD, BROKEN, CANNOT_RUN = 0, 10, 2
 READY_TIMEOUT_S = 30.0
 
 
@@ -427,7 +428,7 @@
 
 
 def run_case(folder: Path, case: Callable[[Record, bool], Awaitable[bool]]) -> None:
-    """Runs one case and exits: 0 if the rule held, 1 if it was broken, 2 if the case couldn't run.
+    """Runs one case and exits with HELD, BROKEN or CANNOT_RUN.
 
     `case` gets the record and whether there is trouble, and returns whether the rule held.
     """
