Send no keyed request after its window over a connection that came up late

Cause: the window was compared with the moment of the decision alone. The connection for the attempt may take connect_timeout_us, and nothing looked at the window again before the line was written, while the client and the server's state are looked at then.

Evidence: with decision.traced=debug (trial on a copy) the second attempt is decided on 0.402 s after the first, within the window, and the server has its line 1.02 s later. A late decision and a repeated packet are ruled out by that.

Change: Attempt.send_by_us carries the end of the window as a time; it bounds the connecting and the writing, and is checked right before the first byte. What can't be sent ends as MOOT, so no server counts as failed, and the decisions give the final answer. repeats_unsent counts. It works because the check stands where the bytes leave, with no checkpoint in between, and a time, unlike a duration, is not stretched by the queues between decision and call.

The mutant of the soak that sends after the answer and the model of request states follow the new signatures, with MOOT as one more end of a call.

--- a/glenfold/counters.py
+++ b/glenfold/counters.py
@@ -21,6 +21,7 @@
     answered_failed: int = 0
     left: int = 0  # clients that disconnected before their answer
     left_unsent: int = 0  # of `left`: noticed only after a call for them had connected
+    repeats_unsent: int = 0  # attempts of keyed requests that could not be sent within the window for repeats
     moved: int = 0  # clients of standing connections that were sent MOVE
     moved_late: int = 0  # of `moved`: all at once at the end of a shutdown, for lack of time
     not_moved: int = 0  # standing connections that this relay closed without MOVE
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -17,7 +17,7 @@
 from glenfold.counters import Counters
 from glenfold.decisions import Closed, Decisions, Taken
 from glenfold.destinations import DestinationSet
-from glenfold.net.outbound import CallFailure, OutboundCall
+from glenfold.net.outbound import CallFailure, CallLimits, OutboundCall
 from glenfold.net.passing import StandingConnection
 from glenfold.net.sockets import SocketType, hung_up, receive_now, send, send_fin, unread_bytes, without_delay
 from linnetspread import interface
@@ -412,10 +412,10 @@
         counters = self._relay.counters
         for effect in effects:
             match effect:
-                case request.StartCall(server, deadline_us):
+                case request.StartCall():
                     counters.calls += 1
                     # Created here and not in its task, because DropCall may come before that task starts.
-                    self._call = self._new_call(server, deadline_us)
+                    self._call = self._new_call(effect)
                     nursery.start_soon(self._run_call, self._call)
                 case request.DropCall():
                     if self._call is not None:
@@ -489,16 +489,17 @@
         floods = len(self._early) >= lines.MAX_LINE_BYTES and unread_bytes(self._sock) > MAX_UNREAD_BYTES
         return request.ClientSentEarly() if floods and self._existing_server is None else None
 
-    def _new_call(self, server: int, deadline_us: int) -> OutboundCall | None:
-        address = self._relay.destinations.address(server)
+    def _new_call(self, start: request.StartCall) -> OutboundCall | None:
+        address = self._relay.destinations.address(start.server)
         if address is None:
             return None
-        now = trio.current_time()
-        connect_by = now + self._relay.config.settings.connect_timeout_us / SECOND_US
-        answer_by = min(self._relay.clock.to_trio(deadline_us), self._relay.answers_end)
-        return OutboundCall(
-            address, self._first, connect_by, answer_by, lambda: self._check_before_send(server, now)
+        now, clock = trio.current_time(), self._relay.clock
+        limits = CallLimits(
+            connect_by=now + self._relay.config.settings.connect_timeout_us / SECOND_US,
+            send_by=math.inf if start.send_by_us is None else clock.to_trio(start.send_by_us),
+            answer_by=min(clock.to_trio(start.deadline_us), self._relay.answers_end),
         )
+        return OutboundCall(address, self._first, limits, lambda: self._check_before_send(start.server, now))
 
     async def _run_call(self, call: OutboundCall | None) -> None:
         """Runs `call` and puts its result into the inbox.
@@ -506,7 +507,9 @@
         `call` is None if the server has just left the list: that counts as a failed connection.
         """
         ended = request.CallEnded(interface.Outcome.CONNECT_FAILED)
-        await self._inbox_sender.send(ended if call is None else await call.run())
+        result = ended if call is None else await call.run()
+        self._relay.counters.repeats_unsent += result == request.CallEnded(interface.Outcome.MOOT)
+        await self._inbox_sender.send(result)
 
     async def _pass_lines(self, server: SocketType, receipt: bytes) -> None:
         relay, state = self._relay, self._state
--- a/glenfold/net/outbound.py
+++ b/glenfold/net/outbound.py
@@ -3,6 +3,7 @@
 import math
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import trio
 
@@ -28,27 +29,37 @@
     return sum(part for part in (before, kernel.since_received_s) if part > MIN_STALL_S)
 
 
+@dataclass(frozen=True, slots=True)
+class CallLimits:
+    """The latest times, in seconds of trio's clock, of the steps of a call.
+
+    `connect_by` is for the connection, `send_by` for the last byte of the line and `answer_by` for the reply.
+    """
+
+    connect_by: float
+    send_by: float
+    answer_by: float
+
+
 class OutboundCall:
     """One attempt to connect a client to the push server at `address`.
 
     `check_before_send` returns why the line must not be sent any more, or None. It runs before the call
     begins and again before the line is written: the client may have left, or the server may be about to
-    leave, and the connection or the event loop may take long in between. `connect_by` and `deadline` are in
-    trio's clock.
+    leave, and the connection or the event loop may take long in between. For the same reason the limit for
+    sending is checked then, and not only where the attempt was decided on.
     """
 
     def __init__(
         self,
         address: Address,
         first: OpenLine,
-        connect_by: float,
-        deadline: float,
+        limits: CallLimits,
         check_before_send: Callable[[], CallFailure | None],
     ) -> None:
         self.address = address
         self.first = first
-        self.connect_by = min(connect_by, deadline)
-        self.deadline = deadline
+        self.limits = limits
         self._check_before_send = check_before_send
         self.sock: SocketType | None = None
         self._scope = trio.CancelScope()
@@ -76,25 +87,26 @@
         return failure
 
     async def _call(self) -> CallUp | CallFailure:
-        if (failure := self._check_before_send()) is not None:
+        if (failure := self._failure_before_send()) is not None:
             return failure
+        limits = self.limits
         try:
             sock = self.sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             without_delay(sock)
-            with trio.fail_at(self.connect_by):
+            with trio.fail_at(min(limits.connect_by, limits.send_by, limits.answer_by)):
                 await sock.connect(self.address)
             # There is no checkpoint between this check and the first byte.
-            if (failure := self._check_before_send()) is not None:
+            if (failure := self._failure_before_send()) is not None:
                 return failure
-            with trio.fail_at(self.deadline):
-                remaining_s = self.deadline - trio.current_time()
+            with trio.fail_at(min(limits.send_by, limits.answer_by)):
+                remaining_s = limits.answer_by - trio.current_time()
                 await send_pieces(sock, self.first.with_wait(math.ceil(remaining_s * 1000)))
             self._written_at = trio.current_time()
         except (OSError, trio.TooSlowError):
             # A server runs a request only after the last byte of its line, so this one has not run.
-            return CallEnded(Outcome.CONNECT_FAILED)
+            return self._too_late_to_send() or CallEnded(Outcome.CONNECT_FAILED)
         try:
-            with trio.fail_at(self.deadline):
+            with trio.fail_at(limits.answer_by):
                 return await self._reply(sock)
         except OSError:
             return CallEnded(Outcome.RESET)
@@ -103,6 +115,13 @@
         except Malformed:
             return CallEnded(Outcome.ERROR)
 
+    def _failure_before_send(self) -> CallFailure | None:
+        return self._check_before_send() or self._too_late_to_send()
+
+    def _too_late_to_send(self) -> CallEnded | None:
+        """Returns the end of a call whose limit for sending has passed; the server is not to blame for it."""
+        return CallEnded(Outcome.MOOT) if trio.current_time() >= self.limits.send_by else None
+
     async def _reply(self, sock: SocketType) -> CallUp | CallEnded:
         buffer = LineBuffer()
         while (end := buffer.line_end()) is None:
--- a/glenfold/request.py
+++ b/glenfold/request.py
@@ -85,10 +85,11 @@
 
 @dataclass(frozen=True, slots=True)
 class StartCall:
-    """Start an outbound call to the server."""
+    """Start an outbound call to the server, which must not be sent the request after `send_by_us`."""
 
     server: int
     deadline_us: int
+    send_by_us: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -153,7 +154,7 @@
     def resume(self, server: int, now_us: int) -> list[Effect]:
         """Resumes a connection that was established at this server before the relay started, as attempt 0."""
         self._is_bound = True
-        return self._start(server, self.deadline_us, now_us)
+        return self._start(StartCall(server, self.deadline_us), now_us)
 
     def notice(self, kind: interface.NoticeKind, amount: float) -> interface.Notice:
         """Returns a notice about the standing connection for the decisions."""
@@ -162,9 +163,10 @@
     def on(self, event_input: Input, now_us: int) -> list[Effect]:
         """Handles one input and returns the effects to carry out, in order."""
         match event_input:
-            case interface.Attempt(_, server, timeout_us):
+            case interface.Attempt(_, server, timeout_us, send_by_us):
                 if self.phase is Phase.DECIDING:
-                    return self._start(server, min(self.deadline_us, now_us + timeout_us), now_us)
+                    deadline_us = min(self.deadline_us, now_us + timeout_us)
+                    return self._start(StartCall(server, deadline_us, send_by_us), now_us)
                 # There is never a second call beside one that is under way, and none after the final answer.
                 self._attempt += 1
                 done = self.phase is not Phase.CALLING
@@ -199,11 +201,11 @@
                 self.phase = Phase.FINISHED
                 return [self._ended(outcome, now_us, True)]
 
-    def _start(self, server: int, deadline_us: int, now_us: int) -> list[Effect]:
+    def _start(self, call: StartCall, now_us: int) -> list[Effect]:
         self.phase = Phase.CALLING
         self._attempt += 1
-        self.server, self._started_us = server, now_us
-        return [StartCall(server, deadline_us)]
+        self.server, self._started_us = call.server, now_us
+        return [call]
 
     def _ended(self, outcome: interface.Outcome, now_us: int, done: bool) -> Report:
         elapsed = now_us - self._started_us
--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -551,13 +551,18 @@
         request_class = self.settings.class_of(connection.event)
         if connection.may_have_run_on is None or request_class.semantics is interface.Semantics.REPEATABLE:
             return True
-        if (
-            request_class.semantics is interface.Semantics.ONCE
-            or self.now - connection.may_have_run_at >= request_class.window_us
-        ):
+        window_end = self._repeat_window_end(connection)
+        if window_end is None or self.now >= window_end:
             return False
         return request_class.scope.joins(server.listed, connection.may_have_run_on.listed)
 
+    def _repeat_window_end(self, connection: Connection) -> int | None:
+        """Returns when servers stop dropping repeats of a keyed request that may have run; else None."""
+        request_class = self.settings.class_of(connection.event)
+        if connection.may_have_run_on is None or request_class.semantics is not interface.Semantics.BY_KEY:
+            return None
+        return connection.may_have_run_at + request_class.window_us
+
     def _is_healthy(self, connection: Connection, server: Server) -> bool:
         """Returns whether the server is neither backed off nor ejected nor over its part of the connections.
 
@@ -696,7 +701,12 @@
         self._assign(connection, server)
         self.setting_up.add(connection.event.request)
         self.actions.append(
-            interface.Attempt(connection.event.request, server.listed.server, max(1, timeout))
+            interface.Attempt(
+                connection.event.request,
+                server.listed.server,
+                max(1, timeout),
+                self._repeat_window_end(connection),
+            )
         )
 
     def _refuse_or_fail(self, connection: Connection) -> None:
--- a/linnetspread/interface.py
+++ b/linnetspread/interface.py
@@ -355,11 +355,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """Sends a request to a server."""
+    """Sends a request to a server.
+
+    `send_by_us` is the latest time, on the clock of the events, at which the request may be sent; None sets
+    no limit. An attempt that can't be sent by then ends as MOOT.
+    """
 
     request: int
     server: int
     timeout_us: int
+    send_by_us: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/linnetspread/wire.py
+++ b/linnetspread/wire.py
@@ -371,7 +371,7 @@
 def write_action(instance: int, action: interface.Action) -> bytes:
     """Returns the record of an action."""
     match action:
-        case interface.Attempt(request, server, timeout):
+        case interface.Attempt(request, server, timeout, _):  # the simulator sends at once
             return _record(120, struct.pack(">IQII", instance, request, server, max(1, timeout)))
         case interface.SetTimer(delay, token):
             return _record(60, struct.pack(">IIQ", instance, min(max(delay, 0), MAX_DELAY_US), token))
--- a/tests/glenfold_lab/test_soak.py
+++ b/tests/glenfold_lab/test_soak.py
@@ -81,7 +81,8 @@
         "                    server = self._relay.destinations.servers()[0].server\n"
         "                    address = self._relay.destinations.address(server)\n"
         "                    until = trio.current_time() + 0.1\n"
-        "                    await OutboundCall(address, self._first, until, until, lambda: None).run()\n",
+        "                    limits = CallLimits(until, until, until)\n"
+        "                    await OutboundCall(address, self._first, limits, lambda: None).run()\n",
         205,
         "attempt",
     ),
--- a/tests/test_request_model.py
+++ b/tests/test_request_model.py
@@ -10,6 +10,7 @@
 from glenfold import request
 from linnetspread import interface
 
+CALL_ENDINGS = st.sampled_from([o for o in interface.Outcome if o is not interface.Outcome.UNKNOWN])
 ENDINGS = st.sampled_from(
     [o for o in interface.Outcome if o not in (interface.Outcome.MOOT, interface.Outcome.UNKNOWN)]
 )
@@ -22,6 +23,7 @@
         self.state = request.RequestState(7, self.now + 3_000_000)
         self.requested = 0  # attempts that the decisions requested
         self.reported = 0  # of these, attempts whose end was reported to the decisions
+        self.send_by_us: int | None = None  # the limit for sending of the attempt requested last
         self.calls_out = 0
         self.answers = 0
         self.up = self.finished = self.bound = False
@@ -54,8 +56,9 @@
     def apply(self, effects: list[request.Effect]) -> None:
         for effect in effects:
             match effect:
-                case request.StartCall(_, deadline_us):
+                case request.StartCall(_, deadline_us, send_by_us):
                     self.calls_out += 1
+                    assert send_by_us == self.send_by_us
                     assert self.now <= deadline_us <= self.state.deadline_us
                 case request.DropCall():
                     self.calls_out = 0
@@ -80,12 +83,17 @@
         self.apply(self.state.resume(3, self.now))
 
     @precondition(lambda self: not self.bound)
-    @rule(server=st.integers(1, 5), timeout=st.integers(1, 5_000_000))
-    def attempt(self, server: int, timeout: int) -> None:
+    @rule(
+        server=st.integers(1, 5),
+        timeout=st.integers(1, 5_000_000),
+        send_by_us=st.none() | st.integers(1, 5_000_000),
+    )
+    def attempt(self, server: int, timeout: int, send_by_us: int | None) -> None:
         free = not (self.calls_out or self.up or self.finished)
+        self.send_by_us = send_by_us
         started = any(
             isinstance(effect, request.StartCall)
-            for effect in self.step(interface.Attempt(7, server, timeout))
+            for effect in self.step(interface.Attempt(7, server, timeout, send_by_us))
         )
         assert started == free
 
@@ -128,7 +136,7 @@
             assert self.step(request.CallUp(b"UP x\r\n")) == [request.DropCall()]
 
     @precondition(lambda self: self.calls_out and not self.up)
-    @rule(outcome=ENDINGS)
+    @rule(outcome=CALL_ENDINGS)
     def call_ends(self, outcome: interface.Outcome) -> None:
         self.calls_out = 0
         self.step(request.CallEnded(outcome))
