Count the window of a keyed request from its first attempt, however late its answer

Callers could see: a keyed request sent again after its window by as long as the answer of the first attempt waited for the decisions.

Cause: the first attempt's time was taken as "now, less what the attempt took"; what it took is measured where the answer is read, and "now" is when the decisions handle it. The queue in between stands still for up to 0.2 s while changes of the list are joined; the slack is 50 ms.

Evidence: an answer that took 100 ms and is handled 200 ms later, with a window of 300 ms, was followed by another attempt 0.3 s after the first.

Change: the window begins when the decisions sent the first attempt, which they know and which the timer at the deadline used already; it is never later than the moment the line left. No other use of elapsed_us makes a moment of it.

--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -761,7 +761,7 @@
         ):
             self.extra_attempt_times.remove(connection.sent_at)
         if not event.outcome.never_ran and connection.may_have_run_on is None:
-            connection.may_have_run_on, connection.may_have_run_at = server, self.now - event.elapsed_us
+            connection.may_have_run_on, connection.may_have_run_at = server, connection.sent_at
         # The client of an open connection that was cancelled went to a new gateway.
         if (
             connection.established
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -161,6 +161,19 @@
     assert attempts_in(gateway.answer(number, Outcome.RESET, elapsed=10_000))
 
 
+# Guards against a window that begins late, by the time for which the first answer was queued (incident 10).
+@pytest.mark.parametrize("queued_us", [0, 40_000, 200_000])
+def test_the_window_for_repeats_begins_with_the_first_attempt_however_late_its_answer_is_handled(queued_us):
+    window_us, answered_after_us = 300_000, 100_000
+    gateway = Gateway(classes=(keyed(DedupScope.ALL, window=window_us),))
+    number, _ = gateway.request()
+    first_at = gateway.now
+    gateway.now += answered_after_us + queued_us
+    actions = gateway.answer(number, Outcome.ERROR, elapsed=answered_after_us)
+    assert all(action.send_by_us == first_at + window_us for action in attempts_in(actions))
+    assert bool(attempts_in(actions)) == (answered_after_us + queued_us < window_us)
+
+
 # ---- drains ----
 
 
