--- a/glenfold/config/__init__.py
+++ b/glenfold/config/__init__.py
@@ -1,13 +1,11 @@
 """Reads all configuration: the platform's JSON, the operators' file and the file of a control replica."""
 
+from glenfold.config.address import Address, format_address, read_address
 from glenfold.config.platform import (
-    Address,
     Config,
     ConfigError,
     ConnectionLimits,
     Names,
-    format_address,
-    read_address,
     read_again,
     read_config,
 )
--- a/glenfold/config/checks.py
+++ b/glenfold/config/checks.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 
 from glenfold.config import locations
-from glenfold.config.platform import Address, names_of, read_address
+from glenfold.config.address import Address, read_address
+from glenfold.config.platform import names_of
 from glenfold.config.settings import as_platform
 from glenfold.config.tables import TableReader
 from glenfold.config.terms import RequestClass, Tenant, Terms
--- a/glenfold/config/locations.py
+++ b/glenfold/config/locations.py
@@ -6,7 +6,7 @@
 from ipaddress import AddressValueError, IPv4Address
 from pathlib import Path
 
-from glenfold.config.platform import Address, read_address
+from glenfold.config.address import Address, read_address
 from glenfold.config.terms import Terms
 from glenfold.toml_file import Key
 
--- a/glenfold/config/operators.py
+++ b/glenfold/config/operators.py
@@ -8,16 +8,15 @@
 from typing import Any
 
 from glenfold.config import locations
+from glenfold.config.address import Address, read_address
 from glenfold.config.checks import Checks
 from glenfold.config.locations import InstanceLocation
 from glenfold.config.platform import (
-    Address,
     Config,
     ConfigError,
     ConnectionLimits,
     Parents,
     names_of,
-    read_address,
     settings_of,
 )
 from glenfold.config.settings import as_platform, relays
--- a/glenfold/config/platform.py
+++ b/glenfold/config/platform.py
@@ -8,11 +8,10 @@
 from pathlib import Path
 from typing import Any
 
+from glenfold.config.address import Address, read_address
 from linnetspread import interface
 from linnetspread.wire import Problem, read_settings
 
-Address = tuple[str, int]
-
 
 class ConfigError(Exception):
     """Raised when the configuration has an error; the message starts with the key."""
@@ -98,20 +97,6 @@
     parents: Parents | None = None  # If given, they replace `discovery`, which is the first parent then.
 
 
-def read_address(text: str) -> Address:
-    """Parses HOST:PORT, where an IPv6 host stands in brackets. Raises ValueError for any other text."""
-    host, _, port = text.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"{text!r} is not HOST:PORT")
-    return host.strip("[]"), int(port)
-
-
-def format_address(address: Address) -> str:
-    """Returns the address in the form that `read_address` parses."""
-    host, port = address
-    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
-
-
 def _address(*sources: tuple[str, Any]) -> Address:
     """Returns the address from the first of these (key, text) pairs whose text is not empty.
 
--- a/glenfold/config/replica.py
+++ b/glenfold/config/replica.py
@@ -11,7 +11,8 @@
 
 from msgspec import Meta
 
-from glenfold.config.platform import Address, Parent, read_address
+from glenfold.config.address import Address, read_address
+from glenfold.config.platform import Parent
 from glenfold.config.tables import FileErrors, Table, TableReader, read_file
 from glenfold.config.terms import AddressText, Duration, ListParent, Logging, Name
 from glenfold.toml_file import Key
--- a/glenfold/config/terms.py
+++ b/glenfold/config/terms.py
@@ -7,7 +7,8 @@
 
 from msgspec import Meta
 
-from glenfold.config.platform import Parent, read_address
+from glenfold.config.address import read_address
+from glenfold.config.platform import Parent
 from glenfold.config.tables import Table
 from glenfold.lines import MAX_WAIT_MS
 
--- a/glenfold/daemon/listeners.py
+++ b/glenfold/daemon/listeners.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from glenfold.config.platform import Address, format_address
+from glenfold.config.address import Address, format_address
 from glenfold.net.inbound import LISTEN_BACKLOG
 
 FIRST_PASSED_DESCRIPTOR = 3  # The descriptors 0 to 2 are the standard streams.
--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -17,7 +17,8 @@
 
 from glenfold import events
 from glenfold.clock import Clock
-from glenfold.config.platform import Config, ConfigError, format_address
+from glenfold.config.address import format_address
+from glenfold.config.platform import Config, ConfigError
 from glenfold.counters import Counters
 from glenfold.daemon.life import Life, State
 from glenfold.daemon.readiness import CHECK_INTERVAL_S, Readiness
--- a/glenfold/daemon/replica.py
+++ b/glenfold/daemon/replica.py
@@ -11,7 +11,8 @@
 import trio
 
 from glenfold import logs
-from glenfold.config.platform import ConfigError, format_address
+from glenfold.config.address import format_address
+from glenfold.config.platform import ConfigError
 from glenfold.config.replica import Terms, descriptors_needed, read, tables_needing_restart
 from glenfold.config.tables import FileErrors
 from glenfold.config.terms import Logging
--- a/glenfold/daemon/takeover.py
+++ b/glenfold/daemon/takeover.py
@@ -17,7 +17,7 @@
 import trio
 
 from glenfold import events
-from glenfold.config.platform import Address, format_address
+from glenfold.config.address import Address, format_address
 from glenfold.daemon import handshake, private_socket
 from glenfold.daemon.life import State
 from glenfold.daemon.listeners import BadListener, addresses_of, check, reconcile, resolve
--- a/glenfold/destinations.py
+++ b/glenfold/destinations.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-from glenfold.config import Address, Names, read_address
+from glenfold.config import Address, Names, format_address, read_address
 from linnetspread import interface
 
 STATES = {
@@ -47,10 +47,10 @@
 
     def entry(self) -> dict[str, Any]:
         """Returns the entry in discovery's format, from which the same destination is read."""
-        listed, (host, port) = self.listed, self.address
+        listed = self.listed
         return {
             "host": self.host,
-            "dial": f"[{host}]:{port}" if ":" in host else f"{host}:{port}",
+            "dial": format_address(self.address),
             "site": self.site,
             "class": self.kind,
             "block": listed.cell,
--- a/glenfold/net/lists.py
+++ b/glenfold/net/lists.py
@@ -7,7 +7,7 @@
 import trio
 
 from glenfold import events
-from glenfold.config.platform import Address, format_address
+from glenfold.config.address import Address, format_address
 from glenfold.counters import Counters
 from glenfold.destinations import DestinationSet
 
--- a/glenfold/replica/follower.py
+++ b/glenfold/replica/follower.py
@@ -12,7 +12,8 @@
 import trio
 
 from glenfold import events
-from glenfold.config.platform import Parent, format_address
+from glenfold.config.address import format_address
+from glenfold.config.platform import Parent
 from glenfold.destinations import BadList
 from glenfold.replica.accepted_lists import AcceptedLists, AfterPublish
 from glenfold.replica.parent_calls import FRESH_AGE_S, Answer, ParentCalls, Refused
--- a/glenfold/replica/parent_calls.py
+++ b/glenfold/replica/parent_calls.py
@@ -6,7 +6,8 @@
 import trio
 
 from glenfold import events
-from glenfold.config.platform import Parent, format_address
+from glenfold.config.address import format_address
+from glenfold.config.platform import Parent
 from glenfold.destinations import BadList
 from glenfold.replica.accepted_lists import AcceptedLists
 from glenfold.replica.parent_watch import CALL_ERRORS, GONE, Call, open_call
--- a/glenfold/rules/parent_choice.py
+++ b/glenfold/rules/parent_choice.py
@@ -10,7 +10,8 @@
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 
-from glenfold.config.platform import Address, Parent
+from glenfold.config.address import Address
+from glenfold.config.platform import Parent
 
 LEAVE_S_PER_CHILD = 0.008  # The children of one parent leave it over a span of this length for each child.
 MIN_ASSUMED_CHILDREN = 64  # A child that connected early was sent too low a number of children.
--- a/glenfold/rules/succession.py
+++ b/glenfold/rules/succession.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from typing import Any
 
-from glenfold.config.platform import Address
+from glenfold.config.address import Address
 from glenfold.rules.replication import ListDocument, Position
 
 READY, DRAINING, GONE = "in_service", "terminating", "terminated"  # Values of `health` in discovery's form.
--- a/tests/daemon/test_takeover.py
+++ b/tests/daemon/test_takeover.py
@@ -16,7 +16,7 @@
 import relaying
 import trio
 
-from glenfold.config.platform import format_address
+from glenfold.config.address import format_address
 from glenfold.daemon import handshake, listeners, takeover
 from glenfold.daemon.life import State
 from glenfold.daemon.process import Process
--- a/tests/test_last_moments.py
+++ b/tests/test_last_moments.py
@@ -14,7 +14,7 @@
 from relaying import OPEN, read_line
 
 from glenfold import lines
-from glenfold.config.platform import format_address
+from glenfold.config.address import format_address
 from glenfold.daemon import process
 from glenfold.daemon.life import State
 from glenfold.daemon.process import Process, run_by_signals
