Read list entries into typed values, so that no host name ends every relay of a fleet

Cause: the entry's reader raised that error and was prepared for it, but in handling it the code looked for what was known of the server by the same host, and raised again out of DestinationSet.read. Values were checked where they are used, by what Python raises there.

Change: glenfold/list_entry.py reads an entry into typed values with stated ranges or raises BadEntry, and nothing else; the lookup of what was known uses it too. Problems name place and host. It also refuses what was taken though it can't be used: numbers over 64 bits, shares whose sum is infinite, "hosts": {} as a whole list, which removed every server.

--- a/glenfold/destinations.py
+++ b/glenfold/destinations.py
@@ -1,23 +1,21 @@
 """The destination set: the push servers as discovery lists them, without I/O."""
 
-import hashlib
-import math
-import sys
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from dataclasses import dataclass, replace
 from typing import Any
 
-from glenfold.config import Address, Names, format_address, read_address
+from glenfold.config import Address, Names, format_address
+from glenfold.list_entry import (
+    HEALTH,
+    BadEntry,
+    ListEntry,
+    read_entry,
+    read_host,
+    server_number,
+    whole_number,
+)
 from linnetspread import interface
 
-STATES = {
-    "in_service": interface.ServerState.READY,
-    "terminating": interface.ServerState.DRAINING,
-    "terminated": interface.ServerState.GONE,
-}
-
-HEALTH = {state: health for health, state in STATES.items()}
-
 # Number of departed servers that are remembered at least; as many as the longest list had if that is more.
 MIN_REMEMBERED = 1024
 
@@ -26,13 +24,24 @@
     """Raised when discovery sent something that is not a server list; the last list is kept."""
 
 
-def server_number(host: str) -> int:
-    """Returns the number of a server, derived from its host name alone.
+def _head(document: object) -> tuple[int, bool, Sequence[object]]:
+    """Returns the version of a list, whether it is a whole one, and its entries. Raises BadList."""
+    if not isinstance(document, Mapping) or not isinstance(document.get("hosts"), list | tuple):
+        raise BadList("a list is not an object with the list hosts")
+    if "whole" not in document:
+        raise BadList("a list does not say whether it is whole")
+    try:
+        return whole_number(document.get("seq"), "seq"), bool(document["whole"]), document["hosts"]
+    except BadEntry as error:
+        raise BadList(f"a list can't be read: {error}") from error
 
-    It is the same at every relay and in every process, in whatever order servers appear, because all relays
-    must place connections by the same map.
-    """
-    return int.from_bytes(hashlib.blake2b(host.encode(), digest_size=4).digest())
+
+def _name(entry: object) -> str:
+    """Returns the host of an invalid entry in parentheses, for messages; nothing if it has none."""
+    try:
+        return f" ({read_host(entry)})"
+    except BadEntry:
+        return ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,28 +144,25 @@
         described in `problems`. Raises BadList, and changes nothing, if the document is not a list or is a
         change to an older list.
         """
-        try:
-            version, is_full, entries = int(document["seq"]), bool(document["whole"]), list(document["hosts"])
-        except (KeyError, TypeError, ValueError, OverflowError) as error:
-            raise BadList(f"a list can't be read: {error!r}") from error
+        version, is_full, entries = _head(document)
         if version < self.version and not is_full:
             raise BadList(f"change {version} is older than list {self.version}")
         self.problems = []
         destinations = {} if is_full else dict(self._destinations)
         listed: list[interface.ListedServer] = []
         seen = set[int]()
-        for entry in entries:
+        for place, entry in enumerate(entries):
             destination: Destination | None
             try:
-                destination = self._destination(entry, version, destinations)
-            except (AttributeError, KeyError, TypeError, ValueError, OverflowError) as error:
-                self.problems.append(f"an entry is left out: {error!r}")
+                destination = self._destination(read_entry(entry), version, destinations)
+            except BadEntry as error:
+                self.problems.append(f"entry {place}{_name(entry)} is left out: {error}")
                 # The last valid entry of this server stays in force.
                 destination = self._previous(entry)
                 if destination is None:
                     continue
             if destination.listed.server in seen:
-                self.problems.append(f"an entry is left out: {destination.host} is listed twice")
+                self.problems.append(f"entry {place} is left out: {destination.host} is listed twice")
                 if destination.listed.state is interface.ServerState.READY:
                     continue  # an entry that the server leaves counts even if it is the second one
             seen.add(destination.listed.server)
@@ -214,17 +220,22 @@
         while len(self._departed) > max(MIN_REMEMBERED, self._max_list_servers):
             del self._departed[next(iter(self._departed))]
 
-    def _previous(self, entry: Any) -> Destination | None:
-        host = entry.get("host") if isinstance(entry, dict) else None
-        previous = self._destinations.get(server_number(host)) if isinstance(host, str) else None
+    def _previous(self, entry: object) -> Destination | None:
+        try:
+            host = read_host(entry)
+        except BadEntry:
+            return None
+        previous = self._destinations.get(server_number(host))
         return previous if previous is not None and previous.host == host else None
 
-    def _destination(self, entry: Any, version: int, destinations: dict[int, Destination]) -> Destination:
-        host = str(entry["host"])
-        address, listed = read_address(entry["dial"]), self._listed_server(host, entry)
-        if listed.server in destinations and destinations[listed.server].host != host:
+    def _destination(
+        self, entry: ListEntry, version: int, destinations: Mapping[int, Destination]
+    ) -> Destination:
+        listed = self._listed_server(entry)
+        other = destinations.get(listed.server)
+        if other is not None and other.host != entry.host:
             # Two servers with the same number can't be told apart. Every relay leaves out the same one.
-            raise ValueError(f"{host} and {destinations[listed.server].host} have the same number")
+            raise BadEntry(f"{entry.host} and {other.host} have the same number")
         if listed.state is not interface.ServerState.READY:
             self._departed.pop(listed.server, None)
             self._departed[listed.server] = version, listed.started_us
@@ -232,24 +243,15 @@
             departed_in, started_us = self._departed[listed.server]
             if version < departed_in and listed.started_us <= started_us:
                 listed = replace(listed, state=interface.ServerState.DRAINING)
-        return Destination(host, address, listed, _interned(entry, "site"), _interned(entry, "class"))
+        return Destination(entry.host, entry.address, listed, entry.site, entry.kind)
 
-    def _listed_server(self, host: str, entry: Any) -> interface.ListedServer:
-        share = float(entry.get("share", 1.0))
-        if not math.isfinite(share):
-            raise ValueError("its share is not finite")
+    def _listed_server(self, entry: ListEntry) -> interface.ListedServer:
         return interface.ListedServer(
-            server=server_number(host),
-            state=STATES[entry["health"]],
-            weight=share,
-            zone=self._names.sites.get(entry.get("site"), 0),
-            kind=self._names.kinds.get(entry.get("class"), 0),
-            cell=int(entry.get("block", 0)),
-            started_us=int(entry.get("born_ms", 0)) * 1000,
+            server=server_number(entry.host),
+            state=entry.state,
+            weight=entry.share,
+            zone=0 if entry.site is None else self._names.sites.get(entry.site, 0),
+            kind=0 if entry.kind is None else self._names.kinds.get(entry.kind, 0),
+            cell=entry.cell,
+            started_us=entry.started_us,
         )
-
-
-def _interned(entry: Any, key: str) -> str | None:
-    """Returns the name under `key`, interned, as few names occur in many entries; None if absent."""
-    name = entry.get(key)
-    return sys.intern(name) if isinstance(name, str) else None
--- a/glenfold/rules/replication_history.py
+++ b/glenfold/rules/replication_history.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from glenfold.destinations import HEALTH
+from glenfold.list_entry import HEALTH
 from glenfold.rules.replication import ListDocument, Position
 from linnetspread.interface import ServerState
 
--- a/glenfold_lab/model/fleet.py
+++ b/glenfold_lab/model/fleet.py
@@ -5,7 +5,7 @@
 
 import numpy as np
 
-from glenfold.destinations import server_number
+from glenfold.list_entry import server_number
 from glenfold_lab.model.draw import assign_by_shares, interpolate, lognormals, value, value_by_ratio
 from glenfold_lab.model.kernel import SECOND_US
 from glenfold_lab.spec import Range, Scenario, ServerKind
--- a/glenfold_lab/model/listing/versions.py
+++ b/glenfold_lab/model/listing/versions.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from glenfold.config import Names
-from glenfold.destinations import STATES
+from glenfold.list_entry import STATES
 from glenfold_lab.model.fleet import Machine
 from glenfold_lab.observe import ListedState
 from glenfold_lab.spec import Scenario
--- a/glenfold_lab/reports/summary.py
+++ b/glenfold_lab/reports/summary.py
@@ -7,7 +7,7 @@
 import msgspec
 import numpy as np
 
-from glenfold.destinations import server_number
+from glenfold.list_entry import server_number
 from glenfold_lab.reports.downsampling import ServerLoads, downsample, server_loads
 from glenfold_lab.reports.labels import RULES
 from glenfold_lab.reports.read import Experiment, ReportInput, Short, StoredHistory
--- a/glenfold_lab/scale/list_costs.py
+++ b/glenfold_lab/scale/list_costs.py
@@ -14,7 +14,8 @@
 from typing import TypeVar
 
 from glenfold.config.platform import names_of, settings_of
-from glenfold.destinations import DestinationSet, server_number
+from glenfold.destinations import DestinationSet
+from glenfold.list_entry import server_number
 from glenfold_lab.observe import ListedState
 from glenfold_lab.scale.measurements import Point
 from glenfold_lab.scale.server_lists import SETTINGS, ChangeScript, ServerFleet
--- a/glenfold_lab/scale/relay_lists.py
+++ b/glenfold_lab/scale/relay_lists.py
@@ -18,7 +18,7 @@
 
 import trio
 
-from glenfold.destinations import server_number
+from glenfold.list_entry import server_number
 from glenfold_lab.observe import ListedState
 from glenfold_lab.scale import list_agent, loop_watch
 from glenfold_lab.scale.list_costs import Follower
--- a/tests/daemon/test_snapshot_model.py
+++ b/tests/daemon/test_snapshot_model.py
@@ -21,7 +21,7 @@
 
 from glenfold.daemon.process import Process
 from glenfold.daemon.snapshot import SnapshotOptions, Snapshots
-from glenfold.destinations import server_number
+from glenfold.list_entry import server_number
 from linnetspread import interface
 
 SERVERS = range(4)
--- a/tests/daemon/test_snapshots.py
+++ b/tests/daemon/test_snapshots.py
@@ -19,7 +19,8 @@
 from glenfold.daemon.process import Process
 from glenfold.daemon.snapshot import LAST_WRITE_TIMEOUT_S, SLOW_WRITE_S, SnapshotOptions, Snapshots
 from glenfold.daemon.snapshot_files import Files, LockedElsewhere, Store
-from glenfold.destinations import DestinationSet, server_number
+from glenfold.destinations import DestinationSet
+from glenfold.list_entry import server_number
 from glenfold.rules.snapshots import Owner, Snapshot, SnapshotRefused
 
 Act = Callable[[Process, Snapshots], Awaitable[None]]
--- a/tests/glenfold_lab/standing.py
+++ b/tests/glenfold_lab/standing.py
@@ -14,7 +14,8 @@
 from glenfold.clock import Clock
 from glenfold.counters import Counters
 from glenfold.decisions import Decisions
-from glenfold.destinations import DestinationSet, server_number
+from glenfold.destinations import DestinationSet
+from glenfold.list_entry import server_number
 from glenfold.net.discovery import Discovery
 from glenfold.net.inbound import Inbound, Relay
 from glenfold_lab.model.fleet import KindParameters, Machine
--- a/tests/replica/test_relay_lists.py
+++ b/tests/replica/test_relay_lists.py
@@ -18,7 +18,7 @@
 from glenfold.config import Config, ConfigError
 from glenfold.config.platform import Parents
 from glenfold.daemon.process import Process
-from glenfold.destinations import server_number
+from glenfold.list_entry import server_number
 from glenfold.replica.relay_lists import RelayLists
 from glenfold.rules.source_lease import LEASE_S
 from linnetspread.interface import ServerState
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,7 +10,8 @@
 from relaying import entry, read_line, whole
 
 from glenfold.counters import Counters
-from glenfold.destinations import DestinationSet, server_number
+from glenfold.destinations import DestinationSet
+from glenfold.list_entry import server_number
 from glenfold.net.discovery import MAX_ASKING_ANSWER_S, MAX_LIST_DELAY_S, Discovery
 from linnetspread import interface
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -19,7 +19,8 @@
 from glenfold.config import Config, ConfigError, read_again
 from glenfold.counters import Counters
 from glenfold.daemon.process import Process, dispatch_signals, finish_requests
-from glenfold.destinations import BadList, DestinationSet, server_number
+from glenfold.destinations import BadList, DestinationSet
+from glenfold.list_entry import server_number
 from glenfold.net import sockets
 from glenfold.net.discovery import Discovery
 from glenfold.net.inbound import Relay
--- a/tests/test_unusable_input.py
+++ b/tests/test_unusable_input.py
@@ -1,5 +1,6 @@
 """Input that can't be used: it is refused where it is read, and what was known holds."""
 
+import json
 import os
 import subprocess
 import sys
@@ -11,8 +12,12 @@
 from relaying import OPEN, entry, read_line, whole
 
 from glenfold.config import ConfigError, read_again
+from glenfold.counters import Counters
 from glenfold.daemon.process import Process
-from glenfold.destinations import DestinationSet, server_number
+from glenfold.destinations import DestinationSet
+from glenfold.list_entry import server_number
+from glenfold.net.discovery import Discovery
+from linnetspread import interface
 
 # A second dot, a label over 63 characters, no IPv4 address, a NUL, half of a surrogate pair.
 UNUSABLE_HOSTS = ["127.0.0..1", "a" * 64, "127.0.0.256", "127.0.0.1\0", "s-\ud800"]
@@ -81,3 +86,18 @@
     destinations = DestinationSet(relaying.config(tmp_path).names)
     destinations.read(whole(entry("s-0"), entry("s-1", f"{host}:9")))
     assert destinations.address(server_number("s-1")) is None and len(destinations.problems) == 1
+
+
+# Guards against a host that can't be encoded, which ended every relay that got the list (incident 12).
+def test_a_host_that_can_not_be_encoded_leaves_the_rest_of_its_list_in_force(tmp_path: Path) -> None:
+    applied: list[interface.ServerList] = []
+
+    async def on_list(servers: interface.ServerList) -> None:
+        applied.append(servers)
+
+    destinations = DestinationSet(relaying.config(tmp_path).names)
+    discovery = Discovery(("127.0.0.1", 9), destinations, on_list, Counters())
+    text = json.dumps(whole(entry("s-\ud800"), entry("s-1", site="\udfff"), entry("s-2"))).encode()
+    trio.run(discovery._apply, text)
+    assert [listed.server for listed in applied[0].servers] == [server_number("s-2")]
+    assert len(destinations.problems) == 2
