Start a task of the process anew after an unexpected error, and end no connection

Cause: the tasks at the top of a process run in one nursery, which ends with its first error. Their handlers named the errors that somebody had thought of; connections alone had one for any.

Change: daemon/guard.py runs these tasks: the error counts in faults, is logged with its trace as task.failed, and the task starts anew after 1 s from the state that the process holds; a reload is refused, a warm-up left out. The follower closes its calls on the way. It holds because the guard stands outside of every handler, and a cancellation passes through it.

--- a/glenfold/counters.py
+++ b/glenfold/counters.py
@@ -36,7 +36,7 @@
     snapshots_failed: int = 0  # writes that failed and are retried later
     snapshots_slow: int = 0  # writes that took longer than a second
     snapshots_refused: int = 0  # snapshot files that were refused at the start
-    faults: int = 0  # connections that were ended by a bug in the relay
+    faults: int = 0  # bugs in the relay: connections that one ended, and tasks that were started anew
 
     def plain(self) -> dict[str, int]:
         """Returns the counts by field name."""
--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from functools import partial
 from typing import TYPE_CHECKING, Any, Protocol
 
 import trio
@@ -20,6 +21,7 @@
 from glenfold.config.address import format_address
 from glenfold.config.platform import Config, ConfigError
 from glenfold.counters import Counters
+from glenfold.daemon.guard import record_fault, run_guarded
 from glenfold.daemon.life import Life, State
 from glenfold.daemon.readiness import CHECK_INTERVAL_S, Readiness
 from glenfold.daemon.warming import warm_up
@@ -140,16 +142,16 @@
         await self._load_known_list()
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
-            nursery.start_soon(self.relay.decisions.run)
-            nursery.start_soon(self.discovery.follow)
+            self._start(nursery, "decisions", self.relay.decisions.run)
+            self._start(nursery, "discovery", self.discovery.follow)
             if not self.listeners:
                 self.listeners.append(await _listen(config.listen))
             if not self._start_paused:
                 self.accept()
             self.life.to(State.WAITING)
-            nursery.start_soon(self._become_ready)
+            self._start(nursery, "readiness", self._become_ready)
             for task in self._background_tasks:
-                nursery.start_soon(task, self)
+                self._start(nursery, _task_name(task), partial(task, self))
             await self._stop_requested.wait()
             schedule = ShutdownSchedule(
                 self._stop_requested_time(), self.relay.config.settings, self._deadline_s
@@ -167,6 +169,10 @@
             nursery.cancel_scope.cancel()
         events.relay_exit(counters=self.relay.counters.plain())
 
+    def _start(self, nursery: trio.Nursery, name: str, task: Callable[[], Awaitable[None]]) -> None:
+        """Starts a task whose unexpected errors must not cut off the clients of all connections."""
+        nursery.start_soon(run_guarded, name, task, self.relay.counters)
+
     async def _load_known_list(self) -> None:
         """Loads the last known list before the first client, so that a relay that died restarts with it."""
         relay = self.relay
@@ -227,7 +233,7 @@
         gc.enable()
         while not relay.destinations.has_list:
             await trio.sleep_until(trio.current_time() + CHECK_INTERVAL_S)
-        warm_up(relay.config, relay.destinations.servers(), relay.clock.now_us())
+        self._warm_up()
         readiness = Readiness(trio.current_time(), time.process_time(), relay.config.cores)
         while not readiness.check(trio.current_time(), time.process_time()):
             await trio.sleep_until(readiness.next_check)
@@ -235,6 +241,14 @@
             relay.ready.set()
             self.life.to(State.READY)
 
+    def _warm_up(self) -> None:
+        """Warms the code up; a relay that can't do so is slower at first, and serves all the same."""
+        relay = self.relay
+        try:
+            warm_up(relay.config, relay.destinations.servers(), relay.clock.now_us())
+        except Exception as error:
+            record_fault("warm-up", error, relay.counters)
+
     async def _accept(self, scope: trio.CancelScope, listener: SocketType, nursery: trio.Nursery) -> None:
         # A client accepted just before a pause is counted one turn later.
         self.relay.awaiting_first_line += 1
@@ -288,6 +302,10 @@
             relay.counters.reloads_refused += 1
             events.config_refused(error=error)
             return ReloadResult(str(error), file=True)
+        except Exception as error:
+            relay.counters.reloads_refused += 1
+            record_fault("reload", error, relay.counters)
+            return ReloadResult(f"the configuration can't be read: {error!r}", file=True)
         finally:
             self.life.to(before)
         relay.counters.reloads += 1
@@ -319,6 +337,11 @@
     return settings.gateways / CALLS_PER_S if settings.ask_for_list else 0.0
 
 
+def _task_name(task: BackgroundTask) -> str:
+    """Returns the name under which a background task is logged: that of its class or its function."""
+    return getattr(task, "__qualname__", type(task).__name__)
+
+
 async def _listen(address: tuple[str, int]) -> SocketType:
     listener = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/glenfold/daemon/replica.py
+++ b/glenfold/daemon/replica.py
@@ -6,6 +6,7 @@
 import socket
 from collections.abc import Callable, Sequence
 from enum import IntEnum
+from functools import partial
 from pathlib import Path
 
 import trio
@@ -16,6 +17,7 @@
 from glenfold.config.replica import Terms, descriptors_needed, read, tables_needing_restart
 from glenfold.config.tables import FileErrors
 from glenfold.config.terms import Logging
+from glenfold.daemon.guard import record_fault, run_guarded
 from glenfold.daemon.listeners import BadListener, listen
 from glenfold.daemon.process import dispatch_signals
 from glenfold.events import config_refused, config_waits, run_refused
@@ -66,8 +68,9 @@
     async def run(self, listener: socket.socket) -> None:
         """Runs until it is told to stop and has ended its children's watches."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._server.serve, trio.socket.from_stdlib_socket(listener))
-            nursery.start_soon(self._follower.follow)
+            serve = partial(self._server.serve, trio.socket.from_stdlib_socket(listener))
+            nursery.start_soon(run_guarded, "server", serve, self._counters)
+            nursery.start_soon(run_guarded, "follower", self._follower.follow, self._counters)
             events.listens(
                 name=self._initial_terms.replica.name, address=format_address(listener.getsockname())
             )
@@ -99,6 +102,10 @@
             problems = "; ".join(error.message.splitlines())
             config_refused(error=ConfigError(str(self._path), problems))
             return
+        except Exception as error:
+            self._counters.reloads_refused += 1
+            record_fault("reload", error, self._counters)
+            return
         self._counters.reloads += 1
         if terms.parents != self._terms.parents:
             self._follower.move_to(terms.followed)
--- a/glenfold/events.py
+++ b/glenfold/events.py
@@ -241,6 +241,14 @@
     """Logged when a bug in the relay ends a connection; other connections are not affected."""
 
 
+@event("task.failed", "error", "the task {task} failed", trace=True)
+def task_failed(*, task: str, error: Exception) -> None:
+    """Logged when a bug in the relay ends a long-running task, which is started anew, or a signal's handler.
+
+    No connection is affected.
+    """
+
+
 @event("sockets.exhausted", "warning", "no file descriptor left: {error}")
 def sockets_exhausted(*, error: Exception) -> None:
     """Logged when no file descriptor is left, not even the one reserved to refuse clients with."""
--- a/glenfold/replica/follower.py
+++ b/glenfold/replica/follower.py
@@ -107,16 +107,23 @@
 
     async def follow(self) -> None:
         """Follows the parents until cancelled."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._lists.expire)
-            while True:
-                with trio.CancelScope() as self._parents_scope:
-                    await self._follow_parents()
-                last_watch, self.watch = self.watch, None
-                self._calls.close_all()
-                await trio.sleep(
-                    self._choice.leave_delay_s(0 if last_watch is None else last_watch.call.header.children)
-                )
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._lists.expire)
+                while True:
+                    await self._follow_until_moved()
+        finally:
+            self.watch = None
+            self._calls.close_all()
+
+    async def _follow_until_moved(self) -> None:
+        """Follows the current parents until `move_to` names others, and leaves the last parent then."""
+        with trio.CancelScope() as self._parents_scope:
+            await self._follow_parents()
+        last_watch, self.watch = self.watch, None
+        self._calls.close_all()
+        children = 0 if last_watch is None else last_watch.call.header.children
+        await trio.sleep(self._choice.leave_delay_s(children))
 
     # ---- following one parent at a time ----
 
