Begin each refusal of a list with the same words, and follow its texts in a test

Cause: a list of another form was told in two ways. All three texts begin with "a list can't be read" again. The test asks for more than before: the reason, and an entry's place and host.

--- a/glenfold/destinations.py
+++ b/glenfold/destinations.py
@@ -27,9 +27,9 @@
 def _head(document: object) -> tuple[int, bool, Sequence[object]]:
     """Returns the version of a list, whether it is a whole one, and its entries. Raises BadList."""
     if not isinstance(document, Mapping) or not isinstance(document.get("hosts"), list | tuple):
-        raise BadList("a list is not an object with the list hosts")
+        raise BadList("a list can't be read: it is not an object with the list hosts")
     if "whole" not in document:
-        raise BadList("a list does not say whether it is whole")
+        raise BadList("a list can't be read: it does not say whether it is whole")
     try:
         return whole_number(document.get("seq"), "seq"), bool(document["whole"]), document["hosts"]
     except BadEntry as error:
--- a/tests/config/test_operators_errors.py
+++ b/tests/config/test_operators_errors.py
@@ -198,9 +198,12 @@
 @pytest.mark.parametrize(
     "document, expected",
     [
-        ("[]", "can't be read: a list can't be read"),
+        ("[]", "can't be read: a list can't be read: it is not an object"),
         ("{", "can't be read: Expecting property name"),
-        ('{"seq": 1, "whole": true, "hosts": [{"host": "s-1"}]}', "1 faulty entries; the first: an entry is"),
+        (
+            '{"seq": 1, "whole": true, "hosts": [{"host": "s-1"}]}',
+            "1 faulty entries; the first: entry 0 (s-1) is left out: its dial is not a text",
+        ),
     ],
 )
 def test_a_known_list_is_checked_as_the_relay_reads_it(tmp_path: Path, document: str, expected: str) -> None:
