Refuse values of the configuration files that ended a start or a reload in a traceback

Operators saw: a limit over 1e308 raised OverflowError out of the reader. A search found more: settings nested in 900 levels (RecursionError); list = 5, settings = 5 or classes as a table in the operators' file (AttributeError). Status 1 and a traceback in place of 2 and the key.

Cause: the limit was compared as a whole number and converted later; settings are flattened by recursion without a bound; checks of the operators' file ran on tables that could not be read.

Evidence: each value of the three files replaced by 50 others, one at a time.

Change: an upper bound for limits, at most 32 levels, and a file whose required table is something else is refused with that error alone.

--- a/glenfold/config/operators.py
+++ b/glenfold/config/operators.py
@@ -165,7 +165,8 @@
     """
     base = Path(path).parent.absolute() if base is None else base
     reader, terms = read_file(path, Terms)
-    Checks(terms, reader, base).run()
+    if not reader.lacks_table:
+        Checks(terms, reader, base).run()
     if reader.errors:
         raise FileErrors(reader.errors.values())
     return OperatorsFile(reader.toml_file, terms, base)
--- a/glenfold/config/platform.py
+++ b/glenfold/config/platform.py
@@ -58,6 +58,8 @@
 SPARE_SOCKETS = OWN_SOCKETS + REFUSED_SOCKETS + CLOSING_SOCKETS
 BASE_MB = 22  # The memory of a relay without connections.
 CONNECTION_MB = 0.04  # The memory of one connection with both its sides.
+MAX_LIMIT = 1e15  # Far over what any machine has, and exact as a float.
+MAX_SETTINGS_DEPTH = 32  # The settings of the simulator have four levels.
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,12 +113,17 @@
         raise ConfigError(key, str(error)) from error
 
 
-def _flatten(value: Any, path: str) -> list[str]:
+def _flatten(value: Any, path: str, depth: int = 0) -> list[str]:
     """Converts nested JSON to the `path=value` lines of the simulator's settings."""
+    if depth > MAX_SETTINGS_DEPTH:
+        raise ConfigError("settings", f"is nested in more than {MAX_SETTINGS_DEPTH} levels")
     if isinstance(value, dict):
-        return [line for name, item in value.items() for line in _flatten(item, f"{path}.{name}".lstrip("."))]
+        items = ((f"{path}.{name}".lstrip("."), item) for name, item in value.items())
+        return [line for item_path, item in items for line in _flatten(item, item_path, depth + 1)]
     if isinstance(value, list) and any(isinstance(item, dict) for item in value):
-        item_lines = [line for n, item in enumerate(value) for line in _flatten(item, f"{path}.{n}")]
+        item_lines = [
+            line for n, item in enumerate(value) for line in _flatten(item, f"{path}.{n}", depth + 1)
+        ]
         return [f"{path}.count={len(value)}", *item_lines]
     if isinstance(value, list):
         return [f"{path}={','.join(_format_value(item, path) for item in value)}"]
@@ -177,8 +184,8 @@
     value = limits.get(key)
     if value is None:
         return default
-    if isinstance(value, bool) or not isinstance(value, int | float) or not minimum <= value < math.inf:
-        raise ConfigError(f"limits.{key}", f"{value!r} is not a number of at least {minimum}")
+    if isinstance(value, bool) or not isinstance(value, int | float) or not minimum <= value <= MAX_LIMIT:
+        raise ConfigError(f"limits.{key}", f"is not a number from {minimum} to {MAX_LIMIT:g}")
     return float(value)
 
 
--- a/glenfold/config/tables.py
+++ b/glenfold/config/tables.py
@@ -129,6 +129,8 @@
         self.toml_file = toml_file
         self.errors: dict[Key, BadFile] = {}
         self._invalid_keys: set[Key] = set()
+        # Whether a required table is something else, so that the file can't be checked any further.
+        self.lacks_table = False
 
     def add_error(self, key: Key, reason: str) -> None:
         """Records an error; only the first error of a key is kept, as the others follow from it."""
@@ -163,9 +165,10 @@
         if isinstance(data, dict) and is_table(annotation):
             return self.read_table(data, unwrap_type(annotation), key)
         invalid_before, element = len(self._invalid_keys), element_type(annotation)
-        if isinstance(data, list) and element:
+        takes_table = get_origin(unwrap_type(annotation)) is dict
+        if isinstance(data, list) and element and not takes_table:
             data = [self._read_value(item, element, (*key, n), None) for n, item in enumerate(data)]
-        elif isinstance(data, dict) and element:
+        elif isinstance(data, dict) and element and takes_table:
             data = {name: self._read_value(item, element, (*key, name), None) for name, item in data.items()}
         if len(self._invalid_keys) > invalid_before:
             return tuple(data) if isinstance(data, list) else data
@@ -175,4 +178,5 @@
             return msgspec.convert(data, annotation)
         except msgspec.ValidationError:
             self.add_error(key, f"expected {describe_type(annotation)}, not {shorten(data)}")
+            self.lacks_table |= fallback is None and len(key) == 1 and is_table(annotation)
             return fallback
