Put MOVE at the line end within a chunk, where a push server always has more to send

Cause: only the end of a chunk of up to 16 KB counted as "between lines". Where the server always has more to send, chunks end within lines; after 0.3 s, or at the end, the connection was cut.

Change: once a move is requested, a chunk is sent up to its last line end and what follows is dropped with the connection, as no data may follow MOVE. A move waits 0.3 s for a server that does not complete its line, and longer for a client that takes nothing: a chunk that is being sent to a slow reader is no missing line end. Nothing is buffered that was not before.

--- a/glenfold/lines.py
+++ b/glenfold/lines.py
@@ -180,6 +180,12 @@
         """Whether the last line is complete."""
         return not self._partial
 
+    def last_line_end(self, data: bytes) -> int:
+        """Returns where the last line that `data` completes ends within it; 0 if it completes none."""
+        if (at := data.rfind(LINE_END)) >= 0:
+            return at + len(LINE_END)
+        return 1 if data[:1] == LINE_END[1:] and self._partial[-1:] == LINE_END[:1] else 0
+
     def feed(self, data: bytes) -> list[bytes]:
         """Returns the lines that `data` completes, without CRLF. Sets `too_long` after an overlong line."""
         *lines, self._partial = (self._partial + data).split(LINE_END)
--- a/glenfold/net/passing.py
+++ b/glenfold/net/passing.py
@@ -12,7 +12,8 @@
 CHUNK_BYTES = 16 * 1024
 SERVER_SILENCE_TIMEOUT_S = 1.2  # A server that leaves a client's line unanswered so long counts as failed.
 HALF_CLOSE_TIMEOUT_S = 0.7  # Time for a side to close after the other side has closed.
-LINE_COMPLETION_TIMEOUT_S = 0.3  # Time that a move waits for the end of a line.
+LINE_COMPLETION_TIMEOUT_S = 0.3  # Time that a move waits for a server to complete its line.
+CLIENT_STALL_TIMEOUT_S = 5.0  # A client whose system takes nothing for so long is given up.
 
 LoadCallback = Callable[[float], Awaitable[None]]
 
@@ -37,6 +38,7 @@
         self._unanswered_since: float | None = None  # start of the wait for the server's answer
         self._writing = trio.Lock()  # held while data is sent to the client
         self._unsent_move = MOVE  # the part of MOVE that has not been sent to the client
+        self._move_requested = False  # the client is sent MOVE at the next end of a line
         self._client_finished = False
         self._server_reset = False
         self._server_end: Outcome | None = None  # how the server ended the connection, once it has
@@ -107,17 +109,26 @@
     async def move(self, until: float | None = None) -> None:
         """Sends MOVE to the client between two lines, then ends both sides.
 
-        If no line ends before `until`, by default after `LINE_COMPLETION_TIMEOUT_S`, both sides are ended
-        without MOVE.
+        From now on the client is sent nothing beyond the last line end of a chunk. Both sides are ended
+        without MOVE at `until`; by default where the server does not complete its line within
+        `LINE_COMPLETION_TIMEOUT_S`, or the client takes nothing for `CLIENT_STALL_TIMEOUT_S`.
         """
-        with trio.move_on_at(trio.current_time() + LINE_COMPLETION_TIMEOUT_S if until is None else until):
-            # MOVE waits until a chunk that is being sent to the client is complete and ends a line.
-            while not await self._send_move():
-                self._between_lines = trio.Event()
-                await self._between_lines.wait()
+        self._move_requested = True
+        with trio.move_on_at(trio.current_time() + CLIENT_STALL_TIMEOUT_S if until is None else until):
+            # A chunk that is being sent to a slow client is waited for in `_send_move`.
+            while not await self._send_move() and await self._wait_for_line_end(until):
+                pass
         if not self.is_ending and not self.move_now():
             self.cut()
 
+    async def _wait_for_line_end(self, until: float | None) -> bool:
+        """Waits for the end of a line; returns whether it came or is being sent to the client."""
+        self._between_lines = trio.Event()
+        with trio.move_on_at(trio.current_time() + LINE_COMPLETION_TIMEOUT_S if until is None else until):
+            await self._between_lines.wait()
+            return True
+        return self._writing.locked()
+
     async def _send_move(self) -> bool:
         """Sends the rest of MOVE and ends both sides; returns False if the client received part of a line.
 
@@ -212,10 +223,22 @@
         self._end(self._server_end)
 
     async def _send_to_client(self, data: bytes) -> bool:
-        """Sends `data` to the client; returns False if MOVE is being sent, as no data may follow or split it.
+        """Sends `data` to the client; returns False if no more may follow, as MOVE is next or being sent.
 
-        Usually the kernel takes all of it without a checkpoint, so that no MOVE can come in between.
+        Usually the kernel takes all of it without a checkpoint, so that no MOVE can come in between. Once a
+        move is requested, what follows the last line end in `data` is dropped with the connection.
         """
+        end = self._lines.last_line_end(data) if self._move_requested else 0
+        if end:
+            return await self._send_whole_lines(data[:end])
+        return await self._send_chunk(data)
+
+    async def _send_whole_lines(self, data: bytes) -> bool:
+        """Sends the last lines before MOVE; returns False, as no data may follow them."""
+        await self._send_chunk(data)
+        return False
+
+    async def _send_chunk(self, data: bytes) -> bool:
         is_free = not self._writing.locked() and len(self._unsent_move) == len(MOVE)
         sent = send_now(self.client, data) if is_free else 0
         if sent == len(data):
--- a/tests/test_standing_connection.py
+++ b/tests/test_standing_connection.py
@@ -220,3 +220,49 @@
         assert (counters.faults, counters.moved, counters.broken, counters.ended) == (0, 0, 0, 1)
 
     trio.run(main)
+
+
+# Guards against MOVE that finds no place, as each chunk ends within a line (incident 15).
+@pytest.mark.parametrize(
+    ("before", "after", "passed"),
+    [
+        (b"a 1\r\na 2 beg", b"in\r\na 3 half", b"a 1\r\na 2 begin\r\n"),
+        (b"a 1\r\na 2\r", b"\na 3 half", b"a 1\r\na 2\r\n"),
+        (b"a 1\r\na 2 beg", b"in\r\na 3\r\na 4\r\na 5 half", b"a 1\r\na 2 begin\r\na 3\r\na 4\r\n"),
+        (b"a 1 half", b" of a line\r\n", b"a 1 half of a line\r\n"),
+    ],
+)
+@relaying.async_test(standing)
+async def test_move_is_put_at_the_line_end_within_a_chunk(
+    ends: Ends, before: bytes, after: bytes, passed: bytes
+) -> None:
+    with trio.fail_after(5.0):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ends.connection.run, b"", b"UP r1\r\n")
+            await ends.server.send(before)
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            nursery.start_soon(ends.connection.move)
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            await ends.server.send(after)
+            received = b""
+            while not received.endswith(lines.MOVE):
+                part = await ends.client.recv(100)
+                assert part, "the stream ended without MOVE"
+                received += part
+    assert received == passed + lines.MOVE
+    assert ends.connection.moved and not ends.connection.cut_off
+    assert ends.connection.outcome is Outcome.CANCELLED
+
+
+@pytest.mark.parametrize("data", [b"", b"a", b"a\r", b"a\r\n", b"\n", b"\nb", b"a\r\nb\r\nc", b"\r\n\r\n"])
+@pytest.mark.parametrize("partial", [b"", b"x", b"x\r"])
+def test_the_last_line_end_of_a_chunk_is_where_the_tracker_is_between_lines(
+    partial: bytes, data: bytes
+) -> None:
+    tracker, whole = LineTracker(), LineTracker()
+    tracker.feed(partial)
+    end = tracker.last_line_end(data)
+    whole.feed(partial)
+    whole.feed(data[:end])
+    assert not end or whole.between_lines
+    assert b"\r\n" not in data[end:] and (end or not (partial + data).count(b"\r\n"))
