Close a client's connection only once its system has taken MOVE and all lines before it

Cause: the client's socket was closed right after MOVE was written. The client's next line was then answered with a reset by the system, which drops what it had not delivered.

Change: net/closing.py ends every client's side in one way: FIN, read and drop until the client closes, or has taken all (empty send queue) and had 0.7 s, or takes nothing for 5 s (a stopping relay: to its end). moved counts what was taken, move.undelivered tells the rest. The relay waits for that as long as SIGKILL allows, after it has told all clients. It works because no close meets unread lines while anything is undelivered.

Three tests of the shutdown end their clients' connections now or wait for them, as a relay does; what they ask for stays.

--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -361,9 +361,12 @@
     """Answers every accepted request, and tells each standing connection's client to move in time."""
     with trio.move_on_at(schedule.exit_at):
         await _wait_until_moves(schedule, relay)
+    relay.moves_sent = trio.Event()
+    with trio.move_on_at(schedule.exit_at):
         async with trio.open_nursery() as nursery:
             await _move_all(schedule, relay, nursery)
     _end_standing(relay)
+    relay.moves_sent.set()
     turns = 0
     # The remaining requests have expired, which they handle within a loop turn or two. A connection may also
     # have come up just now.
@@ -411,10 +414,13 @@
     """
     awaiting_line_end: set[StandingConnection] = set()  # Connections in the middle of a line.
     queue: deque[StandingConnection] = deque()
+    assert relay.moves_sent is not None
     while relay.has_pending_clients:
         while queue and queue[0] not in relay.standing:
             queue.popleft()
         remaining = len(relay.standing) - len(awaiting_line_end & relay.standing.keys())
+        if not remaining:
+            relay.moves_sent.set()
         short_before = schedule.is_short_of_time
         step = schedule.step(trio.current_time(), time.process_time(), remaining)
         if schedule.is_short_of_time and not short_before:
--- a/glenfold/events.py
+++ b/glenfold/events.py
@@ -103,6 +103,16 @@
     """Logged when a relay that shuts down has more standing connections than it can move in time."""
 
 
+@event(
+    "move.undelivered",
+    "warning",
+    "a client has not taken MOVE and the lines before it within {waited_s} s",
+    rate=(0.2, 1),
+)
+def move_undelivered(*, waited_s: float) -> None:
+    """Logged when a connection is closed whose client reads too slowly to receive MOVE in time."""
+
+
 @event("leave.cut", "warning", "{connections} standing connections are cut off without MOVE")
 def leave_cut(*, connections: int) -> None:
     """Logged when the shutdown deadline passes while the line to a client is incomplete.
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -17,6 +17,7 @@
 from glenfold.counters import Counters
 from glenfold.decisions import Closed, Decisions, Taken
 from glenfold.destinations import DestinationSet
+from glenfold.net.closing import CLIENT_STALL_TIMEOUT_S
 from glenfold.net.outbound import CallFailure, CallLimits, OutboundCall
 from glenfold.net.passing import StandingConnection
 from glenfold.net.sockets import SocketType, hung_up, receive_now, send, send_fin, unread_bytes, without_delay
@@ -51,17 +52,21 @@
     awaiting_first_line: int = 0
     unanswered: int = 0  # requests without a final answer
     ids: Counter[bytes] = field(default_factory=Counter)  # ids of the open requests and connections
-    # Worth of each standing connection, oldest first.
+    connections: set[StandingConnection] = field(default_factory=set)  # until the client's side is closed
+    # Worth of each standing connection whose client was not told to move, oldest first.
     standing: dict[StandingConnection, float] = field(default_factory=dict)
     ready: trio.Event = field(default_factory=trio.Event)  # set once ready for full load; PONG waits for it
+    # Set once all clients were told to move, None before a stopping relay begins to tell them. Until then no
+    # time is spent on waiting for those that were told already.
+    moves_sent: trio.Event | None = None
     answers_end: float = math.inf  # deadline of all answers, finite once the relay has been told to stop
     group_parts: "GroupParts | None" = None  # None if large groups are not split into parts
     _time_limits: set[trio.CancelScope] = field(default_factory=set)  # scopes of the unanswered requests
 
     @property
     def has_pending_clients(self) -> bool:
-        """Whether some client still waits for its answer, or is connected and has not been sent MOVE."""
-        return bool(self.standing or self.unanswered or self.awaiting_first_line)
+        """Whether some client still waits for its answer, or is connected and may still be sent something."""
+        return bool(self.connections or self.unanswered or self.awaiting_first_line)
 
     @contextmanager
     def grouped(self, event: interface.Request) -> Iterator[interface.Request]:
@@ -79,6 +84,14 @@
         finally:
             self.group_parts.remove_member(event.group)
 
+    @property
+    def client_stall_timeout_s(self) -> float:
+        """The time for which a client may take nothing of what it was sent, before its connection closes.
+
+        A relay that was told to stop waits until its end, as its clients can't be told again.
+        """
+        return CLIENT_STALL_TIMEOUT_S if math.isinf(self.answers_end) else math.inf
+
     def limit_answers(self, deadline: float) -> None:
         """Ends the wait of all requests at `deadline`: those without an answer get a final one then."""
         self.answers_end = deadline
@@ -512,8 +525,24 @@
         await self._inbox_sender.send(result)
 
     async def _pass_lines(self, server: SocketType, receipt: bytes) -> None:
-        relay, state = self._relay, self._state
+        relay = self._relay
         standing_connection = StandingConnection(self._sock, server, self._on_load)
+        relay.connections.add(standing_connection)
+        try:
+            await self._run_standing(standing_connection, receipt)
+            standing_connection.half_close_client()
+            if relay.moves_sent is not None:
+                await relay.moves_sent.wait()
+            await standing_connection.wait_for_client(relay.client_stall_timeout_s)
+        finally:
+            standing_connection.close_client()
+            relay.connections.discard(standing_connection)
+            relay.counters.moved += standing_connection.moved
+            relay.counters.not_moved += standing_connection.cut_off
+
+    async def _run_standing(self, standing_connection: StandingConnection, receipt: bytes) -> None:
+        """Passes lines until the connection ends, and reports its end to the decisions."""
+        relay, state = self._relay, self._state
         relay.standing[standing_connection] = relay.config.settings.classes[self._request.request_class].worth
         try:
             async with trio.open_nursery() as nursery:
@@ -524,8 +553,6 @@
             relay.standing.pop(standing_connection, None)  # already removed if its client was sent MOVE
             relay.counters.ended += 1
             relay.counters.silent += standing_connection.silent
-            relay.counters.moved += standing_connection.moved
-            relay.counters.not_moved += standing_connection.cut_off
         if standing_connection.outcome in (interface.Outcome.RESET, interface.Outcome.ERROR):
             relay.counters.broken += 1
             events.connection_broke(
--- a/glenfold/net/passing.py
+++ b/glenfold/net/passing.py
@@ -5,15 +5,15 @@
 
 import trio
 
+from glenfold import events
 from glenfold.lines import MOVE, LineTracker, parse_load
+from glenfold.net.closing import CLIENT_STALL_TIMEOUT_S, HALF_CLOSE_TIMEOUT_S, OrderlyClose
 from glenfold.net.sockets import SocketType, reset_on_close, send, send_fin, send_now
 from linnetspread.interface import Outcome
 
 CHUNK_BYTES = 16 * 1024
 SERVER_SILENCE_TIMEOUT_S = 1.2  # A server that leaves a client's line unanswered so long counts as failed.
-HALF_CLOSE_TIMEOUT_S = 0.7  # Time for a side to close after the other side has closed.
 LINE_COMPLETION_TIMEOUT_S = 0.3  # Time that a move waits for a server to complete its line.
-CLIENT_STALL_TIMEOUT_S = 5.0  # A client whose system takes nothing for so long is given up.
 
 LoadCallback = Callable[[float], Awaitable[None]]
 
@@ -22,7 +22,8 @@
     """The client's and the server's side of one standing connection.
 
     `outcome` is why the connection ended; `silent`, `moved` and `cut_off` say whether the server fell silent,
-    the client was sent MOVE, and the client was disconnected without MOVE.
+    the client was sent MOVE, and the client was disconnected without MOVE. Once the client's side is closed,
+    a client whose system never took MOVE counts as disconnected without it.
     """
 
     def __init__(self, client: SocketType, server: SocketType, on_load: LoadCallback) -> None:
@@ -39,6 +40,10 @@
         self._writing = trio.Lock()  # held while data is sent to the client
         self._unsent_move = MOVE  # the part of MOVE that has not been sent to the client
         self._move_requested = False  # the client is sent MOVE at the next end of a line
+        self._half_closed_at: float | None = None  # when the client was sent FIN
+        self._aborted = False  # the client is gone, or its connection is to be reset
+        self._closing: OrderlyClose | None = None  # the end of the client's side, once it has begun
+        self._moved_at = 0.0  # when the last byte of MOVE was written
         self._client_finished = False
         self._server_reset = False
         self._server_end: Outcome | None = None  # how the server ended the connection, once it has
@@ -52,9 +57,10 @@
         return self._scope.cancel_called
 
     async def run(self, early: bytes, receipt: bytes) -> None:
-        """Passes lines until the connection ends, then closes both sockets.
+        """Passes lines until the connection ends, then closes the server's socket.
 
-        `early` is what the client sent before its connection was up, `receipt` what the client was sent.
+        The caller ends the client's side with `wait_for_client` and `close_client`. `early` is what the
+        client sent before its connection was up, `receipt` what the client was sent.
         """
         with self._scope:
             await self._track_lines(receipt)
@@ -63,9 +69,40 @@
                 nursery.start_soon(self._forward_to_client)
                 await self._watch_silence()
         # Both directions have ended by now: closing a socket that another task reads from is an error.
-        self.client.close()
         self.server.close()
 
+    def half_close_client(self) -> None:
+        """Sends FIN to the client after all that was sent to it; the first step after `run`."""
+        if not self._aborted and self._half_closed_at is None:
+            send_fin(self.client)
+            self._half_closed_at = trio.current_time()
+
+    async def wait_for_client(self, stall_timeout_s: float) -> None:
+        """Waits until the client has received all that was sent to it, after `half_close_client`.
+
+        A client that takes nothing for `stall_timeout_s` is given up.
+        """
+        if not self._aborted:
+            self._closing = OrderlyClose(self.client, stall_timeout_s, self._half_closed_at or 0.0)
+            await self._closing.wait()
+
+    def close_client(self) -> None:
+        """Closes the client's socket, also if `run` or `wait_for_client` was cancelled."""
+        closing = self._closing
+        if closing is None and not self._aborted:
+            closing = OrderlyClose(self.client, 0.0, trio.current_time())
+        if closing is not None and self.moved:
+            self._check_delivery(closing)
+        self.client.close()
+
+    def _check_delivery(self, closing: OrderlyClose) -> None:
+        if not closing.left:
+            closing.look()
+        if not closing.delivered:
+            self.moved, self.cut_off = False, not closing.left
+        if self.cut_off:
+            events.move_undelivered(waited_s=round(trio.current_time() - self._moved_at, 3))
+
     def move_now(self) -> bool:
         """Sends MOVE without waiting and ends both sides; returns whether that was done.
 
@@ -86,8 +123,7 @@
             return True
         self._unsent_move = self._unsent_move[sent:]
         if not self._unsent_move:
-            self.moved = True
-            self._end(Outcome.CANCELLED)
+            self._end_moved()
         return self.moved
 
     def cut(self) -> None:
@@ -97,7 +133,7 @@
         complete line.
         """
         if not self._lines.between_lines or self._writing.locked() or 0 < len(self._unsent_move) < len(MOVE):
-            reset_on_close(self.client)
+            self._reset_client()
         self.cut_off = True
         self._end(Outcome.CANCELLED)
 
@@ -149,15 +185,24 @@
             except OSError:
                 self._end_without_client()
                 return True
-            self.moved = True
-            self._end(Outcome.CANCELLED)
+            self._end_moved()
         return True
 
     def _end_without_client(self) -> None:
         """Ends both sides after the client's side failed, and passes the reset on to the server."""
+        self._aborted = True
         reset_on_close(self.server)
         self._end(Outcome.CANCELLED)
 
+    def _end_moved(self) -> None:
+        self.moved, self._moved_at = True, trio.current_time()
+        self._end(Outcome.CANCELLED)
+
+    def _reset_client(self) -> None:
+        """Makes the close of the client's socket send a reset."""
+        self._aborted = True
+        reset_on_close(self.client)
+
     def _end(self, outcome: Outcome) -> None:
         self.outcome = outcome
         self._scope.cancel()
@@ -194,14 +239,14 @@
             try:
                 data = await self.server.recv(CHUNK_BYTES)
             except OSError:
-                reset_on_close(self.client)
+                self._reset_client()
                 return self._end(Outcome.RESET)
             if not data:
                 # A write may have consumed a reset; the task that wrote notes that after one checkpoint.
                 await trio.lowlevel.checkpoint()
                 if not self._server_reset:
                     break
-                reset_on_close(self.client)
+                self._reset_client()
                 return self._end(Outcome.RESET)
             self._unanswered_since = None
             try:
@@ -216,6 +261,7 @@
         default_outcome = Outcome.CANCELLED if self._client_finished else Outcome.RESET
         self._server_end = ends.get(self._last_word or b"", default_outcome)
         send_fin(self.client)
+        self._half_closed_at = trio.current_time()
         if not self._client_finished:
             # The client's connection has to end within a second, even if the client does not close it.
             with trio.move_on_at(trio.current_time() + HALF_CLOSE_TIMEOUT_S):
--- a/glenfold/net/sockets.py
+++ b/glenfold/net/sockets.py
@@ -77,6 +77,14 @@
     return int.from_bytes(count, sys.byteorder)
 
 
+def unacknowledged_bytes(sock: SocketType) -> int:
+    """Returns the number of sent bytes that the peer's system has not taken; 0 where the kernel can't say."""
+    count = bytearray(_INT_BYTES)
+    with suppress(OSError):
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
+    return int.from_bytes(count, sys.byteorder)
+
+
 def send_fin(sock: SocketType) -> None:
     """Closes the sending side, so that the peer sees the end of the stream."""
     with suppress(OSError):  # the peer has already reset the connection
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -168,6 +168,13 @@
     return set_up
 
 
+async def wait_until_closed(shared: Relay) -> None:
+    """Waits for the end of all connections, which are counted as moved or not once they are closed."""
+    with trio.fail_after(5.0):
+        while shared.connections:
+            await trio.sleep(0.005)
+
+
 def schedule_ending_in(seconds: float) -> ShutdownSchedule:
     return ShutdownSchedule(trio.current_time(), PASS_THROUGH, deadline_s=seconds + 0.3)
 
@@ -189,6 +196,8 @@
     await finish_requests(schedule, context[0])
     for stream in context[1]:
         assert await read_line(stream) == MOVE and not await stream.receive_some()
+        await stream.aclose()
+    await wait_until_closed(context[0])
     assert counters.moved == 300 and 0 < counters.moved_late < 300 and not counters.not_moved
 
 
@@ -199,6 +208,7 @@
         assert await stream.receive_some() == b"half a li"
         with pytest.raises(trio.BrokenResourceError):
             await stream.receive_some()
+    await wait_until_closed(context[0])
     assert (context[0].counters.moved, context[0].counters.not_moved) == (0, 2)
 
 
@@ -213,4 +223,6 @@
     await trio.testing.wait_all_tasks_blocked(0.05)
     await finish_requests(schedule_ending_in(1.0), shared)
     assert await read_line(stream) == MOVE and not await stream.receive_some()
+    await stream.aclose()
+    await wait_until_closed(shared)
     assert shared.counters.moved == 1
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -384,8 +384,11 @@
                 for _ in range(3):  # the end of a loopback socket may take several turns to arrive
                     await trio.testing.wait_all_tasks_blocked(0.01)
                 assert len(shared.standing) == standing
-        for stream in streams:
-            assert (await stream.receive_some()).endswith(lines.MOVE)
+            for stream in streams:
+                assert (await stream.receive_some()).endswith(lines.MOVE)
+                await stream.aclose()  # the relay waits for that
+            await trio.testing.wait_all_tasks_blocked(0.01)
+            clock.jump(0.05)  # to its next look
 
     async def server(stream: trio.SocketStream) -> None:
         await read_line(stream)
