Remember a server that a whole list leaves out, so that no older list restores it

Cause: departures were noted by the entries that tell them. A whole list tells one by leaving the server out, and nothing was noted then.

Change: a whole list notes what it leaves out as departed in its own version, with its last start; the rule for older lists does the rest. A list that is older itself harms no newer server, as its version is what is noted. Cached lists note nothing.

--- a/glenfold/destinations.py
+++ b/glenfold/destinations.py
@@ -171,6 +171,8 @@
             else:
                 destinations[destination.listed.server] = destination
             listed.append(destination.listed)
+        if is_full and not cached:
+            self._record_omitted(destinations, version)
         self._destinations, self.version = destinations, version
         self._max_list_servers = max(self._max_list_servers, len(destinations))
         self._trim_departed()
@@ -183,6 +185,14 @@
             callback(server_list)
         return server_list
 
+    def _record_omitted(self, destinations: Mapping[int, Destination], version: int) -> None:
+        """Records the servers that a whole list leaves out as departed in its version."""
+        for number in self._destinations.keys() - destinations.keys():
+            if number in self._departed and self._departed[number][0] >= version:
+                continue  # its departure was told by this list or a newer one
+            self._departed.pop(number, None)  # the order of the entries is that of the departures
+            self._departed[number] = version, self._destinations[number].listed.started_us
+
     def state(self) -> DestinationState:
         """Returns the current state.
 
--- a/tests/test_destinations.py
+++ b/tests/test_destinations.py
@@ -11,6 +11,7 @@
 from relaying import entry, whole
 
 from glenfold.destinations import MIN_REMEMBERED, DestinationSet
+from glenfold.list_entry import server_number
 from linnetspread.interface import ServerState
 
 ZONE = 3 * MIN_REMEMBERED  # servers in a zone
@@ -48,3 +49,40 @@
     for n in range(MIN_REMEMBERED + 50):
         destinations.read(change(n, range(n, n + 1), "terminated"))
     assert len(destinations.state().departed) == MIN_REMEMBERED
+
+
+# Guards against a server that a whole list left out, and that comes back with an older one (incident 16).
+@pytest.mark.parametrize("restored", [False, True])
+def test_a_server_that_a_whole_list_left_out_returns_with_no_older_list(
+    tmp_path: Path, restored: bool
+) -> None:
+    names = relaying.config(tmp_path).names
+    destinations = DestinationSet(names)
+    destinations.read(whole(entry("s-1"), entry("s-2"), seq=44))
+    destinations.read(whole(entry("s-2"), seq=45))
+    if restored:  # in the process after a restart
+        state, successor = destinations.state(), DestinationSet(names)
+        document = {"seq": state.version, "whole": True, "hosts": list(state.entries())}
+        successor.restore(document, [(server, *left) for server, left in state.departed.items()])
+        destinations = successor
+    states = []
+    for document in (
+        whole(entry("s-1", "127.0.0.2:9"), entry("s-2"), seq=43),  # also under another address
+        whole(entry("s-1"), entry("s-2"), seq=46),
+        whole(entry("s-2"), seq=47),
+        whole(entry("s-1", born_ms=5), entry("s-2"), seq=43),  # it has started again since
+    ):
+        read = {listed.server: listed.state for listed in destinations.read(document).servers}
+        states.append((read.get(server_number("s-1")), read[server_number("s-2")]))
+    ready, draining = ServerState.READY, ServerState.DRAINING
+    assert states == [(draining, ready), (ready, ready), (None, ready), (ready, ready)]
+
+
+def test_a_server_that_only_an_older_whole_list_lacks_is_in_service_with_the_newer_list(
+    tmp_path: Path,
+) -> None:
+    destinations = DestinationSet(relaying.config(tmp_path).names)
+    newer, older = whole(entry("s-1"), entry("s-2"), seq=45), whole(entry("s-1"), seq=43)
+    for document in (newer, older, newer):
+        listed = destinations.read(document).servers
+    assert {server.state for server in listed} == {ServerState.READY} and len(listed) == 2
