Pass on a line that begins with LOAD and holds no load, in place of ending its connection

Cause: each line that begins with LOAD was taken for a report, and one without a valid number for a breach of the protocol.

Evidence: 5 of 5 cases of the new test (no number, a text, NaN, negative, infinite) ended the connection before, all pass now, beside a report that still reaches the decisions.

Change: such a line is passed on and nothing is reported.

--- a/glenfold/net/passing.py
+++ b/glenfold/net/passing.py
@@ -302,10 +302,8 @@
             word, _, rest = line.partition(b" ")
             if word in (b"BYE", b"MOVE"):
                 self._last_word = word
-            elif word == b"LOAD":
-                load = parse_load(rest)
-                if load is None:
-                    return self._end(Outcome.ERROR)
+            # A line whose rest is no load is passed on like any other.
+            elif word == b"LOAD" and (load := parse_load(rest)) is not None:
                 await self._on_load(load)
         if self._lines.too_long:
             return self._end(Outcome.ERROR)
--- a/tests/test_standing_connection.py
+++ b/tests/test_standing_connection.py
@@ -266,3 +266,24 @@
     whole.feed(data[:end])
     assert not end or whole.between_lines
     assert b"\r\n" not in data[end:] and (end or not (partial + data).count(b"\r\n"))
+
+
+# Guards against a line that begins with LOAD and reports none, which ended the connection (incident 17).
+@pytest.mark.parametrize("rest", [b" average 0.5", b"", b" nan", b" -1", b" 1e999"])
+@relaying.async_test(standing)
+async def test_a_line_that_reports_no_load_is_passed_on_like_any_other(ends: Ends, rest: bytes) -> None:
+    loads = list[float]()
+
+    async def on_load(load: float) -> None:
+        loads.append(load)
+
+    connection = StandingConnection(ends.connection.client, ends.connection.server, on_load)
+    with trio.fail_after(5.0):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(connection.run, b"", b"UP r1\r\n")
+            for data in (b"LOAD%b\r\n" % rest, b"LOAD 50.5\r\n"):
+                await ends.server.send(data)
+                assert await ends.client.recv(100) == data
+            await trio.testing.wait_all_tasks_blocked()
+            assert loads == [50.5] and not connection.is_ending
+            nursery.cancel_scope.cancel()
