Convert between trio's time and microseconds since 1970 with one rounding

Cause: the difference of the two clocks was a float of seconds since 1970, good to 0.24 us. A deadline converted to trio's time could lie past its moment, to which the test's clock jumps without going on.

Change: the clocks differ by a whole number of microseconds, and to_us alone rounds.

--- a/glenfold/clock.py
+++ b/glenfold/clock.py
@@ -12,10 +12,14 @@
 
     The decisions count microseconds since 1970, the epoch of discovery's `born_ms`. Cancel scopes use trio's
     clock, in seconds.
+
+    The two differ by a whole number of microseconds, and a time is rounded in `to_us` alone. So at the trio
+    time that `to_trio` returns for a time, `to_us` gives that time, whenever the process has started. Seconds
+    since 1970 as a float would be off by up to a quarter of a microsecond.
     """
 
     def __init__(self) -> None:
-        self._offset = time.time() - trio.current_time()
+        self._offset_us = round((time.time() - trio.current_time()) * SECOND_US)
 
     def now_us(self) -> int:
         """Returns the current time in microseconds since 1970."""
@@ -23,8 +27,8 @@
 
     def to_us(self, trio_time: float) -> int:
         """Converts a time of trio's clock to microseconds since 1970."""
-        return int((trio_time + self._offset) * SECOND_US)
+        return round(trio_time * SECOND_US) + self._offset_us
 
     def to_trio(self, at_us: int) -> float:
         """Converts microseconds since 1970 to a time of trio's clock."""
-        return at_us / SECOND_US - self._offset
+        return (at_us - self._offset_us) / SECOND_US
--- a/tests/glenfold_lab/test_model_follows_relay.py
+++ b/tests/glenfold_lab/test_model_follows_relay.py
@@ -11,6 +11,7 @@
 import trio.testing
 from modelled_relays import SETTINGS, RelayFixture
 
+from glenfold import clock as clock_module
 from glenfold.dispatch import Dispatch
 from glenfold.net import sockets
 from glenfold_lab.observe import AttemptOutcome, End
@@ -149,3 +150,13 @@
     script: Script, tmp_path: Path
 ) -> None:
     assert in_the_model(script) == on_sockets(script, tmp_path)
+
+
+# Guards against a deadline that is rounded past the jump of the mock clock: the test hung (incident 18).
+@pytest.mark.parametrize("start_s", [1796820409.6328459, 1797167226.4181669, 1796862120.0067549])
+def test_the_comparison_does_not_depend_on_the_wall_clock_at_its_start(
+    start_s: float, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(clock_module.time, "time", lambda: start_s)
+    script = next(script for script in SCRIPTS if script.name == "no answer at all")
+    assert in_the_model(script) == on_sockets(script, tmp_path)
