Pass a push server's end on at once while a stopping relay moves other clients

A stopping relay tells all clients before it spends time on those told already, and every connection that had ended waited for that, also one that its push server had reset: its client was reset only after the moves, which are spread over 1.5 s.

Change: only clients that the relay itself moved wait. It holds as all other ends come from a side, and nothing stands between them and the close any more.

--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -531,8 +531,8 @@
         try:
             await self._run_standing(standing_connection, receipt)
             standing_connection.half_close_client()
-            if relay.moves_sent is not None:
-                await relay.moves_sent.wait()
+            if relay.moves_sent is not None and standing_connection.moved:
+                await relay.moves_sent.wait()  # an end that comes from a side is passed on at once
             await standing_connection.wait_for_client(relay.client_stall_timeout_s)
         finally:
             standing_connection.close_client()
--- a/tests/test_orderly_close.py
+++ b/tests/test_orderly_close.py
@@ -5,6 +5,7 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import pytest
 import relaying
 import trio
 import trio.testing
@@ -12,7 +13,7 @@
 from glenfold.lines import MOVE
 from glenfold.net.closing import HALF_CLOSE_TIMEOUT_S
 from glenfold.net.passing import StandingConnection
-from glenfold.net.sockets import SocketType
+from glenfold.net.sockets import SocketType, reset_on_close
 from linnetspread.interface import Outcome
 
 RECEIPT = b"UP r1\r\n"
@@ -166,3 +167,37 @@
             ends.client.close()  # over bytes that it has not read
             await ends.closed.wait()
     assert not ends.connection.moved and not ends.connection.cut_off
+
+
+# Guards against an end that a stopping relay passes on only once it has told all clients to move.
+@pytest.mark.parametrize("how", ["reset", "end"])
+def test_a_push_servers_end_is_passed_on_at_once_while_other_clients_are_moved(
+    tmp_path: Path, how: str
+) -> None:
+    async def server(stream: trio.SocketStream) -> None:
+        await relaying.read_line(stream)
+        await stream.send_all(RECEIPT)
+        await relaying.read_line(stream)
+        if how == "reset":
+            reset_on_close(stream.socket)
+
+    async def main() -> None:
+        conf = relaying.config(tmp_path)
+        async with (
+            relaying.relay(conf, server) as (shared, _, port),
+            await trio.open_tcp_stream("127.0.0.1", port) as client,
+        ):
+            await client.send_all(relaying.OPEN)
+            assert await relaying.read_line(client) == RECEIPT
+            shared.moves_sent = trio.Event()  # others are still being moved
+            await client.send_all(b"M 1\r\n")
+            with trio.fail_after(1.0):
+                if how == "reset":
+                    with pytest.raises(trio.BrokenResourceError):
+                        await client.receive_some()
+                else:
+                    assert not await client.receive_some()
+                while shared.connections:
+                    await trio.sleep(0.01)
+
+    trio.run(main)
