--- a/review/harness2.py
+++ b/review/harness2.py
@@ -183,6 +183,11 @@
     in_line: bool = False  # a piece of a line was sent, and the rest of it was not
     ended_by_relay: float | None = None
 
+    @property
+    def is_mid_flow(self) -> bool:
+        """Whether it stood before and now comes through another relay."""
+        return self.line.endswith(",mid=1")
+
 
 @dataclass
 class PushServer:
@@ -190,7 +195,7 @@
 
     `up_after_s` is the time until UP, and `rest_after_s` the time between the two pieces of each line that it
     returns; 0 means that the line comes in one piece. `is_hung` stops all work. `answer` may replace the
-    answer to a first line.
+    answer to a first line. A connection in mid flow goes on if it stood here, and is reset if it did not.
     """
 
     host: str
@@ -201,6 +206,7 @@
     drains: bool = False
     answer: Callable[[ServerConnection], Awaitable[bool]] | None = None
     dial: str = ""
+    held: set[str] = field(default_factory=set)  # ids of the connections that stand or stood here
     attempts: list[tuple[float, str]] = field(default_factory=list)
     connections: set[ServerConnection] = field(default_factory=set)
     _server: asyncio.Server | None = None
@@ -245,7 +251,10 @@
         if self.answer is not None and not await self.answer(connection):
             return
         await self.working()
-        if self.drains:
+        if connection.is_mid_flow and connection.id not in self.held:
+            self.record.add("resets-mid-flow", host=self.host, id=connection.id)
+            return reset(writer)
+        if self.drains and not connection.is_mid_flow:
             writer.write(b"BUSY\r\n")
             self.record.add("turned-away", host=self.host, id=connection.id)
             return await finish(reader, writer)
@@ -253,6 +262,7 @@
         await self.working()
         writer.write(f"UP {self.host}-{connection.id}\r\n".encode())
         connection.is_up = True
+        self.held.add(connection.id)
         self.connections.add(connection)
         self.record.add("up", host=self.host, id=connection.id)
         while True:
@@ -339,10 +349,20 @@
         first = f"OPEN {new_id} {key:016x} c={name},t=valleys,d={round(wait_s * 1000)},g={group:016x}{more}"
         client = Client(new_id, first, wait_s)
         self.all.append(client)
+        self._start(client, address)
+        return client
+
+    def route(self, client: Client, address: str) -> Client:
+        """Routes the packets of a connection that stands through another relay, as the front does."""
+        moved = Client(client.id, f"{client.first},mid=1", client.wait_s)
+        self.all.append(moved)
+        self._start(moved, address)
+        return moved
+
+    def _start(self, client: Client, address: str) -> None:
         task = asyncio.create_task(self._run(client, address))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        return client
 
     async def _run(self, client: Client, address: str) -> None:
         client.relay = address
