--- a/review/harness2.py
+++ b/review/harness2.py
@@ -122,6 +122,17 @@
         self._record.add("told", host=host, health=health, seq=self._version, watches=len(self._watches))
         self._write_to_all(self._document(False, [entry]))
 
+    def tell_many(self, entries: list[dict[str, Any]]) -> None:
+        """Changes many entries at once and tells them as one change."""
+        self._version += 1
+        for entry in entries:
+            if entry["health"] == "terminated":
+                self._hosts.pop(entry["host"], None)
+            else:
+                self._hosts[entry["host"]] = entry
+        self._record.add("told-many", entries=len(entries), seq=self._version, health=entries[0]["health"])
+        self._write_to_all(self._document(False, entries))
+
     def whole(self) -> dict[str, Any]:
         """Returns the whole list."""
         return {"seq": self._version, "whole": True, "hosts": list(self._hosts.values())}
@@ -313,6 +324,8 @@
     answered_at: float | None = None
     lines: list[str] = field(default_factory=list)
     lines_sent: int = 0
+    sent_lines_at: list[float] = field(default_factory=list)
+    longest_trip_s: float = 0.0  # from sending a line to its return
     rest: bytes = b""
     end: str = ""
     ended_at: float | None = None
@@ -407,6 +420,13 @@
                 self.record.add("answered", id=client.id, answer=text.replace(" ", "_"))
             else:
                 client.lines.append(text)
+                self._measure(client, text)
+
+    def _measure(self, client: Client, text: str) -> None:
+        word, _, rest = text.partition(" ")
+        if word == "POS":
+            trip_s = self.record.now() - client.sent_lines_at[int(rest.split(" ")[1]) - 1]
+            client.longest_trip_s = max(client.longest_trip_s, trip_s)
 
     async def _send_lines(self, client: Client, writer: asyncio.StreamWriter) -> None:
         while not client.answer:
@@ -417,6 +437,7 @@
         with contextlib.suppress(OSError):
             while True:
                 client.lines_sent += 1
+                client.sent_lines_at.append(self.record.now())
                 writer.write(f"POS {client.id} {client.lines_sent} 51.48 -3.18\r\n".encode())
                 await writer.drain()
                 await asyncio.sleep(LINE_INTERVAL_S)
