Review: a drained push server's clients are not told to move, as case 10

The case of a relay that comes back while discovery is silent is left out in its favour: there nothing is lost, as the draining server turns the requests away; here connections end without MOVE.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,4 +1,4 @@
-"""A relay is killed, and comes back while discovery is down; a push server drains meanwhile."""
+"""A push server drains, and stops; its clients have to be told to move before."""
 
 import asyncio
 import sys
@@ -10,53 +10,44 @@
 import harness2 as lab  # noqa: E402
 
 SERVERS, RELAYS = 6, 2
-NEW_PER_S = 20
-DOWN_S = 8.0  # discovery
-GRACE_S, SLACK_S = 2.0, 0.05
+STANDING = 300
+DRAIN_S = 4.0  # the site gives 3.3 to 5.3 s, the table of troubles 2 to 6 s
+MOVE_INTERVAL_S = 0.25  # the server sends its clients away bit by bit
 
 
 async def play(record: lab.Record, folder: Path) -> int:
     config = lab.settings("pass", RELAYS, [lab.request_class("trip-watch", 3)])
     fleet = await lab.Fleet.start(record, folder, config, SERVERS)
-    load = asyncio.create_task(fleet.open(20 * NEW_PER_S, 1 / NEW_PER_S))
     try:
+        await fleet.open(STANDING, 0.02)
         await asyncio.sleep(2)
-        server, relay = fleet.servers[0], fleet.relays[1]
-        relay.know(fleet.discovery.whole())
-        record.add("kill", relay=relay.name)
-        await relay.end()
-        await asyncio.sleep(0.5)
-        server.drains = True
-        fleet.discovery.tell(server.host, server.dial, "terminating")
-        drained_at = record.now()
-        await asyncio.sleep(0.5)
-        fleet.discovery.is_silent = lab.trouble()
-        record.add("discovery-down", down=fleet.discovery.is_silent)
-        await asyncio.sleep(0.5)
-        await relay.start()
-        ready_at = record.now()
-        record.add("ready", relay=relay.name)
-        await asyncio.sleep(DOWN_S - (record.now() - drained_at) + 0.5)
-        fleet.discovery.is_silent = False
-        record.add("discovery-up")
-        await load
-        return judge(record, fleet.clients, server, relay, ready_at)
+        server = fleet.servers[0]
+        if lab.trouble():
+            await drain(fleet, server)
+        await asyncio.sleep(3)
+        return judge(record, fleet.clients, server)
     finally:
-        load.cancel()
         await fleet.end()
 
 
-def judge(
-    record: lab.Record, clients: lab.Clients, server: lab.PushServer, relay: lab.Relay, ready_at: float
-) -> int:
-    """The new process counts as told from its first moment, so in any case once it was ready."""
-    sent_by = {client.id: client.relay for client in clients.all}
-    sent = [at for at, client_id in server.attempts if sent_by[client_id] == relay.address and at > ready_at]
-    late = [at for at in sent if at > ready_at + GRACE_S + SLACK_S]
-    record.say(f"sent by the new process to the draining server {len(sent)}, after the grace {len(late)}")
-    if late:
-        record.say(f"the last {max(late) - ready_at:.3f} s after it was told")
-    return lab.BROKEN if late else lab.HELD
+async def drain(fleet: lab.Fleet, server: lab.PushServer) -> None:
+    """Drains the server: it takes nothing new, sends clients away one by one, and stops."""
+    server.drains = True
+    fleet.discovery.tell(server.host, server.dial, "terminating")
+    for _ in range(round(DRAIN_S / MOVE_INTERVAL_S)):
+        await asyncio.sleep(MOVE_INTERVAL_S)
+        if server.connections:
+            await server.send_away(min(server.connections, key=lambda connection: connection.id))
+    server.die()
+    fleet.discovery.tell(server.host, server.dial, "terminated")
+
+
+def judge(record: lab.Record, clients: lab.Clients, server: lab.PushServer) -> int:
+    held = [client for client in clients.all if client.host == server.host]
+    ended = [client for client in held if client.end in ("fin", "reset")]
+    cut = [client for client in ended if not client.was_moved]
+    record.say(f"held {len(held)}, ended {len(ended)}, not told to move before {len(cut)}")
+    return lab.BROKEN if cut else lab.HELD
 
 
 if __name__ == "__main__":
