--- a/review/10/case.py
+++ b/review/10/case.py
@@ -44,8 +44,8 @@
     record.say(f"standing at the relay {len(standing)}, without MOVE {len(cut)}")
     for client in cut:
         record.say(f"cut: {client.id} at {client.host}, {client.end} after {client.rest!r}")
-    return lab.BROKEN if cut else lab.HELD
+    return lab.BROKEN if cut else lab.HELD if standing else lab.NOT_RUN
 
 
 if __name__ == "__main__":
-    lab.run_case(play, FOLDER)
+    lab.run_case(play, FOLDER / "record.txt")
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -46,8 +46,8 @@
             f"cut: {client.id} at {client.host}, {client.end} after {client.lines_sent} lines sent "
             f"and {len(client.lines)} returned, then {client.rest!r}"
         )
-    return lab.BROKEN if cut else lab.HELD
+    return lab.BROKEN if cut else lab.HELD if up else lab.NOT_RUN
 
 
 if __name__ == "__main__":
-    lab.run_case(play, FOLDER)
+    lab.run_case(play, FOLDER / "record.txt")
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -129,7 +129,7 @@
     record.say(f"connections at the sound zone {len(standing)}, with a line held back {len(held)}")
     record.say(f"the longest for {longest_s:.2f} s; requests {len(asked)}, answered too late {len(late)}")
     record.say(f"the script itself was late by up to {lag_s:.2f} s")
-    if lag_s > MAX_LAG_S:
+    if lag_s > MAX_LAG_S or not standing:
         return lab.NOT_RUN
     return lab.BROKEN if held or late else lab.HELD
 
@@ -142,4 +142,4 @@
 
 
 if __name__ == "__main__":
-    lab.run_case(play, FOLDER)
+    lab.run_case(play, FOLDER / "record.txt")
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -662,9 +662,9 @@
                 self.record.add("log", relay=relay.name, text=line)
 
 
-def run_case(play: Callable[[Record, Path], Awaitable[int]], folder: Path) -> None:
-    """Runs one case and exits with HELD, BROKEN or NOT_RUN."""
-    record = Record(folder / "record.txt")
+def run_case(play: Callable[[Record, Path], Awaitable[int]], path: Path) -> None:
+    """Runs one case, with its record at `path`, and exits with HELD, BROKEN or NOT_RUN."""
+    record = Record(path)
     status = NOT_RUN
     try:
         with tempfile.TemporaryDirectory() as temporary:
