Fix: a client that had half a line of its push server could not be sent MOVE

Now a client is sent whole lines only; at most the 4 KiB of one incomplete line are kept. A move waits up to 0.3 s for the rest and drops the beginning then. The same for what comes in one chunk with UP; an overlong line moves its client in place of cutting it off. A complete line is passed on in the turn in which its end arrives, as before.

Tests: on the code before, 8 cases fail by what the client gets (moved_while_its_server_stays_within_a_line 6, overlong_line, whose_server_stopped_within_a_line_is_moved_at_the_end), 2 that wait for the new property and the 24 of LineTracker.complete for lack of it. test_a_client_with_part_of_a_line_gets_a_reset_and_is_counted asked for the fault itself; it is replaced by MOVE for a server that stopped, and by the reset for a client that took part of a line. The test of last_line_end, which is gone, is replaced by the same cases of what a chunk completes.

--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -388,7 +388,11 @@
 
 
 def _send_move(connection: StandingConnection, relay: Relay, late: bool) -> bool:
-    is_sent = connection.move_now()
+    """Sends MOVE at once; returns False if that has to wait for the server's line or the client's buffer.
+
+    Where it is late, no line is waited for.
+    """
+    is_sent = (late or not connection.has_begun_line) and connection.move_now()
     if is_sent:
         del relay.standing[connection]
     if is_sent and late:
@@ -412,13 +416,13 @@
 
     A connection counts as standing until its client has been told to move, or has disconnected.
     """
-    awaiting_line_end: set[StandingConnection] = set()  # Connections in the middle of a line.
+    awaiting_move: set[StandingConnection] = set()  # Connections whose MOVE has to wait.
     queue: deque[StandingConnection] = deque()
     assert relay.moves_sent is not None
     while relay.has_pending_clients:
         while queue and queue[0] not in relay.standing:
             queue.popleft()
-        remaining = len(relay.standing) - len(awaiting_line_end & relay.standing.keys())
+        remaining = len(relay.standing) - len(awaiting_move & relay.standing.keys())
         if not remaining:
             relay.moves_sent.set()
         short_before = schedule.is_short_of_time
@@ -430,14 +434,14 @@
             queue = deque(
                 connection
                 for connection in move_order(relay.standing, schedule.is_short_of_time)
-                if connection not in awaiting_line_end
+                if connection not in awaiting_move
             )
         for _ in range(min(step.moves, len(queue))):
             connection = queue.popleft()
             if connection not in relay.standing:
                 continue
             if not _send_move(connection, relay, step.sweep):
-                awaiting_line_end.add(connection)
+                awaiting_move.add(connection)
                 nursery.start_soon(_move, connection, relay, schedule.exit_at)
         await trio.sleep_until(step.next_at)
 
--- a/glenfold/events.py
+++ b/glenfold/events.py
@@ -115,7 +115,7 @@
 
 @event("leave.cut", "warning", "{connections} standing connections are cut off without MOVE")
 def leave_cut(*, connections: int) -> None:
-    """Logged when the shutdown deadline passes while the line to a client is incomplete.
+    """Logged when the shutdown deadline passes while clients have taken only part of what they were sent.
 
     MOVE can't be sent in the middle of a line, so these connections are closed without it.
     """
--- a/glenfold/lines.py
+++ b/glenfold/lines.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 MAX_LINE_BYTES = 4096
 # Longest wait of a first line, unless a class has a longer deadline. A connection that was established before
@@ -168,28 +169,44 @@
     return load if 0 <= load <= MAX_LOAD_US_PER_S else None
 
 
+def whole_lines(data: bytes) -> bytes:
+    """Returns `data` up to its last line end, which is included; nothing if it has none."""
+    at = data.rfind(LINE_END)
+    return data[: at + len(LINE_END)] if at >= 0 else b""
+
+
+class CompletedLines(NamedTuple):
+    """The lines that a chunk of a stream completes: their bytes in the stream, and each without its CRLF."""
+
+    data: bytes
+    lines: list[bytes]
+
+
 class LineTracker:
-    """Finds the complete lines in a stream that is passed on as it arrives."""
+    """Splits a stream into lines; `partial` is the beginning of the line that is not complete yet."""
 
     def __init__(self) -> None:
-        self._partial = b""
+        self.partial = b""
         self.too_long = False
 
     @property
     def between_lines(self) -> bool:
         """Whether the last line is complete."""
-        return not self._partial
-
-    def last_line_end(self, data: bytes) -> int:
-        """Returns where the last line that `data` completes ends within it; 0 if it completes none."""
-        if (at := data.rfind(LINE_END)) >= 0:
-            return at + len(LINE_END)
-        return 1 if data[:1] == LINE_END[1:] and self._partial[-1:] == LINE_END[:1] else 0
+        return not self.partial
 
     def feed(self, data: bytes) -> list[bytes]:
         """Returns the lines that `data` completes, without CRLF. Sets `too_long` after an overlong line."""
-        *lines, self._partial = (self._partial + data).split(LINE_END)
-        self.too_long = len(self._partial) >= MAX_LINE_BYTES or any(
+        *lines, self.partial = (self.partial + data).split(LINE_END)
+        self.too_long = len(self.partial) >= MAX_LINE_BYTES or any(
             len(line) > MAX_LINE_BYTES - len(LINE_END) for line in lines
         )
         return lines
+
+    def complete(self, data: bytes) -> CompletedLines:
+        """Returns the lines that `data` completes, with their bytes. Sets `too_long` as `feed` does."""
+        before = self.partial
+        lines = self.feed(data)
+        if not lines:
+            return CompletedLines(b"", lines)
+        stream = before + data if before else data
+        return CompletedLines(stream[: len(stream) - len(self.partial)], lines)
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -435,7 +435,7 @@
                         self._call.close()
                 case request.AnswerUp(receipt):
                     counters.answered_up += 1
-                    await self._answer(receipt)
+                    await self._answer(lines.whole_lines(receipt))  # the rest follows once it is complete
                 case request.AnswerRefused(wait_us):
                     counters.answered_busy += 1
                     await self._answer(lines.busy_line(wait_us))
--- a/glenfold/net/passing.py
+++ b/glenfold/net/passing.py
@@ -1,4 +1,8 @@
-"""A standing connection: passes lines both ways unchanged and closes both sides when either one closes."""
+"""A standing connection: passes lines both ways unchanged and closes both sides when either one closes.
+
+A line of the server is passed on once it is complete, so that MOVE has a place whenever a move is due: a
+server that stops in the middle of a line may never send the rest.
+"""
 
 import errno
 from collections.abc import Awaitable, Callable
@@ -13,7 +17,7 @@
 
 CHUNK_BYTES = 16 * 1024
 SERVER_SILENCE_TIMEOUT_S = 1.2  # A server that leaves a client's line unanswered so long counts as failed.
-LINE_COMPLETION_TIMEOUT_S = 0.3  # Time that a move waits for a server to complete its line.
+LINE_COMPLETION_TIMEOUT_S = 0.3  # Time that a move waits for the server to complete a line that it began.
 
 LoadCallback = Callable[[float], Awaitable[None]]
 
@@ -39,7 +43,6 @@
         self._unanswered_since: float | None = None  # start of the wait for the server's answer
         self._writing = trio.Lock()  # held while data is sent to the client
         self._unsent_move = MOVE  # the part of MOVE that has not been sent to the client
-        self._move_requested = False  # the client is sent MOVE at the next end of a line
         self._half_closed_at: float | None = None  # when the client was sent FIN
         self._aborted = False  # the client is gone, or its connection is to be reset
         self._closing: OrderlyClose | None = None  # the end of the client's side, once it has begun
@@ -49,7 +52,12 @@
         self._server_end: Outcome | None = None  # how the server ended the connection, once it has
         self._client_closed = trio.Event()
         self._scope = trio.CancelScope()
-        self._between_lines = trio.Event()
+        self._line_sent = trio.Event()  # set when the client was sent a line
+
+    @property
+    def has_begun_line(self) -> bool:
+        """Whether the server has sent the beginning of a line and not its end."""
+        return not self._lines.between_lines
 
     @property
     def is_ending(self) -> bool:
@@ -60,10 +68,11 @@
         """Passes lines until the connection ends, then closes the server's socket.
 
         The caller ends the client's side with `wait_for_client` and `close_client`. `early` is what the
-        client sent before its connection was up, `receipt` what the client was sent.
+        client sent before its connection was up. `receipt` is what the server sent until then, of which the
+        client was sent all whole lines.
         """
         with self._scope:
-            await self._track_lines(receipt)
+            await self._note_lines(self._lines.feed(receipt))
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._forward_to_server, early)
                 nursery.start_soon(self._forward_to_client)
@@ -106,15 +115,16 @@
     def move_now(self) -> bool:
         """Sends MOVE without waiting and ends both sides; returns whether that was done.
 
-        Returns False if the client has received only part of a line, or if its socket buffer is full. A
-        client that has just disconnected counts as moved, and so does one that was sent the server's end.
+        The beginning of a line that the server has not completed is dropped. Returns False if the client's
+        socket buffer is full. A client that has just disconnected counts as moved, and so does one that was
+        sent the server's end.
         """
         if self.is_ending:
             return True
         if self._server_end is not None:
             self._end(self._server_end)
             return True
-        if self._writing.locked() or not self._lines.between_lines:
+        if self._writing.locked():
             return False
         try:
             sent = send_now(self.client, self._unsent_move)
@@ -129,10 +139,10 @@
     def cut(self) -> None:
         """Ends both sides at once.
 
-        A client that has received only part of a line gets a reset, so that the part can't be taken for a
-        complete line.
+        A client that has received only part of a line, as its socket buffer is full, gets a reset, so that
+        the part can't be taken for a complete line.
         """
-        if not self._lines.between_lines or self._writing.locked() or 0 < len(self._unsent_move) < len(MOVE):
+        if self._writing.locked() or 0 < len(self._unsent_move) < len(MOVE):
             self._reset_client()
         self.cut_off = True
         self._end(Outcome.CANCELLED)
@@ -145,48 +155,41 @@
     async def move(self, until: float | None = None) -> None:
         """Sends MOVE to the client between two lines, then ends both sides.
 
-        From now on the client is sent nothing beyond the last line end of a chunk. Both sides are ended
-        without MOVE at `until`; by default where the server does not complete its line within
-        `LINE_COMPLETION_TIMEOUT_S`, or the client takes nothing for `CLIENT_STALL_TIMEOUT_S`.
+        A line that the server has begun is waited for, for `LINE_COMPLETION_TIMEOUT_S` at most; its beginning
+        is dropped then. Both sides are ended without MOVE at `until`; by default where the client takes
+        nothing for `CLIENT_STALL_TIMEOUT_S`.
         """
-        self._move_requested = True
         with trio.move_on_at(trio.current_time() + CLIENT_STALL_TIMEOUT_S if until is None else until):
-            # A chunk that is being sent to a slow client is waited for in `_send_move`.
-            while not await self._send_move() and await self._wait_for_line_end(until):
-                pass
+            if self.has_begun_line:
+                await self._wait_for_line()
+            await self._send_move()
         if not self.is_ending and not self.move_now():
             self.cut()
 
-    async def _wait_for_line_end(self, until: float | None) -> bool:
-        """Waits for the end of a line; returns whether it came or is being sent to the client."""
-        self._between_lines = trio.Event()
-        with trio.move_on_at(trio.current_time() + LINE_COMPLETION_TIMEOUT_S if until is None else until):
-            await self._between_lines.wait()
-            return True
-        return self._writing.locked()
+    async def _wait_for_line(self) -> None:
+        """Waits until the client was sent a line, for `LINE_COMPLETION_TIMEOUT_S` at most."""
+        self._line_sent = trio.Event()
+        with trio.move_on_at(trio.current_time() + LINE_COMPLETION_TIMEOUT_S):
+            await self._line_sent.wait()
 
-    async def _send_move(self) -> bool:
-        """Sends the rest of MOVE and ends both sides; returns False if the client received part of a line.
+    async def _send_move(self) -> None:
+        """Sends the rest of MOVE, after the data that is being sent to the client, and ends both sides.
 
         A client that has just disconnected, or was sent the server's end, can't be sent MOVE: its connection
         ends without.
         """
         async with self._writing:
             if self.is_ending or self._server_end is not None:
-                return True
-            if not self._lines.between_lines:
-                return False
+                return
             try:
                 while self._unsent_move:
                     sent = await self.client.send(self._unsent_move)
                     self._unsent_move = self._unsent_move[sent:]
             except trio.ClosedResourceError:  # the connection ended while the client's buffer was full
-                return True
+                return
             except OSError:
-                self._end_without_client()
-                return True
+                return self._end_without_client()
             self._end_moved()
-        return True
 
     def _end_without_client(self) -> None:
         """Ends both sides after the client's side failed, and passes the reset on to the server."""
@@ -250,13 +253,18 @@
                 return self._end(Outcome.RESET)
             self._unanswered_since = None
             try:
-                if not await self._send_to_client(data):
+                if not await self._pass_lines(data):
                     return
             except OSError:
                 return self._end_without_client()
             # The server was not read while the client took this data, so lines that the client sent meanwhile
             # could not be answered: the wait for their answer starts anew.
             self._unanswered_since = self._unanswered_since and trio.current_time()
+        try:
+            if not await self._send_to_client(self._lines.partial):
+                return
+        except OSError:
+            return self._end_without_client()
         ends = {b"BYE": Outcome.OK, b"MOVE": Outcome.CANCELLED}
         default_outcome = Outcome.CANCELLED if self._client_finished else Outcome.RESET
         self._server_end = ends.get(self._last_word or b"", default_outcome)
@@ -268,47 +276,49 @@
                 await self._client_closed.wait()
         self._end(self._server_end)
 
-    async def _send_to_client(self, data: bytes) -> bool:
-        """Sends `data` to the client; returns False if no more may follow, as MOVE is next or being sent.
+    async def _pass_lines(self, data: bytes) -> bool:
+        """Sends the lines that `data` completes to the client; returns False if no more may follow."""
+        completed = self._lines.complete(data)
+        if completed.lines:
+            if not await self._send_to_client(completed.data):
+                return False
+            self._line_sent.set()
+            await self._note_lines(completed.lines)
+        if self._lines.too_long:
+            return self._end_after_overlong_line()
+        return True
 
-        Usually the kernel takes all of it without a checkpoint, so that no MOVE can come in between. Once a
-        move is requested, what follows the last line end in `data` is dropped with the connection.
-        """
-        end = self._lines.last_line_end(data) if self._move_requested else 0
-        if end:
-            return await self._send_whole_lines(data[:end])
-        return await self._send_chunk(data)
-
-    async def _send_whole_lines(self, data: bytes) -> bool:
-        """Sends the last lines before MOVE; returns False, as no data may follow them."""
-        await self._send_chunk(data)
+    def _end_after_overlong_line(self) -> bool:
+        """Moves the client off a server that breaks the protocol; returns False, as no data may follow."""
+        if not self.move_now():
+            self.cut()
+        self._end(Outcome.ERROR)
         return False
 
-    async def _send_chunk(self, data: bytes) -> bool:
+    async def _send_to_client(self, data: bytes) -> bool:
+        """Sends `data` to the client; returns False if no more may follow, as MOVE is being sent.
+
+        Usually the kernel takes all of it without a checkpoint, so that no MOVE can come in between.
+        """
         is_free = not self._writing.locked() and len(self._unsent_move) == len(MOVE)
         sent = send_now(self.client, data) if is_free else 0
         if sent == len(data):
-            await self._track_lines(data)
             return True
         async with self._writing:
             if len(self._unsent_move) < len(MOVE):
                 return False
             await send(self.client, data[sent:])
-            await self._track_lines(data)
         return True
 
-    async def _track_lines(self, data: bytes) -> None:
-        for line in self._lines.feed(data):
+    async def _note_lines(self, lines: list[bytes]) -> None:
+        """Notes what the server's lines say of the connection."""
+        for line in lines:
             word, _, rest = line.partition(b" ")
             if word in (b"BYE", b"MOVE"):
                 self._last_word = word
             # A line whose rest is no load is passed on like any other.
             elif word == b"LOAD" and (load := parse_load(rest)) is not None:
                 await self._on_load(load)
-        if self._lines.too_long:
-            return self._end(Outcome.ERROR)
-        if self._lines.between_lines:
-            self._between_lines.set()
 
     async def _watch_silence(self) -> None:
         """Ends the connection when the server leaves a client's line unanswered for too long.
