Fix: a relay stood still while it changed the map of a large fleet

Cause: shares in cores make about a million claims on 32,768 buckets. Each addition and removal built and sorted tuples of some 30 claims anew, all in one turn of the event loop: 4.7 s for the loss of the zone in the decisions alone, 4.4 s for its return.

Now claims are plain numbers in a sorted array for each bucket, and a relay changes its map in steps of about 1,000 claims on a copy that shares what does not change. Between two steps lines flow, and requests are placed by the map before. The warm-up shares the map. The simulator and the model handle an event whole, as before. Anchor, hash functions and the steps are modules of their own, listed under policy; server ids are checked to have 32 bits, as the wire has, so the test with 64-bit ids takes 32 of them. A test of readiness told no list to the decisions; it does, as discovery does.

--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -231,7 +231,7 @@
         relay = self.relay
         gc.freeze()  # Objects of the start live until the end, so no collection needs to scan them.
         gc.enable()
-        while not relay.destinations.has_list:
+        while not relay.decisions.has_map:
             await trio.sleep_until(trio.current_time() + CHECK_INTERVAL_S)
         self._warm_up()
         readiness = Readiness(trio.current_time(), time.process_time(), relay.config.cores)
@@ -245,7 +245,8 @@
         """Warms the code up; a relay that can't do so is slower at first, and serves all the same."""
         relay = self.relay
         try:
-            warm_up(relay.config, relay.destinations.servers(), relay.clock.now_us())
+            balancer = relay.decisions.dispatch.balancer
+            warm_up(relay.config, relay.destinations.servers(), relay.clock.now_us(), balancer)
         except Exception as error:
             record_fault("warm-up", error, relay.counters)
 
--- a/glenfold/daemon/warming.py
+++ b/glenfold/daemon/warming.py
@@ -3,7 +3,7 @@
 from glenfold import lines, request
 from glenfold.config import Config
 from glenfold.dispatch import Dispatch
-from linnetspread import interface
+from linnetspread import Balancer, interface
 
 WARM_UP_REQUESTS = 32  # The interpreter has specialised its code after about eight requests.
 SET_UP_US = 5_000
@@ -11,12 +11,16 @@
 GOLDEN_RATIO_64 = 0x9E3779B97F4A7C15
 
 
-def warm_up(config: Config, servers: tuple[interface.ListedServer, ...], now_us: int) -> None:
+def warm_up(
+    config: Config, servers: tuple[interface.ListedServer, ...], now_us: int, balancer: Balancer
+) -> None:
     """Runs requests from their first lines to their ends on a separate Dispatch.
 
-    `servers` is the current list, so that the map is built at its real size.
+    `servers` is the current list and `balancer` the one that has its map: to build the map of a large fleet
+    once more would hold the relay up, and take as much memory again.
     """
     dispatch = Dispatch(config.settings, config.seed, lambda text: None)
+    dispatch.balancer.share_map(balancer)
     dispatch.handle(now_us, interface.ServerList(interface.ListKind.CACHED, 1, servers))
     for number in range(1, WARM_UP_REQUESTS + 1):
         at_us = now_us + number * REQUEST_INTERVAL_US
--- a/glenfold/decisions.py
+++ b/glenfold/decisions.py
@@ -22,6 +22,9 @@
 JOIN_FACTOR = 2.0
 MAX_JOIN_S = 0.2
 
+# Messages that are handled between two steps of the work on the map.
+MESSAGES_PER_MAP_STEP = 64
+
 
 @dataclass(frozen=True, slots=True)
 class Taken:
@@ -52,6 +55,7 @@
             seed,
             lambda text: events.decision_note(note=text),
             lambda event, actions: events.decision_traced(on=event, did=actions),
+            defers_map=True,
         )
         self._routes: dict[int, trio.MemorySendChannel[RequestAction]] = {}
         self._send, self._receive = trio.open_memory_channel[Message](QUEUE_SIZE)
@@ -67,6 +71,12 @@
         self._last_request += 1
         return self._last_request
 
+    @property
+    def has_map(self) -> bool:
+        """Whether the decisions have a server list, even an empty one, and its map is complete."""
+        balancer = self.dispatch.balancer
+        return balancer.version > 0 and not balancer.has_map_work
+
     async def submit(self, message: Message) -> None:
         """Queues a message for the decisions; waits while the queue is full."""
         await self._send.send(message)
@@ -74,11 +84,29 @@
     async def run(self) -> None:
         """Handles messages and timers until it is cancelled."""
         while True:
-            due = self.dispatch.next_timer_us
-            with trio.move_on_at(float("inf") if due is None else self.clock.to_trio(due)):
-                self._accept(await self._next_message())
+            if self.dispatch.balancer.has_map_work:
+                await self._work_on_map()
+            else:
+                due = self.dispatch.next_timer_us
+                with trio.move_on_at(float("inf") if due is None else self.clock.to_trio(due)):
+                    self._accept(await self._next_message())
             self._fire()
 
+    async def _work_on_map(self) -> None:
+        """Takes one step of the work on the map, then handles messages that wait.
+
+        The lines of connections and the answers to requests must not wait for the map of a large fleet. Only
+        where no server of the present map is ready do requests wait for the next one.
+        """
+        self.dispatch.work_on_map()
+        if self.dispatch.balancer.can_place:
+            for _ in range(min(MESSAGES_PER_MAP_STEP, self._waiting_messages())):
+                self._accept(await self._next_message())
+        await trio.lowlevel.checkpoint()
+
+    def _waiting_messages(self) -> int:
+        return (self._pending is not None) + self._receive.statistics().current_buffer_used
+
     async def _next_message(self) -> Message:
         """Returns the next message. Consecutive changes of the server list are joined into one."""
         message, self._pending = self._pending, None
--- a/glenfold/dispatch.py
+++ b/glenfold/dispatch.py
@@ -22,7 +22,8 @@
     """Feeds events and due timers to the decisions.
 
     `log` is called with each text that the decisions log, and `trace` with each event and the actions that it
-    led to. All times are microseconds of one clock.
+    led to. With `defers_map`, a change of the server list leaves work on the map for `work_on_map`. All times
+    are microseconds of one clock.
     """
 
     def __init__(
@@ -31,8 +32,10 @@
         seed: int,
         log: Callable[[str], object],
         trace: Trace = _ignore_trace,
+        defers_map: bool = False,
     ) -> None:
         self.balancer = Balancer(settings, seed)
+        self.balancer.defers_map = defers_map
         self._log = log
         self._trace = trace
         self._timers: list[tuple[int, int]] = []  # heap of due time and token
@@ -42,6 +45,13 @@
         """The time of the next timer; None if none is set."""
         return self._timers[0][0] if self._timers else None
 
+    def work_on_map(self) -> None:
+        """Takes one step of the work on the map; after a bug there, the map stays as it is."""
+        try:
+            self.balancer.work_on_map()
+        except Exception as error:
+            events.decision_failed(on="the map of the servers", error=error)
+
     def fire(self, now_us: int) -> list[RequestAction]:
         """Runs all timers that are due and returns the actions on requests."""
         on_requests: list[RequestAction] = []
--- a/glenfold_lab/model/anchors.py
+++ b/glenfold_lab/model/anchors.py
@@ -8,6 +8,7 @@
 
 import copy
 import hashlib
+from array import array
 from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from weakref import WeakValueDictionary
@@ -122,7 +123,7 @@
         return int(vars(self.plain)["N"])
 
     @property
-    def buckets_of(self) -> "dict[int, list[int]] | _Owners":  # type: ignore[override]
+    def buckets_of(self) -> "dict[int, array[int]] | _Owners":  # type: ignore[override]
         made = self._shared.plain.buckets_of
         return _Owners(made, self._changes) if self._changes else made
 
@@ -130,7 +131,7 @@
 class _Owners:
     """The servers that own buckets once the recorded changes have been applied."""
 
-    def __init__(self, made: dict[int, list[int]], changes: dict[int, int]) -> None:
+    def __init__(self, made: "dict[int, array[int]]", changes: dict[int, int]) -> None:
         self._made, self._changes = made, changes
 
     def __contains__(self, server: int) -> bool:
--- a/glenfold_lab/scale/list_costs.py
+++ b/glenfold_lab/scale/list_costs.py
@@ -230,7 +230,7 @@
         """By the share of the working buckets that a server owns, which is its share of all keys; who has no
         bucket has no key. Drawn keys, placed one by one, check both."""
         owned = dict.fromkeys((server_number(entry.host) for entry in self._fleet.entries), 0)
-        for _, owner in follower.balancer.anchor.owner.values():
+        for owner in follower.balancer.anchor.owners():
             owned[owner] += 1
         buckets = sum(owned.values())
         self._add("map.busiest_over_mean", "ratio", max(owned.values()) * len(owned) / buckets)
--- a/glenfold_lab/scale/placement_cost.py
+++ b/glenfold_lab/scale/placement_cost.py
@@ -6,6 +6,7 @@
 from glenfold_lab.scale.measurements import Point
 from linnetspread import choice
 from linnetspread import interface as i
+from linnetspread.choice import mix
 
 SERVERS = 1_024
 GATEWAYS = 3_400
@@ -27,8 +28,8 @@
     servers = tuple(i.ListedServer(number, i.ServerState.READY) for number in range(1, SERVERS + 1))
     balancer.handle(NOW_US, i.ServerList(i.ListKind.FULL, 1, servers))
     for number in range(1, held + 1):
-        group = GROUP if number <= members else choice.mix(number)
-        request = i.Request(number, WAIT_US, key=choice.mix(number), group=group)
+        group = GROUP if number <= members else mix(number)
+        request = i.Request(number, WAIT_US, key=mix(number), group=group)
         balancer.handle(NOW_US, i.Existing(request, server=number % SERVERS + 1))
     return balancer
 
@@ -37,7 +38,7 @@
     """Processor time of placing one more member of the group, which leaves again; the mean of so many."""
     spent_ns = 0
     for number in range(FIRST_SAMPLE, FIRST_SAMPLE + samples):
-        request = i.Request(number, WAIT_US, key=choice.mix(number), group=GROUP)
+        request = i.Request(number, WAIT_US, key=mix(number), group=GROUP)
         began = time.thread_time_ns()
         actions = balancer.handle(NOW_US, request)
         spent_ns += time.thread_time_ns() - began
--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -18,15 +18,13 @@
 from typing import Any
 
 from linnetspread import interface
+from linnetspread.anchor import Anchor
+from linnetspread.hashing import MASK_64, SEEDS, jump_hash, mix
+from linnetspread.map_update import bucket_counts, update_steps
+
+# The lab imports these from here, as it also plays earlier revisions of this package.
+__all__ = ["SEEDS", "Anchor", "Balancer", "jump_hash", "mix"]
 
-MASK_64 = (1 << 64) - 1
-SEEDS = (0x9E3779B97F4A7C15, 0xC2B2AE3D27D4EB4F, 0x165667B19E3779F9)
-# The number of buckets doesn't depend on the fleet: where it had to grow, every key would move.
-ANCHOR_BUCKETS = 1 << 15
-# A server claims this many buckets for each unit of its listed weight, enough for shares to follow weights.
-BUCKETS_PER_WEIGHT_UNIT = 32
-# The largest listed weight is up to 2 ** 4 weight units, as the weights of a list have no unit of their own.
-WEIGHT_UNIT_DOUBLINGS = 4
 # The number of further seeds that a key is tried with after the first.
 FALLBACK_SEEDS = 3
 # The number of servers (homes) of a group in a sparse fleet while all listed power is available. Each home
@@ -56,29 +54,12 @@
 # Turns also use this multiple of the square root of the calls, as the rule allows for deviations by chance,
 # which grow with that root.
 COLD_BUDGET_CHANCE_PART = 0.75
+# Told by `next` at the end of the steps of a map.
+MAP_COMPLETE = object()
 # The timer token for a new subscription to the list; request ids, the other tokens, stay far below.
 RESUBSCRIBE_TOKEN = 1 << 60
 
 
-def mix(value: int) -> int:
-    """Returns the finaliser of splitmix64, which is the same at every gateway and in every process."""
-    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & MASK_64
-    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & MASK_64
-    return value ^ (value >> 31)
-
-
-def jump_hash(key: int, parts: int) -> int:
-    """Returns the part of a key by jump consistent hash.
-
-    When `parts` grows, each key keeps its part or goes to one of the new ones.
-    """
-    part, next_part = 0, 0
-    while next_part < parts:
-        part, key = next_part, mix(key)
-        next_part = int((part + 1) / ((key + 1) / (MASK_64 + 1)))
-    return part
-
-
 def slice_position(server: int, value: int) -> float:
     """Returns the position of a key or group in the slices of a server.
 
@@ -87,63 +68,6 @@
     return mix(mix(value ^ SEEDS[2]) ^ server) / (MASK_64 + 1)
 
 
-class Anchor:
-    """AnchorHash with an order of removals that doesn't depend on the history of a gateway.
-
-    All gateways take the removed buckets to have been removed in one order, by number, the highest first,
-    whatever each of them saw. The ready list alone therefore determines the set to which a removed bucket
-    passes its keys: the buckets below it, and the working ones above it. A key that skips every bucket
-    outside these sets ends at the first working bucket of its own sequence.
-
-    The id of a server determines the buckets that it claims, and its power their number. Of several servers
-    that claim the same bucket, one owns it.
-    """
-
-    def __init__(self, servers: list[tuple[int, int]]) -> None:
-        self.buckets_of: dict[int, list[int]] = {}
-        # For each working bucket, the claim of its owner: the owner's draw and its server id.
-        self.owner: dict[int, tuple[int, int]] = {}
-        # For a bucket that several servers claim, the claims with lower draws.
-        self.lower_claims: dict[int, tuple[tuple[int, int], ...]] = {}
-        for server, count in servers:
-            self.add(server, count)
-
-    def add(self, server: int, count: int) -> None:
-        """Adds a server that claims `count` buckets."""
-        value, claimed = mix(server ^ SEEDS[1]), dict[int, int]()
-        while len(claimed) < count:
-            value = mix(value + SEEDS[0] & MASK_64)
-            for draw in (value >> 32, value & 0xFFFFFFFF):
-                claimed.setdefault(draw % ANCHOR_BUCKETS, draw)
-        self.buckets_of[server] = list(claimed)
-        for bucket, draw in claimed.items():
-            claim = (draw, server)
-            if bucket in self.owner:
-                lower_claim, claim = sorted((claim, self.owner[bucket]))
-                self.lower_claims[bucket] = (*self.lower_claims.get(bucket, ()), lower_claim)
-            self.owner[bucket] = claim
-
-    def remove(self, server: int) -> None:
-        """Removes a server; each of its buckets goes to the next highest claim, if there is one."""
-        for bucket in self.buckets_of.pop(server):
-            claims = sorted((self.owner.pop(bucket), *self.lower_claims.pop(bucket, ())))
-            claims = [claim for claim in claims if claim[1] != server]
-            if claims:
-                self.owner[bucket] = claims.pop()
-            if claims:
-                self.lower_claims[bucket] = tuple(claims)
-
-    def lookup(self, key: int, seed: int) -> int | None:
-        """Returns the server of a key under a seed, or None while there are no servers."""
-        key = mix(key ^ seed)
-        while self.owner:
-            for draw in (key, key >> 16, key >> 32, key >> 48):
-                if claim := self.owner.get(draw % ANCHOR_BUCKETS):
-                    return claim[1]
-            key = mix(key + SEEDS[0] & MASK_64)
-        return None
-
-
 @dataclass(slots=True)
 class Slice:
     """The part of its keys that a server may hold, reduced while it is overloaded and regrown with time."""
@@ -211,14 +135,28 @@
 
 
 class Balancer:
-    """The decisions of one gateway; `handle` takes an event and returns the actions, in order."""
+    """The decisions of one gateway; `handle` takes an event and returns the actions, in order.
+
+    A list may change a million claims of the map. With `defers_map`, `handle` leaves that to `work_on_map`,
+    and connections are placed by the map of the list before until the new one is complete.
+    """
 
     def __init__(self, settings: interface.Settings, seed: int) -> None:
         self.settings = settings
+        self.defers_map = False
         # Randomness is for waiting times only, as the map must be the same at every gateway.
         self.rng = random.Random(seed)
         self.anchor, self.weight_unit = Anchor([]), 1.0
+        # The number of buckets of each server that is in the map.
+        self.map_buckets: dict[int, int] = {}
+        self._map_work: Iterator[None] | None = None
+        # Whether the list has changed since the work on the map began.
+        self._map_is_due = False
+        # Whether the map has a ready server. Where it has none, a new map has to be waited for.
+        self.can_place = False
         self.servers: dict[int, Server] = {}
+        # The powers of the ready servers, in id order: sums must be the same at every gateway, bit for bit.
+        self._ready_powers: dict[int, float] = {}
         # The powers of all servers that are ready or draining.
         self.listed_powers: list[float] = []
         # The power of all ready servers: the present one, and the largest seen so far.
@@ -266,7 +204,22 @@
             handler(self, event)
         return self.actions
 
-    # ---- the list of servers ----
+    # ---- the list of servers and the map ----
+
+    @property
+    def has_map_work(self) -> bool:
+        """Whether the map is not yet the one of the latest list."""
+        return self._map_work is not None
+
+    def work_on_map(self) -> None:
+        """Takes one step towards the map of the latest list, of some milliseconds at most."""
+        if self._map_work is not None and next(self._map_work, MAP_COMPLETE) is MAP_COMPLETE:
+            self._map_work = None
+
+    def share_map(self, other: "Balancer") -> None:
+        """Starts from the map of another balancer, which may go on changing its own."""
+        self.anchor, self.weight_unit = other.anchor.copy(), other.weight_unit
+        self.map_buckets = other.map_buckets
 
     def _on_list(self, event: interface.ServerList) -> None:
         if event.kind is interface.ListKind.FAILED:
@@ -282,9 +235,6 @@
         for entry in event.servers:
             power = self._power_of(entry)
             server = self.servers.setdefault(entry.server, Server(entry, power))
-            # A server whose power changed is removed here and added again with another number of buckets.
-            if power != server.power and entry.server in self.anchor.buckets_of:
-                self.anchor.remove(entry.server)
             server.power = power
             # The state of an old process doesn't apply to a new one.
             if entry.started_us != server.listed.started_us:
@@ -295,26 +245,38 @@
             listed_ids = {entry.server for entry in event.servers}
             for server in (self.servers[number] for number in self.servers.keys() - listed_ids):
                 server.listed = replace(server.listed, state=interface.ServerState.GONE)
-        self._update_anchor()
-        for server in list(self.servers.values()):
-            self._forget_if_unused(server)
-
-    def _update_anchor(self) -> None:
-        """Applies removals, then additions, each in id order; the map is the same after any history."""
         self.listed_powers = [server.power for server in self.servers.values() if server.listed.present]
-        exponent = math.frexp(max(self.listed_powers, default=1.0))[1]
-        if (unit := 2.0 ** (exponent - min(WEIGHT_UNIT_DOUBLINGS, max(1, exponent)))) != self.weight_unit:
-            self.anchor, self.weight_unit = Anchor([]), unit
-        ready = sorted(number for number, server in self.servers.items() if server.listed.ready)
-        for number in sorted(set(self.anchor.buckets_of) - set(ready)):
-            self.anchor.remove(number)
-        for number in ready:
-            if number not in self.anchor.buckets_of:
-                buckets = round(BUCKETS_PER_WEIGHT_UNIT * self.servers[number].power / self.weight_unit)
-                self.anchor.add(number, max(1, buckets))
-        self.ready_power = sum(self.servers[number].power for number in ready)
+        self._ready_powers = {
+            number: server.power for number, server in sorted(self.servers.items()) if server.listed.ready
+        }
+        self.ready_power = sum(self._ready_powers.values())
         self.max_ready_power = max(self.max_ready_power, self.ready_power)
         self._recompute_power()
+        self.can_place = not self._ready_powers.keys().isdisjoint(self.map_buckets)
+        self._map_is_due = True
+        self._map_work = self._map_work or self._map_steps()
+        while self.has_map_work and not self.defers_map:
+            self.work_on_map()
+
+    def _map_steps(self) -> Iterator[None]:
+        """Brings the map in line with the list, and again where the list changed meanwhile."""
+        while self._map_is_due:
+            self._map_is_due = False
+            unit, buckets = bucket_counts(self._ready_powers, max(self.listed_powers, default=1.0))
+            if buckets == self.map_buckets:
+                break
+            present = self.map_buckets if unit == self.weight_unit else {}
+            if unit != self.weight_unit:
+                anchor = Anchor([])
+            elif self.defers_map:
+                anchor = self.anchor.copy()
+            else:
+                anchor = self.anchor
+            yield from update_steps(anchor, present, buckets)
+            self.anchor, self.weight_unit, self.map_buckets = anchor, unit, buckets
+            self.can_place = True
+        for server in list(self.servers.values()):
+            self._forget_if_unused(server)
 
     def _recompute_power(self) -> None:
         """Recomputes the available power and the homes of a group, which grow as cold servers warm up."""
@@ -355,7 +317,8 @@
         return min(1.0, max(0.0, tokens))
 
     def _forget_if_unused(self, server: Server) -> None:
-        if not (server.listed.present or server.connections):
+        is_mapped = server.listed.server in self.map_buckets
+        if not (server.listed.present or server.connections or is_mapped):
             self.servers.pop(server.listed.server, None)
 
     # ---- requests ----
@@ -673,7 +636,7 @@
             * self.settings.fall_us
             * self._new_client_rate()
             * self.settings.gateways
-            / len(self.anchor.buckets_of)
+            / len(self.map_buckets)
         )
         return (
             share
--- a/tests/daemon/test_ready.py
+++ b/tests/daemon/test_ready.py
@@ -21,7 +21,7 @@
 from glenfold.dispatch import Dispatch, RequestAction
 from glenfold.net.outbound import compute_stall_s
 from glenfold.net.sockets import KernelTimes, kernel_times
-from linnetspread import interface
+from linnetspread import Balancer, interface
 
 
 def ready_at(
@@ -59,7 +59,7 @@
 
     async def main() -> None:
         async with instance_without_list(tmp_path) as process:
-            process.relay.destinations.read(whole(entry("s-1")))
+            await process.relay.decisions.submit(process.relay.destinations.read(whole(entry("s-1"))))
             await process.relay.ready.wait()
 
     # With this clock the process appears to start in the future.
@@ -112,7 +112,8 @@
 
     monkeypatch.setattr(Dispatch, "handle", spy)
     servers = tuple(interface.ListedServer(n, interface.ServerState.READY) for n in range(ready))
-    warm_up(relaying.config(tmp_path), servers, now_us=10)
+    conf = relaying.config(tmp_path)
+    warm_up(conf, servers, 10, Balancer(conf.settings, 1))
     ended = WARM_UP_REQUESTS if ready else 0
     assert seen == Counter(ServerList=1, Request=WARM_UP_REQUESTS, Established=ended, Answer=ended)
 
--- a/tests/rules/test_snapshot_form.py
+++ b/tests/rules/test_snapshot_form.py
@@ -20,7 +20,8 @@
     encode,
 )
 from linnetspread import Balancer, interface
-from linnetspread.choice import SEEDS, Anchor
+from linnetspread.anchor import Anchor
+from linnetspread.hashing import SEEDS
 
 OWNER = Owner("valleys", "relay-1")
 
--- a/tests/test_anchor.py
+++ b/tests/test_anchor.py
@@ -2,7 +2,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from linnetspread.choice import SEEDS, Anchor, mix
+from linnetspread.anchor import Anchor
+from linnetspread.hashing import SEEDS, mix
 
 KEYS = [mix(n) for n in range(1, 501)]
 deterministic = settings(derandomize=True, max_examples=40, deadline=None)
@@ -86,8 +87,8 @@
 
 
 def test_a_thousand_servers_share_the_anchor_and_each_is_found():
-    anchor = build({mix(server): 32 + server % 97 for server in range(1024)})
-    assert {server for _, server in anchor.owner.values()} == set(anchor.buckets_of)
+    anchor = build({mix(server) >> 32: 32 + server % 97 for server in range(1024)})
+    assert set(anchor.owners()) == set(anchor.buckets_of)
     assert len({anchor.lookup(mix(n), SEEDS[0]) for n in range(20_000)}) > 1000
 
 
--- a/tests/test_many_gateways.py
+++ b/tests/test_many_gateways.py
@@ -9,7 +9,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from linnetspread.choice import MAX_HOMES, SEEDS, Anchor, jump_hash, mix
+from linnetspread.anchor import Anchor
+from linnetspread.choice import MAX_HOMES
+from linnetspread.hashing import SEEDS, jump_hash, mix
 from linnetspread.interface import ListKind, NoticeKind, Outcome, Refuse, Request, ServerState, Tenant
 
 COUNTS = [1, 2, 20, 30, 40, 230]
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -26,7 +26,7 @@
 from glenfold.net.inbound import Relay
 from glenfold.shutdown import ShutdownSchedule
 from linnetspread import interface
-from linnetspread.choice import SEEDS
+from linnetspread.hashing import SEEDS
 
 ClientScript = Callable[[Relay, int], Awaitable[None]]
 
