Fix: a first line of many short fields took up to 76 KB while its connection stood

Cause: each field of a first line became two objects and a dictionary entry, kept while the connection stood: 45 to 76 KB, where the limit of connections reckons with 40 KB in all. And 16 KB were held for each direction whose receiver doesn't read.

Now only the parameters that the relay uses are kept, and a chunk has the 4 KiB of one line. The same cause in the replica: the parsed head of a watch's request was kept while the watch stood.

--- a/glenfold/lines.py
+++ b/glenfold/lines.py
@@ -10,6 +10,8 @@
 MAX_WAIT_MS = 60_000
 MAX_LOAD_US_PER_S = 1e9  # microseconds of work a second, as of a thousand standard cores
 LINE_END = b"\r\n"
+# The parameters of a first line that the relay uses; all others are only forwarded.
+USED_PARAMETERS = frozenset((b"c", b"t", b"d", b"g", b"h", b"r", b"again", b"mid", b"at"))
 
 PING = b"PING"
 PONG = b"PONG\r\n"
@@ -61,6 +63,8 @@
     """A client's first line.
 
     `line` is a view of the buffer that received it, and `wait_span` the position of the value of `d` in it.
+    `parameters` has those that the relay uses: a line has room for a thousand others, which as objects would
+    take many times the memory of the line for as long as the connection stands.
     """
 
     line: memoryview
@@ -118,19 +122,7 @@
         raise Malformed("a first line is not of the form OPEN ID KEY NAME=VALUE,...")
     if not bytes(view[:last]).isascii() or b" " in view[parameters_at:last].tobytes():
         raise Malformed("a first line has characters other than ASCII, or a blank in its parameters")
-    parameters: dict[bytes, bytes] = {}
-    wait_span = (0, 0)
-    at = parameters_at
-    while at < last:
-        stop = data.find(b",", at, last)
-        stop = last if stop < 0 else stop
-        name, equals, value = bytes(view[at:stop]).partition(b"=")
-        if not name or not equals or name in parameters:
-            raise Malformed("a parameter is not NAME=VALUE, or is given twice")
-        parameters[name] = value
-        if name == b"d":
-            wait_span = (at + 2, stop)
-        at = stop + 1
+    parameters, wait_span = _read_parameters(bytes(view[parameters_at:last]), parameters_at)
     if b"d" not in parameters or b"c" not in parameters:
         raise Malformed("a first line lacks its class (c) or its deadline (d)")
     key = _number(bytes(view[key_at : parameters_at - 1]), 16)
@@ -142,6 +134,28 @@
     return OpenLine(view, bytes(view[id_at : key_at - 1]), key, wait_ms, wait_span, parameters)
 
 
+def _read_parameters(text: bytes, at: int) -> tuple[dict[bytes, bytes], tuple[int, int]]:
+    """Returns the parameters that the relay uses, and the position of the value of `d`. Raises Malformed.
+
+    `at` is the position of `text` in the line.
+    """
+    parameters: dict[bytes, bytes] = {}
+    wait_span = (0, 0)
+    names = set[bytes]()
+    fields = text.removesuffix(b",").split(b",") if text else []
+    for field_text in fields:
+        name, equals, value = field_text.partition(b"=")
+        if not name or not equals or name in names:
+            raise Malformed("a parameter is not NAME=VALUE, or is given twice")
+        names.add(name)
+        if name in USED_PARAMETERS:
+            parameters[name] = value
+        if name == b"d":
+            wait_span = at + 2, at + len(field_text)
+        at += len(field_text) + 1
+    return parameters, wait_span
+
+
 def busy_line(wait_us: int) -> bytes:
     """Returns a BUSY line with the wait in milliseconds, which is left out if it is below 1 ms."""
     return b"BUSY %d\r\n" % (wait_us // 1000) if wait_us >= 1000 else b"BUSY\r\n"
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -547,7 +547,8 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._move_on_request, standing_connection)
-                await standing_connection.run(self._early, receipt)
+                early, self._early = self._early, b""  # not kept for as long as the connection stands
+                await standing_connection.run(early, receipt)
                 nursery.cancel_scope.cancel()
         finally:
             relay.standing.pop(standing_connection, None)  # already removed if its client was sent MOVE
--- a/glenfold/net/passing.py
+++ b/glenfold/net/passing.py
@@ -10,12 +10,12 @@
 import trio
 
 from glenfold import events
-from glenfold.lines import MOVE, LineTracker, parse_load
+from glenfold.lines import MAX_LINE_BYTES, MOVE, LineTracker, parse_load
 from glenfold.net.closing import CLIENT_STALL_TIMEOUT_S, HALF_CLOSE_TIMEOUT_S, OrderlyClose
 from glenfold.net.sockets import SocketType, reset_on_close, send, send_fin, send_now
 from linnetspread.interface import Outcome
 
-CHUNK_BYTES = 16 * 1024
+CHUNK_BYTES = MAX_LINE_BYTES  # Held for each direction of a connection whose receiving side doesn't read.
 SERVER_SILENCE_TIMEOUT_S = 1.2  # A server that leaves a client's line unanswered so long counts as failed.
 LINE_COMPLETION_TIMEOUT_S = 0.3  # Time that a move waits for the server to complete a line that it began.
 
--- a/glenfold/replica/server.py
+++ b/glenfold/replica/server.py
@@ -219,6 +219,7 @@
             if scope.cancelled_caught or request is None:
                 return
             parsed = read_request(request)
+            del request  # a head of very many short fields is not kept for as long as the child watches
             with self._child_slot():
                 if isinstance(parsed, WatchRequest):
                     await self._answer_watch(sock, parsed)
--- a/tests/replica/test_server.py
+++ b/tests/replica/test_server.py
@@ -1,5 +1,6 @@
 """Tests of a replica's server over real sockets, with children that behave and children that do not."""
 
+import gc
 import socket
 from contextlib import suppress
 
@@ -55,6 +56,24 @@
         assert await child.next_line() == {"seq": 6, "whole": False, "hosts": [server(3)]}
 
 
+# Guards against heads of very many short fields that are kept for as long as a child watches (incident 21).
+@trio_test
+async def test_a_watch_keeps_no_head_of_its_request():
+    fields = b"".join(b"%x:\r\n" % number for number in range(0x300, 0x300 + 1200))
+    async with running_replica() as replica:
+        replica.publish(whole(5, 1, 2))
+        child = await replica.connect()
+        await child.stream.send_all(
+            b"GET /v1/servers?watch=1&from=5 HTTP/1.1\r\nHost: a\r\n" + fields + b"\r\n"
+        )
+        assert (await child.stream.receive_some(12)) == b"HTTP/1.1 200"
+        await wait_until(lambda: replica.server.children == 1)
+        kept = [
+            each for each in gc.get_objects() if isinstance(each, h11.Request) and len(each.headers) > 1000
+        ]
+        assert not kept
+
+
 @trio_test
 async def test_responses_carry_incarnation_age_via_and_children():
     async with running_replica() as replica:
