Fix: new clients waited for seconds behind hundreds of busy connections

Callers saw: with 700 clients that read nothing and push servers that write small lines all the time, 19 of 30 ordinary clients had no answer within 2.5 s; with other crowds 5 and 7 of 30.

Cause: one client was accepted in a turn of the event loop, and a turn was long, as each line of a chunk became an object: 2,700 of six bytes in 16 KB, for each busy connection. The relay's counters showed that the clients without an answer were not accepted yet.

Now up to 16 clients are accepted in a turn, as long as none has to make room; what a chunk costs depends on its bytes and not on its lines; of several loads in a chunk the last is reported, so that a flood of them can't fill the queue of the decisions.

The mutant of the scale test slows the function that relays call now, and a fake listener has a descriptor number, as real ones have.

--- a/benchmarks/hostile_clients.py
+++ b/benchmarks/hostile_clients.py
@@ -4,9 +4,9 @@
 
 Each play starts `python -m glenfold` of that tree, on loopback, and prints one line of JSON: whether the
 relay lived, its peak memory and most descriptors, and for the ordinary clients the longest time to an answer
-and to the return of a line, and how many got none. The hostile clients run in a process of their own. `lag_s`
-is the longest time by which this script itself was late. A push server does what the parameter `zz` of a
-first line tells it, as a relay passes unknown parameters on.
+and to the return of a line, and how many got none. The hostile clients and the push servers run in processes
+of their own. `lag_s` is the longest time by which this script itself was late. A push server does what the
+parameter `zz` of a first line tells it, as a relay passes unknown parameters on.
 """
 
 import argparse
@@ -87,7 +87,6 @@
             if kind == "echo":
                 writer.write(data)
                 await writer.drain()
-        await asyncio.sleep(0)
     writer.close()
 
 
@@ -117,6 +116,12 @@
         for _ in range(self.clients):
             self.connect(make_first())
 
+    def wait_for_answers(self) -> None:
+        """Waits for the answer to each first line, as data before it is refused."""
+        for sock in self.socks:
+            with contextlib.suppress(OSError):
+                sock.recv(100)
+
     def keep_sending(self, data: bytes, interval_s: float) -> None:
         """Sends `data` on all connections, as far as they take it, and reads nothing."""
         for sock in self.socks:
@@ -133,6 +138,8 @@
             sock = self.connect(first)
             if sock is None:
                 continue
+            if first:
+                self.wait_for_answers()
             sock.settimeout(0.05)
             self.socks.clear()
             with contextlib.suppress(ConnectionError):
@@ -179,6 +186,7 @@
 
 def deaf_servers(crowd: Crowd) -> None:
     crowd.crowd(lambda: open_line("deaf"))
+    crowd.wait_for_answers()
     crowd.keep_sending(b"M 1\r\n" * 4000, 0.05)
 
 
@@ -188,6 +196,7 @@
 
 def half_lines(crowd: Crowd) -> None:
     crowd.crowd(lambda: open_line("half", SHORT_FIELDS))
+    crowd.wait_for_answers()
     crowd.keep_sending(b"#", 0.5)
 
 
@@ -341,12 +350,24 @@
     return int(re.findall(r"VmHWM:\s+(\d+)", status)[0]) // 1024
 
 
+async def play_servers(listeners: list[socket.socket]) -> None:
+    servers = [await asyncio.start_server(serve, sock=listener, backlog=1024) for listener in listeners]
+    await asyncio.gather(*(server.serve_forever() for server in servers))
+
+
+def run_servers(listeners: list[socket.socket]) -> None:
+    asyncio.run(play_servers(listeners))
+
+
 async def play(options: argparse.Namespace, name: str) -> dict[str, Any]:
-    listeners = [await asyncio.start_server(serve, "127.0.0.1", 0, backlog=1024) for _ in range(SERVERS)]
+    listeners = [socket.create_server(("127.0.0.1", 0), backlog=1024) for _ in range(SERVERS)]
+    context = multiprocessing.get_context("spawn")
+    servers = context.Process(target=run_servers, args=(listeners,), daemon=True)
+    servers.start()
     hosts = [
         {
             "host": f"s-{n}",
-            "dial": f"127.0.0.1:{listener.sockets[0].getsockname()[1]}",
+            "dial": f"127.0.0.1:{listener.getsockname()[1]}",
             "site": "cardiff",
             "class": "m",
             "block": 1,
@@ -362,9 +383,7 @@
         tasks.add(asyncio.create_task(ordinary.stand()))
         tasks.add(asyncio.create_task(ordinary.watch_lag()))
         await asyncio.sleep(0.5)
-        hostile = multiprocessing.get_context("spawn").Process(
-            target=play_hostile, args=(name, port, options.clients), daemon=True
-        )
+        hostile = context.Process(target=play_hostile, args=(name, port, options.clients), daemon=True)
         hostile.start()
         most_descriptors, until = 0, time.monotonic() + options.seconds
         while time.monotonic() < until and relay.poll() is None:
@@ -379,11 +398,11 @@
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
-        for task in asyncio.all_tasks() - {asyncio.current_task()}:
-            task.cancel()
         relay.kill()
         relay.wait()
         log = (Path(folder) / "log").read_text()
+    servers.kill()
+    servers.join()
     for listener in listeners:
         listener.close()
     return {
--- a/glenfold/lines.py
+++ b/glenfold/lines.py
@@ -16,6 +16,8 @@
 PING = b"PING"
 PONG = b"PONG\r\n"
 MOVE = b"MOVE\r\n"
+# The first words of a push server's lines that say something of its connection.
+BYE_WORD, MOVE_WORD, LOAD_WORD = b"BYE", b"MOVE", b"LOAD"
 FAILED = b"ERR\r\n"
 
 
@@ -156,6 +158,37 @@
     return parameters, wait_span
 
 
+class Reports(NamedTuple):
+    """What a push server's lines say of its connection.
+
+    `last_word` is BYE or MOVE, `load` the last load that was reported; each is None if no line tells it.
+    """
+
+    last_word: bytes | None
+    load: float | None
+
+
+NO_REPORTS = Reports(None, None)
+
+
+def read_reports(data: bytes) -> Reports:
+    """Returns what whole lines of a push server say of its connection.
+
+    Lines are looked at one by one only if one of the words is among them.
+    """
+    if not any(word in data for word in (BYE_WORD, MOVE_WORD, LOAD_WORD)):
+        return NO_REPORTS
+    last_word, last_load = None, None
+    for line in data.split(LINE_END):
+        word, _, rest = line.partition(b" ")
+        if word in (BYE_WORD, MOVE_WORD):
+            last_word = word
+        # A line whose rest is no load is passed on like any other.
+        elif word == LOAD_WORD and (load := parse_load(rest)) is not None:
+            last_load = load
+    return Reports(last_word, last_load)
+
+
 def busy_line(wait_us: int) -> bytes:
     """Returns a BUSY line with the wait in milliseconds, which is left out if it is below 1 ms."""
     return b"BUSY %d\r\n" % (wait_us // 1000) if wait_us >= 1000 else b"BUSY\r\n"
@@ -189,11 +222,18 @@
     return data[: at + len(LINE_END)] if at >= 0 else b""
 
 
-class CompletedLines(NamedTuple):
-    """The lines that a chunk of a stream completes: their bytes in the stream, and each without its CRLF."""
+def has_overlong_line(data: bytes) -> bool:
+    """Whether one of these whole lines has more than MAX_LINE_BYTES.
 
-    data: bytes
-    lines: list[bytes]
+    Takes one step for each 4 KiB and not for each line, as lines may have two bytes.
+    """
+    start = 0
+    while len(data) - start > MAX_LINE_BYTES:
+        at = data.rfind(LINE_END, start, start + MAX_LINE_BYTES)
+        if at < 0:
+            return True
+        start = at + len(LINE_END)
+    return False
 
 
 class LineTracker:
@@ -216,11 +256,13 @@
         )
         return lines
 
-    def complete(self, data: bytes) -> CompletedLines:
-        """Returns the lines that `data` completes, with their bytes. Sets `too_long` as `feed` does."""
-        before = self.partial
-        lines = self.feed(data)
-        if not lines:
-            return CompletedLines(b"", lines)
-        stream = before + data if before else data
-        return CompletedLines(stream[: len(stream) - len(self.partial)], lines)
+    def complete(self, data: bytes) -> bytes:
+        """Returns the bytes of the lines that `data` completes. Sets `too_long` as `feed` does.
+
+        The cost is that of the bytes, however many lines they make.
+        """
+        stream = self.partial + data if self.partial else data
+        completed = whole_lines(stream)
+        self.partial = stream[len(completed) :]
+        self.too_long = len(self.partial) >= MAX_LINE_BYTES or has_overlong_line(completed)
+        return completed
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -5,7 +5,7 @@
 import os
 from collections import Counter
 from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
@@ -20,13 +20,24 @@
 from glenfold.net.closing import CLIENT_STALL_TIMEOUT_S
 from glenfold.net.outbound import CallFailure, CallLimits, OutboundCall
 from glenfold.net.passing import StandingConnection
-from glenfold.net.sockets import SocketType, hung_up, receive_now, send, send_fin, unread_bytes, without_delay
+from glenfold.net.sockets import (
+    SocketType,
+    accept_now,
+    hung_up,
+    receive_now,
+    send,
+    send_fin,
+    unread_bytes,
+    without_delay,
+)
 from linnetspread import interface
 
 if TYPE_CHECKING:
     from glenfold.rules.group_parts import GroupParts  # imported at run time only where the feature is on
 
 LISTEN_BACKLOG = 1024
+# Clients accepted in one turn of the event loop, which may be long where many connections are busy.
+MAX_ACCEPTS_PER_TURN = 16
 INBOX_CAPACITY = 16  # Inputs of one request that wait to be processed.
 # From the accept to a complete first line, PING included. Clients are promised 3 s.
 FIRST_LINE_TIMEOUT_S = 2.0
@@ -142,13 +153,28 @@
                 elif error.errno == errno.EBADF:
                     raise
                 continue
-            self.last_arrival = trio.current_time()
-            self._counters.accepted += 1
-            self._make_room()
-            line_by = min(self.last_arrival + FIRST_LINE_TIMEOUT_S, self._relay.answers_end)
-            scope = self._waiting[sock] = trio.CancelScope(deadline=line_by)
-            self._relay.awaiting_first_line += 1
-            nursery.start_soon(self._connection, sock, scope)
+            self._take_in(sock, nursery)
+            self._accept_queued(listener, nursery)
+
+    def _accept_queued(self, listener: SocketType, nursery: trio.Nursery) -> None:
+        """Accepts further clients in the same turn, as long as no other has to make room for them."""
+        with suppress(OSError):  # the next turn meets it again
+            for _ in range(MAX_ACCEPTS_PER_TURN - 1):
+                if self._relay.awaiting_first_line >= self._limits.max_awaiting_first_line:
+                    return
+                if (sock := accept_now(listener)) is None:
+                    return
+                self._take_in(sock, nursery)
+
+    def _take_in(self, sock: SocketType, nursery: trio.Nursery) -> None:
+        """Starts the task of a client that was accepted."""
+        self.last_arrival = trio.current_time()
+        self._counters.accepted += 1
+        self._make_room()
+        line_by = min(self.last_arrival + FIRST_LINE_TIMEOUT_S, self._relay.answers_end)
+        scope = self._waiting[sock] = trio.CancelScope(deadline=line_by)
+        self._relay.awaiting_first_line += 1
+        nursery.start_soon(self._connection, sock, scope)
 
     def _make_room(self) -> None:
         """Cancels the oldest client without a first line when too many wait.
--- a/glenfold/net/passing.py
+++ b/glenfold/net/passing.py
@@ -10,7 +10,7 @@
 import trio
 
 from glenfold import events
-from glenfold.lines import MAX_LINE_BYTES, MOVE, LineTracker, parse_load
+from glenfold.lines import BYE_WORD, MAX_LINE_BYTES, MOVE, MOVE_WORD, LineTracker, read_reports
 from glenfold.net.closing import CLIENT_STALL_TIMEOUT_S, HALF_CLOSE_TIMEOUT_S, OrderlyClose
 from glenfold.net.sockets import SocketType, reset_on_close, send, send_fin, send_now
 from linnetspread.interface import Outcome
@@ -72,7 +72,7 @@
         client was sent all whole lines.
         """
         with self._scope:
-            await self._note_lines(self._lines.feed(receipt))
+            await self._note_reports(self._lines.complete(receipt))
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._forward_to_server, early)
                 nursery.start_soon(self._forward_to_client)
@@ -265,7 +265,7 @@
                 return
         except OSError:
             return self._end_without_client()
-        ends = {b"BYE": Outcome.OK, b"MOVE": Outcome.CANCELLED}
+        ends = {BYE_WORD: Outcome.OK, MOVE_WORD: Outcome.CANCELLED}
         default_outcome = Outcome.CANCELLED if self._client_finished else Outcome.RESET
         self._server_end = ends.get(self._last_word or b"", default_outcome)
         send_fin(self.client)
@@ -278,12 +278,11 @@
 
     async def _pass_lines(self, data: bytes) -> bool:
         """Sends the lines that `data` completes to the client; returns False if no more may follow."""
-        completed = self._lines.complete(data)
-        if completed.lines:
-            if not await self._send_to_client(completed.data):
+        if completed := self._lines.complete(data):
+            if not await self._send_to_client(completed):
                 return False
             self._line_sent.set()
-            await self._note_lines(completed.lines)
+            await self._note_reports(completed)
         if self._lines.too_long:
             return self._end_after_overlong_line()
         return True
@@ -310,15 +309,12 @@
             await send(self.client, data[sent:])
         return True
 
-    async def _note_lines(self, lines: list[bytes]) -> None:
-        """Notes what the server's lines say of the connection."""
-        for line in lines:
-            word, _, rest = line.partition(b" ")
-            if word in (b"BYE", b"MOVE"):
-                self._last_word = word
-            # A line whose rest is no load is passed on like any other.
-            elif word == b"LOAD" and (load := parse_load(rest)) is not None:
-                await self._on_load(load)
+    async def _note_reports(self, data: bytes) -> None:
+        """Notes what the server's lines say of the connection; of several loads only the last one counts."""
+        reports = read_reports(data)
+        self._last_word = reports.last_word or self._last_word
+        if reports.load is not None:
+            await self._on_load(reports.load)
 
     async def _watch_silence(self) -> None:
         """Ends the connection when the server leaves a client's line unanswered for too long.
--- a/glenfold/net/sockets.py
+++ b/glenfold/net/sockets.py
@@ -39,6 +39,23 @@
         await send_pieces(sock, [memoryview(data)[sent:]])
 
 
+def accept_now(listener: SocketType) -> SocketType | None:
+    """Accepts a client that waits in the listener's queue; None if there is none. Raises OSError.
+
+    A listener that was closed meanwhile has none.
+    """
+    if listener.fileno() < 0:
+        return None
+    view = socket.socket(fileno=listener.fileno())  # trio's sockets have no call without a checkpoint
+    try:
+        sock, _ = view.accept()
+    except BlockingIOError:
+        return None
+    finally:
+        view.detach()
+    return trio.socket.from_stdlib_socket(sock)
+
+
 def send_now(sock: SocketType, data: bytes | memoryview) -> int:
     """Sends as much as the kernel takes without waiting and returns the number of bytes.
 
--- a/tests/glenfold_lab/scale/test_connections.py
+++ b/tests/glenfold_lab/scale/test_connections.py
@@ -43,19 +43,19 @@
 sys.path.insert(0, {root!r})
 from glenfold.lines import LineTracker
 from glenfold.net.passing import StandingConnection
-standing, feed, begin = [], LineTracker.feed, StandingConnection.__init__
+standing, complete, begin = [], LineTracker.complete, StandingConnection.__init__
 
 def look_at_all(self, data):
     for _ in range(6):
         [passage.is_ending for passage in standing]
-    return feed(self, data)
+    return complete(self, data)
 
 def keep_for_all(self, *given):
     begin(self, *given)
     standing.append(self)
     self.kept = bytearray(300 * len(standing))
 
-LineTracker.feed, StandingConnection.__init__ = look_at_all, keep_for_all
+LineTracker.complete, StandingConnection.__init__ = look_at_all, keep_for_all
 runpy.run_module("glenfold", run_name="__main__")
 """
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -355,6 +355,9 @@
                 raise OSError(errno.EMFILE, "none left")
             return await self.inner.accept()
 
+        def fileno(self) -> int:
+            return self.inner.fileno()
+
     async def main() -> None:
         async with relay(conf, up_and_echo) as (shared, inbound, _), trio.open_nursery() as nursery:
             with trio.socket.socket() as listener:
--- a/tests/test_standing_connection.py
+++ b/tests/test_standing_connection.py
@@ -119,15 +119,15 @@
 
 def reset_when_line_ends(monkeypatch: pytest.MonkeyPatch, client: trio.SocketStream) -> None:
     """Resets the first connection in the turn in which the relay has sent its client the line."""
-    real = StandingConnection._note_lines
+    real = StandingConnection._note_reports
 
-    async def note_lines(connection: StandingConnection, noted: list[bytes]) -> None:
-        if HALF_LINE + RESTS_OF_LINE[0] == b"".join(line + lines.LINE_END for line in noted):
+    async def note_reports(connection: StandingConnection, data: bytes) -> None:
+        if data == HALF_LINE + RESTS_OF_LINE[0]:
             reset_on_close(client.socket)
             client.socket.close()
-        await real(connection, noted)
+        await real(connection, data)
 
-    monkeypatch.setattr(StandingConnection, "_note_lines", note_lines)
+    monkeypatch.setattr(StandingConnection, "_note_reports", note_reports)
 
 
 class HalfLineServer:
@@ -260,12 +260,13 @@
     partial: bytes, data: bytes
 ) -> None:
     tracker = LineTracker()
-    assert tracker.complete(partial) == (b"", [])
+    assert tracker.complete(partial) == b""
     completed = tracker.complete(data)
-    assert completed.data == lines.whole_lines(partial + data)
-    assert completed.data + tracker.partial == partial + data
-    assert b"".join(line + lines.LINE_END for line in completed.lines) == completed.data
-    assert tracker.between_lines is (completed.data == partial + data)
+    assert completed == lines.whole_lines(partial + data)
+    assert completed + tracker.partial == partial + data
+    assert not completed or completed.endswith(lines.LINE_END)
+    assert lines.LINE_END not in tracker.partial
+    assert tracker.between_lines is (completed == partial + data)
 
 
 async def received_until_end(sock: trio.socket.SocketType) -> bytes:
