Fix: a request that must run once ran again when its client came back with its id

Cause: what the decisions knew of a request (the server on which it may have run, and when it was sent) ended with its connection, so a request that came again was a new one.

Connections in mid flow and those that stood before come with their own id and are not touched. An id is in use until the decisions know how its request ended.

--- a/glenfold/lines.py
+++ b/glenfold/lines.py
@@ -1,5 +1,6 @@
 """The line protocol, without I/O: first lines are parsed in place and forwarded in pieces."""
 
+import hashlib
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from typing import NamedTuple
@@ -88,6 +89,10 @@
         """Returns the value of a parameter as a number, 0 if it is missing. Raises Malformed."""
         return _number(self.parameters.get(name, b"0"), base)
 
+    def identity(self) -> int:
+        """Returns a hash of the id, of 64 bits and not 0."""
+        return int.from_bytes(hashlib.blake2b(self.id, digest_size=8).digest()) | 1
+
     def load(self) -> int | None:
         """Returns the client's estimate of its load; None if it gives none that is valid."""
         load = parse_load(self.parameters.get(b"h", b""))
--- a/glenfold/net/inbound.py
+++ b/glenfold/net/inbound.py
@@ -337,6 +337,8 @@
         request_class = self._names.classes.get(first.text(b"c"))
         if request_class is None:
             raise lines.Malformed("the class of the first line is unknown")
+        semantics = self._relay.config.settings.classes[request_class].semantics
+        is_repeatable = semantics is interface.Semantics.REPEATABLE
         return interface.Request(
             request=self._relay.decisions.new_request(),
             expires_in_us=self._expires_in_us(first),
@@ -348,6 +350,7 @@
             client_retry=first.flag(b"r"),
             mid_flow=first.flag(b"mid"),
             returning=first.flag(b"again"),
+            identity=0 if is_repeatable else first.identity(),
         )
 
     def _expires_in_us(self, first: lines.OpenLine) -> int:
@@ -412,15 +415,22 @@
             if receipt is not None and self._call is not None and self._call.sock is not None:
                 await self._pass_lines(self._call.sock, receipt)
         finally:
-            relay.ids[self._first.id] -= 1
-            if not relay.ids[self._first.id]:
-                del relay.ids[self._first.id]
             if self._call is not None:
                 self._call.close()
-            for effect in self._state.on(request.ClientDisconnected(), relay.clock.now_us()):
-                if isinstance(effect, request.Report):
-                    await relay.decisions.submit(effect.event)
-            await relay.decisions.submit(Closed(self._request.request))
+            try:
+                await self._report_end()
+            finally:
+                # The id is free once the decisions know how its request ended.
+                relay.ids[self._first.id] -= 1
+                if not relay.ids[self._first.id]:
+                    del relay.ids[self._first.id]
+
+    async def _report_end(self) -> None:
+        """Reports to the decisions what they don't know yet of the end of the request."""
+        for effect in self._state.on(request.ClientDisconnected(), self._relay.clock.now_us()):
+            if isinstance(effect, request.Report):
+                await self._relay.decisions.submit(effect.event)
+        await self._relay.decisions.submit(Closed(self._request.request))
 
     async def _run_until_answered(self) -> bytes | None:
         """Returns the receipt of the server that accepted the request, after it was sent to the client.
--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -21,6 +21,7 @@
 from linnetspread.anchor import Anchor
 from linnetspread.hashing import MASK_64, SEEDS, jump_hash, mix
 from linnetspread.map_update import bucket_counts, update_steps
+from linnetspread.past_runs import PastRun, PastRuns
 
 # The lab imports these from here, as it also plays earlier revisions of this package.
 __all__ = ["SEEDS", "Anchor", "Balancer", "jump_hash", "mix"]
@@ -127,8 +128,8 @@
     # Whether the final answer was given; the record stays until the answer of the attempt itself arrives.
     finished: bool = False
     tried: list[int] = field(default_factory=list)
-    # The first server on which the request may have run.
-    may_have_run_on: Server | None = None
+    # The first server on which the request may have run, as it was listed then.
+    may_have_run_on: interface.ListedServer | None = None
     may_have_run_at: int = 0
     # How far the client counts as part of the usual flow of new clients, from 0 to 1.
     usual_fraction: float = 0.0
@@ -178,6 +179,7 @@
         # The mean slice over the occupied servers: the best guess for a server that this gateway hasn't used.
         self.mean_slice = Slice()
         self.connections: dict[int, Connection] = {}
+        self.past_runs = PastRuns()
         # The ids of connections with an attempt out.
         self.setting_up: set[int] = set()
         # The times of recent requests and of recent further attempts.
@@ -333,6 +335,9 @@
         # The available power is below the ready power while some servers are cold.
         if event.unmarked and self.available_power < self.ready_power:
             connection.usual_fraction = self._take_usual_fraction()
+        # In mid flow, a connection that ran goes on at its server; any other server resets it.
+        if not event.mid_flow and (past := self.past_runs.get(event.identity)) is not None:
+            connection.may_have_run_on, connection.may_have_run_at = past.server, past.sent_at
         self.ended_connections -= event.mid_flow
         if (
             event.mid_flow
@@ -517,7 +522,7 @@
         window_end = self._repeat_window_end(connection)
         if window_end is None or self.now >= window_end:
             return False
-        return request_class.scope.joins(server.listed, connection.may_have_run_on.listed)
+        return request_class.scope.joins(server.listed, connection.may_have_run_on)
 
     def _repeat_window_end(self, connection: Connection) -> int | None:
         """Returns when servers stop dropping repeats of a keyed request that may have run; else None."""
@@ -672,6 +677,13 @@
             )
         )
 
+    def _note_run(self, connection: Connection, server: Server) -> None:
+        """Notes that the request may have run on this server, unless it may have run before."""
+        if connection.may_have_run_on is None:
+            connection.may_have_run_on, connection.may_have_run_at = server.listed, connection.sent_at
+            run = PastRun(connection.may_have_run_on, connection.may_have_run_at)
+            self.past_runs.record(connection.event.identity, run)
+
     def _refuse_or_fail(self, connection: Connection) -> None:
         may_refuse = (
             connection.may_have_run_on is None or self.settings.class_of(connection.event).refusable_after_run
@@ -704,6 +716,7 @@
         connection = self.connections.get(event.request)
         if connection is not None and connection.server is not None:
             connection.established = True
+            self._note_run(connection, connection.server)
             self.setting_up.discard(event.request)
             connection.server.failures = connection.server.ejected_until = 0
             connection.server.last_established_at = self.now
@@ -723,8 +736,8 @@
             and connection.sent_at in self.extra_attempt_times
         ):
             self.extra_attempt_times.remove(connection.sent_at)
-        if not event.outcome.never_ran and connection.may_have_run_on is None:
-            connection.may_have_run_on, connection.may_have_run_at = server, connection.sent_at
+        if not event.outcome.never_ran:
+            self._note_run(connection, server)
         # The client of an open connection that was cancelled went to a new gateway.
         if (
             connection.established
@@ -854,8 +867,8 @@
             self.actions.append(interface.Subscribe(True))
         connection = self.connections.get(event.token)
         if connection is not None and not connection.established and not connection.finished:
-            if connection.server is not None and connection.may_have_run_on is None:
-                connection.may_have_run_on, connection.may_have_run_at = connection.server, connection.sent_at
+            if connection.server is not None:
+                self._note_run(connection, connection.server)
             self._refuse_or_fail(connection)
 
 
--- a/linnetspread/interface.py
+++ b/linnetspread/interface.py
@@ -238,7 +238,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Request:
-    """A new request for a connection."""
+    """A new request for a connection.
+
+    `identity` is a hash of the id under which its client may send it again; 0 if that is never the case.
+    """
 
     request: int
     expires_in_us: int
@@ -250,6 +253,7 @@
     client_retry: bool = False
     mid_flow: bool = False
     returning: bool = False
+    identity: int = 0
 
     @property
     def shared_key(self) -> int:
