Fix: a client's reset was noticed late where its push server read nothing

Callers may see: lines of a client that has reset its connection still reach its push server, if that read nothing for up to 1.2 s and then reads again.

Cause: while a write to the server waits, nobody reads the client, and a reset is seen only by a read or a write.

Now a write to the server that has to wait asks the kernel every 0.05 s whether the client's connection was reset, and passes the reset on. Where the server's end is passed on, nothing is written if no line has begun.

Test: test_a_reset_is_passed_on_while_the_server_takes_nothing; before, the connection ended by the server's silence after 1.2 s. A test that hooked the write to the server by its function hooks the one that is called now; what it asks for is the same.

--- a/glenfold/net/passing.py
+++ b/glenfold/net/passing.py
@@ -12,11 +12,12 @@
 from glenfold import events
 from glenfold.lines import BYE_WORD, MAX_LINE_BYTES, MOVE, MOVE_WORD, LineTracker, read_reports
 from glenfold.net.closing import CLIENT_STALL_TIMEOUT_S, HALF_CLOSE_TIMEOUT_S, OrderlyClose
-from glenfold.net.sockets import SocketType, reset_on_close, send, send_fin, send_now
+from glenfold.net.sockets import SocketType, reset_on_close, send, send_fin, send_now, was_reset
 from linnetspread.interface import Outcome
 
 CHUNK_BYTES = MAX_LINE_BYTES  # Held for each direction of a connection whose receiving side doesn't read.
 SERVER_SILENCE_TIMEOUT_S = 1.2  # A server that leaves a client's line unanswered so long counts as failed.
+RESET_CHECK_INTERVAL_S = 0.05  # Nothing may be sent for a client that left 0.1 s ago.
 LINE_COMPLETION_TIMEOUT_S = 0.3  # Time that a move waits for the server to complete a line that it began.
 
 LoadCallback = Callable[[float], Awaitable[None]]
@@ -217,7 +218,8 @@
                 if self._unanswered_since is None:
                     self._unanswered_since = trio.current_time()
                 try:
-                    await send(self.server, data)
+                    if not await self._send_to_server(data):
+                        return self._end_without_client()
                 except OSError as error:
                     # `_forward_to_client` still reads what the server has sent. The kernel reports a reset
                     # only once, so it is noted for that task. Any other error means that the line was
@@ -237,6 +239,19 @@
         # not keep a half-closed connection for ever.
         self._unanswered_since = self._unanswered_since or trio.current_time()
 
+    async def _send_to_server(self, data: bytes) -> bool:
+        """Sends `data` to the server; returns False if the client reset its connection meanwhile.
+
+        Nobody reads the client while a server takes nothing, so its reset has to be looked for.
+        """
+        remaining = memoryview(data)[send_now(self.server, data) :]
+        while remaining:
+            with trio.move_on_at(trio.current_time() + RESET_CHECK_INTERVAL_S):
+                remaining = remaining[await self.server.send(remaining) :]
+            if remaining and was_reset(self.client):
+                return False
+        return True
+
     async def _forward_to_client(self) -> None:
         while True:
             try:
@@ -261,7 +276,7 @@
             # could not be answered: the wait for their answer starts anew.
             self._unanswered_since = self._unanswered_since and trio.current_time()
         try:
-            if not await self._send_to_client(self._lines.partial):
+            if self._lines.partial and not await self._send_to_client(self._lines.partial):
                 return
         except OSError:
             return self._end_without_client()
--- a/glenfold/net/sockets.py
+++ b/glenfold/net/sockets.py
@@ -86,6 +86,11 @@
     return _is_ready_now(sock, select.POLLRDHUP)  # poll always reports a reset, without a flag for it
 
 
+def was_reset(sock: SocketType) -> bool:
+    """Returns whether the connection was reset, or ended by both sides, as far as the kernel knows."""
+    return _is_ready_now(sock, 0)  # poll reports both without a flag for it
+
+
 def unread_bytes(sock: SocketType) -> int:
     """Returns the number of received bytes that are still unread; 0 where the kernel does not say."""
     count = bytearray(_INT_BYTES)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -343,16 +343,16 @@
 ) -> None:
     """Sending a client's line consumes the socket error; data that the server sent before still arrives."""
     servers = list[trio.SocketStream]()
-    send = passing.send
+    send_now = passing.send_now
 
-    async def send_to_closed(sock: sockets.SocketType, data: bytes) -> None:
+    def send_to_closed(sock: sockets.SocketType, data: bytes) -> int:
         if data == b"M 2\r\n":
             if how == "reset":
                 sockets.reset_on_close(servers[0].socket)
             servers[0].socket.close()  # nothing is unread, so this sends FIN unless a reset is set
-        await send(sock, data)
+        return send_now(sock, data)
 
-    monkeypatch.setattr(passing, "send", send_to_closed)
+    monkeypatch.setattr(passing, "send_now", send_to_closed)
 
     async def server(stream: trio.SocketStream) -> None:
         servers.append(stream)
--- a/tests/test_standing_connection.py
+++ b/tests/test_standing_connection.py
@@ -2,7 +2,7 @@
 
 import socket
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 
 import pytest
@@ -375,3 +375,23 @@
             await trio.testing.wait_all_tasks_blocked()
             assert loads == [50.5] and not connection.is_ending
             nursery.cancel_scope.cancel()
+
+
+# Guards against lines sent on for a client that has reset, as its server reads nothing (incident 24).
+@relaying.async_test(standing)
+async def test_a_reset_is_passed_on_while_the_server_takes_nothing(ends: Ends) -> None:
+    while passing.send_now(ends.connection.server, b"#" * lines.MAX_LINE_BYTES):
+        pass
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(ends.connection.run, b"M 1\r\n", b"UP r1\r\n")
+        await trio.testing.wait_all_tasks_blocked(0.01)
+        ends.client.close()  # of a Unix socket: the kernel tells the relay's end at once
+        with trio.fail_after(5.0):
+            while not ends.connection.is_ending:
+                await trio.sleep(0.005)
+    assert not ends.connection.silent  # it did not end for the server's silence, which is noticed much later
+    received = b""
+    with suppress(OSError):
+        while data := await ends.server.recv(1 << 20):
+            received += data
+    assert b"M 1" not in received
