Fix: connections in mid flow were lost after the largest push server left or joined

Cause: the weight unit follows the largest share. Where it changes, every server claims twice or half as many buckets, and about 39 of 100 keys of servers that stay move. Connections were looked up by the new map alone.

Now the map before a change of the unit is kept for 300 s, and a connection in mid flow that the new map's server resets goes to the former one's. New connections go by the new map alone.

--- a/linnetspread/choice.py
+++ b/linnetspread/choice.py
@@ -55,6 +55,8 @@
 # Turns also use this multiple of the square root of the calls, as the rule allows for deviations by chance,
 # which grow with that root.
 COLD_BUDGET_CHANCE_PART = 0.75
+# A map that was replaced as a whole is kept for as long as most of the connections that it placed may live.
+FORMER_MAP_US = 300_000_000
 # Told by `next` at the end of the steps of a map.
 MAP_COMPLETE = object()
 # The timer token for a new subscription to the list; request ids, the other tokens, stay far below.
@@ -150,6 +152,9 @@
         self.anchor, self.weight_unit = Anchor([]), 1.0
         # The number of buckets of each server that is in the map.
         self.map_buckets: dict[int, int] = {}
+        # The map before the weight unit changed, which moved keys of all servers, and the end of its use.
+        self.former_anchor: Anchor | None = None
+        self._former_until = 0
         self._map_work: Iterator[None] | None = None
         # Whether the list has changed since the work on the map began.
         self._map_is_due = False
@@ -275,6 +280,8 @@
             else:
                 anchor = self.anchor
             yield from update_steps(anchor, present, buckets)
+            if unit != self.weight_unit and self.map_buckets:
+                self.former_anchor, self._former_until = self.anchor, self.now + FORMER_MAP_US
             self.anchor, self.weight_unit, self.map_buckets = anchor, unit, buckets
             self.can_place = True
         for server in list(self.servers.values()):
@@ -283,6 +290,8 @@
     def _recompute_power(self) -> None:
         """Recomputes the available power and the homes of a group, which grow as cold servers warm up."""
         self.next_power_check_at = self.now + 1_000_000
+        if self.now >= self._former_until:
+            self.former_anchor = None
         ready = [server for server in self.servers.values() if server.listed.ready]
         self.available_power = sum(
             server.power * self.settings.warmth(self._age_us(server)) for server in ready
@@ -468,7 +477,8 @@
             if not self._is_within_slice(connection, server, at_home):
                 continue
             # A mid-flow connection would be reset by any other server, so health doesn't matter.
-            if connection.event.mid_flow and connection.attempts == 0 or self._is_healthy(connection, server):
+            may_stand_there = connection.event.mid_flow and (connection.attempts == 0 or at_home)
+            if may_stand_there or self._is_healthy(connection, server):
                 return server, at_home
             if server.failures < 2 and self.now >= server.backoff_until:
                 suspect = suspect or (server, at_home)
@@ -479,7 +489,8 @@
     def _candidates(self, event: interface.Request) -> Iterator[tuple[Server, bool]]:
         """Yields the server of the key, then those of the key under further seeds; the flag marks the first.
 
-        All of a group have the same further servers, so that the group stays together there.
+        All of a group have the same further servers, so that the group stays together there. A connection in
+        mid flow may stand where the map before the present one has its key.
         """
         key = event.shared_key
         if not self.ready_power:
@@ -503,6 +514,10 @@
         try_home = is_spread or not event.returning or self._age_us(home) < self.settings.cold_us
         if try_home or any(connection.established for connection in home.connections.values()):
             yield home, True
+        if event.mid_flow and self.former_anchor is not None:
+            former = self.servers.get(self.former_anchor.lookup(key ^ mix(part), SEEDS[0]) or 0)
+            if former is not None and former is not home:
+                yield former, True
         # A spread group has its other homes as further servers: each new one would pay for the shared work.
         for step in range(FALLBACK_SEEDS):
             seed = SEEDS[0] if is_spread else SEEDS[1] + step * SEEDS[2] & MASK_64
