--- a/glenfold/daemon/process.py
+++ b/glenfold/daemon/process.py
@@ -28,7 +28,8 @@
 from glenfold.decisions import Decisions
 from glenfold.destinations import BadList, DestinationSet
 from glenfold.net.discovery import Discovery
-from glenfold.net.inbound import LISTEN_BACKLOG, Inbound, Relay
+from glenfold.net.exchange import Relay
+from glenfold.net.inbound import LISTEN_BACKLOG, Inbound
 from glenfold.net.passing import StandingConnection
 from glenfold.net.sockets import SocketType, has_queued_client
 from glenfold.shutdown import ANSWER_POLL_S, MIN_ANSWER_TURNS, ShutdownSchedule, move_order
--- a/tests/glenfold_lab/standing.py
+++ b/tests/glenfold_lab/standing.py
@@ -17,7 +17,8 @@
 from glenfold.destinations import DestinationSet
 from glenfold.list_entry import server_number
 from glenfold.net.discovery import Discovery
-from glenfold.net.inbound import Inbound, Relay
+from glenfold.net.exchange import Relay
+from glenfold.net.inbound import Inbound
 from glenfold_lab.model.fleet import KindParameters, Machine
 from glenfold_lab.model.network import Network
 from glenfold_lab.model.servers.messages import Messages
--- a/tests/glenfold_lab/test_soak.py
+++ b/tests/glenfold_lab/test_soak.py
@@ -74,7 +74,7 @@
         "glenfold/lines.py", 'MOVE = b"MOVE\\r\\n"', 'MOVE = b"GOOD\\r\\n"', 14, "move"
     ),
     "sends an attempt after the answer": Mutant(
-        "glenfold/net/inbound.py",
+        "glenfold/net/exchange.py",
         "                    await self._answer(lines.busy_line(wait_us))\n",
         "                    await self._answer(lines.busy_line(wait_us))\n"
         "                    await trio.sleep(0.2)\n"
--- a/tests/relaying.py
+++ b/tests/relaying.py
@@ -16,7 +16,8 @@
 from glenfold.daemon.process import Process
 from glenfold.decisions import Decisions
 from glenfold.destinations import DestinationSet
-from glenfold.net.inbound import Inbound, Relay
+from glenfold.net.exchange import Relay
+from glenfold.net.inbound import Inbound
 
 Handler = Callable[[trio.SocketStream], Awaitable[None]]
 SetUp = Callable[[Path], AbstractAsyncContextManager[Any]]
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,7 +16,8 @@
 from glenfold import lines
 from glenfold.decisions import Decisions
 from glenfold.net import outbound, passing, sockets
-from glenfold.net.inbound import Exchange, Inbound, Relay
+from glenfold.net.exchange import Exchange, Relay
+from glenfold.net.inbound import Inbound
 from linnetspread import interface
 
 MID_FLOW_OPEN = OPEN.replace(b",zz=1", b",mid=1,zz=1")
--- a/tests/test_last_moments.py
+++ b/tests/test_last_moments.py
@@ -18,7 +18,7 @@
 from glenfold.daemon import process
 from glenfold.daemon.life import State
 from glenfold.daemon.process import Process, run_by_signals
-from glenfold.net.inbound import Exchange
+from glenfold.net.exchange import Exchange
 from glenfold.net.sockets import has_queued_client
 from linnetspread import interface
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -23,7 +23,7 @@
 from glenfold.daemon.process import Process, finish_requests
 from glenfold.lines import MOVE
 from glenfold.net import passing
-from glenfold.net.inbound import Relay
+from glenfold.net.exchange import Relay
 from glenfold.shutdown import ShutdownSchedule, move_order
 from linnetspread import interface
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -23,7 +23,7 @@
 from glenfold.list_entry import server_number
 from glenfold.net import sockets
 from glenfold.net.discovery import Discovery
-from glenfold.net.inbound import Relay
+from glenfold.net.exchange import Relay
 from glenfold.shutdown import ShutdownSchedule
 from linnetspread import interface
 from linnetspread.hashing import SEEDS
--- a/tests/test_repeat_window.py
+++ b/tests/test_repeat_window.py
@@ -13,7 +13,7 @@
 
 from glenfold.clock import SECOND_US
 from glenfold.counters import Counters
-from glenfold.net.inbound import Exchange
+from glenfold.net.exchange import Exchange
 
 WINDOW_S = 1.0
 UP = b"UP r1\r\n"
--- a/tests/test_returning_ids.py
+++ b/tests/test_returning_ids.py
@@ -12,7 +12,7 @@
 from relaying import OPEN, read_line
 
 from glenfold.lines import OpenLine
-from glenfold.net.inbound import Relay
+from glenfold.net.exchange import Relay
 from glenfold.net.sockets import reset_on_close
 from linnetspread import Balancer, interface
 from linnetspread.past_runs import PastRun, PastRuns
--- a/tests/test_split_groups.py
+++ b/tests/test_split_groups.py
@@ -10,7 +10,7 @@
 
 from glenfold.config.platform import Config
 from glenfold.daemon.process import Process
-from glenfold.net.inbound import Relay
+from glenfold.net.exchange import Relay
 from linnetspread import interface
 
 GROUP = 0x5C0F
