--- a/benchmarks/hostile_clients.py
+++ b/benchmarks/hostile_clients.py
@@ -6,7 +6,8 @@
 relay lived, its peak memory and most descriptors, and for the ordinary clients the longest time to an answer
 and to the return of a line, and how many got none. The hostile clients and the push servers run in processes
 of their own. `lag_s` is the longest time by which this script itself was late. A push server does what the
-parameter `zz` of a first line tells it, as a relay passes unknown parameters on.
+parameter `zz` of a first line tells it, as a relay passes unknown parameters on. Results are in
+benchmarks/hostile.
 """
 
 import argparse
