--- a/tests/glenfold_lab/test_soak.py
+++ b/tests/glenfold_lab/test_soak.py
@@ -48,10 +48,12 @@
     assert (result.crowded > 0) == draw_plan(seed, LENGTH_S).has_client_burst
 
 
-@pytest.mark.parametrize("seed", [205, 222])
+@pytest.mark.parametrize("seed", [125, 205, 222])
 def test_a_seed_of_the_long_run_that_failed_once_keeps_every_rule(seed: int) -> None:
     """Each seed failed once on a busy machine, was not traced, and did not fail in two more plays.
 
+    Seed 125: a cold server got 7 attempts within a second where 2.06 are within its rule, in 2 of 4 plays.
+
     Seed 205: an attempt reached its server 54 ms after its client had been answered BUSY. Seed 222: while a
     client burst filled a relay, eight requests were answered BUSY 0.46 s after their deadlines.
     """
